--- /dev/null
+++ b/components/control/src/lib.rs
@@ -0,0 +1,1 @@
+//! Control-plane decisions, free of I/O.
--- /dev/null
+++ b/components/daemon/src/lib.rs
@@ -0,0 +1,1 @@
+//! Shells of a host around the decisions.
--- /dev/null
+++ b/components/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Open-loop load tool.
--- /dev/null
+++ b/components/serving/src/lib.rs
@@ -0,0 +1,1 @@
+//! Data-plane decisions, free of I/O.
--- /dev/null
+++ b/components/telemetry/src/lib.rs
@@ -0,0 +1,1 @@
+//! Logs, metrics and the timeline.
--- /dev/null
+++ b/components/units/tests/text_forms.rs
@@ -0,0 +1,41 @@
+//! Guards against ids, durations and hashes whose text form does not parse back, and against
+//! accepting texts that would break object keys or headers.
+
+use {
+    proptest::prelude::*,
+    wigeonramp_units::{Digest, HostId, InstanceId, LeafId, Span},
+};
+
+proptest! {
+    #[test]
+    fn a_span_parses_back_from_its_text(us in 0_u64..10_000_000_000_000) {
+        prop_assert_eq!(Span(us).to_string().parse::<Span>(), Ok(Span(us)));
+    }
+
+    #[test]
+    fn a_digest_parses_back_from_its_text(hash: u64) {
+        prop_assert_eq!(Digest(hash).to_string().parse::<Digest>(), Ok(Digest(hash)));
+    }
+}
+
+#[test]
+fn bad_texts_name_kind_and_expected_form() {
+    let errors = [
+        "5 minutes".parse::<Span>().unwrap_err(),
+        "ms".parse::<Span>().unwrap_err(),
+        "12".parse::<Span>().unwrap_err(),
+        "99999999999999999999min".parse::<Span>().unwrap_err(),
+        "".parse::<HostId>().unwrap_err(),
+        "a\r\nx-member: other".parse::<LeafId>().unwrap_err(),
+        "xyz".parse::<Digest>().unwrap_err(),
+    ];
+    let text: Vec<String> = errors.iter().map(ToString::to_string).collect();
+    insta::assert_json_snapshot!(text);
+}
+
+#[test]
+fn an_instance_names_its_host() {
+    let instance = InstanceId::new(&"h1".parse().unwrap(), &"b2".parse().unwrap());
+    assert_eq!(instance.to_string(), "h1@b2");
+    assert_eq!(instance.host().as_str(), "h1");
+}
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! Command-line tool of wigeonramp.
+
+fn main() {}
