--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -1,1 +1,21 @@
 //! Open-loop load tool.
+//!
+//! Arrivals follow a schedule that is fixed before the run, so that a slow answer does not delay
+//! the queries behind it. Latency counts from the scheduled time of arrival. Every run is bounded
+//! in count and time.
+
+mod class;
+mod entry;
+mod leaves;
+mod report;
+mod run;
+mod schedule;
+mod summary;
+
+pub use class::{Class, LoadError, LoadProfile};
+pub use entry::EntryList;
+pub use leaves::{LeafCounts, LeafTotals};
+pub use report::{Comparison, Report, Row, table};
+pub use run::{RunPlan, run};
+pub use schedule::{Arrival, Schedule};
+pub use summary::{ClassSummary, Sample, SampleOutcome, Summary};
