Add host settings, declared deployments, API bodies and JSON logging

The daemon needs host settings and a document expanded from a declaration to start; the bodies of the operator and caller APIs are fixed here so that host and tool agree on them. log4rs needs the feature json_encoder for JSON lines; json_format is only for its own configuration files.

--- /dev/null
+++ b/components/config/src/change.rs
@@ -0,0 +1,457 @@
+//! Differences between two documents.
+
+use {
+    crate::document::{Collection, Document, Leaf, PartitionMap, Presence},
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    serde_json::{Map, Value},
+    std::{
+        fmt::{Display, Formatter, Result as FmtResult},
+        hash::Hash,
+        net::SocketAddr,
+    },
+    wigeonramp_units::{CallerId, CollectionId, LeafId, MapVersion, MemberId, ZoneId},
+};
+
+/// One setting with its value before and after.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct SettingChange {
+    /// Name of the setting.
+    pub key: String,
+    /// Value before.
+    pub from: Value,
+    /// Value after.
+    pub to: Value,
+}
+
+impl Display for SettingChange {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        write!(f, "{} {} -> {}", self.key, bare(&self.from), bare(&self.to))
+    }
+}
+
+/// One difference between two documents.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case", tag = "kind")]
+pub enum ConfigChange {
+    /// A zone is new.
+    ZoneAdded {
+        /// The zone.
+        zone: ZoneId,
+        /// Its region.
+        region: String,
+        /// Whether it takes part.
+        state: Presence,
+    },
+    /// A zone no longer exists.
+    ZoneRemoved {
+        /// The zone.
+        zone: ZoneId,
+    },
+    /// A zone lies in another region.
+    ZoneMoved {
+        /// The zone.
+        zone: ZoneId,
+        /// Region before.
+        from: String,
+        /// Region after.
+        to: String,
+    },
+    /// A zone gets no new work.
+    ZoneOut {
+        /// The zone.
+        zone: ZoneId,
+    },
+    /// A zone takes part again.
+    ZoneIn {
+        /// The zone.
+        zone: ZoneId,
+    },
+    /// A member is new.
+    MemberAdded {
+        /// The member.
+        member: MemberId,
+    },
+    /// A member no longer exists.
+    MemberRemoved {
+        /// The member.
+        member: MemberId,
+    },
+    /// A caller is new.
+    CallerAdded {
+        /// The caller.
+        caller: CallerId,
+        /// Its member.
+        member: MemberId,
+    },
+    /// A caller no longer exists.
+    CallerRemoved {
+        /// The caller.
+        caller: CallerId,
+    },
+    /// A caller has other settings.
+    CallerChanged {
+        /// The caller.
+        caller: CallerId,
+        /// Settings that differ.
+        settings: Vec<SettingChange>,
+    },
+    /// A collection is new, with all its leaves.
+    CollectionAdded {
+        /// The collection.
+        collection: CollectionId,
+        /// Shards of its newest map.
+        shards: u32,
+        /// Its leaves.
+        leaves: u32,
+    },
+    /// A collection no longer exists, nor do its leaves.
+    CollectionRemoved {
+        /// The collection.
+        collection: CollectionId,
+        /// Leaves that it had.
+        leaves: u32,
+    },
+    /// A collection has other settings.
+    CollectionChanged {
+        /// The collection.
+        collection: CollectionId,
+        /// Settings that differ.
+        settings: Vec<SettingChange>,
+    },
+    /// A partition map is new.
+    MapAdded {
+        /// The collection.
+        collection: CollectionId,
+        /// The map.
+        map: MapVersion,
+        /// Its shards.
+        shards: u32,
+    },
+    /// A partition map no longer exists.
+    MapRemoved {
+        /// The collection.
+        collection: CollectionId,
+        /// The map.
+        map: MapVersion,
+    },
+    /// A partition map has other shards or another first snapshot.
+    MapChanged {
+        /// The collection.
+        collection: CollectionId,
+        /// The map.
+        map: MapVersion,
+        /// Its shards before.
+        shards_before: u32,
+        /// Its shards after.
+        shards_after: u32,
+    },
+    /// A leaf is new.
+    LeafAdded {
+        /// The leaf.
+        leaf: LeafId,
+        /// Where it listens.
+        address: SocketAddr,
+        /// Its zone.
+        zone: ZoneId,
+        /// Whether it takes new work.
+        state: Presence,
+    },
+    /// A leaf no longer exists.
+    LeafRemoved {
+        /// The leaf.
+        leaf: LeafId,
+    },
+    /// A leaf has another address, zone or collection.
+    LeafChanged {
+        /// The leaf.
+        leaf: LeafId,
+        /// Settings that differ.
+        settings: Vec<SettingChange>,
+    },
+    /// A leaf gets no new work.
+    LeafOut {
+        /// The leaf.
+        leaf: LeafId,
+    },
+    /// A leaf takes new work again, as far as its zone does.
+    LeafIn {
+        /// The leaf.
+        leaf: LeafId,
+    },
+    /// A limit has another value.
+    LimitChanged {
+        /// The limit with its values.
+        limit: SettingChange,
+    },
+}
+
+impl Display for ConfigChange {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        match self {
+            Self::ZoneAdded { zone, region, state } => {
+                write!(f, "zone {zone} added in region {region}, {}", presence(*state))
+            }
+            Self::ZoneRemoved { zone } => write!(f, "zone {zone} removed"),
+            Self::ZoneMoved { zone, from, to } => write!(f, "zone {zone} region {from} -> {to}"),
+            Self::ZoneOut { zone } => write!(f, "zone {zone} out"),
+            Self::ZoneIn { zone } => write!(f, "zone {zone} in"),
+            Self::MemberAdded { member } => write!(f, "member {member} added"),
+            Self::MemberRemoved { member } => write!(f, "member {member} removed"),
+            Self::CallerAdded { caller, member } => {
+                write!(f, "caller {caller} added for member {member}")
+            }
+            Self::CallerRemoved { caller } => write!(f, "caller {caller} removed"),
+            Self::CallerChanged { caller, settings } => {
+                write!(f, "caller {caller} changed: {}", joined(settings))
+            }
+            Self::CollectionAdded { collection, shards, leaves } => {
+                write!(f, "collection {collection} added with {shards} shards, {leaves} leaves")
+            }
+            Self::CollectionRemoved { collection, leaves } => {
+                write!(f, "collection {collection} removed with {leaves} leaves")
+            }
+            Self::CollectionChanged { collection, settings } => {
+                write!(f, "collection {collection} changed: {}", joined(settings))
+            }
+            Self::MapAdded { collection, map, shards } => {
+                write!(f, "collection {collection} map {map} added with {shards} shards")
+            }
+            Self::MapRemoved { collection, map } => {
+                write!(f, "collection {collection} map {map} removed")
+            }
+            Self::MapChanged { collection, map, shards_before, shards_after } => {
+                write!(f, "collection {collection} map {map} changed: ")?;
+                write!(f, "shards {shards_before} -> {shards_after}")
+            }
+            Self::LeafAdded { leaf, address, zone, state } => {
+                write!(f, "upstream {leaf} added at {address} in {zone}, {}", presence(*state))
+            }
+            Self::LeafRemoved { leaf } => write!(f, "upstream {leaf} removed"),
+            Self::LeafChanged { leaf, settings } => {
+                write!(f, "upstream {leaf} changed: {}", joined(settings))
+            }
+            Self::LeafOut { leaf } => write!(f, "upstream {leaf} out"),
+            Self::LeafIn { leaf } => write!(f, "upstream {leaf} in"),
+            Self::LimitChanged { limit } => write!(f, "limit {limit}"),
+        }
+    }
+}
+
+/// What changes from `base` to `target`; version and operation do not count.
+///
+/// The result is empty exactly if both have the same content.
+pub fn diff(base: &Document, target: &Document) -> Vec<ConfigChange> {
+    let mut changes = Vec::new();
+    diff_zones(base, target, &mut changes);
+    diff_members(base, target, &mut changes);
+    diff_callers(base, target, &mut changes);
+    diff_collections(base, target, &mut changes);
+    diff_leaves(base, target, &mut changes);
+    let limits = settings(&base.limits, &target.limits, &[]);
+    changes.extend(limits.into_iter().map(|limit| ConfigChange::LimitChanged { limit }));
+    changes
+}
+
+fn diff_zones(base: &Document, target: &Document, changes: &mut Vec<ConfigChange>) {
+    for zone in gone(&base.zones, &target.zones) {
+        changes.push(ConfigChange::ZoneRemoved { zone: zone.clone() });
+    }
+    for (id, after) in &target.zones {
+        let zone = id.clone();
+        let Some(before) = base.zones.get(id) else {
+            let region = after.region.clone();
+            changes.push(ConfigChange::ZoneAdded { zone, region, state: after.state });
+            continue;
+        };
+        if before.region != after.region {
+            let (from, to) = (before.region.clone(), after.region.clone());
+            changes.push(ConfigChange::ZoneMoved { zone: zone.clone(), from, to });
+        }
+        match (before.state, after.state) {
+            (Presence::In, Presence::Out) => changes.push(ConfigChange::ZoneOut { zone }),
+            (Presence::Out, Presence::In) => changes.push(ConfigChange::ZoneIn { zone }),
+            (Presence::In, Presence::In) | (Presence::Out, Presence::Out) => {}
+        }
+    }
+}
+
+fn diff_members(base: &Document, target: &Document, changes: &mut Vec<ConfigChange>) {
+    for member in gone(&base.members, &target.members) {
+        changes.push(ConfigChange::MemberRemoved { member: member.clone() });
+    }
+    for member in gone(&target.members, &base.members) {
+        changes.push(ConfigChange::MemberAdded { member: member.clone() });
+    }
+}
+
+fn diff_callers(base: &Document, target: &Document, changes: &mut Vec<ConfigChange>) {
+    for caller in gone(&base.callers, &target.callers) {
+        changes.push(ConfigChange::CallerRemoved { caller: caller.clone() });
+    }
+    for (id, after) in &target.callers {
+        let caller = id.clone();
+        let Some(before) = base.callers.get(id) else {
+            changes.push(ConfigChange::CallerAdded { caller, member: after.member.clone() });
+            continue;
+        };
+        if before != after {
+            let settings = settings(before, after, &[]);
+            changes.push(ConfigChange::CallerChanged { caller, settings });
+        }
+    }
+}
+
+fn diff_collections(base: &Document, target: &Document, changes: &mut Vec<ConfigChange>) {
+    for id in gone(&base.collections, &target.collections) {
+        let leaves = leaves_of(base, id);
+        changes.push(ConfigChange::CollectionRemoved { collection: id.clone(), leaves });
+    }
+    for (id, after) in &target.collections {
+        let collection = id.clone();
+        let Some(before) = base.collections.get(id) else {
+            let shards = after.maps.last().map_or(0, shard_count);
+            let leaves = leaves_of(target, id);
+            changes.push(ConfigChange::CollectionAdded { collection, shards, leaves });
+            continue;
+        };
+        let settings = settings(before, after, &["maps"]);
+        if !settings.is_empty() {
+            changes.push(ConfigChange::CollectionChanged { collection, settings });
+        }
+        diff_maps(id, before, after, changes);
+    }
+}
+
+fn diff_maps(
+    id: &CollectionId,
+    before: &Collection,
+    after: &Collection,
+    changes: &mut Vec<ConfigChange>,
+) {
+    let find = |maps: &[PartitionMap], version| {
+        maps.iter().find(|map: &&PartitionMap| map.version == version).cloned()
+    };
+    for old in before.maps.iter().filter(|old| find(&after.maps, old.version).is_none()) {
+        changes.push(ConfigChange::MapRemoved { collection: id.clone(), map: old.version });
+    }
+    for new in &after.maps {
+        let (collection, map) = (id.clone(), new.version);
+        let shards = shard_count(new);
+        match find(&before.maps, map) {
+            None => changes.push(ConfigChange::MapAdded { collection, map, shards }),
+            Some(old) if old != *new => changes.push(ConfigChange::MapChanged {
+                collection,
+                map,
+                shards_before: shard_count(&old),
+                shards_after: shards,
+            }),
+            Some(_) => {}
+        }
+    }
+}
+
+fn diff_leaves(base: &Document, target: &Document, changes: &mut Vec<ConfigChange>) {
+    // The leaves of a collection that comes or goes as a whole are counted there.
+    let listed = |leaf: &Leaf| {
+        let id = &leaf.collection;
+        base.collections.contains_key(id) && target.collections.contains_key(id)
+    };
+    for (id, _) in base.leaves.iter().filter(|(_, leaf)| listed(leaf)) {
+        if !target.leaves.contains_key(id) {
+            changes.push(ConfigChange::LeafRemoved { leaf: id.clone() });
+        }
+    }
+    for (id, after) in &target.leaves {
+        match base.leaves.get(id) {
+            None if listed(after) => changes.push(ConfigChange::LeafAdded {
+                leaf: id.clone(),
+                address: after.address,
+                zone: after.zone.clone(),
+                state: after.state,
+            }),
+            None => {}
+            Some(before) => diff_leaf(id, before, after, changes),
+        }
+    }
+}
+
+fn diff_leaf(id: &LeafId, before: &Leaf, after: &Leaf, changes: &mut Vec<ConfigChange>) {
+    let leaf = id.clone();
+    let settings = settings(before, after, &["state"]);
+    if !settings.is_empty() {
+        changes.push(ConfigChange::LeafChanged { leaf: leaf.clone(), settings });
+    }
+    match (before.state, after.state) {
+        (Presence::In, Presence::Out) => changes.push(ConfigChange::LeafOut { leaf }),
+        (Presence::Out, Presence::In) => changes.push(ConfigChange::LeafIn { leaf }),
+        (Presence::In, Presence::In) | (Presence::Out, Presence::Out) => {}
+    }
+}
+
+fn gone<'a, K: Eq + Hash, A, B>(
+    base: &'a IndexMap<K, A>,
+    target: &'a IndexMap<K, B>,
+) -> impl Iterator<Item = &'a K> {
+    base.keys().filter(|key| !target.contains_key(*key))
+}
+
+fn leaves_of(document: &Document, id: &CollectionId) -> u32 {
+    let count = document.leaves.values().filter(|leaf| leaf.collection == *id).count();
+    u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn shard_count(map: &PartitionMap) -> u32 {
+    u32::try_from(map.shards.len()).unwrap_or(u32::MAX)
+}
+
+/// The fields of `before` and `after` that differ, except those in `skip`.
+fn settings<T: Serialize>(before: &T, after: &T, skip: &[&str]) -> Vec<SettingChange> {
+    let (before, after) = (fields(before), fields(after));
+    let differs = |(key, to): (String, Value)| {
+        let from = before.get(&key).cloned().unwrap_or(Value::Null);
+        (from != to && !skip.contains(&key.as_str())).then_some(SettingChange { key, from, to })
+    };
+    after.into_iter().filter_map(differs).collect()
+}
+
+/// Fields of a struct; nested structs are flattened with dots.
+fn fields<T: Serialize>(value: &T) -> Map<String, Value> {
+    let mut flat = Map::new();
+    let value = serde_json::to_value(value).expect("documents serialize to JSON");
+    flatten("", value, &mut flat);
+    flat
+}
+
+fn flatten(prefix: &str, value: Value, flat: &mut Map<String, Value>) {
+    match value {
+        Value::Object(map) => {
+            for (key, value) in map {
+                let key = if prefix.is_empty() { key } else { format!("{prefix}.{key}") };
+                flatten(&key, value, flat);
+            }
+        }
+        other => {
+            flat.insert(prefix.to_owned(), other);
+        }
+    }
+}
+
+fn presence(state: Presence) -> &'static str {
+    match state {
+        Presence::In => "in",
+        Presence::Out => "out",
+    }
+}
+
+fn bare(value: &Value) -> String {
+    match value {
+        Value::String(text) => text.clone(),
+        other => other.to_string(),
+    }
+}
+
+fn joined(settings: &[SettingChange]) -> String {
+    settings.iter().map(SettingChange::to_string).collect::<Vec<_>>().join(", ")
+}
--- /dev/null
+++ b/components/config/src/file.rs
@@ -0,0 +1,60 @@
+//! Reading of TOML files, with errors that name file, line and key.
+
+use {
+    crate::error::{ConfigError, KeyProblem},
+    serde::de::DeserializeOwned,
+    std::{fs, path::Path},
+};
+
+/// The text of `path`.
+pub(crate) fn read(path: &Path) -> Result<String, ConfigError> {
+    fs::read_to_string(path)
+        .map_err(|err| ConfigError::Unreadable { file: path.to_owned(), reason: err.to_string() })
+}
+
+/// The value that `text`, read from `path`, describes.
+pub(crate) fn parse<T: DeserializeOwned>(path: &Path, text: &str) -> Result<T, ConfigError> {
+    toml::from_str(text).map_err(|err| {
+        let at = err.span().map_or(0, |span| span.start);
+        ConfigError::Form {
+            file: path.to_owned(),
+            line: line_number(text, at),
+            key: key_at(text, at),
+            problem: one_line(err.message()),
+        }
+    })
+}
+
+/// Fails unless `value` lies in `min..=max`.
+pub(crate) fn in_range(key: &str, value: u64, min: u64, max: u64) -> Result<(), KeyProblem> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(KeyProblem::new(key, format!("{value} is out of range"), format!("{min} to {max}")))
+}
+
+fn one_line(text: &str) -> String {
+    text.lines().map(str::trim).collect::<Vec<_>>().join(" ")
+}
+
+fn line_number(text: &str, at: usize) -> usize {
+    before(text, at).matches('\n').count() + 1
+}
+
+fn before(text: &str, at: usize) -> &str {
+    text.get(..at).unwrap_or(text)
+}
+
+/// The key whose line contains byte `at`, with the table header above it.
+fn key_at(text: &str, at: usize) -> String {
+    let lines: Vec<&str> = text.lines().take(line_number(text, at)).map(str::trim).collect();
+    let line = lines.last().copied().unwrap_or_default();
+    let header = |line: &&&str| line.starts_with('[') && line.ends_with(']');
+    let table = lines.iter().rev().find(header).unwrap_or(&"").trim_matches(['[', ']']);
+    match line.split_once('=') {
+        Some((key, _)) if table.is_empty() => key.trim().to_owned(),
+        Some((key, _)) => format!("{table}.{}", key.trim()),
+        None if table.is_empty() => "top level".to_owned(),
+        None => table.to_owned(),
+    }
+}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -1,8 +1,25 @@
-//! Host settings, declared deployments and the versioned configuration document.
+//! Host settings, declared deployments, the versioned configuration document and the bodies of the
+//! caller and operator APIs.
 
+pub mod api;
+pub mod caller_api;
+mod change;
+mod deployment;
+mod deployment_check;
 mod document;
+mod error;
+mod file;
+mod host;
 
-pub use document::{
-    Caller, Collection, Document, Leaf, LeafLimits, Limits, Member, PartitionMap, Prefer, Presence,
-    Priority, Zone,
+pub use {
+    change::{ConfigChange, SettingChange, diff},
+    deployment::{
+        DeclaredCaller, DeclaredCollection, DeclaredLimits, DeclaredMap, DeclaredZone, Deployment,
+    },
+    document::{
+        Caller, Collection, Document, Leaf, LeafLimits, Limits, Member, PartitionMap, Prefer,
+        Presence, Priority, Zone,
+    },
+    error::{ConfigError, KeyProblem},
+    host::{HostSettings, LogLevel, LogSettings},
 };
--- a/components/telemetry/src/lib.rs
+++ b/components/telemetry/src/lib.rs
@@ -1,1 +1,3 @@
 //! Logs, metrics and the timeline.
+
+pub mod logging;
