Add document checks, digest, intents and the caller address of hosts

A plan needs a target document that keeps the cross-reference rules, and a digest that does not depend on version, operation or entry order. The status names each host's caller address, so that the tool can find an entry host.

--- a/components/config/src/api.rs
+++ b/components/config/src/api.rs
@@ -223,6 +223,8 @@
     pub instance: InstanceId,
     /// Its zone.
     pub zone: ZoneId,
+    /// Where callers reach it.
+    pub caller_address: SocketAddr,
     /// Where operators reach it.
     pub operator_address: SocketAddr,
     /// Whether callers are sent to it.
--- a/components/config/src/deployment.rs
+++ b/components/config/src/deployment.rs
@@ -9,7 +9,7 @@
     crate::{
         document::{
             Caller, Collection, Document, Leaf, LeafLimits, Limits, Member, PartitionMap, Prefer,
-            Presence, Priority, Zone,
+            Presence, Zone, declared_op,
         },
         error::ConfigError,
         file,
@@ -18,8 +18,8 @@
     serde::{Deserialize, Serialize},
     std::{net::SocketAddr, path::Path},
     wigeonramp_units::{
-        ByteSize, CallerId, CollectionId, ConfigVersion, LeafId, MapVersion, MemberId, OpId,
-        Percent, ShardId, SnapshotId, Span, ZoneId,
+        CallerId, CollectionId, ConfigVersion, LeafId, MapVersion, MemberId, ShardId, SnapshotId,
+        Span, ZoneId,
     },
 };
 
@@ -32,7 +32,7 @@
     /// Members; no member sees another's rows.
     pub members: IndexMap<MemberId, Member>,
     /// Callers that may send queries.
-    pub callers: IndexMap<CallerId, DeclaredCaller>,
+    pub callers: IndexMap<CallerId, Caller>,
     /// Collections of services.
     pub collections: IndexMap<CollectionId, DeclaredCollection>,
     /// Leaves that get no new work.
@@ -40,7 +40,7 @@
     pub leaves_out: Vec<LeafId>,
     /// Limits that hold for all collections.
     #[serde(default)]
-    pub limits: DeclaredLimits,
+    pub limits: Limits,
 }
 
 /// An availability zone as declared.
@@ -54,18 +54,6 @@
     pub state: Presence,
 }
 
-/// A caller as declared.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
-pub struct DeclaredCaller {
-    /// The member whose rows the caller may see.
-    pub member: MemberId,
-    /// Priority of the caller's requests.
-    pub priority: Priority,
-    /// SHA-256 of the caller's bearer token, in hexadecimal.
-    pub token_sha256: String,
-}
-
 /// A collection as declared.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -111,49 +99,6 @@
     pub services: u32,
 }
 
-/// Limits as declared; each has a default.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(default, deny_unknown_fields)]
-pub struct DeclaredLimits {
-    /// How long a caller may use an entry address that it was given.
-    pub entry_lifetime: Span,
-    /// Longest request body that is accepted, in bytes.
-    pub max_body: ByteSize,
-    /// Extra attempts by hedging, in hundredths of all attempts.
-    pub hedge_budget: Percent,
-    /// Extra attempts by retrying, in hundredths of all attempts.
-    pub retry_budget: Percent,
-    /// Share of capacity that ordinary work keeps under overload.
-    pub ordinary_floor: Percent,
-    /// Largest share of a collection's leaves that may be ejected as outliers.
-    pub max_ejected: Percent,
-    /// How long the outcome of a non-idempotent request is remembered.
-    pub claim_retention: Span,
-    /// How long a request that crashed two leaves is refused.
-    pub quarantine: Span,
-    /// How long a session lasts without renewal.
-    pub session_time: Span,
-    /// Age of the last contact with store or peers at which a host stops sending work to leaves.
-    pub stale_after: Span,
-}
-
-impl Default for DeclaredLimits {
-    fn default() -> Self {
-        Self {
-            entry_lifetime: Span::secs(5),
-            max_body: ByteSize(64 * 1024),
-            hedge_budget: Percent(5),
-            retry_budget: Percent(10),
-            ordinary_floor: Percent(10),
-            max_ejected: Percent(30),
-            claim_retention: Span::secs(600),
-            quarantine: Span::secs(600),
-            session_time: Span::secs(4),
-            stale_after: Span::secs(2),
-        }
-    }
-}
-
 impl Deployment {
     /// Reads and checks the declaration in `path`.
     pub fn load(path: &Path) -> Result<Deployment, ConfigError> {
@@ -177,10 +122,10 @@
             op: declared_op(),
             zones: self.zones.iter().map(|(id, zone)| (id.clone(), zone.expand())).collect(),
             members: self.members.clone(),
-            callers: self.callers.iter().map(|(id, c)| (id.clone(), c.expand())).collect(),
+            callers: self.callers.clone(),
             collections,
             leaves,
-            limits: self.limits.expand(),
+            limits: self.limits.clone(),
         }
     }
 
@@ -209,30 +154,6 @@
     }
 }
 
-impl DeclaredCaller {
-    fn expand(&self) -> Caller {
-        let token_sha256 = self.token_sha256.to_ascii_lowercase();
-        Caller { member: self.member.clone(), priority: self.priority, token_sha256 }
-    }
-}
-
-impl DeclaredLimits {
-    fn expand(&self) -> Limits {
-        Limits {
-            entry_lifetime: self.entry_lifetime,
-            max_body: self.max_body,
-            hedge_budget: self.hedge_budget,
-            retry_budget: self.retry_budget,
-            ordinary_floor: self.ordinary_floor,
-            max_ejected: self.max_ejected,
-            claim_retention: self.claim_retention,
-            quarantine: self.quarantine,
-            session_time: self.session_time,
-            stale_after: self.stale_after,
-        }
-    }
-}
-
 impl DeclaredCollection {
     /// The maps in full; a single one for all snapshots if only `services` is given.
     pub fn maps(&self) -> Vec<DeclaredMap> {
@@ -313,10 +234,6 @@
     id.expect("the check keeps collection ids short")
 }
 
-fn declared_op() -> OpId {
-    "declared".parse().expect("a constant id of the accepted form")
-}
-
 fn yes() -> bool {
     true
 }
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -8,8 +8,8 @@
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     wigeonramp_units::{
-        ByteSize, CallerId, CollectionId, ConfigVersion, Connections, LeafId, MapVersion, MemberId,
-        OpId, PerSecond, Percent, ShardId, Slots, SnapshotId, Span, ZoneId,
+        ByteSize, CallerId, CollectionId, ConfigVersion, Connections, Digest, LeafId, MapVersion,
+        MemberId, OpId, PerSecond, Percent, ShardId, Slots, SnapshotId, Span, ZoneId,
     },
 };
 
@@ -162,9 +162,9 @@
     pub state: Presence,
 }
 
-/// Limits that hold for all collections.
+/// Limits that hold for all collections; each has a default.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(deny_unknown_fields)]
+#[serde(default, deny_unknown_fields)]
 pub struct Limits {
     /// How long a caller may use an entry address that it was given.
     pub entry_lifetime: Span,
@@ -188,7 +188,39 @@
     pub stale_after: Span,
 }
 
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            entry_lifetime: Span::secs(5),
+            max_body: ByteSize(64 * 1024),
+            hedge_budget: Percent(5),
+            retry_budget: Percent(10),
+            ordinary_floor: Percent(10),
+            max_ejected: Percent(30),
+            claim_retention: Span::secs(600),
+            quarantine: Span::secs(600),
+            session_time: Span::secs(4),
+            stale_after: Span::secs(2),
+        }
+    }
+}
+
 impl Document {
+    /// Digest of the content; version, operation and the order of entries do not count.
+    pub fn digest(&self) -> Digest {
+        let mut content = self.clone();
+        content.version = ConfigVersion(0);
+        content.op = declared_op();
+        content.zones.sort_unstable_keys();
+        content.members.sort_unstable_keys();
+        content.callers.sort_unstable_keys();
+        content.collections.sort_unstable_keys();
+        content.leaves.sort_unstable_keys();
+        let maps = content.collections.values_mut().flat_map(|collection| &mut collection.maps);
+        maps.for_each(|map| map.shards.sort_unstable_keys());
+        Digest::of(&serde_json::to_vec(&content).expect("documents serialize to JSON"))
+    }
+
     /// Whether `leaf` may get new work: it and its zone are both in.
     pub fn takes_work(&self, leaf: &LeafId) -> bool {
         let Some(leaf) = self.leaves.get(leaf) else { return false };
@@ -196,3 +228,8 @@
         zone_in && leaf.state == Presence::In
     }
 }
+
+/// Operation of a document that no confirm has written.
+pub(crate) fn declared_op() -> OpId {
+    "declared".parse().expect("a constant id of the accepted form")
+}
--- a/components/config/src/file.rs
+++ b/components/config/src/file.rs
@@ -1,7 +1,7 @@
 //! Reading of TOML files, with errors that name file, line and key.
 
 use {
-    crate::error::{ConfigError, KeyProblem},
+    crate::error::ConfigError,
     serde::de::DeserializeOwned,
     std::{fs, path::Path},
 };
@@ -25,14 +25,6 @@
     })
 }
 
-/// Fails unless `value` lies in `min..=max`.
-pub(crate) fn in_range(key: &str, value: u64, min: u64, max: u64) -> Result<(), KeyProblem> {
-    if (min..=max).contains(&value) {
-        return Ok(());
-    }
-    Err(KeyProblem::new(key, format!("{value} is out of range"), format!("{min} to {max}")))
-}
-
 fn one_line(text: &str) -> String {
     text.lines().map(str::trim).collect::<Vec<_>>().join(" ")
 }
--- a/components/config/src/host.rs
+++ b/components/config/src/host.rs
@@ -6,7 +6,7 @@
 use {
     crate::{
         error::{ConfigError, KeyProblem},
-        file,
+        file, rules,
     },
     serde::{Deserialize, Serialize},
     std::{
@@ -108,7 +108,12 @@
 
     fn check(&self) -> Result<(), KeyProblem> {
         check_platform(&self.platform)?;
-        file::in_range("caller_workers", self.caller_workers.into(), 1, MAX_CALLER_WORKERS.into())?;
+        rules::in_range(
+            "caller_workers",
+            self.caller_workers.into(),
+            1,
+            MAX_CALLER_WORKERS.into(),
+        )?;
         self.check_listen_addresses()?;
         match self.seeds.iter().find(|seed| seed.port() == 0) {
             Some(seed) => {
--- /dev/null
+++ b/components/config/src/intent.rs
@@ -0,0 +1,78 @@
+//! Targets of intents, and what a document can bear.
+
+use {
+    crate::{
+        api::{CoverageRisk, Intent},
+        document::{Collection, Document, Presence},
+        error::KeyProblem,
+        rules,
+    },
+    wigeonramp_units::{CollectionId, LeafId, OpId, ShardId, Slots, ZoneId},
+};
+
+impl Document {
+    /// The document after `intent`, with the next version and operation `op`.
+    ///
+    /// Fails if the intent names something that does not exist or the result breaks a rule.
+    pub fn after(&self, intent: &Intent, op: OpId) -> Result<Document, KeyProblem> {
+        let mut target = match intent {
+            Intent::Declare { document } => document.as_ref().clone(),
+            Intent::ZoneOut { zone } => self.with_zone(zone, Presence::Out)?,
+            Intent::ZoneIn { zone } => self.with_zone(zone, Presence::In)?,
+            Intent::LeafOut { leaf } => self.with_leaf(leaf, Presence::Out)?,
+            Intent::LeafIn { leaf } => self.with_leaf(leaf, Presence::In)?,
+        };
+        target.version = self.version.next();
+        target.op = op;
+        target.check()?;
+        Ok(target)
+    }
+
+    fn with_zone(&self, id: &ZoneId, state: Presence) -> Result<Document, KeyProblem> {
+        let mut target = self.clone();
+        let Some(zone) = target.zones.get_mut(id) else {
+            let expected = format!("one of {}", rules::listed(self.zones.keys()));
+            return Err(KeyProblem::new(format!("zones.{id}"), "no such zone", expected));
+        };
+        zone.state = state;
+        Ok(target)
+    }
+
+    fn with_leaf(&self, id: &LeafId, state: Presence) -> Result<Document, KeyProblem> {
+        let mut target = self.clone();
+        let Some(leaf) = target.leaves.get_mut(id) else {
+            let expected = "the id of an upstream, such as \"quote-desk/07/a\"";
+            return Err(KeyProblem::new(format!("leaves.{id}"), "no such upstream", expected));
+        };
+        leaf.state = state;
+        Ok(target)
+    }
+
+    /// Slots of all leaves that take work, when they are warm.
+    pub fn capacity(&self) -> Slots {
+        let working = self.leaves.iter().filter(|(id, _)| self.takes_work(id));
+        let collections = working.filter_map(|(_, leaf)| self.collections.get(&leaf.collection));
+        Slots(collections.map(|collection| collection.leaf_limits.slots.get()).sum())
+    }
+
+    /// Collections with shards that have fewer than two replicas taking work in the newest map.
+    pub fn coverage_risks(&self) -> Vec<CoverageRisk> {
+        let risks = self.collections.iter().filter_map(|(id, c)| self.coverage_risk(id, c));
+        risks.filter(|risk| risk.single + risk.uncovered > 0).collect()
+    }
+
+    fn coverage_risk(&self, id: &CollectionId, collection: &Collection) -> Option<CoverageRisk> {
+        let map = collection.maps.last()?;
+        let working = |(_, leaves): (&ShardId, &Vec<LeafId>)| {
+            leaves.iter().filter(|leaf| self.takes_work(leaf)).count()
+        };
+        let counts: Vec<usize> = map.shards.iter().map(working).collect();
+        let with = |n| counts.iter().filter(|count| **count == n).count() as u32;
+        Some(CoverageRisk {
+            collection: id.clone(),
+            total: counts.len() as u32,
+            single: with(1),
+            uncovered: with(0),
+        })
+    }
+}
--- a/components/config/src/lib.rs
+++ b/components/config/src/lib.rs
@@ -7,19 +7,22 @@
 mod deployment;
 mod deployment_check;
 mod document;
+mod document_check;
 mod error;
 mod file;
 mod host;
+mod intent;
+mod rules;
+mod settings;
 
 pub use {
     change::{ConfigChange, SettingChange, diff},
-    deployment::{
-        DeclaredCaller, DeclaredCollection, DeclaredLimits, DeclaredMap, DeclaredZone, Deployment,
-    },
+    deployment::{DeclaredCollection, DeclaredMap, DeclaredZone, Deployment},
     document::{
         Caller, Collection, Document, Leaf, LeafLimits, Limits, Member, PartitionMap, Prefer,
         Presence, Priority, Zone,
     },
     error::{ConfigError, KeyProblem},
     host::{HostSettings, LogLevel, LogSettings},
+    settings::SettingsFile,
 };
--- /dev/null
+++ b/components/config/src/rules.rs
@@ -0,0 +1,119 @@
+//! Rules that declarations and documents share.
+
+use {
+    crate::{
+        document::{Caller, LeafLimits, Limits, Member},
+        error::KeyProblem,
+    },
+    indexmap::IndexMap,
+    wigeonramp_units::{CallerId, MemberId, Span},
+};
+
+/// Length of a SHA-256 in hexadecimal digits.
+const SHA256_DIGITS: usize = 64;
+/// Longest deadline and longest other time.
+const MAX_TIME: Span = Span::secs(3600);
+
+/// Fails unless `value` lies in `min..=max`.
+pub(crate) fn in_range(key: &str, value: u64, min: u64, max: u64) -> Result<(), KeyProblem> {
+    if (min..=max).contains(&value) {
+        return Ok(());
+    }
+    Err(KeyProblem::new(key, format!("{value} is out of range"), format!("{min} to {max}")))
+}
+
+/// Each caller has a member that exists and a token's hash.
+pub(crate) fn check_callers(
+    callers: &IndexMap<CallerId, Caller>,
+    members: &IndexMap<MemberId, Member>,
+) -> Result<(), KeyProblem> {
+    for (id, caller) in callers {
+        if !members.contains_key(&caller.member) {
+            let problem = format!("member {:?} does not exist", caller.member.as_str());
+            let expected = format!("one of {}", listed(members.keys()));
+            return Err(KeyProblem::new(format!("callers.{id}.member"), problem, expected));
+        }
+        let token = &caller.token_sha256;
+        let digit = |c: char| c.is_ascii_digit() || ('a'..='f').contains(&c);
+        if token.len() != SHA256_DIGITS || !token.chars().all(digit) {
+            let key = format!("callers.{id}.token_sha256");
+            let problem = format!("{} characters that are not a SHA-256", token.len());
+            return Err(KeyProblem::new(key, problem, "64 digits from 0-9 a-f"));
+        }
+    }
+    Ok(())
+}
+
+/// Deadlines are in range, and the soft one is not the longer one.
+pub(crate) fn check_deadlines(
+    key: &impl Fn(&str) -> String,
+    soft: Span,
+    max: Span,
+) -> Result<(), KeyProblem> {
+    check_time(&key("max_deadline"), max)?;
+    check_time(&key("soft_deadline"), soft)?;
+    if soft > max {
+        let problem = format!("{soft} is longer than max_deadline");
+        return Err(KeyProblem::new(key("soft_deadline"), problem, format!("at most {max}")));
+    }
+    Ok(())
+}
+
+/// Ranges of what one leaf bears.
+pub(crate) fn check_leaf_limits(
+    key: &impl Fn(&str) -> String,
+    limits: &LeafLimits,
+) -> Result<(), KeyProblem> {
+    let key = |name: &str| key(&format!("leaf_limits.{name}"));
+    in_range(&key("slots"), limits.slots.get().into(), 1, 1024)?;
+    in_range(&key("connections"), limits.connections.get().into(), 1, 65_535)?;
+    in_range(&key("cold_per_second"), limits.cold_per_second.get().into(), 1, 100_000)?;
+    in_range(&key("cold_in_flight"), limits.cold_in_flight.get().into(), 1, 1024)?;
+    if limits.connect_cost > Span::secs(10) {
+        let problem = format!("{} is out of range", limits.connect_cost);
+        return Err(KeyProblem::new(key("connect_cost"), problem, "at most 10s"));
+    }
+    if limits.cold_in_flight > limits.slots {
+        let problem = format!("{} is more than slots", limits.cold_in_flight);
+        let expected = format!("1 to {}", limits.slots);
+        return Err(KeyProblem::new(key("cold_in_flight"), problem, expected));
+    }
+    Ok(())
+}
+
+/// Ranges of the limits of all collections.
+pub(crate) fn check_limits(limits: &Limits) -> Result<(), KeyProblem> {
+    let times = [
+        ("entry_lifetime", limits.entry_lifetime),
+        ("claim_retention", limits.claim_retention),
+        ("quarantine", limits.quarantine),
+        ("session_time", limits.session_time),
+        ("stale_after", limits.stale_after),
+    ];
+    for (name, time) in times {
+        check_time(&format!("limits.{name}"), time)?;
+    }
+    let shares = [
+        ("hedge_budget", limits.hedge_budget),
+        ("retry_budget", limits.retry_budget),
+        ("ordinary_floor", limits.ordinary_floor),
+        ("max_ejected", limits.max_ejected),
+    ];
+    for (name, share) in shares {
+        in_range(&format!("limits.{name}"), share.get().into(), 0, 100)?;
+    }
+    in_range("limits.max_body", limits.max_body.get(), 1, 1_000_000)
+}
+
+fn check_time(key: &str, time: Span) -> Result<(), KeyProblem> {
+    if time > Span::ZERO && time <= MAX_TIME {
+        return Ok(());
+    }
+    let expected = format!("more than 0 and at most {MAX_TIME}");
+    Err(KeyProblem::new(key, format!("{time} is out of range"), expected))
+}
+
+/// Ids separated by commas, for messages.
+pub(crate) fn listed<T: ToString>(ids: impl Iterator<Item = T>) -> String {
+    ids.map(|id| id.to_string()).collect::<Vec<_>>().join(", ")
+}
