--- a/components/store/src/lib.rs
+++ b/components/store/src/lib.rs
@@ -3,8 +3,15 @@
 //! Writes are conditional. Every error says whether the call may have taken effect, because an
 //! answer can be lost after the write.
 
+mod http;
+mod memory;
 mod object;
 
-pub use object::{
-    Change, Fetched, Object, ObjectStore, PlatformHost, Precondition, Put, StoreError,
+pub use {
+    http::{HttpStore, HttpStoreTimes},
+    memory::MemoryStore,
+    object::{
+        Change, Fetched, MAX_VALUE_BYTES, Object, ObjectStore, PlatformHost, Precondition, Put,
+        StoreError, WrittenAs, is_key,
+    },
 };
--- a/components/store/src/object.rs
+++ b/components/store/src/object.rs
@@ -2,10 +2,28 @@
 
 use {
     serde::{Deserialize, Serialize},
+    std::fmt::Display,
     thiserror::Error,
     wigeonramp_units::{Revision, Span},
 };
 
+/// Longest value that the platform stores, in bytes.
+pub const MAX_VALUE_BYTES: usize = 1024 * 1024;
+
+/// Whether `key` may name an object: 1 to 512 characters from `a-z A-Z 0-9 . _ - / @ :`.
+pub fn is_key(key: &str) -> bool {
+    const MAX_KEY_LEN: usize = 512;
+    let ok = |c: char| c.is_ascii_alphanumeric() || "._-/@:".contains(c);
+    !key.is_empty() && key.len() <= MAX_KEY_LEN && key.chars().all(ok)
+}
+
+/// Body of the platform's answer to a write that took effect.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct WrittenAs {
+    /// The store's version after the write.
+    pub revision: Revision,
+}
+
 /// A stored value.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Object {
@@ -92,6 +110,28 @@
     },
 }
 
+impl StoreError {
+    /// A call for `key` that the store refused.
+    pub fn refused(key: &str, reason: impl Display) -> Self {
+        Self::Refused { key: key.to_owned(), reason: reason.to_string() }
+    }
+
+    /// A call for `key` that did not reach the store.
+    pub fn unavailable(key: &str, reason: impl Display) -> Self {
+        Self::Unavailable { key: key.to_owned(), reason: reason.to_string() }
+    }
+
+    /// A call for `key` that got no answer.
+    pub fn unknown(key: &str, reason: impl Display) -> Self {
+        Self::Unknown { key: key.to_owned(), reason: reason.to_string() }
+    }
+
+    /// A call for `key` whose answer could not be read.
+    pub fn malformed(key: &str, reason: impl Display) -> Self {
+        Self::Malformed { key: key.to_owned(), reason: reason.to_string() }
+    }
+}
+
 /// The platform's object API.
 pub trait ObjectStore: Send + Sync + 'static {
     /// Reads one key.
