Add stand-ins of the platform and of leaves

Both serve on hyper with tokio: astra cannot stop, reset single connections or hold waiting watches without one thread each. Faults and counters have addresses of their own.

--- /dev/null
+++ b/components/standin/src/error.rs
@@ -0,0 +1,33 @@
+//! Errors of starting and controlling stand-ins.
+
+use {
+    std::{io::Error as IoError, net::SocketAddr},
+    thiserror::Error,
+};
+
+/// Why a stand-in could not be started or controlled.
+#[derive(Debug, Error)]
+pub enum StandinError {
+    /// An address could not be bound.
+    #[error("cannot listen on {address}: {source}")]
+    Listen {
+        /// The address as given.
+        address: SocketAddr,
+        /// The system's reason.
+        source: IoError,
+    },
+    /// The threads could not be started.
+    #[error("cannot start threads: {0}")]
+    Threads(#[source] IoError),
+    /// No leaf matches.
+    #[error("no leaf matches {0}")]
+    NoLeaf(String),
+    /// A value is out of range.
+    #[error("{name}: expected {expected}")]
+    Value {
+        /// The setting or fault.
+        name: &'static str,
+        /// What would have been accepted.
+        expected: &'static str,
+    },
+}
--- /dev/null
+++ b/components/standin/src/leaves/mod.rs
@@ -0,0 +1,185 @@
+//! Stand-ins of leaves: many in one process, one listener each.
+//!
+//! The control address takes faults and settings and lists counters; it stays up whatever the
+//! leaves do.
+
+mod cold;
+mod control;
+mod counters;
+mod fault;
+mod index;
+mod leaf;
+mod rows;
+mod search;
+mod settings;
+
+pub use {
+    control::SettingsOrder,
+    counters::{LeafCounters, LeafStatus},
+    fault::{LeafFault, LeafOrder, LeafSelector},
+    leaf::Health,
+    rows::{Row, RowSource, Rows},
+    settings::{HealthReport, LeafSettings, ServiceTime},
+};
+
+use {
+    crate::{
+        StandinError,
+        leaves::{
+            control::{Fleet, check_settings},
+            index::Index,
+            leaf::{Leaf as LeafState, LeafParts},
+        },
+        net::{Port, Threads},
+    },
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::{
+        net::{Ipv4Addr, SocketAddr},
+        sync::Arc,
+    },
+    wigeonramp_config::{Document, Leaf},
+    wigeonramp_units::LeafId,
+};
+
+/// How stand-ins of leaves are started.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeavesOptions {
+    /// Prefixes of the leaves to start; empty starts all.
+    pub only: Vec<String>,
+    /// Prefixes of leaves not to start.
+    pub except: Vec<String>,
+    /// Address of faults and counters; port 0 takes any free port.
+    pub control: SocketAddr,
+    /// Whether each leaf takes any free port instead of the one in the document.
+    pub any_port: bool,
+    /// Whether leaves start warm.
+    pub start_warm: bool,
+    /// Seed of service times and of faults that hit a share of the answers.
+    pub seed: u64,
+    /// Behaviour of all leaves at the start.
+    pub settings: LeafSettings,
+    /// Threads that serve requests.
+    pub workers: usize,
+}
+
+impl Default for LeavesOptions {
+    fn default() -> Self {
+        Self {
+            only: Vec::new(),
+            except: Vec::new(),
+            control: SocketAddr::from((Ipv4Addr::LOCALHOST, 0)),
+            any_port: false,
+            start_warm: false,
+            seed: 1,
+            settings: LeafSettings::default(),
+            workers: 2,
+        }
+    }
+}
+
+impl LeavesOptions {
+    fn includes(&self, leaf: &LeafId) -> bool {
+        let starts_with = |prefix: &String| leaf.as_str().starts_with(prefix.as_str());
+        let only = self.only.is_empty() || self.only.iter().any(starts_with);
+        only && !self.except.iter().any(starts_with)
+    }
+}
+
+/// The bound addresses, as the binary prints them.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct LeavesReady {
+    /// Address of faults and counters.
+    pub control: SocketAddr,
+    /// Address of each leaf.
+    pub leaves: IndexMap<LeafId, SocketAddr>,
+}
+
+/// Running stand-ins of leaves; they stop when dropped.
+pub struct Leaves {
+    fleet: Fleet,
+    ready: LeavesReady,
+    threads: Threads,
+}
+
+/// Starts stand-ins of the leaves in `document`.
+pub fn start(document: &Document, options: &LeavesOptions) -> Result<Leaves, StandinError> {
+    check_settings(&options.settings)?;
+    let threads = Threads::start("leaves", options.workers)?;
+    let (fleet, ready) = threads.block_on(async {
+        let mut addresses = IndexMap::new();
+        let mut leaves = Vec::new();
+        for (id, declared) in document.leaves.iter().filter(|(id, _)| options.includes(id)) {
+            let leaf = start_leaf(document, id, declared, options)?;
+            addresses.insert(id.clone(), leaf.port.address());
+            leaves.push(leaf);
+        }
+        let fleet = Fleet::new(leaves);
+        let control = Port::reserve(options.control)?;
+        control.serve(Arc::new(fleet.clone()))?;
+        let ready = LeavesReady { control: control.address(), leaves: addresses };
+        Ok::<_, StandinError>((fleet, ready))
+    })?;
+    Ok(Leaves { fleet, ready, threads })
+}
+
+fn start_leaf(
+    document: &Document,
+    id: &LeafId,
+    declared: &Leaf,
+    options: &LeavesOptions,
+) -> Result<Arc<LeafState>, StandinError> {
+    let collection = document
+        .collections
+        .get(&declared.collection)
+        .ok_or(StandinError::Value { name: "leaf", expected: "a collection of the document" })?;
+    let parts = LeafParts {
+        id: id.clone(),
+        zone: declared.zone.clone(),
+        limits: collection.leaf_limits.clone(),
+        index: Index::declared(collection, id),
+        settings: options.settings.clone(),
+        seed: options.seed,
+        start_warm: options.start_warm,
+    };
+    let mut address = declared.address;
+    if options.any_port {
+        address.set_port(0);
+    }
+    let port = Port::reserve(address)?;
+    let leaf = Arc::new(LeafState::new(parts, port.clone()));
+    port.serve(leaf.clone())?;
+    Ok(leaf)
+}
+
+impl Leaves {
+    /// The bound addresses.
+    pub fn ready(&self) -> &LeavesReady {
+        &self.ready
+    }
+
+    /// Address of one leaf; `None` if it was not started.
+    pub fn address(&self, leaf: &LeafId) -> Option<SocketAddr> {
+        self.ready.leaves.get(leaf).copied()
+    }
+
+    /// Sets or clears a fault; returns once it is in force.
+    pub fn fault(&self, on: LeafSelector, fault: LeafFault) -> Result<(), StandinError> {
+        self.threads.block_on(self.fleet.fault(&LeafOrder { on, fault }))
+    }
+
+    /// Replaces the settings of some leaves.
+    pub fn set(&self, on: LeafSelector, settings: LeafSettings) -> Result<(), StandinError> {
+        self.fleet.set(&SettingsOrder { on, settings })
+    }
+
+    /// Counters of the leaves whose id starts with `prefix`.
+    pub fn counters(&self, prefix: &str) -> Vec<LeafStatus> {
+        self.fleet.statuses(prefix)
+    }
+
+    /// Starts all counters over.
+    pub fn reset_counters(&self) {
+        self.fleet.reset_counters();
+    }
+}
