--- a/src/bin/wigeonramp-standin.rs
+++ b/src/bin/wigeonramp-standin.rs
@@ -15,7 +15,7 @@
         thread::park,
     },
     thiserror::Error,
-    wigeonramp_config::Document,
+    wigeonramp_config::{ConfigError, Deployment, Document},
     wigeonramp_standin::{
         StandinError,
         leaves::{self, LeafSettings, LeavesOptions},
@@ -76,6 +76,8 @@
     #[error("{path}: {reason}", path = path.display())]
     File { path: PathBuf, reason: String },
     #[error(transparent)]
+    Config(#[from] ConfigError),
+    #[error(transparent)]
     Standin(#[from] StandinError),
     #[error("cannot print the addresses: {0}")]
     Print(#[from] std::io::Error),
@@ -132,7 +134,7 @@
 
 /// Reads the configuration document of a deployment.
 fn load_deployment(path: &Path) -> Result<Document, RunError> {
-    read_json(path)
+    Ok(Deployment::load(path)?.expand())
 }
 
 fn read_json<T: DeserializeOwned>(path: &Path) -> Result<T, RunError> {
