--- /dev/null
+++ b/components/daemon/src/holder/connection.rs
@@ -0,0 +1,206 @@
+//! A connection to a leaf and the leaf's protocol on it.
+
+use {
+    crate::{
+        clock,
+        holder::transport::{FixedResolver, SingleConnector, Socket},
+    },
+    bytes::Bytes,
+    http::{HeaderMap, StatusCode},
+    std::{
+        io::Result as IoResult,
+        net::{SocketAddr, TcpStream},
+        str::FromStr,
+        sync::Arc,
+        time::Duration,
+    },
+    ureq::{Agent, Error as CallError},
+    wigeonramp_units::{
+        AttemptId, BootId, Digest, Instant, LeafId, MapVersion, MemberId, RequestId, ShardId,
+        SnapshotId, UnixMillis,
+    },
+};
+
+/// Longest answer that is read from a leaf, in bytes; above it the answer counts as broken.
+const MAX_ANSWER: u64 = 8 * 1024 * 1024;
+
+/// What a leaf is asked.
+#[derive(Clone, Debug)]
+pub struct LeafCall {
+    /// Unique at the leaf among all entry hosts.
+    pub attempt: AttemptId,
+    /// The caller's body.
+    pub body: Bytes,
+    /// End of the request on this host's clock.
+    pub deadline: Instant,
+    /// The leaf that is asked.
+    pub leaf: LeafId,
+    /// Partition map that `shard` belongs to.
+    pub map_version: MapVersion,
+    /// The member whose rows are asked for.
+    pub member: MemberId,
+    /// The caller's id of the request.
+    pub request: RequestId,
+    /// The shard that is asked for.
+    pub shard: ShardId,
+    /// The snapshot that the answer must come from.
+    pub snapshot: SnapshotId,
+}
+
+/// A whole answer that matches its call.
+#[derive(Clone, Debug)]
+pub struct LeafAnswer {
+    /// Start of the leaf that answered.
+    pub boot: Option<BootId>,
+    /// Hash of `payload`.
+    pub digest: Digest,
+    /// The rows.
+    pub payload: Bytes,
+    /// Number of rows.
+    pub rows: u32,
+}
+
+/// How a call ended.
+#[derive(Clone, Debug)]
+pub enum CallEnd {
+    /// A whole answer to this call.
+    Answered(LeafAnswer),
+    /// An answer that is not the one to this call, or not whole.
+    Broken(&'static str),
+    /// The leaf takes no new work.
+    Leaving,
+    /// The connection ended before a byte was sent.
+    NotSent,
+    /// The deadline had passed at the leaf; the call was not run.
+    PastDeadline,
+    /// The leaf refused the call as malformed.
+    Refused(StatusCode),
+    /// The connection ended after bytes were sent.
+    Reset,
+    /// The leaf shed the call because of its load.
+    Shed,
+    /// The leaf does not have the snapshot.
+    SnapshotGone,
+    /// No whole answer came in time.
+    TimedOut,
+}
+
+/// An open connection to one leaf.
+#[derive(Debug)]
+pub struct Connection {
+    agent: Agent,
+    search: String,
+    socket: Arc<Socket>,
+}
+
+impl Connection {
+    /// Opens a connection to `address` within `timeout`.
+    pub fn open(address: SocketAddr, timeout: Duration) -> IoResult<Self> {
+        let stream = TcpStream::connect_timeout(&address, timeout)?;
+        stream.set_nodelay(true)?;
+        let socket = Arc::new(Socket::new(stream));
+        let config = Agent::config_builder()
+            .http_status_as_error(false)
+            .max_idle_connections(1)
+            .max_idle_connections_per_host(1)
+            .max_idle_age(Duration::MAX)
+            .max_redirects(0)
+            .proxy(None)
+            .build();
+        let connector = SingleConnector::new(Arc::clone(&socket));
+        let agent = Agent::with_parts(config, connector, FixedResolver(address));
+        Ok(Self { agent, search: format!("http://{address}/search"), socket })
+    }
+
+    /// The socket, for closing the connection from another thread.
+    pub fn socket(&self) -> Arc<Socket> {
+        Arc::clone(&self.socket)
+    }
+
+    /// Runs `call` on this connection; `expiry` is the wall-clock deadline that the leaf sees.
+    ///
+    /// The connection must not be used again after `Broken`, `NotSent`, `Reset` and `TimedOut`.
+    pub fn search(&self, call: &LeafCall, expiry: UnixMillis) -> CallEnd {
+        self.socket.start_request();
+        let timeout = clock::until(call.deadline).to_duration();
+        if timeout.is_zero() {
+            return CallEnd::NotSent;
+        }
+        let sent = self
+            .agent
+            .post(&self.search)
+            .config()
+            .timeout_global(Some(timeout))
+            .build()
+            .header("x-request-id", call.request.as_str())
+            .header("x-member", call.member.as_str())
+            .header("x-deadline-ms", expiry.to_string())
+            .header("x-snapshot", call.snapshot.to_string())
+            .header("x-map-version", call.map_version.to_string())
+            .header("x-shard", call.shard.as_str())
+            .header("x-attempt", call.attempt.to_string())
+            .send(call.body.as_ref());
+        let mut response = match sent {
+            Ok(response) => response,
+            Err(err) => return self.failed(&err),
+        };
+        let body = response.body_mut().with_config().limit(MAX_ANSWER).read_to_vec();
+        match body {
+            Ok(body) => end_of(call, response.status(), response.headers(), body.into()),
+            Err(err) => self.failed(&err),
+        }
+    }
+
+    fn failed(&self, err: &CallError) -> CallEnd {
+        if !self.socket.sent() {
+            return CallEnd::NotSent;
+        }
+        match err {
+            CallError::Timeout(_) => CallEnd::TimedOut,
+            CallError::Io(_) | CallError::ConnectionFailed => CallEnd::Reset,
+            CallError::BodyExceedsLimit(_) => CallEnd::Broken("answer too long"),
+            _ => CallEnd::Broken("not an HTTP answer"),
+        }
+    }
+}
+
+fn end_of(call: &LeafCall, status: StatusCode, headers: &HeaderMap, payload: Bytes) -> CallEnd {
+    match status {
+        StatusCode::OK => answer_of(call, headers, payload),
+        StatusCode::CONFLICT => CallEnd::SnapshotGone,
+        StatusCode::SERVICE_UNAVAILABLE => CallEnd::Shed,
+        StatusCode::GONE => CallEnd::Leaving,
+        StatusCode::GATEWAY_TIMEOUT => CallEnd::PastDeadline,
+        other => CallEnd::Refused(other),
+    }
+}
+
+fn header<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
+    headers.get(name)?.to_str().ok()?.parse().ok()
+}
+
+fn answer_of(call: &LeafCall, headers: &HeaderMap, payload: Bytes) -> CallEnd {
+    if header(headers, "x-attempt") != Some(call.attempt) {
+        return CallEnd::Broken("answer to another attempt");
+    }
+    if header(headers, "x-member").as_ref() != Some(&call.member) {
+        return CallEnd::Broken("answer for another member");
+    }
+    if header(headers, "x-shard").as_ref() != Some(&call.shard) {
+        return CallEnd::Broken("answer of another shard");
+    }
+    if header(headers, "x-snapshot") != Some(call.snapshot) {
+        return CallEnd::Broken("answer from another snapshot");
+    }
+    if header(headers, "x-map-version") != Some(call.map_version) {
+        return CallEnd::Broken("answer by another partition map");
+    }
+    let digest = Digest::of(&payload);
+    if header(headers, "x-digest") != Some(digest) {
+        return CallEnd::Broken("digest does not match the answer");
+    }
+    let Some(rows) = header(headers, "x-rows") else {
+        return CallEnd::Broken("answer without a row count");
+    };
+    CallEnd::Answered(LeafAnswer { boot: header(headers, "x-boot"), digest, payload, rows })
+}
--- /dev/null
+++ b/components/daemon/src/peer/mod.rs
@@ -0,0 +1,4 @@
+//! Calls between hosts, over tonic.
+
+pub mod client;
+pub mod server;
--- /dev/null
+++ b/components/daemon/src/peer/server.rs
@@ -0,0 +1,250 @@
+//! Answers the calls of other hosts.
+
+use {
+    crate::{
+        clock,
+        holder::{
+            Holders,
+            connection::LeafCall,
+            job::{LeafJob, ReplySink},
+        },
+        view::HolderRights,
+    },
+    bytes::Bytes,
+    parking_lot::Mutex,
+    std::{
+        io::{Error as IoError, Result as IoResult},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::{
+        net::TcpListener,
+        runtime::Handle,
+        sync::{mpsc, oneshot, watch},
+        time,
+    },
+    tokio_stream::{
+        StreamExt,
+        wrappers::{TcpListenerStream, UnboundedReceiverStream},
+    },
+    tonic::{Request, Response, Status, transport::Server},
+    wigeonramp_config::Priority,
+    wigeonramp_proto::peer::{
+        CancelAttemptsReply, CancelAttemptsRequest, FetchDocumentReply, FetchDocumentRequest,
+        Heartbeat, LeafReply, LeafWork, PromiseReply, PromiseRequest, ReleaseReply, ReleaseRequest,
+        RunLeavesRequest, peer_server::{Peer, PeerServer},
+    },
+    wigeonramp_units::{
+        AttemptId, Epoch, Fingerprint, InstanceId, MapVersion, MemberId, ParseError, RequestId,
+        SnapshotId, Span,
+    },
+};
+
+/// Time between pings on a connection.
+const PING_INTERVAL: Duration = Duration::from_secs(1);
+/// Longest wait for the answer to a ping.
+const PING_TIMEOUT: Duration = Duration::from_secs(1);
+/// Longest message in bytes; the longest body of a caller is far below.
+const MAX_MESSAGE: usize = 9 * 1024 * 1024;
+/// Streams that one peer may have open on its connection.
+const MAX_STREAMS: u32 = 4096;
+
+/// The control side's part of the calls.
+pub trait PeerControl: Send + Sync + 'static {
+    /// Takes a peer's heartbeat and returns this host's.
+    fn heartbeat(&self, from: Heartbeat) -> Heartbeat;
+
+    /// The body of a document above the given version.
+    fn fetch(&self, request: FetchDocumentRequest) -> FetchDocumentReply;
+
+    /// Hands a leaf over to the calling instance.
+    fn release(&self, request: ReleaseRequest) -> ReleaseReply;
+
+    /// Decides on a promise.
+    fn promise(&self, request: PromiseRequest) -> PromiseReply;
+}
+
+/// The `Peer` service of this host.
+pub struct PeerService<C, R> {
+    control: Arc<C>,
+    holders: Arc<Holders<R>>,
+}
+
+fn invalid(err: &ParseError) -> Status {
+    Status::invalid_argument(err.to_string())
+}
+
+/// The parts that all attempts of a request share.
+struct Common {
+    body: Bytes,
+    entry: InstanceId,
+    member: MemberId,
+    request: RequestId,
+}
+
+impl Common {
+    fn of(message: &mut RunLeavesRequest) -> Result<Self, ParseError> {
+        Ok(Self {
+            body: std::mem::take(&mut message.body).into(),
+            entry: message.entry.parse()?,
+            member: message.member.parse()?,
+            request: message.request_id.parse()?,
+        })
+    }
+
+    fn job(
+        &self,
+        message: &RunLeavesRequest,
+        work: &LeafWork,
+        sink: ReplySink,
+    ) -> Result<LeafJob, ParseError> {
+        let now = clock::now();
+        Ok(LeafJob {
+            alone: work.alone,
+            call: LeafCall {
+                attempt: AttemptId(work.attempt),
+                body: self.body.clone(),
+                deadline: now + Span::millis(message.timeout_ms),
+                leaf: work.leaf.parse()?,
+                map_version: MapVersion(message.map_version),
+                member: self.member.clone(),
+                request: self.request.clone(),
+                shard: work.shard.parse()?,
+                snapshot: SnapshotId(message.snapshot),
+            },
+            entry: self.entry.clone(),
+            epoch: Epoch(work.epoch),
+            fingerprint: Fingerprint(message.fingerprint),
+            hedge: work.hedge,
+            idempotent: message.idempotent,
+            priority: if message.urgent { Priority::Urgent } else { Priority::Ordinary },
+            sink,
+            since: now,
+        })
+    }
+}
+
+type Replies = UnboundedReceiverStream<LeafReply>;
+type ReplyResult = fn(LeafReply) -> Result<LeafReply, Status>;
+
+#[tonic::async_trait]
+impl<C: PeerControl, R: HolderRights> Peer for PeerService<C, R> {
+    type RunLeavesStream = tokio_stream::adapters::Map<Replies, ReplyResult>;
+
+    async fn run_leaves(
+        &self,
+        request: Request<RunLeavesRequest>,
+    ) -> Result<Response<Self::RunLeavesStream>, Status> {
+        let mut message = request.into_inner();
+        let common = Common::of(&mut message).map_err(|err| invalid(&err))?;
+        let (tx, rx) = mpsc::unbounded_channel();
+        let jobs: Result<Vec<LeafJob>, ParseError> = message
+            .work
+            .iter()
+            .map(|work| common.job(&message, work, ReplySink::Remote(tx.clone())))
+            .collect();
+        for job in jobs.map_err(|err| invalid(&err))? {
+            self.holders.run(job);
+        }
+        let wrap: ReplyResult = Ok;
+        Ok(Response::new(UnboundedReceiverStream::new(rx).map(wrap)))
+    }
+
+    async fn cancel_attempts(
+        &self,
+        request: Request<CancelAttemptsRequest>,
+    ) -> Result<Response<CancelAttemptsReply>, Status> {
+        let _ = request;
+        Ok(Response::new(CancelAttemptsReply {}))
+    }
+
+    async fn send_heartbeat(
+        &self,
+        request: Request<Heartbeat>,
+    ) -> Result<Response<Heartbeat>, Status> {
+        Ok(Response::new(self.control.heartbeat(request.into_inner())))
+    }
+
+    async fn fetch_document(
+        &self,
+        request: Request<FetchDocumentRequest>,
+    ) -> Result<Response<FetchDocumentReply>, Status> {
+        Ok(Response::new(self.control.fetch(request.into_inner())))
+    }
+
+    async fn release(
+        &self,
+        request: Request<ReleaseRequest>,
+    ) -> Result<Response<ReleaseReply>, Status> {
+        Ok(Response::new(self.control.release(request.into_inner())))
+    }
+
+    async fn promise(
+        &self,
+        request: Request<PromiseRequest>,
+    ) -> Result<Response<PromiseReply>, Status> {
+        Ok(Response::new(self.control.promise(request.into_inner())))
+    }
+}
+
+/// The running server.
+pub struct PeerListener {
+    address: SocketAddr,
+    finished: Mutex<Option<oneshot::Receiver<()>>>,
+    runtime: Handle,
+    stop: watch::Sender<bool>,
+}
+
+impl PeerListener {
+    /// Binds `address` and starts to serve.
+    pub fn start<C: PeerControl, R: HolderRights>(
+        runtime: &Handle,
+        address: SocketAddr,
+        control: Arc<C>,
+        holders: Arc<Holders<R>>,
+    ) -> IoResult<Self> {
+        let listener = runtime.block_on(TcpListener::bind(address))?;
+        let address = listener.local_addr()?;
+        let (stop, mut stopped) = watch::channel(false);
+        let (done, finished) = oneshot::channel();
+        let service = PeerServer::new(PeerService { control, holders })
+            .max_decoding_message_size(MAX_MESSAGE)
+            .max_encoding_message_size(MAX_MESSAGE);
+        let streams = TcpListenerStream::new(listener).map(|stream| {
+            let stream = stream?;
+            stream.set_nodelay(true)?;
+            Ok::<_, IoError>(stream)
+        });
+        runtime.spawn(async move {
+            let served = Server::builder()
+                .http2_keepalive_interval(Some(PING_INTERVAL))
+                .http2_keepalive_timeout(Some(PING_TIMEOUT))
+                .max_concurrent_streams(MAX_STREAMS)
+                .add_service(service)
+                .serve_with_incoming_shutdown(streams, async move {
+                    let _ = stopped.wait_for(|stop| *stop).await;
+                })
+                .await;
+            if let Err(err) = served {
+                log::error!("peer server ended: {err}");
+            }
+            let _ = done.send(());
+        });
+        Ok(Self { address, finished: Mutex::new(Some(finished)), runtime: runtime.clone(), stop })
+    }
+
+    /// The bound address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Stops accepting and waits for running calls.
+    ///
+    /// Returns whether all calls ended within `patience`.
+    pub fn stop(&self, patience: Duration) -> bool {
+        self.stop.send_replace(true);
+        let Some(finished) = self.finished.lock().take() else { return true };
+        self.runtime.block_on(async { time::timeout(patience, finished).await.is_ok() })
+    }
+}
--- /dev/null
+++ b/components/daemon/src/view.rs
@@ -0,0 +1,147 @@
+//! What the data path knows of the cluster, and what it may send.
+//!
+//! The control side builds a new view after each change and stores it whole; the data path loads
+//! it once per request.
+
+use {
+    indexmap::IndexMap,
+    parking_lot::RwLock,
+    std::{net::SocketAddr, sync::Arc},
+    wigeonramp_config::{Document, Limits},
+    wigeonramp_units::{
+        ByteSize, ConfigVersion, Epoch, HostId, Instant, InstanceId, LeafId, Percent, Span, ZoneId,
+    },
+};
+
+/// The host that sends to a leaf.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holder {
+    /// Where peers connect to it.
+    pub address: SocketAddr,
+    /// The assignment's epoch of the leaf.
+    pub epoch: Epoch,
+    /// The host's instance.
+    pub instance: InstanceId,
+    /// The holder of the earlier epoch while it has not released the leaf.
+    pub releasing: Option<InstanceId>,
+}
+
+/// A host that answers callers and peers.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct HostView {
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// The host's name.
+    pub host: HostId,
+    /// The host's instance.
+    pub instance: InstanceId,
+    /// Whether the host is stopping.
+    pub leaving: bool,
+    /// Share of its request workers in use.
+    pub load: Percent,
+    /// Where peers connect.
+    pub peer_address: SocketAddr,
+    /// Where it stands.
+    pub zone: ZoneId,
+}
+
+/// Cluster as one host sees it.
+#[derive(Clone, Debug)]
+pub struct ClusterView {
+    /// Adopted configuration; version 0 until one is known.
+    pub document: Arc<Document>,
+    /// Holder of each assigned leaf.
+    pub holders: IndexMap<LeafId, Holder>,
+    /// Hosts that are not dead, this one included.
+    pub hosts: Vec<HostView>,
+}
+
+impl ClusterView {
+    /// A view without configuration, holders and hosts.
+    pub fn empty() -> Self {
+        Self {
+            document: Arc::new(empty_document()),
+            holders: IndexMap::new(),
+            hosts: Vec::new(),
+        }
+    }
+
+    /// Whether a configuration has been adopted.
+    pub fn configured(&self) -> bool {
+        self.document.version > ConfigVersion(0)
+    }
+}
+
+/// The document that stands for "none adopted yet"; knows no caller.
+fn empty_document() -> Document {
+    Document {
+        version: ConfigVersion(0),
+        op: "none".parse().expect("the text is a valid operation id"),
+        zones: IndexMap::new(),
+        members: IndexMap::new(),
+        callers: IndexMap::new(),
+        collections: IndexMap::new(),
+        leaves: IndexMap::new(),
+        limits: Limits {
+            entry_lifetime: Span::secs(5),
+            max_body: ByteSize(64 * 1024),
+            hedge_budget: Percent(5),
+            retry_budget: Percent(10),
+            ordinary_floor: Percent(10),
+            max_ejected: Percent(30),
+            claim_retention: Span::secs(600),
+            quarantine: Span::secs(600),
+            session_time: Span::secs(4),
+            stale_after: Span::secs(2),
+        },
+    }
+}
+
+/// The current view, replaced as a whole.
+#[derive(Debug)]
+pub struct Views {
+    current: RwLock<Arc<ClusterView>>,
+}
+
+impl Views {
+    /// Starts with an empty view.
+    pub fn new() -> Self {
+        Self { current: RwLock::new(Arc::new(ClusterView::empty())) }
+    }
+
+    /// The current view.
+    pub fn load(&self) -> Arc<ClusterView> {
+        Arc::clone(&self.current.read())
+    }
+
+    /// Replaces the view.
+    pub fn store(&self, view: ClusterView) {
+        *self.current.write() = Arc::new(view);
+    }
+}
+
+impl Default for Views {
+    fn default() -> Self {
+        Self::new()
+    }
+}
+
+/// What a holder may send to a leaf.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Rights {
+    /// Everything that the leaf bears.
+    Full,
+    /// One request at a time to a warm leaf, on connections that exist.
+    WarmOnly,
+    /// Nothing.
+    None,
+}
+
+/// Rights of this host as a holder; asked under the leaf's lock before bytes are sent.
+pub trait HolderRights: Send + Sync + 'static {
+    /// What may be sent to `leaf` at `now`.
+    fn rights(&self, leaf: &LeafId, now: Instant) -> Rights;
+
+    /// The latest deadline that a request sent at `now` may carry.
+    fn deadline_cap(&self, now: Instant) -> Instant;
+}
