Add the upstream aggregate: ramp, queue, connections and hand-over

One holder decides under the leaf's lock what to send next, so a cold leaf never gets more than its allowance whatever the number of entry hosts.

--- /dev/null
+++ b/components/serving/src/upstream/mod.rs
@@ -0,0 +1,22 @@
+//! One held leaf: its slots, ramp, queue and connections, owned by the leaf's holder.
+//!
+//! The shell calls [`Upstream::next`] under the leaf's lock immediately before it sends bytes, and
+//! again after each event and at the time of [`Next::Wait`], until it is told to wait. A
+//! connection carries one job at a time.
+
+mod connections;
+mod handover;
+mod limits;
+mod queue;
+mod ramp;
+#[allow(clippy::module_inception)]
+mod upstream;
+
+pub use {
+    handover::{CrashSuspect, UpstreamReport, UpstreamState},
+    limits::{
+        Allowance, Cancelled, Completion, ConnectionId, Effect, Health, JobId, JobMeta, Next,
+        Offer, Refusal, Rights, State,
+    },
+    upstream::Upstream,
+};
--- /dev/null
+++ b/components/serving/src/upstream/upstream.rs
@@ -0,0 +1,626 @@
+//! The aggregate of one held leaf.
+
+use {
+    super::{
+        connections::Connections,
+        handover::{CrashSuspect, UpstreamReport, UpstreamState},
+        limits::{
+            Cancelled, Completion, ConnectionId, Effect, GONE_PROBE, Health, IDLE_COLD, JobId,
+            JobMeta, Next, OVERDUE_FACTOR, OVERDUE_MIN, Offer, QUEUE_PER_SLOT, Refusal, Rights,
+            State,
+        },
+        queue::Queue,
+        ramp::Ramp,
+    },
+    indexmap::IndexMap,
+    wigeonramp_config::{LeafLimits, Priority},
+    wigeonramp_units::{BootId, Fingerprint, Instant, Span},
+};
+
+/// How long a crash suspect is remembered at its leaf.
+const SUSPECT_MEMORY: Span = Span::secs(600);
+
+#[derive(Debug)]
+struct Running {
+    meta: JobMeta,
+    connection: ConnectionId,
+    sent: Instant,
+    overdue: bool,
+    /// Whether another job was at the leaf at any time while it ran.
+    shared: bool,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Presence {
+    Here,
+    Leaving,
+    /// Left; probed for a new boot from this time on, if it announced its leaving itself.
+    Gone(Option<Instant>),
+}
+
+/// An overdue answer whose cause is not known yet.
+#[derive(Clone, Copy, Debug)]
+struct Doubt {
+    before: (u32, Option<u32>),
+    probe: Option<ConnectionId>,
+}
+
+/// One held leaf.
+#[derive(Debug)]
+pub struct Upstream {
+    limits: LeafLimits,
+    ramp: Ramp,
+    queue: Queue,
+    connections: Connections,
+    running: IndexMap<JobId, Running>,
+    boot: Option<BootId>,
+    /// Whether an answer has named the boot on a connection of this holder.
+    boot_confirmed: bool,
+    presence: Presence,
+    announced: bool,
+    gone_probe: Option<ConnectionId>,
+    doubt: Option<Doubt>,
+    suspects: IndexMap<Fingerprint, (bool, Instant)>,
+    service: Span,
+    last_active: Instant,
+    last_state: State,
+}
+
+impl Upstream {
+    /// A leaf that nobody held before.
+    pub fn new(limits: LeafLimits, now: Instant) -> Self {
+        let queue = Queue::new(limits.slots.get().max(1) as usize * QUEUE_PER_SLOT);
+        Self {
+            ramp: Ramp::new(limits.clone(), now),
+            queue,
+            connections: Connections::new(limits.connections),
+            limits,
+            running: IndexMap::new(),
+            boot: None,
+            boot_confirmed: false,
+            presence: Presence::Here,
+            announced: false,
+            gone_probe: None,
+            doubt: None,
+            suspects: IndexMap::new(),
+            service: Span::ZERO,
+            last_active: now,
+            last_state: State::Cold,
+        }
+    }
+
+    /// A leaf taken over without hand-over: the old holder may still send one request, so the
+    /// allowance is one lower for a session time.
+    pub fn after_takeover(limits: LeafLimits, session_time: Span, now: Instant) -> Self {
+        let mut upstream = Self::new(limits, now);
+        upstream.ramp.cap_until(now + session_time);
+        upstream
+    }
+
+    /// Takes a job into the queue or refuses it.
+    pub fn offer(&mut self, mut job: JobMeta, now: Instant) -> Offer {
+        self.age(now);
+        if self.presence != Presence::Here {
+            return Offer::Refused(Refusal::Leaving);
+        }
+        if let Some(refusal) = self.refuses(&job, now) {
+            return Offer::Refused(refusal);
+        }
+        job.alone |= self.suspects.contains_key(&job.fingerprint);
+        if !self.queue.push(job) {
+            return Offer::Refused(self.overload());
+        }
+        Offer::Queued
+    }
+
+    fn refuses(&mut self, job: &JobMeta, now: Instant) -> Option<Refusal> {
+        if job.deadline <= now {
+            return Some(Refusal::Deadline);
+        }
+        if job.hedge && self.state() != State::Warm {
+            return Some(Refusal::Cold);
+        }
+        if now < self.connections.retry_at() && self.connections.idle().is_none() {
+            return Some(Refusal::Unreachable);
+        }
+        let at = self.expected_answer(job.priority, job.deadline, now);
+        (at > job.deadline).then(|| self.overload())
+    }
+
+    fn overload(&self) -> Refusal {
+        if self.ramp.is_warm() { Refusal::Overload } else { Refusal::Cold }
+    }
+
+    /// When a job offered now would be answered. An idle leaf takes any job, so that one slow
+    /// answer cannot make it refuse all later ones.
+    fn expected_answer(&mut self, priority: Priority, deadline: Instant, now: Instant) -> Instant {
+        let ahead = self.queue.ahead(priority, deadline);
+        if ahead == 0 && self.running.is_empty() {
+            return self.ramp.rate_room(now);
+        }
+        let slots = u64::from(self.in_flight_limit(now));
+        let before = (ahead + self.running.len()) as u64;
+        let by_slots = now + self.service * (before / slots + 1);
+        let rate = self.ramp.allowance(now).per_second.map_or(u64::MAX, |n| n.get().into());
+        let by_rate = self.ramp.rate_room(now) + Span::secs(1) * (ahead as u64) / rate;
+        by_slots.max(by_rate + self.service)
+    }
+
+    /// Decides what to do now. `rights` are checked for this one decision only.
+    pub fn next(&mut self, now: Instant, rights: Rights) -> Next {
+        self.age(now);
+        if let Some((job, refusal)) = self.queue.take_shed() {
+            return Next::Drop(job, refusal);
+        }
+        if let Some(refusal) = self.blocked(now, rights) {
+            return self.drop_one(refusal, now, rights);
+        }
+        if let Some(job) = self.queue.take_late(now, self.least_time()) {
+            return Next::Drop(job, Refusal::Deadline);
+        }
+        if rights == Rights::Full && self.wants_probe() && self.may_connect(now) {
+            return self.connect(true, now);
+        }
+        self.send_or_wait(now, rights)
+    }
+
+    fn least_time(&self) -> Span {
+        if self.running.is_empty() { Span::ZERO } else { self.service }
+    }
+
+    fn blocked(&self, now: Instant, rights: Rights) -> Option<Refusal> {
+        if self.presence != Presence::Here {
+            return Some(Refusal::Leaving);
+        }
+        let idle = self.connections.idle().is_some();
+        match rights {
+            Rights::None => Some(Refusal::NotHolder),
+            Rights::WarmOnly if self.state() != State::Warm => Some(Refusal::InDoubt),
+            Rights::WarmOnly if !idle && self.running.is_empty() => Some(Refusal::InDoubt),
+            _ if !idle && now < self.connections.retry_at() => Some(Refusal::Unreachable),
+            _ => None,
+        }
+    }
+
+    fn drop_one(&mut self, refusal: Refusal, now: Instant, rights: Rights) -> Next {
+        if let Some(job) = self.queue.pop() {
+            return Next::Drop(job.id, refusal);
+        }
+        let Presence::Gone(Some(at)) = self.presence else { return Next::Wait(self.wake(now)) };
+        if rights != Rights::Full || self.connections.is_opening() {
+            return Next::Wait(None);
+        }
+        if now < at {
+            return Next::Wait(Some(at));
+        }
+        self.presence = Presence::Gone(Some(now + GONE_PROBE));
+        let id = self.connections.open();
+        self.gone_probe = Some(id);
+        self.ramp.spent(now);
+        Next::Connect { connection: id, probe: true }
+    }
+
+    fn wants_probe(&self) -> bool {
+        self.doubt.is_some_and(|doubt| doubt.probe.is_none())
+    }
+
+    fn may_connect(&mut self, now: Instant) -> bool {
+        self.connections.can_open()
+            && self.connections.retry_at() <= now
+            && self.ramp.rate_room(now) <= now
+    }
+
+    fn connect(&mut self, probe: bool, now: Instant) -> Next {
+        let connection = self.connections.open();
+        self.ramp.spent(now);
+        if let (true, Some(doubt)) = (probe, &mut self.doubt) {
+            doubt.probe = Some(connection);
+        }
+        Next::Connect { connection, probe }
+    }
+
+    fn in_flight_limit(&self, now: Instant) -> u32 {
+        if !self.boot_confirmed {
+            return 1;
+        }
+        self.ramp.allowance(now).in_flight.get().max(1)
+    }
+
+    fn has_room(&self, alone: bool, rights: Rights, now: Instant) -> bool {
+        let limit = match rights {
+            Rights::Full => self.in_flight_limit(now),
+            Rights::WarmOnly | Rights::None => 1,
+        };
+        let occupied = self.running.values().any(|run| run.meta.alone);
+        let limit = if alone || occupied { 1 } else { limit };
+        self.running.len() < limit as usize
+    }
+
+    fn send_or_wait(&mut self, now: Instant, rights: Rights) -> Next {
+        let Some(alone) = self.queue.head().map(|job| job.alone) else {
+            return Next::Wait(self.wake(now));
+        };
+        if !self.has_room(alone, rights, now) {
+            return Next::Wait(self.wake(now));
+        }
+        let room = self.ramp.rate_room(now);
+        if room > now {
+            return Next::Wait(self.wake(now).into_iter().chain([room]).min());
+        }
+        if let Some(connection) = self.connections.idle() {
+            return self.send(connection, now);
+        }
+        if rights == Rights::Full && self.may_connect(now) {
+            return self.connect(false, now);
+        }
+        Next::Wait(self.wake(now))
+    }
+
+    fn send(&mut self, connection: ConnectionId, now: Instant) -> Next {
+        let Some(meta) = self.queue.pop() else { return Next::Wait(self.wake(now)) };
+        let job = meta.id;
+        let shared = !self.running.is_empty();
+        self.running.values_mut().for_each(|run| run.shared = true);
+        self.connections.occupy(connection, job);
+        self.ramp.spent(now);
+        self.last_active = now;
+        let run = Running { meta, connection, sent: now, overdue: false, shared };
+        self.running.insert(job, run);
+        Next::Send { job, connection }
+    }
+
+    fn wake(&self, now: Instant) -> Option<Instant> {
+        let overdue = self.running.values().filter(|run| !run.overdue);
+        let overdue = overdue.map(|run| self.overdue_at(run));
+        let deadline = self.queue.first_deadline();
+        let retry = (now < self.connections.retry_at()).then(|| self.connections.retry_at());
+        overdue.chain(deadline).chain(retry).filter(|&at| at > now).min()
+    }
+
+    fn overdue_at(&self, run: &Running) -> Instant {
+        run.sent + (self.service * OVERDUE_FACTOR).max(OVERDUE_MIN)
+    }
+
+    /// Applies the passage of time: idleness and overdue answers.
+    fn age(&mut self, now: Instant) {
+        if self.running.is_empty() && now.since(self.last_active) > IDLE_COLD {
+            self.ramp.go_cold(now);
+            self.last_active = now;
+        }
+        self.suspects.retain(|_, (_, at)| now.since(*at) < SUSPECT_MEMORY);
+        let late = |run: &Running| !run.overdue && now >= self.overdue_at(run);
+        let late: Vec<_> =
+            self.running.values().filter(|run| late(run)).map(|run| run.meta.id).collect();
+        for job in late {
+            if let Some(run) = self.running.get_mut(&job) {
+                run.overdue = true;
+            }
+            self.overdue(now);
+        }
+    }
+
+    fn overdue(&mut self, now: Instant) {
+        let before = self.ramp.mark();
+        self.ramp.halve(now);
+        self.doubt.get_or_insert(Doubt { before, probe: None });
+    }
+
+    /// A connection is open; for a probe, the leaf has answered on it.
+    pub fn connected(
+        &mut self,
+        connection: ConnectionId,
+        boot: Option<BootId>,
+        now: Instant,
+    ) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if !self.connections.opened(connection) {
+            return effects;
+        }
+        if self.gone_probe == Some(connection) {
+            self.gone_probe = None;
+            return self.probed_gone(connection, boot, now);
+        }
+        if let Some(boot) = boot {
+            self.seen_boot(boot, connection, now, &mut effects);
+        }
+        if self.doubt.is_some_and(|doubt| doubt.probe == Some(connection)) {
+            self.probe_answered(connection, &mut effects);
+        }
+        self.state_change(effects)
+    }
+
+    fn probed_gone(
+        &mut self,
+        connection: ConnectionId,
+        boot: Option<BootId>,
+        now: Instant,
+    ) -> Vec<Effect> {
+        if boot.is_none() || boot == self.boot {
+            self.connections.close(connection);
+            return vec![Effect::Close { connection, job: None }];
+        }
+        self.rejoin(now)
+    }
+
+    /// The leaf answers on a new connection: the old ones are silent, and the leaf is not to
+    /// blame. A job that must not run twice keeps its connection until its deadline.
+    fn probe_answered(&mut self, probe: ConnectionId, effects: &mut Vec<Effect>) {
+        let Some(doubt) = self.doubt.take() else { return };
+        self.ramp.forgive(doubt.before);
+        for connection in self.connections.close_idle(Some(probe)) {
+            effects.push(Effect::Close { connection, job: None });
+        }
+        let silent = self.running.values().filter(|run| run.overdue && run.meta.idempotent);
+        let silent: Vec<_> = silent.map(|run| (run.meta.id, run.connection)).collect();
+        for (job, connection) in silent {
+            self.running.shift_remove(&job);
+            self.connections.close(connection);
+            effects.push(Effect::Close { connection, job: Some(job) });
+        }
+    }
+
+    /// The connect failed; the leaf starts cold when it can be reached again.
+    pub fn connect_failed(&mut self, connection: ConnectionId, now: Instant) -> Vec<Effect> {
+        if !self.connections.failed(connection, now) {
+            return Vec::new();
+        }
+        if self.gone_probe == Some(connection) {
+            self.gone_probe = None;
+            return Vec::new();
+        }
+        self.doubt = None;
+        self.ramp.go_cold(now);
+        self.state_change(Vec::new())
+    }
+
+    /// An idle connection was closed by the leaf.
+    pub fn closed(&mut self, connection: ConnectionId) {
+        self.connections.close(connection);
+    }
+
+    /// A sent job has ended.
+    pub fn done(&mut self, job: JobId, completion: Completion, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        let Some(run) = self.running.shift_remove(&job) else { return effects };
+        match completion {
+            Completion::Answered { boot, latency, busy } => {
+                self.answered(&run, boot, latency, busy, now, &mut effects);
+            }
+            Completion::Rejected => {
+                self.connections.release(run.connection);
+                self.doubt = None;
+                self.ramp.go_cold(now);
+            }
+            Completion::Leaving => {
+                self.close(run.connection, &mut effects);
+                self.announced = true;
+                self.presence = Presence::Leaving;
+            }
+            Completion::Reset => self.reset(&run, now, &mut effects),
+            Completion::TimedOut => {
+                self.close(run.connection, &mut effects);
+                if !run.overdue {
+                    self.overdue(now);
+                }
+            }
+            Completion::Cancelled { reusable: true } => self.connections.release(run.connection),
+            Completion::Cancelled { reusable: false } => self.close(run.connection, &mut effects),
+        }
+        self.finish_leaving(now, &mut effects);
+        self.state_change(effects)
+    }
+
+    fn close(&mut self, connection: ConnectionId, effects: &mut Vec<Effect>) {
+        self.connections.close(connection);
+        effects.push(Effect::Close { connection, job: None });
+    }
+
+    fn answered(
+        &mut self,
+        run: &Running,
+        boot: Option<BootId>,
+        latency: Span,
+        busy: bool,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        self.last_active = now;
+        self.connections.release(run.connection);
+        self.service = smooth(self.service, latency);
+        if self.suspects.shift_remove(&run.meta.fingerprint).is_some() {
+            effects.push(Effect::Cleared(run.meta.fingerprint));
+        }
+        let same = boot.is_some() && boot == self.boot;
+        if let Some(boot) = boot {
+            self.seen_boot(boot, run.connection, now, effects);
+            self.boot_confirmed = true;
+        }
+        if run.overdue {
+            // The leaf was slow, not the connection silent: the halved allowance stays.
+            self.doubt = None;
+        } else if same && !busy && self.doubt.is_none() {
+            self.ramp.success(self.service, now);
+        }
+    }
+
+    fn seen_boot(
+        &mut self,
+        boot: BootId,
+        connection: ConnectionId,
+        now: Instant,
+        effects: &mut Vec<Effect>,
+    ) {
+        if self.boot.as_ref() == Some(&boot) {
+            return;
+        }
+        self.boot = Some(boot);
+        self.boot_confirmed = false;
+        self.doubt = None;
+        self.ramp.go_cold(now);
+        for connection in self.connections.close_idle(Some(connection)) {
+            effects.push(Effect::Close { connection, job: None });
+        }
+    }
+
+    fn reset(&mut self, run: &Running, now: Instant, effects: &mut Vec<Effect>) {
+        self.close(run.connection, effects);
+        for connection in self.connections.close_idle(None) {
+            effects.push(Effect::Close { connection, job: None });
+        }
+        self.boot = None;
+        self.boot_confirmed = false;
+        self.doubt = None;
+        self.ramp.go_cold(now);
+        for run in [run].into_iter().chain(self.running.values()) {
+            let fingerprint = run.meta.fingerprint;
+            if self.suspects.insert(fingerprint, (!run.shared, now)).is_none() || !run.shared {
+                effects.push(Effect::Suspect { fingerprint, alone: !run.shared });
+            }
+        }
+    }
+
+    /// Lowers the allowance by what the leaf's health endpoint says.
+    pub fn health(&mut self, health: Health, now: Instant) -> Vec<Effect> {
+        if health.overloaded {
+            self.ramp.halve(now);
+        }
+        if let Some(slots) = health.slots {
+            self.ramp.lower_to(slots, now);
+        }
+        self.state_change(Vec::new())
+    }
+
+    /// Removes a queued job, or names the connection of a sent one.
+    pub fn cancel(&mut self, job: JobId) -> Cancelled {
+        if self.queue.remove(job) {
+            return Cancelled::Removed;
+        }
+        match self.running.get(&job) {
+            Some(run) => Cancelled::Running(run.connection),
+            None => Cancelled::Unknown,
+        }
+    }
+
+    /// Stops new work; queued jobs are dropped by `next`.
+    pub fn leave(&mut self, now: Instant) -> Vec<Effect> {
+        let mut effects = Vec::new();
+        if self.presence == Presence::Here {
+            self.presence = Presence::Leaving;
+        }
+        self.announced = false;
+        self.finish_leaving(now, &mut effects);
+        self.state_change(effects)
+    }
+
+    /// The leaf takes work again; it starts cold.
+    pub fn rejoin(&mut self, now: Instant) -> Vec<Effect> {
+        self.presence = Presence::Here;
+        self.announced = false;
+        self.boot = None;
+        self.boot_confirmed = false;
+        self.doubt = None;
+        self.ramp.go_cold(now);
+        self.last_active = now;
+        self.state_change(Vec::new())
+    }
+
+    fn finish_leaving(&mut self, now: Instant, effects: &mut Vec<Effect>) {
+        if self.presence != Presence::Leaving || !self.running.is_empty() {
+            return;
+        }
+        self.presence = Presence::Gone(self.announced.then(|| now + GONE_PROBE));
+        for connection in self.connections.close_idle(None) {
+            effects.push(Effect::Close { connection, job: None });
+        }
+    }
+
+    /// Whether no job is queued or at the leaf, so that it can be handed over.
+    pub fn is_drained(&self) -> bool {
+        self.running.is_empty() && self.queue.len() == 0
+    }
+
+    /// The state for the next holder.
+    pub fn handover_out(&mut self, now: Instant) -> UpstreamState {
+        self.age(now);
+        let suspect = |(fingerprint, (alone, at)): (&Fingerprint, &(bool, Instant))| CrashSuspect {
+            fingerprint: *fingerprint,
+            alone: *alone,
+            age: now.since(*at),
+        };
+        UpstreamState {
+            allowance: self.ramp.allowance(now),
+            boot: self.boot.clone(),
+            service: self.service,
+            idle: now.since(self.last_active),
+            suspects: self.suspects.iter().map(suspect).collect(),
+        }
+    }
+
+    /// Takes over the state of the last holder. The allowance counts once an answer has named the
+    /// same boot.
+    pub fn handover_in(&mut self, state: UpstreamState, now: Instant) -> Vec<Effect> {
+        if state.boot.is_some() && state.idle <= IDLE_COLD {
+            self.ramp.restore(state.allowance, now);
+        }
+        self.boot = state.boot;
+        self.boot_confirmed = false;
+        self.service = state.service;
+        self.last_active = now - state.idle;
+        for suspect in state.suspects {
+            self.suspects.insert(suspect.fingerprint, (suspect.alone, now - suspect.age));
+        }
+        self.state_change(Vec::new())
+    }
+
+    /// The present state.
+    pub fn state(&self) -> State {
+        match self.presence {
+            Presence::Leaving => return State::Leaving,
+            Presence::Gone(_) => return State::Gone,
+            Presence::Here => {}
+        }
+        if self.doubt.is_some() {
+            return State::Suspect;
+        }
+        if self.ramp.is_cold() {
+            return State::Cold;
+        }
+        if self.ramp.is_warm() && self.boot_confirmed { State::Warm } else { State::Ramping }
+    }
+
+    fn state_change(&mut self, mut effects: Vec<Effect>) -> Vec<Effect> {
+        let state = self.state();
+        if state != self.last_state {
+            self.last_state = state;
+            effects.push(Effect::State(state));
+        }
+        effects
+    }
+
+    /// The condition of the leaf, for entry hosts and metrics.
+    pub fn report(&mut self, now: Instant) -> UpstreamReport {
+        self.age(now);
+        UpstreamReport {
+            state: self.state(),
+            in_flight: self.running.len() as u32,
+            queued: self.queue.len() as u32,
+            allowance: self.ramp.allowance(now),
+            connections: self.connections.count() as u32,
+            service: self.service,
+            boot: self.boot.clone(),
+        }
+    }
+
+    /// What the leaf was declared to bear.
+    pub fn limits(&self) -> &LeafLimits {
+        &self.limits
+    }
+}
+
+/// Moving average that follows a change within about eight answers.
+fn smooth(average: Span, sample: Span) -> Span {
+    if average == Span::ZERO {
+        return sample;
+    }
+    Span((average.0 * 7 + sample.0) / 8)
+}
