--- /dev/null
+++ b/components/daemon/src/caller/check.rs
@@ -0,0 +1,182 @@
+//! Checks of a caller's request before anything runs.
+
+use {
+    crate::{clock, entry::QueryRequest, http_server::HttpRequest},
+    http::{HeaderMap, StatusCode},
+    rand::RngExt,
+    sha2::{Digest as Sha2Digest, Sha256},
+    thiserror::Error,
+    wigeonramp_config::{
+        Caller, Document, Priority,
+        caller_api::{CALLER_HEADER, QueryRequest as QueryBody, TOKEN_HEADER, TOKEN_SCHEME},
+    },
+    wigeonramp_units::{CallerId, CollectionId, MemberId, RequestId, Span},
+};
+
+/// Longest time between a request's own timestamp and this host's clock; NTP keeps clocks closer.
+const MAX_CLOCK_LEAD: Span = Span::secs(5);
+
+/// Why a request was not accepted. Nothing ran.
+#[derive(Clone, Debug, Eq, Error, PartialEq)]
+pub enum Rejection {
+    /// The body is not the expected JSON.
+    #[error("body: {0}")]
+    Body(String),
+    /// Two collections are the same.
+    #[error("collection {0} is named twice")]
+    DuplicateCollection(CollectionId),
+    /// A non-idempotent request without what it needs.
+    #[error("a request that is not idempotent needs {0}")]
+    NotIdempotent(&'static str),
+    /// No path of the API.
+    #[error("no such path: {0}")]
+    Path(String),
+    /// The method does not fit the path.
+    #[error("method not allowed: expected {0}")]
+    Method(&'static str),
+    /// The body is too long.
+    #[error("body is longer than {0} bytes")]
+    TooLarge(u64),
+    /// The body broke off or took too long.
+    #[error("body did not arrive whole and in time")]
+    Incomplete,
+    /// Caller and token do not match a declared caller.
+    #[error("caller not known or token not valid: expected {CALLER_HEADER} and a bearer token")]
+    Unauthenticated,
+    /// The collection does not exist.
+    #[error("collection {0} does not exist")]
+    UnknownCollection(CollectionId),
+    /// The shard does not exist.
+    #[error("collection {0} has no shard {1}")]
+    UnknownShard(CollectionId, String),
+}
+
+impl Rejection {
+    /// The HTTP status of the refusal.
+    pub fn status(&self) -> StatusCode {
+        match self {
+            Self::Body(_) | Self::DuplicateCollection(_) | Self::NotIdempotent(_) => {
+                StatusCode::BAD_REQUEST
+            }
+            Self::Incomplete => StatusCode::REQUEST_TIMEOUT,
+            Self::Path(_) | Self::UnknownCollection(_) | Self::UnknownShard(..) => {
+                StatusCode::NOT_FOUND
+            }
+            Self::Method(_) => StatusCode::METHOD_NOT_ALLOWED,
+            Self::TooLarge(_) => StatusCode::PAYLOAD_TOO_LARGE,
+            Self::Unauthenticated => StatusCode::UNAUTHORIZED,
+        }
+    }
+}
+
+/// An authenticated caller.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// The caller.
+    pub caller: CallerId,
+    /// The member whose rows it may see.
+    pub member: MemberId,
+    /// Priority of its requests.
+    pub priority: Priority,
+}
+
+/// Finds the caller that the headers name and checks its token.
+pub fn authenticate(document: &Document, headers: &HeaderMap) -> Result<Identity, Rejection> {
+    let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
+    let caller: CallerId = text(CALLER_HEADER)
+        .and_then(|caller| caller.parse().ok())
+        .ok_or(Rejection::Unauthenticated)?;
+    let token = text(TOKEN_HEADER)
+        .and_then(|value| value.strip_prefix(TOKEN_SCHEME))
+        .ok_or(Rejection::Unauthenticated)?;
+    let declared = document.callers.get(&caller).ok_or(Rejection::Unauthenticated)?;
+    if !token_matches(declared, token) || !document.members.contains_key(&declared.member) {
+        return Err(Rejection::Unauthenticated);
+    }
+    Ok(Identity { caller, member: declared.member.clone(), priority: declared.priority })
+}
+
+/// Compares hashes, so the time taken tells nothing about the token.
+fn token_matches(declared: &Caller, token: &str) -> bool {
+    let hash = Sha256::digest(token.as_bytes());
+    let text: String = hash.iter().map(|byte| format!("{byte:02x}")).collect();
+    declared.token_sha256.eq_ignore_ascii_case(&text)
+}
+
+/// Reads the body and checks it against the document.
+pub fn query(
+    document: &Document,
+    identity: Identity,
+    request: &HttpRequest,
+) -> Result<QueryRequest, Rejection> {
+    let body: QueryBody =
+        serde_json::from_slice(&request.body).map_err(|err| Rejection::Body(err.to_string()))?;
+    check_collections(document, &body)?;
+    if !body.idempotent {
+        check_single_run(&body)?;
+    }
+    let longest = body
+        .collections
+        .iter()
+        .filter_map(|id| document.collections.get(id))
+        .map(|collection| collection.max_deadline)
+        .max()
+        .unwrap_or_default();
+    let timeout = body.timeout_ms.map_or(longest, |ms| Span::millis(ms).min(longest));
+    let leaf_body = serde_json::to_vec(&body.body).expect("a JSON value is always writable");
+    Ok(QueryRequest {
+        body: leaf_body.into(),
+        caller: identity.caller,
+        collections: body.collections,
+        deadline: clock::now() + timeout,
+        idempotent: body.idempotent,
+        member: identity.member,
+        priority: identity.priority,
+        request: body.request_id.unwrap_or_else(new_request_id),
+        shard: body.shard,
+    })
+}
+
+fn check_collections(document: &Document, body: &QueryBody) -> Result<(), Rejection> {
+    if body.collections.is_empty() {
+        return Err(Rejection::Body("collections: expected at least one".to_owned()));
+    }
+    for (i, id) in body.collections.iter().enumerate() {
+        if body.collections[..i].contains(id) {
+            return Err(Rejection::DuplicateCollection(id.clone()));
+        }
+        let Some(collection) = document.collections.get(id) else {
+            return Err(Rejection::UnknownCollection(id.clone()));
+        };
+        let Some(shard) = &body.shard else { continue };
+        if !collection.maps.iter().any(|map| map.shards.contains_key(shard)) {
+            return Err(Rejection::UnknownShard(id.clone(), shard.to_string()));
+        }
+    }
+    Ok(())
+}
+
+fn check_single_run(body: &QueryBody) -> Result<(), Rejection> {
+    if body.collections.len() != 1 {
+        return Err(Rejection::NotIdempotent("exactly one collection"));
+    }
+    if body.shard.is_none() {
+        return Err(Rejection::NotIdempotent("a shard"));
+    }
+    let Some(id) = &body.request_id else {
+        return Err(Rejection::NotIdempotent("a request_id"));
+    };
+    let stamp = id.as_str().split_once('-').and_then(|(stamp, _)| stamp.parse::<u64>().ok());
+    match stamp {
+        None => Err(Rejection::NotIdempotent("a request_id of the form <unix ms>-<random>")),
+        Some(at) if at > (clock::unix_now() + MAX_CLOCK_LEAD).0 => {
+            Err(Rejection::NotIdempotent("a request_id that is not from the future"))
+        }
+        Some(_) => Ok(()),
+    }
+}
+
+fn new_request_id() -> RequestId {
+    let text = format!("{}-{:016x}", clock::unix_now(), rand::rng().random::<u64>());
+    text.parse().expect("digits and a dash make a valid id")
+}
--- a/components/daemon/src/control/simple.rs
+++ b/components/daemon/src/control/simple.rs
@@ -5,6 +5,7 @@
 
 use {
     crate::{
+        caller::handler::{EntryAddresses, EntryChoice},
         clock,
         peer::server::PeerControl,
         view::{ClusterView, Holder, HolderRights, HostView, Rights, Views},
@@ -27,7 +28,7 @@
     },
     wigeonramp_store::{Fetched, ObjectStore, Precondition, Put, StoreError},
     wigeonramp_units::{
-        Epoch, HostId, Instant, InstanceId, LeafId, Percent, Revision, Span, ZoneId,
+        Epoch, HostId, InstanceId, Instant, LeafId, Percent, Revision, Span, ZoneId,
     },
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -152,8 +153,7 @@
                 continue;
             };
             let counter = session.counter;
-            let known =
-                seen.entry(session.instance.clone()).or_insert(Seen { at: now, counter });
+            let known = seen.entry(session.instance.clone()).or_insert(Seen { at: now, counter });
             if known.counter != counter {
                 *known = Seen { at: now, counter };
             }
@@ -189,6 +189,14 @@
     })
 }
 
+impl<S: ObjectStore> EntryAddresses for SimpleControl<S> {
+    fn entry_addresses(&self) -> EntryChoice {
+        let view = self.views.load();
+        let addresses = view.hosts.iter().map(|host| host.caller_address).collect();
+        EntryChoice { addresses, lifetime: view.document.limits.entry_lifetime }
+    }
+}
+
 impl<S: ObjectStore> HolderRights for SimpleControl<S> {
     fn rights(&self, _leaf: &LeafId, now: Instant) -> Rights {
         let contact = Instant(self.contact.load(Ordering::Acquire));
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -22,11 +22,16 @@
             atomic::{AtomicU64, Ordering},
         },
     },
-    wigeonramp_config::Priority,
+    wigeonramp_config::{
+        Priority,
+        caller_api::{
+            CollectionAnswer, CoverageAnswer, MissingShard, PartAnswer, QueryAnswer, QueryOutcome,
+        },
+    },
     wigeonramp_proto::peer::{LeafWork, RunLeavesRequest},
     wigeonramp_units::{
-        AttemptId, CallerId, CollectionId, Digest, Epoch, Fingerprint, Instant, InstanceId,
-        LeafId, MapVersion, MemberId, RequestId, ShardId, SnapshotId,
+        AttemptId, CallerId, CollectionId, Digest, Epoch, Fingerprint, InstanceId, Instant, LeafId,
+        MapVersion, MemberId, RequestId, ShardId, SnapshotId,
     },
     xxhash_rust::xxh3::xxh3_64,
 };
@@ -38,8 +43,8 @@
     pub body: Bytes,
     /// The authenticated caller.
     pub caller: CallerId,
-    /// What is queried.
-    pub collection: CollectionId,
+    /// What is queried, each once.
+    pub collections: Vec<CollectionId>,
     /// End of the query on this host's clock.
     pub deadline: Instant,
     /// Whether it may run more than once.
@@ -50,35 +55,8 @@
     pub priority: Priority,
     /// The caller's id of the request.
     pub request: RequestId,
-}
-
-/// Rows of one shard in an answer.
-#[derive(Clone, Debug)]
-pub struct Part {
-    /// The rows.
-    pub rows: Rows,
-    /// The shard.
-    pub shard: ShardId,
-}
-
-/// A shard that is missing in an answer.
-#[derive(Clone, Debug)]
-pub struct Missing {
-    /// Why it is missing.
-    pub reason: String,
-    /// The shard.
-    pub shard: ShardId,
-}
-
-/// What a query found.
-#[derive(Clone, Debug)]
-pub struct QueryAnswer {
-    /// Shards without rows.
-    pub missing: Vec<Missing>,
-    /// Rows by shard.
-    pub parts: Vec<Part>,
-    /// The snapshot that all rows come from.
-    pub snapshot: SnapshotId,
+    /// The only shard to ask.
+    pub shard: Option<ShardId>,
 }
 
 /// Runs queries on this host.
@@ -115,31 +93,40 @@
         self.views.load()
     }
 
-    /// Runs `query`; `None` when the collection has no partition map.
-    pub fn run(&self, query: &QueryRequest) -> Option<QueryAnswer> {
+    /// Runs `query`.
+    pub fn run(&self, query: &QueryRequest) -> QueryAnswer {
+        let collections = query.collections.iter();
+        let collections = collections.filter_map(|id| self.run_collection(query, id)).collect();
+        QueryAnswer { request_id: query.request.clone(), outcome: QueryOutcome::Done, collections }
+    }
+
+    fn run_collection(&self, query: &QueryRequest, id: &CollectionId) -> Option<CollectionAnswer> {
         let view = self.views.load();
-        let map = view.document.collections.get(&query.collection)?.maps.last()?;
+        let map = view.document.collections.get(id)?.maps.last()?;
         let snapshot = map.from_snapshot;
         let (tx, rx) = unbounded();
         let mut open: HashMap<AttemptId, ShardId> = HashMap::new();
-        let mut answer = QueryAnswer { missing: Vec::new(), parts: Vec::new(), snapshot };
+        let total = map.shards.len() as u32;
+        let mut answer = CollectionAnswer {
+            collection: id.clone(),
+            snapshot: Some(snapshot),
+            map_version: Some(map.version),
+            coverage: CoverageAnswer { covered: 0, total, missing: Vec::new() },
+            parts: Vec::new(),
+        };
         let mut targets: HashMap<SocketAddr, Vec<Target>> = HashMap::new();
         let mut local = Vec::new();
         for (shard, leaves) in &map.shards {
             let held = leaves.iter().find_map(|leaf| Some((leaf, view.holders.get(leaf)?)));
             let Some((leaf, holder)) = held else {
                 let reason = "no holder".to_owned();
-                answer.missing.push(Missing { reason, shard: shard.clone() });
+                answer.coverage.missing.push(MissingShard { reason, shard: shard.clone() });
                 continue;
             };
             let attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
             open.insert(attempt, shard.clone());
-            let target = Target {
-                attempt,
-                epoch: holder.epoch,
-                leaf: leaf.clone(),
-                shard: shard.clone(),
-            };
+            let target =
+                Target { attempt, epoch: holder.epoch, leaf: leaf.clone(), shard: shard.clone() };
             if holder.instance == self.instance {
                 local.push(target);
             } else {
@@ -147,7 +134,7 @@
             }
         }
         for (address, work) in targets {
-            let message = self.message(query, snapshot, map.version, &view, work);
+            let message = self.message(query, id, snapshot, map.version, work);
             self.peers.run_leaves(address, message, query.deadline, tx.clone());
         }
         for target in local {
@@ -160,7 +147,10 @@
             take(event, query, &mut open, &mut answer);
         }
         for shard in open.into_values() {
-            answer.missing.push(Missing { reason: "no answer in time".to_owned(), shard });
+            answer
+                .coverage
+                .missing
+                .push(MissingShard { reason: "no answer in time".to_owned(), shard });
         }
         Some(answer)
     }
@@ -168,9 +158,9 @@
     fn message(
         &self,
         query: &QueryRequest,
+        collection: &CollectionId,
         snapshot: SnapshotId,
         map_version: MapVersion,
-        view: &ClusterView,
         work: Vec<Target>,
     ) -> RunLeavesRequest {
         let work = work.into_iter().map(|target| LeafWork {
@@ -185,7 +175,7 @@
             request_id: query.request.as_str().to_owned(),
             member: query.member.as_str().to_owned(),
             caller: query.caller.as_str().to_owned(),
-            collection: query.collection.as_str().to_owned(),
+            collection: collection.as_str().to_owned(),
             entry: self.instance.as_str().to_owned(),
             urgent: query.priority == Priority::Urgent,
             idempotent: query.idempotent,
@@ -195,7 +185,7 @@
             fingerprint: Fingerprint::of(&query.body).0,
             body: query.body.to_vec(),
             work: work.collect(),
-            config_version: view.document.version.get(),
+            config_version: self.views.load().document.version.get(),
         }
     }
 
@@ -236,20 +226,27 @@
     event: EntryEvent,
     query: &QueryRequest,
     open: &mut HashMap<AttemptId, ShardId>,
-    answer: &mut QueryAnswer,
+    answer: &mut CollectionAnswer,
 ) {
     match event {
         EntryEvent::Reply(reply) => {
             let Some(shard) = open.remove(&reply.attempt) else { return };
             match rows_of(*reply, query, &shard) {
-                Ok(rows) => answer.parts.push(Part { rows, shard }),
-                Err(reason) => answer.missing.push(Missing { reason, shard }),
+                Ok(rows) => {
+                    answer.coverage.covered += 1;
+                    answer.parts.push(PartAnswer {
+                        shard,
+                        rows: rows.count,
+                        payload: String::from_utf8_lossy(&rows.payload).into_owned(),
+                    });
+                }
+                Err(reason) => answer.coverage.missing.push(MissingShard { reason, shard }),
             }
         }
         EntryEvent::Lost(lost) => {
             for attempt in lost.attempts {
                 let Some(shard) = open.remove(&attempt) else { continue };
-                answer.missing.push(Missing { reason: lost.reason.clone(), shard });
+                answer.coverage.missing.push(MissingShard { reason: lost.reason.clone(), shard });
             }
         }
     }
--- a/components/daemon/src/holder/job.rs
+++ b/components/daemon/src/holder/job.rs
@@ -11,7 +11,7 @@
     tokio::sync::mpsc::UnboundedSender,
     wigeonramp_config::Priority,
     wigeonramp_proto::peer::{LeafReply, LeafReport},
-    wigeonramp_units::{Epoch, Fingerprint, Instant, InstanceId, Span},
+    wigeonramp_units::{Epoch, Fingerprint, InstanceId, Instant, Span},
 };
 
 /// Where the reply to an attempt goes.
--- a/components/daemon/src/holder/transport.rs
+++ b/components/daemon/src/holder/transport.rs
@@ -164,7 +164,8 @@
             return false;
         }
         // Bytes that nobody asked for, or the end of the stream, make the connection useless.
-        let quiet = matches!(stream.peek(&mut [0]), Err(err) if err.kind() == ErrorKind::WouldBlock);
+        let quiet =
+            matches!(stream.peek(&mut [0]), Err(err) if err.kind() == ErrorKind::WouldBlock);
         stream.set_nonblocking(false).is_ok() && quiet
     }
 }
--- a/components/daemon/src/peer/client.rs
+++ b/components/daemon/src/peer/client.rs
@@ -4,18 +4,10 @@
 //! gone silent; the deadline of the query bounds every stream in addition.
 
 use {
-    crate::{
-        clock,
-        reply::Reply,
-    },
+    crate::{clock, reply::Reply},
     crossbeam::channel::Sender,
     parking_lot::Mutex,
-    std::{
-        collections::HashMap,
-        error::Error as StdError,
-        net::SocketAddr,
-        time::Duration,
-    },
+    std::{collections::HashMap, error::Error as StdError, net::SocketAddr, time::Duration},
     tokio::{runtime::Handle, time},
     tonic::{
         Status,
--- a/components/daemon/src/peer/server.rs
+++ b/components/daemon/src/peer/server.rs
@@ -33,7 +33,8 @@
     wigeonramp_proto::peer::{
         CancelAttemptsReply, CancelAttemptsRequest, FetchDocumentReply, FetchDocumentRequest,
         Heartbeat, LeafReply, LeafWork, PromiseReply, PromiseRequest, ReleaseReply, ReleaseRequest,
-        RunLeavesRequest, peer_server::{Peer, PeerServer},
+        RunLeavesRequest,
+        peer_server::{Peer, PeerServer},
     },
     wigeonramp_units::{
         AttemptId, Epoch, Fingerprint, InstanceId, MapVersion, MemberId, ParseError, RequestId,
--- a/components/daemon/src/reply.rs
+++ b/components/daemon/src/reply.rs
@@ -93,11 +93,8 @@
 impl From<Reply> for LeafReply {
     fn from(reply: Reply) -> LeafReply {
         let (outcome, reason, rows) = reply.outcome.parts();
-        let rows = rows.unwrap_or_else(|| Rows {
-            count: 0,
-            digest: Digest(0),
-            payload: Bytes::new(),
-        });
+        let rows =
+            rows.unwrap_or_else(|| Rows { count: 0, digest: Digest(0), payload: Bytes::new() });
         LeafReply {
             attempt: reply.attempt.get(),
             leaf: reply.leaf.into(),
--- a/components/daemon/src/view.rs
+++ b/components/daemon/src/view.rs
@@ -9,7 +9,7 @@
     std::{net::SocketAddr, sync::Arc},
     wigeonramp_config::{Document, Limits},
     wigeonramp_units::{
-        ByteSize, ConfigVersion, Epoch, HostId, Instant, InstanceId, LeafId, Percent, Span, ZoneId,
+        ByteSize, ConfigVersion, Epoch, HostId, InstanceId, Instant, LeafId, Percent, Span, ZoneId,
     },
 };
 
@@ -59,11 +59,7 @@
 impl ClusterView {
     /// A view without configuration, holders and hosts.
     pub fn empty() -> Self {
-        Self {
-            document: Arc::new(empty_document()),
-            holders: IndexMap::new(),
-            hosts: Vec::new(),
-        }
+        Self { document: Arc::new(empty_document()), holders: IndexMap::new(), hosts: Vec::new() }
     }
 
     /// Whether a configuration has been adopted.
