--- a/components/daemon/src/holder/leaf.rs
+++ b/components/daemon/src/holder/leaf.rs
@@ -1,136 +1,291 @@
-//! One held leaf: its queue and its workers.
+//! One held leaf: the `Upstream` aggregate behind one lock, and the jobs and connections that its
+//! decisions name.
 
 use {
     crate::{
         clock,
-        holder::{
-            connection::{CallEnd, Connection},
-            job::LeafJob,
-        },
-        reply::{ReplyOutcome, Rows},
-        view::{HolderRights, Rights},
+        holder::{connection::Connection, job::LeafJob, outcome::Ended},
+        observe::Observer,
+        reply::ReplyOutcome,
+        view::HolderRights,
     },
-    parking_lot::{Condvar, Mutex},
-    std::{collections::VecDeque, net::SocketAddr, sync::Arc, thread, time::Duration},
-    wigeonramp_units::{LeafId, Span},
+    parking_lot::{Condvar, Mutex, MutexGuard},
+    std::{
+        collections::HashMap,
+        net::SocketAddr,
+        sync::Arc,
+    },
+    wigeonramp_config::LeafLimits,
+    wigeonramp_proto::peer::LeafReport,
+    wigeonramp_serving::upstream::{
+        Cancelled, ConnectionId, Effect, JobId, JobMeta, Offer, Refusal, Upstream, UpstreamReport,
+        UpstreamState,
+    },
+    wigeonramp_units::{AttemptId, ByteSize, Epoch, Instant, InstanceId, LeafId, Span},
 };
 
-/// Longest wait for a connection to a leaf.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// How a holding begins.
+#[derive(Clone, Debug)]
+pub enum Start {
+    /// The last holder may still send one request.
+    AfterTakeover(Span),
+    /// Nobody held the leaf.
+    Cold,
+    /// The last holder released the leaf in this state.
+    HandedOver(UpstreamState),
+}
+
+/// What a holding consists of.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holding {
+    /// Where the leaf listens.
+    pub address: SocketAddr,
+    /// The assignment's epoch of the leaf.
+    pub epoch: Epoch,
+    /// The leaf.
+    pub leaf: LeafId,
+    /// What it bears.
+    pub limits: LeafLimits,
+}
+
+/// A job that is queued or at the leaf.
+pub(super) struct Pending {
+    pub(super) cancelled: bool,
+    pub(super) job: LeafJob,
+    pub(super) sent: Option<Instant>,
+}
 
-struct State {
-    gone: bool,
-    queue: VecDeque<LeafJob>,
+/// State of the leaf, behind one lock.
+pub(super) struct State {
+    pub(super) connections: HashMap<ConnectionId, Arc<Connection>>,
+    pub(super) ended: bool,
+    pub(super) jobs: HashMap<JobId, Pending>,
+    next_job: u64,
+    pub(super) upstream: Upstream,
 }
 
-/// A leaf that this host sends to.
+/// A leaf that this host holds.
 pub struct HeldLeaf<R> {
-    address: SocketAddr,
-    changed: Condvar,
-    id: LeafId,
-    rights: Arc<R>,
-    state: Mutex<State>,
+    pub(super) changed: Condvar,
+    holding: Holding,
+    pub(super) observer: Arc<Observer>,
+    pub(super) rights: Arc<R>,
+    pub(super) state: Mutex<State>,
+}
+
+/// An attempt that is running and must be cancelled at the leaf.
+#[derive(Clone, Debug)]
+pub struct RunningAttempt {
+    /// The attempt.
+    pub attempt: AttemptId,
+    /// The connection that carries it.
+    pub connection: Arc<Connection>,
 }
 
 impl<R: HolderRights> HeldLeaf<R> {
-    /// Starts the workers.
-    pub fn start(id: LeafId, address: SocketAddr, slots: u32, rights: Arc<R>) -> Arc<Self> {
-        let state = State { gone: false, queue: VecDeque::new() };
-        let leaf = Arc::new(Self {
-            address,
-            changed: Condvar::new(),
-            id,
-            rights,
-            state: Mutex::new(state),
-        });
-        for _ in 0..slots {
-            let leaf = Arc::clone(&leaf);
-            thread::spawn(move || leaf.work());
-        }
-        leaf
+    /// A leaf whose workers are still to be started.
+    pub fn new(holding: Holding, start: Start, rights: Arc<R>, observer: Arc<Observer>) -> Self {
+        let now = clock::now();
+        let limits = holding.limits.clone();
+        let upstream = match start {
+            Start::AfterTakeover(session_time) => {
+                Upstream::after_takeover(limits, session_time, now)
+            }
+            Start::Cold => Upstream::new(limits, now),
+            Start::HandedOver(state) => {
+                let mut upstream = Upstream::new(limits, now);
+                // Nothing is open yet, so there is nothing to close.
+                upstream.handover_in(state, now);
+                upstream
+            }
+        };
+        let state = State {
+            connections: HashMap::new(),
+            ended: false,
+            jobs: HashMap::new(),
+            next_job: 0,
+            upstream,
+        };
+        Self { changed: Condvar::new(), holding, observer, rights, state: Mutex::new(state) }
     }
 
-    /// Queues `job`.
-    pub fn offer(&self, job: LeafJob) {
-        self.state.lock().queue.push_back(job);
-        self.changed.notify_one();
+    /// What is held.
+    pub fn holding(&self) -> &Holding {
+        &self.holding
     }
 
-    /// Refuses what waits and ends the workers after their current request.
-    pub fn leave(&self) {
-        let queue = {
-            let mut state = self.state.lock();
-            state.gone = true;
-            std::mem::take(&mut state.queue)
+    /// Queues `job` or replies at once that it was not sent.
+    pub fn offer(&self, job: LeafJob) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        if state.ended {
+            drop(state);
+            return job.refuse(Refusal::NotHolder.as_str());
+        }
+        state.next_job += 1;
+        let id = JobId(state.next_job);
+        let meta = JobMeta {
+            id,
+            priority: job.priority,
+            deadline: job.call.deadline,
+            hedge: job.hedge,
+            alone: job.alone,
+            idempotent: job.idempotent,
+            fingerprint: job.fingerprint,
+            size: ByteSize(job.call.body.len() as u64),
         };
-        self.changed.notify_all();
-        for job in queue {
-            job.refuse("this host no longer holds the leaf");
+        match state.upstream.offer(meta, now) {
+            Offer::Queued => {
+                state.jobs.insert(id, Pending { cancelled: false, job, sent: None });
+                drop(state);
+                self.changed.notify_one();
+            }
+            Offer::Refused(refusal) => {
+                let report = self.report_of(&mut state, now);
+                drop(state);
+                job.reply(not_sent(refusal), Span::ZERO, Some(report));
+            }
         }
     }
 
-    fn next(&self) -> Option<LeafJob> {
+    /// Cancels an attempt; returns it when it is already running.
+    pub fn cancel(&self, entry: &InstanceId, attempt: AttemptId) -> Option<RunningAttempt> {
         let mut state = self.state.lock();
-        loop {
-            if state.gone {
-                return None;
+        let found = state.jobs.iter().find(|(_, pending)| {
+            pending.job.call.attempt == attempt && pending.job.entry == *entry
+        });
+        let id = *found?.0;
+        match state.upstream.cancel(id) {
+            Cancelled::Removed => {
+                let pending = state.jobs.remove(&id)?;
+                drop(state);
+                pending.job.refuse("cancelled");
+                None
             }
-            if let Some(job) = state.queue.pop_front() {
-                return Some(job);
+            Cancelled::Running(connection) => {
+                state.jobs.get_mut(&id)?.cancelled = true;
+                let connection = Arc::clone(state.connections.get(&connection)?);
+                Some(RunningAttempt { attempt, connection })
             }
-            self.changed.wait(&mut state);
+            Cancelled::Unknown => None,
         }
     }
 
-    fn work(&self) {
-        let mut connection = None;
-        while let Some(job) = self.next() {
-            let now = clock::now();
-            if self.rights.rights(&self.id, now) != Rights::Full {
-                job.refuse("this host may not send to the leaf");
-                continue;
-            }
-            let Some(conn) = connection.take().or_else(|| self.connect()) else {
-                job.refuse("leaf not reached");
-                continue;
-            };
-            let expiry = job.call.deadline.min(self.rights.deadline_cap(now));
-            let end = conn.search(&job.call, clock::unix_at(expiry));
-            let at_leaf = clock::now().since(now);
-            let (outcome, reusable) = outcome_of(end);
-            if reusable {
-                connection = Some(conn);
-            }
-            job.reply(outcome, at_leaf, None);
+    /// Stops new work; what is queued is refused, what runs may end.
+    pub fn leave(&self) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        let effects = state.upstream.leave(now);
+        self.apply(&mut state, effects, now);
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Takes work again; the leaf starts cold.
+    pub fn rejoin(&self) {
+        let now = clock::now();
+        let mut state = self.state.lock();
+        let effects = state.upstream.rejoin(now);
+        self.apply(&mut state, effects, now);
+        drop(state);
+        self.changed.notify_all();
+    }
+
+    /// Stops new work; the state for the next holder once nothing is queued or running.
+    pub fn release(&self) -> Option<UpstreamState> {
+        self.leave();
+        let mut state = self.state.lock();
+        state.upstream.is_drained().then(|| state.upstream.handover_out(clock::now()))
+    }
+
+    /// Stops new work and ends the workers when nothing runs any more.
+    pub fn end(&self) {
+        self.leave();
+        self.state.lock().ended = true;
+        self.changed.notify_all();
+    }
+
+    /// Condition of the leaf.
+    pub fn condition(&self) -> UpstreamReport {
+        self.state.lock().upstream.report(clock::now())
+    }
+
+    /// Condition of the leaf as it is sent to other hosts.
+    pub fn report(&self) -> LeafReport {
+        self.report_of(&mut self.state.lock(), clock::now())
+    }
+
+    pub(super) fn report_of(&self, state: &mut State, now: Instant) -> LeafReport {
+        let report = state.upstream.report(now);
+        LeafReport {
+            leaf: self.holding.leaf.as_str().to_owned(),
+            state: report.state.as_str().to_owned(),
+            in_flight: report.in_flight,
+            queued: report.queued,
+            p50_us: report.service.0,
+            p95_us: 0,
+            snapshots: Vec::new(),
+            allowance: report.allowance.in_flight.get(),
+            epoch: self.holding.epoch.get(),
         }
     }
 
-    fn connect(&self) -> Option<Connection> {
-        Connection::open(self.address, CONNECT_TIMEOUT).ok()
+    /// Reports a job as not sent.
+    pub(super) fn drop_job(&self, state: &mut State, id: JobId, refusal: Refusal, now: Instant) {
+        let Some(pending) = state.jobs.remove(&id) else { return };
+        let report = self.report_of(state, now);
+        pending.job.reply(not_sent(refusal), Span::ZERO, Some(report));
     }
-}
 
-fn outcome_of(end: CallEnd) -> (ReplyOutcome, bool) {
-    match end {
-        CallEnd::Answered(answer) => (
-            ReplyOutcome::Answered(Rows {
-                count: answer.rows,
-                digest: answer.digest,
-                payload: answer.payload,
-            }),
-            true,
-        ),
-        CallEnd::Broken(what) => (ReplyOutcome::Unknown(what.to_owned()), false),
-        CallEnd::Leaving => (ReplyOutcome::Refused("leaf is leaving".to_owned()), true),
-        CallEnd::NotSent => (ReplyOutcome::NotSent("connection ended".to_owned()), false),
-        CallEnd::PastDeadline => (ReplyOutcome::Refused("past the deadline".to_owned()), true),
-        CallEnd::Refused(status) => (ReplyOutcome::Refused(format!("leaf said {status}")), true),
-        CallEnd::Reset => (ReplyOutcome::Reset("connection reset".to_owned()), false),
-        CallEnd::Shed => (ReplyOutcome::Refused("leaf sheds load".to_owned()), true),
-        CallEnd::SnapshotGone => (ReplyOutcome::SnapshotGone, true),
-        CallEnd::TimedOut => (ReplyOutcome::Unknown("no answer in time".to_owned()), false),
+    /// Tells the upstream how a sent job ended, and the query what came of it.
+    pub(super) fn finish(
+        &self,
+        state: &mut MutexGuard<'_, State>,
+        id: JobId,
+        ended: Ended,
+        latency: Span,
+        now: Instant,
+    ) {
+        let effects = state.upstream.done(id, ended.completion, now);
+        self.apply(state, effects, now);
+        // A job that was given up with its connection has been reported already.
+        let Some(pending) = state.jobs.remove(&id) else { return };
+        let report = self.report_of(state, now);
+        pending.job.reply(ended.outcome, latency, Some(report));
+    }
+
+    /// Does what the upstream decided.
+    pub(super) fn apply(&self, state: &mut State, effects: Vec<Effect>, now: Instant) {
+        let leaf = &self.holding.leaf;
+        for effect in effects {
+            match effect {
+                Effect::Suspect { fingerprint, alone } => {
+                    self.observer.suspect(leaf, fingerprint, alone);
+                }
+                Effect::Cleared(fingerprint) => self.observer.cleared(leaf, fingerprint),
+                Effect::Close { connection, job } => {
+                    if let Some(connection) = state.connections.remove(&connection) {
+                        connection.close();
+                    }
+                    if let Some(job) = job {
+                        self.give_up(state, job, now);
+                    }
+                }
+                Effect::State(entered) => self.observer.leaf_state(leaf, entered),
+            }
+        }
+    }
+
+    fn give_up(&self, state: &mut State, id: JobId, now: Instant) {
+        let Some(pending) = state.jobs.remove(&id) else { return };
+        self.observer.silent_connection(&self.holding.leaf, pending.job.call.attempt);
+        let at_leaf = pending.sent.map_or(Span::ZERO, |sent| now.since(sent));
+        let report = self.report_of(state, now);
+        let outcome = ReplyOutcome::Unknown("connection went silent".to_owned());
+        pending.job.reply(outcome, at_leaf, Some(report));
     }
 }
 
-/// The time that a leaf may be silent before its request counts as lost.
-pub const SILENCE: Span = Span::millis(500);
+fn not_sent(refusal: Refusal) -> ReplyOutcome {
+    ReplyOutcome::NotSent(refusal.as_str().to_owned())
+}
--- /dev/null
+++ b/components/daemon/src/holder/outcome.rs
@@ -0,0 +1,83 @@
+//! What the end of a call means for the leaf and for the query.
+
+use {
+    crate::{
+        holder::connection::{CallEnd, LeafAnswer},
+        reply::{ReplyOutcome, Rows},
+    },
+    wigeonramp_serving::upstream::Completion,
+    wigeonramp_units::Span,
+};
+
+/// The two sides of a call's end.
+#[derive(Clone, Debug)]
+pub struct Ended {
+    /// For the leaf's ramp and connections.
+    pub completion: Completion,
+    /// For the query.
+    pub outcome: ReplyOutcome,
+}
+
+impl Ended {
+    fn new(completion: Completion, outcome: ReplyOutcome) -> Self {
+        Self { completion, outcome }
+    }
+
+    /// Reads the end of a call that took `latency`; `cancelled` calls blame nobody.
+    pub fn of(end: CallEnd, latency: Span, cancelled: bool) -> Self {
+        if cancelled {
+            return Self::cancelled(&end);
+        }
+        let keep = Completion::Cancelled { reusable: true };
+        let close = Completion::Cancelled { reusable: false };
+        match end {
+            CallEnd::Answered(answer) => Self::answered(answer, latency),
+            CallEnd::Broken(what) => Self::new(close, ReplyOutcome::Unknown(what.to_owned())),
+            CallEnd::Leaving => Self::new(Completion::Leaving, refused("leaf is leaving")),
+            CallEnd::NotSent => Self::new(close, ReplyOutcome::NotSent("connection lost".into())),
+            CallEnd::PastDeadline => Self::new(keep, refused("past the deadline at the leaf")),
+            CallEnd::Refused(status) if status.is_client_error() => {
+                Self::new(keep, refused(&format!("leaf answered {status}")))
+            }
+            CallEnd::Refused(status) => {
+                Self::new(close, ReplyOutcome::Unknown(format!("leaf answered {status}")))
+            }
+            CallEnd::Reset => {
+                Self::new(Completion::Reset, ReplyOutcome::Reset("connection reset".into()))
+            }
+            CallEnd::Shed => Self::new(Completion::Rejected, refused("leaf sheds load")),
+            CallEnd::SnapshotGone => Self::new(keep, ReplyOutcome::SnapshotGone),
+            CallEnd::TimedOut => {
+                Self::new(Completion::TimedOut, ReplyOutcome::Unknown("no answer in time".into()))
+            }
+        }
+    }
+
+    fn answered(answer: LeafAnswer, latency: Span) -> Self {
+        let completion = Completion::Answered { boot: answer.boot, latency, busy: answer.busy };
+        let rows =
+            Rows { count: answer.rows, digest: answer.digest, payload: answer.payload };
+        Self::new(completion, ReplyOutcome::Answered(rows))
+    }
+
+    fn cancelled(end: &CallEnd) -> Self {
+        let whole = matches!(
+            end,
+            CallEnd::Answered(_)
+                | CallEnd::Leaving
+                | CallEnd::PastDeadline
+                | CallEnd::Refused(_)
+                | CallEnd::Shed
+                | CallEnd::SnapshotGone
+        );
+        let outcome = match end {
+            CallEnd::NotSent => ReplyOutcome::NotSent("cancelled".to_owned()),
+            _ => ReplyOutcome::Unknown("cancelled".to_owned()),
+        };
+        Self::new(Completion::Cancelled { reusable: whole }, outcome)
+    }
+}
+
+fn refused(reason: &str) -> ReplyOutcome {
+    ReplyOutcome::Refused(reason.to_owned())
+}
--- /dev/null
+++ b/components/daemon/src/holder/worker.rs
@@ -0,0 +1,132 @@
+//! Threads that do what a leaf's `Upstream` decides.
+
+use {
+    crate::{
+        clock,
+        holder::{
+            connection::{CallEnd, Connection},
+            leaf::{HeldLeaf, State},
+            outcome::Ended,
+        },
+        view::HolderRights,
+    },
+    parking_lot::MutexGuard,
+    std::{
+        io::Result as IoResult,
+        sync::Arc,
+        thread,
+        time::{Duration, Instant as StdInstant},
+    },
+    wigeonramp_serving::upstream::{ConnectionId, JobId, Next},
+    wigeonramp_units::{BootId, Instant},
+};
+
+/// Longest wait for a connection to a leaf, and for the answer to a probe on it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
+/// Workers above the number of slots: one may open a connection while all slots are taken.
+const SPARE_WORKERS: u32 = 1;
+
+/// Starts the workers of `leaf`; they end after `HeldLeaf::end`.
+pub fn start<R: HolderRights>(leaf: &Arc<HeldLeaf<R>>) -> IoResult<()> {
+    let slots = leaf.holding().limits.slots.get().max(1);
+    for n in 0..slots + SPARE_WORKERS {
+        let leaf = Arc::clone(leaf);
+        let name = format!("{}-{n}", leaf.holding().leaf);
+        thread::Builder::new().name(name).spawn(move || work(&leaf))?;
+    }
+    Ok(())
+}
+
+fn work<R: HolderRights>(leaf: &HeldLeaf<R>) {
+    let mut state = leaf.state.lock();
+    loop {
+        let now = clock::now();
+        let rights = leaf.rights.rights(&leaf.holding().leaf, now);
+        match state.upstream.next(now, rights) {
+            Next::Send { job, connection } => send(leaf, &mut state, job, connection, now),
+            Next::Connect { connection, probe } => connect(leaf, &mut state, connection, probe),
+            Next::Drop(job, refusal) => leaf.drop_job(&mut state, job, refusal, now),
+            Next::Wait(_) if state.ended && state.upstream.is_drained() => {
+                // Wakes the other workers, so that they end as well.
+                leaf.changed.notify_all();
+                return;
+            }
+            Next::Wait(until) => wait(leaf, &mut state, until),
+        }
+    }
+}
+
+fn wait<R>(leaf: &HeldLeaf<R>, state: &mut MutexGuard<'_, State>, until: Option<Instant>) {
+    match until {
+        None => leaf.changed.wait(state),
+        Some(until) => {
+            let deadline = StdInstant::now() + clock::until(until).to_duration();
+            leaf.changed.wait_until(state, deadline);
+        }
+    }
+}
+
+fn send<R: HolderRights>(
+    leaf: &HeldLeaf<R>,
+    state: &mut MutexGuard<'_, State>,
+    id: JobId,
+    connection: ConnectionId,
+    now: Instant,
+) {
+    let carrier = state.connections.get(&connection).cloned();
+    let Some(pending) = state.jobs.get_mut(&id) else {
+        log::error!("leaf {}: job {} is queued but not known", leaf.holding().leaf, id.0);
+        return;
+    };
+    pending.sent = Some(now);
+    let call = pending.job.call.clone();
+    // More than one job may be ready; the next one is another worker's.
+    leaf.changed.notify_one();
+    let expiry = clock::unix_at(call.deadline.min(leaf.rights.deadline_cap(now)));
+    let end = MutexGuard::unlocked(state, || match carrier {
+        Some(carrier) => carrier.search(&call, expiry),
+        None => CallEnd::NotSent,
+    });
+    let ended_at = clock::now();
+    let latency = ended_at.since(now);
+    if let CallEnd::Broken(what) = &end {
+        leaf.observer.broken_answer(&leaf.holding().leaf, call.attempt, what);
+    }
+    let cancelled = state.jobs.get(&id).is_none_or(|pending| pending.cancelled);
+    leaf.finish(state, id, Ended::of(end, latency, cancelled), latency, ended_at);
+    leaf.changed.notify_all();
+}
+
+fn connect<R: HolderRights>(
+    leaf: &HeldLeaf<R>,
+    state: &mut MutexGuard<'_, State>,
+    id: ConnectionId,
+    probe: bool,
+) {
+    leaf.changed.notify_one();
+    let opened = MutexGuard::unlocked(state, || open(leaf, probe));
+    let now = clock::now();
+    let effects = match opened {
+        Ok(opened) => {
+            state.connections.insert(id, Arc::new(opened.connection));
+            state.upstream.connected(id, opened.boot, now)
+        }
+        Err(err) => {
+            log::info!("leaf {}: connect failed: {err}", leaf.holding().leaf);
+            state.upstream.connect_failed(id, now)
+        }
+    };
+    leaf.apply(state, effects, now);
+    leaf.changed.notify_all();
+}
+
+struct Opened {
+    boot: Option<BootId>,
+    connection: Connection,
+}
+
+fn open<R: HolderRights>(leaf: &HeldLeaf<R>, probe: bool) -> IoResult<Opened> {
+    let connection = Connection::open(leaf.holding().address, CONNECT_TIMEOUT)?;
+    let boot = if probe { connection.probe(CONNECT_TIMEOUT)? } else { None };
+    Ok(Opened { boot, connection })
+}
