--- /dev/null
+++ b/components/serving/src/latency.rs
@@ -0,0 +1,72 @@
+//! Latency percentiles over a sliding window.
+
+use {
+    std::collections::VecDeque,
+    wigeonramp_units::{Instant, Span},
+};
+
+/// Samples kept; enough for a p95 with six samples above it.
+const SAMPLES: usize = 128;
+/// New samples after which the percentiles are computed again.
+const REFRESH: u32 = 8;
+
+/// Percentiles of one leaf.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Percentiles {
+    /// Median; zero when unknown.
+    pub p50: Span,
+    /// 95th percentile; zero when unknown.
+    pub p95: Span,
+    /// Samples behind them.
+    pub samples: u32,
+}
+
+/// The last answers of one leaf.
+#[derive(Clone, Debug)]
+pub struct LatencyWindow {
+    window: Span,
+    samples: VecDeque<(Instant, Span)>,
+    cached: Percentiles,
+    fresh: u32,
+}
+
+impl LatencyWindow {
+    /// A window over the last `window`, and over at most 128 answers.
+    pub fn new(window: Span) -> Self {
+        Self { window, samples: VecDeque::new(), cached: Percentiles::default(), fresh: 0 }
+    }
+
+    /// Adds an answer's latency.
+    pub fn record(&mut self, latency: Span, now: Instant) {
+        if self.samples.len() == SAMPLES {
+            self.samples.pop_front();
+        }
+        self.samples.push_back((now, latency));
+        self.fresh += 1;
+    }
+
+    /// Percentiles of the answers in the window; up to eight answers behind.
+    pub fn percentiles(&mut self, now: Instant) -> Percentiles {
+        let before = self.samples.len();
+        while self.samples.front().is_some_and(|(at, _)| now.since(*at) > self.window) {
+            self.samples.pop_front();
+        }
+        let expired = self.samples.len() < before;
+        let few = self.samples.len() < REFRESH as usize && self.fresh > 0;
+        if expired || few || self.fresh >= REFRESH {
+            self.refresh();
+        }
+        self.cached
+    }
+
+    fn refresh(&mut self) {
+        let mut sorted: Vec<_> = self.samples.iter().map(|(_, latency)| *latency).collect();
+        sorted.sort_unstable();
+        let at = |percent: usize| {
+            let rank = (sorted.len() * percent).div_ceil(100).max(1) - 1;
+            sorted.get(rank).copied().unwrap_or_default()
+        };
+        self.cached = Percentiles { p50: at(50), p95: at(95), samples: sorted.len() as u32 };
+        self.fresh = 0;
+    }
+}
--- a/components/serving/src/upstream/mod.rs
+++ b/components/serving/src/upstream/mod.rs
@@ -6,6 +6,7 @@
 
 mod connections;
 mod handover;
+mod lifecycle;
 mod limits;
 mod queue;
 mod ramp;
--- a/components/serving/src/upstream/upstream.rs
+++ b/components/serving/src/upstream/upstream.rs
@@ -3,7 +3,6 @@
 use {
     super::{
         connections::Connections,
-        handover::{CrashSuspect, UpstreamReport, UpstreamState},
         limits::{
             Cancelled, Completion, ConnectionId, Effect, GONE_PROBE, Health, IDLE_COLD, JobId,
             JobMeta, Next, OVERDUE_FACTOR, OVERDUE_MIN, Offer, QUEUE_PER_SLOT, Refusal, Rights,
@@ -21,7 +20,7 @@
 const SUSPECT_MEMORY: Span = Span::secs(600);
 
 #[derive(Debug)]
-struct Running {
+pub(super) struct Running {
     meta: JobMeta,
     connection: ConnectionId,
     sent: Instant,
@@ -31,7 +30,7 @@
 }
 
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Presence {
+pub(super) enum Presence {
     Here,
     Leaving,
     /// Left; probed for a new boot from this time on, if it announced its leaving itself.
@@ -40,7 +39,7 @@
 
 /// An overdue answer whose cause is not known yet.
 #[derive(Clone, Copy, Debug)]
-struct Doubt {
+pub(super) struct Doubt {
     before: (u32, Option<u32>),
     probe: Option<ConnectionId>,
 }
@@ -48,22 +47,22 @@
 /// One held leaf.
 #[derive(Debug)]
 pub struct Upstream {
-    limits: LeafLimits,
-    ramp: Ramp,
-    queue: Queue,
-    connections: Connections,
-    running: IndexMap<JobId, Running>,
-    boot: Option<BootId>,
+    pub(super) limits: LeafLimits,
+    pub(super) ramp: Ramp,
+    pub(super) queue: Queue,
+    pub(super) connections: Connections,
+    pub(super) running: IndexMap<JobId, Running>,
+    pub(super) boot: Option<BootId>,
     /// Whether an answer has named the boot on a connection of this holder.
-    boot_confirmed: bool,
-    presence: Presence,
-    announced: bool,
-    gone_probe: Option<ConnectionId>,
-    doubt: Option<Doubt>,
-    suspects: IndexMap<Fingerprint, (bool, Instant)>,
-    service: Span,
-    last_active: Instant,
-    last_state: State,
+    pub(super) boot_confirmed: bool,
+    pub(super) presence: Presence,
+    pub(super) announced: bool,
+    pub(super) gone_probe: Option<ConnectionId>,
+    pub(super) doubt: Option<Doubt>,
+    pub(super) suspects: IndexMap<Fingerprint, (bool, Instant)>,
+    pub(super) service: Span,
+    pub(super) last_active: Instant,
+    pub(super) last_state: State,
 }
 
 impl Upstream {
@@ -282,7 +281,7 @@
     }
 
     /// Applies the passage of time: idleness and overdue answers.
-    fn age(&mut self, now: Instant) {
+    pub(super) fn age(&mut self, now: Instant) {
         if self.running.is_empty() && now.since(self.last_active) > IDLE_COLD {
             self.ramp.go_cold(now);
             self.last_active = now;
@@ -500,121 +499,6 @@
             None => Cancelled::Unknown,
         }
     }
-
-    /// Stops new work; queued jobs are dropped by `next`.
-    pub fn leave(&mut self, now: Instant) -> Vec<Effect> {
-        let mut effects = Vec::new();
-        if self.presence == Presence::Here {
-            self.presence = Presence::Leaving;
-        }
-        self.announced = false;
-        self.finish_leaving(now, &mut effects);
-        self.state_change(effects)
-    }
-
-    /// The leaf takes work again; it starts cold.
-    pub fn rejoin(&mut self, now: Instant) -> Vec<Effect> {
-        self.presence = Presence::Here;
-        self.announced = false;
-        self.boot = None;
-        self.boot_confirmed = false;
-        self.doubt = None;
-        self.ramp.go_cold(now);
-        self.last_active = now;
-        self.state_change(Vec::new())
-    }
-
-    fn finish_leaving(&mut self, now: Instant, effects: &mut Vec<Effect>) {
-        if self.presence != Presence::Leaving || !self.running.is_empty() {
-            return;
-        }
-        self.presence = Presence::Gone(self.announced.then(|| now + GONE_PROBE));
-        for connection in self.connections.close_idle(None) {
-            effects.push(Effect::Close { connection, job: None });
-        }
-    }
-
-    /// Whether no job is queued or at the leaf, so that it can be handed over.
-    pub fn is_drained(&self) -> bool {
-        self.running.is_empty() && self.queue.len() == 0
-    }
-
-    /// The state for the next holder.
-    pub fn handover_out(&mut self, now: Instant) -> UpstreamState {
-        self.age(now);
-        let suspect = |(fingerprint, (alone, at)): (&Fingerprint, &(bool, Instant))| CrashSuspect {
-            fingerprint: *fingerprint,
-            alone: *alone,
-            age: now.since(*at),
-        };
-        UpstreamState {
-            allowance: self.ramp.allowance(now),
-            boot: self.boot.clone(),
-            service: self.service,
-            idle: now.since(self.last_active),
-            suspects: self.suspects.iter().map(suspect).collect(),
-        }
-    }
-
-    /// Takes over the state of the last holder. The allowance counts once an answer has named the
-    /// same boot.
-    pub fn handover_in(&mut self, state: UpstreamState, now: Instant) -> Vec<Effect> {
-        if state.boot.is_some() && state.idle <= IDLE_COLD {
-            self.ramp.restore(state.allowance, now);
-        }
-        self.boot = state.boot;
-        self.boot_confirmed = false;
-        self.service = state.service;
-        self.last_active = now - state.idle;
-        for suspect in state.suspects {
-            self.suspects.insert(suspect.fingerprint, (suspect.alone, now - suspect.age));
-        }
-        self.state_change(Vec::new())
-    }
-
-    /// The present state.
-    pub fn state(&self) -> State {
-        match self.presence {
-            Presence::Leaving => return State::Leaving,
-            Presence::Gone(_) => return State::Gone,
-            Presence::Here => {}
-        }
-        if self.doubt.is_some() {
-            return State::Suspect;
-        }
-        if self.ramp.is_cold() {
-            return State::Cold;
-        }
-        if self.ramp.is_warm() && self.boot_confirmed { State::Warm } else { State::Ramping }
-    }
-
-    fn state_change(&mut self, mut effects: Vec<Effect>) -> Vec<Effect> {
-        let state = self.state();
-        if state != self.last_state {
-            self.last_state = state;
-            effects.push(Effect::State(state));
-        }
-        effects
-    }
-
-    /// The condition of the leaf, for entry hosts and metrics.
-    pub fn report(&mut self, now: Instant) -> UpstreamReport {
-        self.age(now);
-        UpstreamReport {
-            state: self.state(),
-            in_flight: self.running.len() as u32,
-            queued: self.queue.len() as u32,
-            allowance: self.ramp.allowance(now),
-            connections: self.connections.count() as u32,
-            service: self.service,
-            boot: self.boot.clone(),
-        }
-    }
-
-    /// What the leaf was declared to bear.
-    pub fn limits(&self) -> &LeafLimits {
-        &self.limits
-    }
 }
 
 /// Moving average that follows a change within about eight answers.
