--- a/components/daemon/src/control/simple.rs
+++ b/components/daemon/src/control/simple.rs
@@ -8,7 +8,7 @@
         caller::handler::{EntryAddresses, EntryChoice},
         clock,
         peer::server::PeerControl,
-        view::{ClusterView, Holder, HolderRights, HostView, Rights, Views},
+        view::{ClusterView, Holder, HolderRights, HostView, Views},
     },
     indexmap::IndexMap,
     parking_lot::Mutex,
@@ -26,6 +26,7 @@
         FetchDocumentReply, FetchDocumentRequest, Heartbeat, PromiseReply, PromiseRequest,
         ReleaseReply, ReleaseRequest,
     },
+    wigeonramp_serving::upstream::Rights,
     wigeonramp_store::{Fetched, ObjectStore, Precondition, Put, StoreError},
     wigeonramp_units::{
         Epoch, HostId, InstanceId, Instant, LeafId, Percent, Revision, Span, ZoneId,
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -203,6 +203,7 @@
                 attempt: target.attempt,
                 body: query.body.clone(),
                 deadline: query.deadline,
+                entry: self.instance.clone(),
                 leaf: target.leaf,
                 map_version,
                 member: query.member.clone(),
@@ -210,7 +211,6 @@
                 shard: target.shard,
                 snapshot,
             },
-            entry: self.instance.clone(),
             epoch: target.epoch,
             fingerprint: Fingerprint::of(&query.body),
             hedge: false,
@@ -259,8 +259,8 @@
     match reply.outcome {
         ReplyOutcome::Answered(rows) if Digest::of(&rows.payload) == rows.digest => Ok(rows),
         ReplyOutcome::Answered(_) => Err("digest does not match the rows".to_owned()),
-        ReplyOutcome::NotSent(reason)
-        | ReplyOutcome::Refused(reason)
+        ReplyOutcome::NotSent(refusal) => Err(refusal.to_string()),
+        ReplyOutcome::Refused(reason)
         | ReplyOutcome::Reset(reason)
         | ReplyOutcome::Unknown(reason) => Err(reason),
         ReplyOutcome::SnapshotGone => Err("snapshot gone".to_owned()),
--- a/components/daemon/src/holder/connection.rs
+++ b/components/daemon/src/holder/connection.rs
@@ -7,6 +7,7 @@
     },
     bytes::Bytes,
     http::{HeaderMap, StatusCode},
+    serde::Deserialize,
     std::{
         io::Result as IoResult,
         net::{SocketAddr, TcpStream},
@@ -16,13 +17,15 @@
     },
     ureq::{Agent, Error as CallError},
     wigeonramp_units::{
-        AttemptId, BootId, Digest, Instant, LeafId, MapVersion, MemberId, RequestId, ShardId,
-        SnapshotId, UnixMillis,
+        AttemptId, BootId, Digest, InstanceId, Instant, LeafId, MapVersion, MemberId, RequestId,
+        ShardId, SnapshotId, UnixMillis,
     },
 };
 
 /// Longest answer that is read from a leaf, in bytes; above it the answer counts as broken.
 const MAX_ANSWER: u64 = 8 * 1024 * 1024;
+/// Longest health answer that is read, in bytes.
+const MAX_HEALTH: u64 = 64 * 1024;
 
 /// What a leaf is asked.
 #[derive(Clone, Debug)]
@@ -33,6 +36,8 @@
     pub body: Bytes,
     /// End of the request on this host's clock.
     pub deadline: Instant,
+    /// Instance of the entry host.
+    pub entry: InstanceId,
     /// The leaf that is asked.
     pub leaf: LeafId,
     /// Partition map that `shard` belongs to.
@@ -47,6 +52,13 @@
     pub snapshot: SnapshotId,
 }
 
+impl LeafCall {
+    /// The attempt's name at the leaf, which knows attempts of all entry hosts.
+    pub fn token(&self) -> String {
+        format!("{}-{}", Digest::of(self.entry.as_str().as_bytes()), self.attempt)
+    }
+}
+
 /// A whole answer that matches its call.
 #[derive(Clone, Debug)]
 pub struct LeafAnswer {
@@ -79,16 +91,32 @@
     Reset,
     /// The leaf shed the call because of its load.
     Shed,
-    /// The leaf does not have the snapshot.
-    SnapshotGone,
+    /// The leaf does not have the snapshot; it has these.
+    SnapshotGone(Vec<SnapshotId>),
     /// No whole answer came in time.
     TimedOut,
 }
 
+/// What a leaf says of itself.
+#[derive(Clone, Debug)]
+pub struct Health {
+    /// Present start of the leaf.
+    pub boot: Option<BootId>,
+    /// Snapshots that it has; empty when it does not say.
+    pub snapshots: Vec<SnapshotId>,
+}
+
+#[derive(Debug, Default, Deserialize)]
+struct HealthBody {
+    #[serde(default)]
+    snapshots: Vec<SnapshotId>,
+}
+
 /// An open connection to one leaf.
 #[derive(Debug)]
 pub struct Connection {
     agent: Agent,
+    health: String,
     search: String,
     socket: Arc<Socket>,
 }
@@ -109,12 +137,31 @@
             .build();
         let connector = SingleConnector::new(Arc::clone(&socket));
         let agent = Agent::with_parts(config, connector, FixedResolver(address));
-        Ok(Self { agent, search: format!("http://{address}/search"), socket })
+        let health = format!("http://{address}/health");
+        Ok(Self { agent, health, search: format!("http://{address}/search"), socket })
+    }
+
+    /// Ends reads and writes on the connection at once; a running call ends as `Reset`.
+    pub fn close(&self) {
+        self.socket.close();
     }
 
-    /// The socket, for closing the connection from another thread.
-    pub fn socket(&self) -> Arc<Socket> {
-        Arc::clone(&self.socket)
+    /// Cancels the attempt that another connection carries; false when no answer came.
+    pub fn cancel(&self, token: &str, timeout: Duration) -> bool {
+        let url = format!("{}/{token}", self.search);
+        let call = self.agent.delete(url).config().timeout_global(Some(timeout)).build();
+        // Any status is final: an attempt that is not known has ended.
+        call.call().is_ok_and(|mut answer| answer.body_mut().read_to_vec().is_ok())
+    }
+
+    /// Asks the leaf for its health.
+    pub fn health(&self, timeout: Duration) -> Result<Health, CallError> {
+        let call = self.agent.get(&self.health).config().timeout_global(Some(timeout)).build();
+        let mut answer = call.call()?;
+        let boot = header(answer.headers(), "x-boot");
+        let body = answer.body_mut().with_config().limit(MAX_HEALTH).read_to_vec()?;
+        let content: HealthBody = serde_json::from_slice(&body).unwrap_or_default();
+        Ok(Health { boot, snapshots: content.snapshots })
     }
 
     /// Runs `call` on this connection; `expiry` is the wall-clock deadline that the leaf sees.
@@ -138,7 +185,7 @@
             .header("x-snapshot", call.snapshot.to_string())
             .header("x-map-version", call.map_version.to_string())
             .header("x-shard", call.shard.as_str())
-            .header("x-attempt", call.attempt.to_string())
+            .header("x-attempt", call.token())
             .send(call.body.as_ref());
         let mut response = match sent {
             Ok(response) => response,
@@ -167,7 +214,7 @@
 fn end_of(call: &LeafCall, status: StatusCode, headers: &HeaderMap, payload: Bytes) -> CallEnd {
     match status {
         StatusCode::OK => answer_of(call, headers, payload),
-        StatusCode::CONFLICT => CallEnd::SnapshotGone,
+        StatusCode::CONFLICT => CallEnd::SnapshotGone(listed_snapshots(headers)),
         StatusCode::SERVICE_UNAVAILABLE => CallEnd::Shed,
         StatusCode::GONE => CallEnd::Leaving,
         StatusCode::GATEWAY_TIMEOUT => CallEnd::PastDeadline,
@@ -175,12 +222,21 @@
     }
 }
 
+/// The only value of a header; a header that occurs twice says nothing.
 fn header<T: FromStr>(headers: &HeaderMap, name: &str) -> Option<T> {
-    headers.get(name)?.to_str().ok()?.parse().ok()
+    let mut values = headers.get_all(name).iter();
+    let value = values.next()?.to_str().ok()?.parse().ok()?;
+    values.next().is_none().then_some(value)
+}
+
+fn listed_snapshots(headers: &HeaderMap) -> Vec<SnapshotId> {
+    let list: Option<String> = header(headers, "x-snapshots");
+    let list = list.unwrap_or_default();
+    list.split(',').filter_map(|id| id.trim().parse().ok()).collect()
 }
 
 fn answer_of(call: &LeafCall, headers: &HeaderMap, payload: Bytes) -> CallEnd {
-    if header(headers, "x-attempt") != Some(call.attempt) {
+    if header(headers, "x-attempt") != Some(call.token()) {
         return CallEnd::Broken("answer to another attempt");
     }
     if header(headers, "x-member").as_ref() != Some(&call.member) {
--- a/components/daemon/src/holder/job.rs
+++ b/components/daemon/src/holder/job.rs
@@ -11,7 +11,8 @@
     tokio::sync::mpsc::UnboundedSender,
     wigeonramp_config::Priority,
     wigeonramp_proto::peer::{LeafReply, LeafReport},
-    wigeonramp_units::{Epoch, Fingerprint, InstanceId, Instant, Span},
+    wigeonramp_serving::upstream::Refusal,
+    wigeonramp_units::{Epoch, Fingerprint, Instant, Span},
 };
 
 /// Where the reply to an attempt goes.
@@ -30,8 +31,6 @@
     pub alone: bool,
     /// What the leaf is asked.
     pub call: LeafCall,
-    /// Instance of the entry host.
-    pub entry: InstanceId,
     /// Epoch that the entry host believes the leaf to be held in.
     pub epoch: Epoch,
     /// Hash of the request.
@@ -74,7 +73,7 @@
     }
 
     /// Reports that no byte was sent.
-    pub fn refuse(self, reason: &str) {
-        self.reply(ReplyOutcome::NotSent(reason.to_owned()), Span::ZERO, None);
+    pub fn refuse(self, refusal: Refusal) {
+        self.reply(ReplyOutcome::NotSent(refusal), Span::ZERO, None);
     }
 }
--- a/components/daemon/src/holder/leaf.rs
+++ b/components/daemon/src/holder/leaf.rs
@@ -11,7 +11,7 @@
     },
     parking_lot::{Condvar, Mutex, MutexGuard},
     std::{
-        collections::HashMap,
+        collections::{BTreeSet, HashMap},
         net::SocketAddr,
         sync::Arc,
     },
@@ -21,7 +21,7 @@
         Cancelled, ConnectionId, Effect, JobId, JobMeta, Offer, Refusal, Upstream, UpstreamReport,
         UpstreamState,
     },
-    wigeonramp_units::{AttemptId, ByteSize, Epoch, Instant, InstanceId, LeafId, Span},
+    wigeonramp_units::{AttemptId, ByteSize, Epoch, InstanceId, Instant, LeafId, SnapshotId, Span},
 };
 
 /// How a holding begins.
@@ -61,6 +61,9 @@
     pub(super) ended: bool,
     pub(super) jobs: HashMap<JobId, Pending>,
     next_job: u64,
+    /// Snapshots that the leaf is known to have.
+    pub(super) snapshots: BTreeSet<SnapshotId>,
+    taken_out: bool,
     pub(super) upstream: Upstream,
 }
 
@@ -76,10 +79,10 @@
 /// An attempt that is running and must be cancelled at the leaf.
 #[derive(Clone, Debug)]
 pub struct RunningAttempt {
-    /// The attempt.
-    pub attempt: AttemptId,
     /// The connection that carries it.
     pub connection: Arc<Connection>,
+    /// Its name at the leaf.
+    pub token: String,
 }
 
 impl<R: HolderRights> HeldLeaf<R> {
@@ -104,6 +107,8 @@
             ended: false,
             jobs: HashMap::new(),
             next_job: 0,
+            snapshots: BTreeSet::new(),
+            taken_out: false,
             upstream,
         };
         Self { changed: Condvar::new(), holding, observer, rights, state: Mutex::new(state) }
@@ -120,7 +125,7 @@
         let mut state = self.state.lock();
         if state.ended {
             drop(state);
-            return job.refuse(Refusal::NotHolder.as_str());
+            return job.refuse(Refusal::NotHolder);
         }
         state.next_job += 1;
         let id = JobId(state.next_job);
@@ -152,25 +157,39 @@
     pub fn cancel(&self, entry: &InstanceId, attempt: AttemptId) -> Option<RunningAttempt> {
         let mut state = self.state.lock();
         let found = state.jobs.iter().find(|(_, pending)| {
-            pending.job.call.attempt == attempt && pending.job.entry == *entry
+            pending.job.call.attempt == attempt && pending.job.call.entry == *entry
         });
         let id = *found?.0;
         match state.upstream.cancel(id) {
             Cancelled::Removed => {
-                let pending = state.jobs.remove(&id)?;
-                drop(state);
-                pending.job.refuse("cancelled");
+                // Nobody waits for a reply to a cancelled attempt.
+                state.jobs.remove(&id);
                 None
             }
             Cancelled::Running(connection) => {
-                state.jobs.get_mut(&id)?.cancelled = true;
+                let pending = state.jobs.get_mut(&id)?;
+                pending.cancelled = true;
+                let token = pending.job.call.token();
                 let connection = Arc::clone(state.connections.get(&connection)?);
-                Some(RunningAttempt { attempt, connection })
+                Some(RunningAttempt { connection, token })
             }
             Cancelled::Unknown => None,
         }
     }
 
+    /// Leaves or takes work again, as operators declare.
+    pub fn set_takes_work(&self, takes_work: bool) {
+        let left = {
+            let mut state = self.state.lock();
+            std::mem::replace(&mut state.taken_out, !takes_work)
+        };
+        match (left, takes_work) {
+            (false, false) => self.leave(),
+            (true, true) => self.rejoin(),
+            _ => (),
+        }
+    }
+
     /// Stops new work; what is queued is refused, what runs may end.
     pub fn leave(&self) {
         let now = clock::now();
@@ -205,6 +224,11 @@
         self.changed.notify_all();
     }
 
+    /// Replaces the snapshots that the leaf is known to have.
+    pub fn set_snapshots(&self, snapshots: Vec<SnapshotId>) {
+        self.state.lock().snapshots = snapshots.into_iter().collect();
+    }
+
     /// Condition of the leaf.
     pub fn condition(&self) -> UpstreamReport {
         self.state.lock().upstream.report(clock::now())
@@ -224,7 +248,7 @@
             queued: report.queued,
             p50_us: report.service.0,
             p95_us: 0,
-            snapshots: Vec::new(),
+            snapshots: state.snapshots.iter().map(|id| id.get()).collect(),
             allowance: report.allowance.in_flight.get(),
             epoch: self.holding.epoch.get(),
         }
@@ -287,5 +311,5 @@
 }
 
 fn not_sent(refusal: Refusal) -> ReplyOutcome {
-    ReplyOutcome::NotSent(refusal.as_str().to_owned())
+    ReplyOutcome::NotSent(refusal)
 }
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -3,68 +3,204 @@
 pub mod connection;
 pub mod job;
 pub mod leaf;
-pub mod transport;
+mod outcome;
+mod side;
+mod transport;
+mod worker;
 
 use {
     crate::{
-        holder::{job::LeafJob, leaf::HeldLeaf},
+        holder::{
+            connection::Health,
+            job::LeafJob,
+            leaf::{HeldLeaf, Holding, Start},
+            side::{CheckedLeaves, SideChannel},
+        },
+        observe::Observer,
         view::{ClusterView, HolderRights},
     },
     parking_lot::RwLock,
     std::{
-        collections::{HashMap, HashSet},
-        sync::Arc,
+        collections::HashMap,
+        io::Result as IoResult,
+        net::SocketAddr,
+        sync::{Arc, Weak},
     },
-    wigeonramp_units::{InstanceId, LeafId},
+    wigeonramp_config::{Document, LeafLimits},
+    wigeonramp_proto::peer::LeafReport,
+    wigeonramp_serving::upstream::{Refusal, State, UpstreamState},
+    wigeonramp_units::{AttemptId, Connections, Epoch, InstanceId, LeafId},
 };
 
+/// Connections of a leaf's cap that its `Upstream` does not count: the side connection.
+const SIDE_CONNECTIONS: u32 = 1;
+
+type LeafMap<R> = RwLock<HashMap<LeafId, Arc<HeldLeaf<R>>>>;
+
 /// All leaves that this host holds.
 pub struct Holders<R> {
     instance: InstanceId,
-    leaves: RwLock<HashMap<LeafId, Arc<HeldLeaf<R>>>>,
+    leaves: Arc<LeafMap<R>>,
+    observer: Arc<Observer>,
     rights: Arc<R>,
+    side: SideChannel,
+}
+
+/// Answer to a request to release a leaf.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Released {
+    /// Work is still at the leaf.
+    InFlight,
+    /// The leaf is not held here.
+    NotHeld,
+    /// Nothing is at the leaf any more.
+    State(Box<UpstreamState>),
 }
 
 impl<R: HolderRights> Holders<R> {
     /// Holds nothing yet.
-    pub fn new(instance: InstanceId, rights: Arc<R>) -> Self {
-        Self { instance, leaves: RwLock::new(HashMap::new()), rights }
+    pub fn new(instance: InstanceId, rights: Arc<R>, observer: Arc<Observer>) -> IoResult<Self> {
+        let leaves = Arc::new(RwLock::new(HashMap::new()));
+        let side = SideChannel::start(SideLeaves(Arc::downgrade(&leaves)))?;
+        Ok(Self { instance, leaves, observer, rights, side })
     }
 
     /// Takes the leaves that `view` assigns to this instance, and gives up all others.
-    pub fn adopt(&self, view: &ClusterView) {
-        let mine: HashSet<&LeafId> = view
-            .holders
-            .iter()
-            .filter(|(_, holder)| holder.instance == self.instance)
-            .map(|(leaf, _)| leaf)
-            .collect();
-        let mut leaves = self.leaves.write();
-        leaves.retain(|id, leaf| {
-            let keep = mine.contains(id);
-            if !keep {
-                leaf.leave();
+    ///
+    /// A leaf that another holder still has to release is not taken; `hold` takes it once it is
+    /// released. `start` says how a leaf begins that nobody handed over.
+    pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) {
+        let mine = |leaf: &LeafId| {
+            let holder = view.holders.get(leaf)?;
+            (holder.instance == self.instance).then_some(holder)
+        };
+        for leaf in self.ids() {
+            if mine(&leaf).is_none() {
+                self.end(&leaf);
             }
-            keep
-        });
-        for id in mine {
-            let Some(declared) = view.document.leaves.get(id) else { continue };
-            let Some(collection) = view.document.collections.get(&declared.collection) else {
+        }
+        for (leaf, holder) in &view.holders {
+            if holder.instance != self.instance {
                 continue;
-            };
-            let slots = collection.leaf_limits.slots.get();
-            leaves.entry(id.clone()).or_insert_with(|| {
-                HeldLeaf::start(id.clone(), declared.address, slots, Arc::clone(&self.rights))
-            });
+            }
+            let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
+            if self.update(&holding, view.document.takes_work(leaf)) || holder.releasing.is_some() {
+                continue;
+            }
+            self.hold(holding, start(leaf));
+        }
+    }
+
+    /// Brings a leaf that is held already up to date; false if it is not held like this.
+    fn update(&self, holding: &Holding, takes_work: bool) -> bool {
+        let Some(leaf) = self.get(&holding.leaf) else { return false };
+        let held = leaf.holding();
+        if held != holding {
+            self.end(&holding.leaf);
+            return false;
         }
+        leaf.set_takes_work(takes_work);
+        true
+    }
+
+    /// Starts to hold a leaf.
+    pub fn hold(&self, holding: Holding, start: Start) {
+        let id = holding.leaf.clone();
+        let rights = Arc::clone(&self.rights);
+        let leaf = Arc::new(HeldLeaf::new(holding, start, rights, Arc::clone(&self.observer)));
+        if let Err(err) = worker::start(&leaf) {
+            log::error!("leaf {id}: workers not started: {err}");
+            leaf.end();
+            return;
+        }
+        if let Some(before) = self.leaves.write().insert(id, leaf) {
+            before.end();
+        }
+    }
+
+    /// Stops sending to a leaf for good.
+    pub fn end(&self, leaf: &LeafId) {
+        let held = self.leaves.write().remove(leaf);
+        if let Some(held) = held {
+            held.end();
+        }
+    }
+
+    /// Stops sending to a leaf; gives its state once nothing is in flight.
+    pub fn release(&self, leaf: &LeafId) -> Released {
+        let Some(held) = self.get(leaf) else { return Released::NotHeld };
+        held.release().map_or(Released::InFlight, |state| Released::State(Box::new(state)))
     }
 
     /// Queues `job` at its leaf; replies at once when the leaf is not held here.
     pub fn run(&self, job: LeafJob) {
-        let leaf = self.leaves.read().get(&job.call.leaf).cloned();
-        match leaf {
+        match self.get(&job.call.leaf) {
             Some(leaf) => leaf.offer(job),
-            None => job.refuse("this host does not hold the leaf"),
+            None => job.refuse(Refusal::NotHolder),
+        }
+    }
+
+    /// Cancels an attempt wherever it is.
+    pub fn cancel(&self, entry: &InstanceId, attempt: AttemptId) {
+        let leaves: Vec<_> = self.leaves.read().values().cloned().collect();
+        for leaf in leaves {
+            if let Some(running) = leaf.cancel(entry, attempt) {
+                self.side.cancel(leaf.holding().address, running);
+                return;
+            }
+        }
+    }
+
+    /// Conditions of all leaves that are held here.
+    pub fn reports(&self) -> Vec<LeafReport> {
+        let leaves: Vec<_> = self.leaves.read().values().cloned().collect();
+        leaves.into_iter().map(|leaf| leaf.report()).collect()
+    }
+
+    /// The leaf, if it is held here.
+    pub fn get(&self, leaf: &LeafId) -> Option<Arc<HeldLeaf<R>>> {
+        self.leaves.read().get(leaf).cloned()
+    }
+
+    fn ids(&self) -> Vec<LeafId> {
+        self.leaves.read().keys().cloned().collect()
+    }
+}
+
+/// What holding `leaf` consists of; `None` if the document does not declare it.
+pub fn holding_of(document: &Document, leaf: &LeafId, epoch: Epoch) -> Option<Holding> {
+    let declared = document.leaves.get(leaf)?;
+    let collection = document.collections.get(&declared.collection)?;
+    let declared_cap = collection.leaf_limits.connections.get();
+    let connections = Connections(declared_cap.saturating_sub(SIDE_CONNECTIONS).max(1));
+    let limits = LeafLimits { connections, ..collection.leaf_limits.clone() };
+    Some(Holding { address: declared.address, epoch, leaf: leaf.clone(), limits })
+}
+
+/// The side channel's view of the leaves; does not keep them alive.
+struct SideLeaves<R>(Weak<LeafMap<R>>);
+
+impl<R: HolderRights> SideLeaves<R> {
+    fn all(&self) -> Vec<Arc<HeldLeaf<R>>> {
+        let Some(leaves) = self.0.upgrade() else { return Vec::new() };
+        leaves.read().values().cloned().collect()
+    }
+}
+
+impl<R: HolderRights> CheckedLeaves for SideLeaves<R> {
+    fn warm(&self) -> Vec<SocketAddr> {
+        let leaves = self.all().into_iter();
+        let warm = leaves.filter(|leaf| leaf.condition().state == State::Warm);
+        warm.map(|leaf| leaf.holding().address).collect()
+    }
+
+    fn checked(&self, address: SocketAddr, health: Health) {
+        if health.snapshots.is_empty() {
+            return;
+        }
+        let leaf = self.all().into_iter().find(|leaf| leaf.holding().address == address);
+        if let Some(leaf) = leaf {
+            leaf.set_snapshots(health.snapshots);
         }
     }
 }
--- a/components/daemon/src/holder/outcome.rs
+++ b/components/daemon/src/holder/outcome.rs
@@ -5,7 +5,7 @@
         holder::connection::{CallEnd, LeafAnswer},
         reply::{ReplyOutcome, Rows},
     },
-    wigeonramp_serving::upstream::Completion,
+    wigeonramp_serving::upstream::{Completion, Refusal},
     wigeonramp_units::Span,
 };
 
@@ -34,7 +34,11 @@
             CallEnd::Answered(answer) => Self::answered(answer, latency),
             CallEnd::Broken(what) => Self::new(close, ReplyOutcome::Unknown(what.to_owned())),
             CallEnd::Leaving => Self::new(Completion::Leaving, refused("leaf is leaving")),
-            CallEnd::NotSent => Self::new(close, ReplyOutcome::NotSent("connection lost".into())),
+            // The leaf may have restarted since the connection was used, so it starts cold again;
+            // the request was not sent and is no suspect.
+            CallEnd::NotSent => {
+                Self::new(Completion::Rejected, ReplyOutcome::NotSent(Refusal::Unreachable))
+            }
             CallEnd::PastDeadline => Self::new(keep, refused("past the deadline at the leaf")),
             CallEnd::Refused(status) if status.is_client_error() => {
                 Self::new(keep, refused(&format!("leaf answered {status}")))
@@ -46,7 +50,7 @@
                 Self::new(Completion::Reset, ReplyOutcome::Reset("connection reset".into()))
             }
             CallEnd::Shed => Self::new(Completion::Rejected, refused("leaf sheds load")),
-            CallEnd::SnapshotGone => Self::new(keep, ReplyOutcome::SnapshotGone),
+            CallEnd::SnapshotGone(_) => Self::new(keep, ReplyOutcome::SnapshotGone),
             CallEnd::TimedOut => {
                 Self::new(Completion::TimedOut, ReplyOutcome::Unknown("no answer in time".into()))
             }
@@ -54,9 +58,8 @@
     }
 
     fn answered(answer: LeafAnswer, latency: Span) -> Self {
-        let completion = Completion::Answered { boot: answer.boot, latency, busy: answer.busy };
-        let rows =
-            Rows { count: answer.rows, digest: answer.digest, payload: answer.payload };
+        let completion = Completion::Answered { boot: answer.boot, latency, busy: false };
+        let rows = Rows { count: answer.rows, digest: answer.digest, payload: answer.payload };
         Self::new(completion, ReplyOutcome::Answered(rows))
     }
 
@@ -68,12 +71,9 @@
                 | CallEnd::PastDeadline
                 | CallEnd::Refused(_)
                 | CallEnd::Shed
-                | CallEnd::SnapshotGone
+                | CallEnd::SnapshotGone(_)
         );
-        let outcome = match end {
-            CallEnd::NotSent => ReplyOutcome::NotSent("cancelled".to_owned()),
-            _ => ReplyOutcome::Unknown("cancelled".to_owned()),
-        };
+        let outcome = ReplyOutcome::Unknown("cancelled".to_owned());
         Self::new(Completion::Cancelled { reusable: whole }, outcome)
     }
 }
--- a/components/daemon/src/holder/worker.rs
+++ b/components/daemon/src/holder/worker.rs
@@ -12,7 +12,7 @@
     },
     parking_lot::MutexGuard,
     std::{
-        io::Result as IoResult,
+        io::{Error as IoError, Result as IoResult},
         sync::Arc,
         thread,
         time::{Duration, Instant as StdInstant},
@@ -92,6 +92,15 @@
     if let CallEnd::Broken(what) = &end {
         leaf.observer.broken_answer(&leaf.holding().leaf, call.attempt, what);
     }
+    match &end {
+        CallEnd::Answered(_) => drop(state.snapshots.insert(call.snapshot)),
+        CallEnd::SnapshotGone(held) if !held.is_empty() => {
+            state.snapshots = held.iter().copied().collect();
+        }
+        CallEnd::SnapshotGone(_) => drop(state.snapshots.remove(&call.snapshot)),
+        CallEnd::NotSent => state.upstream.closed(connection),
+        _ => (),
+    }
     let cancelled = state.jobs.get(&id).is_none_or(|pending| pending.cancelled);
     leaf.finish(state, id, Ended::of(end, latency, cancelled), latency, ended_at);
     leaf.changed.notify_all();
@@ -127,6 +136,9 @@
 
 fn open<R: HolderRights>(leaf: &HeldLeaf<R>, probe: bool) -> IoResult<Opened> {
     let connection = Connection::open(leaf.holding().address, CONNECT_TIMEOUT)?;
-    let boot = if probe { connection.probe(CONNECT_TIMEOUT)? } else { None };
-    Ok(Opened { boot, connection })
+    if !probe {
+        return Ok(Opened { boot: None, connection });
+    }
+    let health = connection.health(CONNECT_TIMEOUT).map_err(IoError::other)?;
+    Ok(Opened { boot: health.boot, connection })
 }
--- a/components/daemon/src/host.rs
+++ b/components/daemon/src/host.rs
@@ -6,8 +6,9 @@
         clock,
         control::simple::{ROUND, SessionBody, SimpleControl},
         entry::Entry,
-        holder::Holders,
+        holder::{Holders, leaf::Start},
         http_server::{HttpLimits, HttpServer},
+        observe::Observer,
         peer::{client::Peers, server::PeerListener},
         view::Views,
     },
@@ -81,7 +82,9 @@
             zone: settings.zone.clone(),
         };
         let control = Arc::new(SimpleControl::new(store, session, Arc::clone(&views)));
-        let holders = Arc::new(Holders::new(instance.clone(), Arc::clone(&control)));
+        let observer = Arc::new(Observer::default());
+        let holders =
+            Arc::new(Holders::new(instance.clone(), Arc::clone(&control), Arc::clone(&observer))?);
         let peers = Arc::new(Peers::new(runtime.handle().clone()));
         let entry = Entry::new(instance.clone(), Arc::clone(&views), Arc::clone(&holders), peers);
         let peer = PeerListener::start(
@@ -157,7 +160,7 @@
         if let Err(err) = control.round() {
             log::warn!("{err}");
         }
-        holders.adopt(&views.load());
+        holders.adopt(&views.load(), |_| Start::Cold);
         let pause = clock::until(begun + ROUND).to_duration();
         if stopped.recv_timeout(pause) != Err(RecvTimeoutError::Timeout) {
             return;
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod holder;
 pub mod host;
 pub mod http_server;
+pub mod observe;
 pub mod peer;
 pub mod reply;
 pub mod view;
--- a/components/daemon/src/observe.rs
+++ b/components/daemon/src/observe.rs
@@ -24,6 +24,11 @@
         log::warn!("leaf {leaf} reset while request {fingerprint} ran (alone: {alone})");
     }
 
+    /// A suspected request succeeded.
+    pub fn cleared(&self, leaf: &LeafId, fingerprint: Fingerprint) {
+        log::info!("request {fingerprint} succeeded at leaf {leaf}, no longer suspected");
+    }
+
     /// A connection is given up although its request has no answer.
     pub fn silent_connection(&self, leaf: &LeafId, attempt: AttemptId) {
         log::warn!("leaf {leaf}: connection of attempt {attempt} is silent, closed");
--- a/components/daemon/src/peer/server.rs
+++ b/components/daemon/src/peer/server.rs
@@ -107,6 +107,7 @@
                 attempt: AttemptId(work.attempt),
                 body: self.body.clone(),
                 deadline: now + Span::millis(message.timeout_ms),
+                entry: self.entry.clone(),
                 leaf: work.leaf.parse()?,
                 map_version: MapVersion(message.map_version),
                 member: self.member.clone(),
@@ -114,7 +115,6 @@
                 shard: work.shard.parse()?,
                 snapshot: SnapshotId(message.snapshot),
             },
-            entry: self.entry.clone(),
             epoch: Epoch(work.epoch),
             fingerprint: Fingerprint(message.fingerprint),
             hedge: work.hedge,
@@ -156,7 +156,11 @@
         &self,
         request: Request<CancelAttemptsRequest>,
     ) -> Result<Response<CancelAttemptsReply>, Status> {
-        let _ = request;
+        let message = request.into_inner();
+        let entry: InstanceId = message.entry.parse().map_err(|err| invalid(&err))?;
+        for attempt in message.attempts {
+            self.holders.cancel(&entry, AttemptId(attempt));
+        }
         Ok(Response::new(CancelAttemptsReply {}))
     }
 
--- a/components/daemon/src/reply.rs
+++ b/components/daemon/src/reply.rs
@@ -2,8 +2,16 @@
 
 use {
     bytes::Bytes,
+    serde::{
+        Deserialize,
+        de::{
+            IntoDeserializer,
+            value::{Error as ValueError, StrDeserializer},
+        },
+    },
     thiserror::Error,
     wigeonramp_proto::peer::{LeafOutcome, LeafReply, LeafReport},
+    wigeonramp_serving::upstream::Refusal,
     wigeonramp_units::{
         AttemptId, Digest, LeafId, MapVersion, MemberId, ParseError, RequestId, ShardId,
         SnapshotId, Span,
@@ -43,7 +51,7 @@
     /// The leaf answered.
     Answered(Rows),
     /// No byte was sent to the leaf.
-    NotSent(String),
+    NotSent(Refusal),
     /// The leaf refused the request without running it.
     Refused(String),
     /// The connection was reset while the request ran.
@@ -74,6 +82,15 @@
     /// The outcome is missing or of a later version.
     #[error("peer message: outcome {0} is not known")]
     Outcome(i32),
+    /// The reason of a refusal is of a later version.
+    #[error("peer message: reason {0:?} is not known")]
+    Reason(String),
+}
+
+/// Reads the reason of an attempt that was not sent.
+fn refusal(reason: &str) -> Result<Refusal, MessageError> {
+    let text: StrDeserializer<'_, ValueError> = reason.into_deserializer();
+    Refusal::deserialize(text).map_err(|_| MessageError::Reason(reason.to_owned()))
 }
 
 impl ReplyOutcome {
@@ -81,7 +98,7 @@
     fn parts(self) -> (LeafOutcome, String, Option<Rows>) {
         match self {
             Self::Answered(rows) => (LeafOutcome::Answered, String::new(), Some(rows)),
-            Self::NotSent(reason) => (LeafOutcome::NotSent, reason, None),
+            Self::NotSent(refusal) => (LeafOutcome::NotSent, refusal.to_string(), None),
             Self::Refused(reason) => (LeafOutcome::Refused, reason, None),
             Self::Reset(reason) => (LeafOutcome::Reset, reason, None),
             Self::SnapshotGone => (LeafOutcome::SnapshotGone, String::new(), None),
@@ -125,7 +142,7 @@
                 digest: Digest(message.digest),
                 payload: message.payload.into(),
             }),
-            LeafOutcome::NotSent => ReplyOutcome::NotSent(message.reason),
+            LeafOutcome::NotSent => ReplyOutcome::NotSent(refusal(&message.reason)?),
             LeafOutcome::Refused => ReplyOutcome::Refused(message.reason),
             LeafOutcome::Reset => ReplyOutcome::Reset(message.reason),
             LeafOutcome::SnapshotGone => ReplyOutcome::SnapshotGone,
--- a/components/daemon/src/view.rs
+++ b/components/daemon/src/view.rs
@@ -8,6 +8,7 @@
     parking_lot::RwLock,
     std::{net::SocketAddr, sync::Arc},
     wigeonramp_config::{Document, Limits},
+    wigeonramp_serving::upstream::Rights,
     wigeonramp_units::{
         ByteSize, ConfigVersion, Epoch, HostId, InstanceId, Instant, LeafId, Percent, Span, ZoneId,
     },
@@ -122,17 +123,6 @@
     }
 }
 
-/// What a holder may send to a leaf.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Rights {
-    /// Everything that the leaf bears.
-    Full,
-    /// One request at a time to a warm leaf, on connections that exist.
-    WarmOnly,
-    /// Nothing.
-    None,
-}
-
 /// Rights of this host as a holder; asked under the leaf's lock before bytes are sent.
 pub trait HolderRights: Send + Sync + 'static {
     /// What may be sent to `leaf` at `now`.
