--- a/components/daemon/src/holder/side.rs
+++ b/components/daemon/src/holder/side.rs
@@ -113,9 +113,9 @@
         if self.broken.get(&address).is_some_and(|at| now.since(*at) < REOPEN_PAUSE) {
             return None;
         }
-        if !self.open.contains_key(&address) {
+        if let Entry::Vacant(vacant) = self.open.entry(address) {
             match Connection::open(address, CALL_TIMEOUT) {
-                Ok(conn) => drop(self.open.insert(address, conn)),
+                Ok(conn) => drop(vacant.insert(conn)),
                 Err(_) => self.broke(address),
             }
         }
