--- /dev/null
+++ b/src/cmd/check.rs
@@ -0,0 +1,48 @@
+//! `check`: reads a settings file and reports its content or its first problem.
+
+use {
+    crate::outcome::{Failure, Outcome, Status},
+    serde_json::json,
+    std::path::Path,
+    wigeonramp_config::{Deployment, HostSettings, SettingsFile},
+};
+
+/// Checks `file`; contacts no host.
+pub fn run(file: &Path) -> Result<Outcome, Failure> {
+    match SettingsFile::load(file).map_err(|err| Failure::Usage(err.to_string()))? {
+        SettingsFile::Host(settings) => Ok(host(file, &settings)),
+        SettingsFile::Deployment(deployment) => deployed(file, &deployment),
+    }
+}
+
+fn host(file: &Path, settings: &HostSettings) -> Outcome {
+    let HostSettings { host, zone, .. } = settings;
+    let text = format!("{}: settings of host {host} in zone {zone}", file.display());
+    let json = json!({ "file": file, "kind": "host", "host": host, "zone": zone });
+    Outcome::new(Status::Done, text, &json)
+}
+
+fn deployed(file: &Path, deployment: &Deployment) -> Result<Outcome, Failure> {
+    let document = deployment.expand();
+    document.check().map_err(|problem| Failure::Usage(problem.in_file(file).to_string()))?;
+    let (zones, leaves) = (document.zones.len(), document.leaves.len());
+    let (collections, callers) = (document.collections.len(), document.callers.len());
+    let slots = document.capacity();
+    let digest = document.digest();
+    let text = format!(
+        "{}: deployment with {zones} zones, {collections} collections, {leaves} upstreams with \
+         {slots} slots taking work, {callers} callers; digest {digest}",
+        file.display()
+    );
+    let json = json!({
+        "file": file,
+        "kind": "deployment",
+        "zones": zones,
+        "collections": collections,
+        "leaves": leaves,
+        "slots": slots,
+        "callers": callers,
+        "digest": digest,
+    });
+    Ok(Outcome::new(Status::Done, text, &json))
+}
--- /dev/null
+++ b/src/cmd/confirm.rs
@@ -0,0 +1,65 @@
+//! `confirm`: puts a plan in force and reports what became of it.
+
+use {
+    crate::{
+        cli::Target,
+        cmd::plan,
+        http::{CallError, Client},
+        outcome::{Failure, Outcome, Status},
+    },
+    std::path::Path,
+    wigeonramp_config::api::{CONFIRM_PATH, ConfirmAnswer, ConfirmRequest},
+    wigeonramp_units::HostId,
+};
+
+/// Confirms the plan in `file`.
+pub fn run(target: Target, file: &Path) -> Result<Outcome, Failure> {
+    let plan = plan::read(file)?;
+    let answer: Result<ConfirmAnswer, CallError> =
+        Client::operator(target.host).post(CONFIRM_PATH, &ConfirmRequest { plan });
+    match answer {
+        Ok(answer) => Ok(Outcome::new(status(&answer), describe(&answer), &answer)),
+        Err(err @ CallError::Lost { .. }) => Err(Failure::NotKnownYet {
+            reason: err.to_string(),
+            command: format!("wigeonramp status --plan {} --host {}", file.display(), target.host),
+        }),
+        Err(err) => Err(Failure::Failed(format!("nothing changed: {err}"))),
+    }
+}
+
+fn status(answer: &ConfirmAnswer) -> Status {
+    match answer {
+        ConfirmAnswer::InForce { .. } => Status::Done,
+        ConfirmAnswer::Refused { .. } => Status::Failed,
+        ConfirmAnswer::NotKnownYet { .. } => Status::NotKnownYet,
+    }
+}
+
+fn describe(answer: &ConfirmAnswer) -> String {
+    match answer {
+        ConfirmAnswer::InForce { version, hosts, pending } => {
+            let mut text = format!("version {version} is in force on {}", listed(hosts));
+            if !pending.is_empty() {
+                text.push_str(&format!("\nwritten, but not yet seen on {}", listed(pending)));
+            }
+            text
+        }
+        ConfirmAnswer::Refused { reason, current } => {
+            let current =
+                current.map_or_else(String::new, |v| format!("; version {v} is in force"));
+            format!("refused, nothing changed: {reason}{current}")
+        }
+        ConfirmAnswer::NotKnownYet { reason, command } => {
+            format!("not known yet: {reason}\nto find out: {command}")
+        }
+    }
+}
+
+fn listed(hosts: &[HostId]) -> String {
+    let names: Vec<&str> = hosts.iter().map(HostId::as_str).collect();
+    match names.len() {
+        0 => "no host yet".to_owned(),
+        1 => format!("1 host: {}", names[0]),
+        n => format!("{n} hosts: {}", names.join(", ")),
+    }
+}
--- /dev/null
+++ b/src/cmd/query.rs
@@ -0,0 +1,144 @@
+//! `query`: sends one query the way a caller does.
+
+use {
+    crate::{
+        cli::QueryArgs,
+        cmd::status,
+        http::{CallError, Client, Credentials},
+        outcome::{Failure, Outcome, Status},
+    },
+    rand::random,
+    serde_json::Value,
+    std::{
+        fmt::Write as _,
+        net::SocketAddr,
+        time::{Duration, SystemTime, UNIX_EPOCH},
+    },
+    wigeonramp_config::caller_api::{
+        CollectionAnswer, ENTRY_PATH, EntryAnswer, QUERY_PATH, QueryAnswer, QueryOutcome,
+        QueryRequest,
+    },
+    wigeonramp_units::RequestId,
+};
+
+/// Time beyond the query's own timeout in which the answer can still arrive.
+const ANSWER_MARGIN: Duration = Duration::from_secs(1);
+
+/// Finds an entry host, sends the query and prints the answer.
+pub fn run(args: QueryArgs) -> Result<Outcome, Failure> {
+    let req = request(&args)?;
+    let addresses = addresses(&args)?;
+    let mut unreached = Vec::new();
+    for address in addresses {
+        match client(&args, address).post::<QueryAnswer>(QUERY_PATH, &req) {
+            Ok(answer) => return Ok(answered(&answer)),
+            Err(err @ CallError::NotSent { .. }) => unreached.push(err.to_string()),
+            Err(err @ CallError::Refused { .. }) => {
+                return Err(Failure::Failed(format!("not run: {err}")));
+            }
+            Err(err @ CallError::Lost { .. }) => return Err(lost(&req, &err)),
+        }
+    }
+    Err(Failure::Failed(format!("not run: {}", unreached.join("; "))))
+}
+
+fn request(args: &QueryArgs) -> Result<QueryRequest, Failure> {
+    let usage = |text: &str| Err(Failure::Usage(text.to_owned()));
+    let body: Value = serde_json::from_str(&args.body)
+        .map_err(|err| Failure::Usage(format!("--body: {err}; expected JSON")))?;
+    if args.timeout.as_millis() == 0 {
+        return usage("--timeout: shorter than a millisecond; expected 1ms or more");
+    }
+    if args.non_idempotent && args.shard.is_none() {
+        return usage("--non-idempotent: no shard; expected --shard with the only shard to ask");
+    }
+    if args.non_idempotent && args.collection.len() != 1 {
+        return usage("--non-idempotent: several collections; expected --collection once");
+    }
+    Ok(QueryRequest {
+        request_id: Some(args.request_id.clone().unwrap_or_else(new_request_id)),
+        collections: args.collection.clone(),
+        body,
+        idempotent: !args.non_idempotent,
+        shard: args.shard.clone(),
+        timeout_ms: Some(args.timeout.as_millis()),
+    })
+}
+
+fn new_request_id() -> RequestId {
+    let ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default().as_millis();
+    let id = format!("{ms}-{:016x}", random::<u64>()).parse();
+    id.expect("digits and a hyphen make an id")
+}
+
+/// Addresses to try, in order.
+fn addresses(args: &QueryArgs) -> Result<Vec<SocketAddr>, Failure> {
+    if let Some(entry) = args.entry {
+        return Ok(vec![entry]);
+    }
+    let Some(host) = args.host else {
+        return Err(Failure::Usage("no entry host; expected --entry or --host".to_owned()));
+    };
+    let status = status::read(&Client::operator(host)).map_err(CallError::read_only)?;
+    let listed = status.hosts.iter().filter(|host| host.listed);
+    let mut problems = Vec::new();
+    for host in listed {
+        match client(args, host.caller_address).get::<EntryAnswer>(ENTRY_PATH, &[]) {
+            Ok(answer) => return Ok(answer.addresses),
+            Err(err @ CallError::Refused { .. }) => return Err(err.read_only()),
+            Err(err) => problems.push(err.to_string()),
+        }
+    }
+    let problems = if problems.is_empty() { "none is listed".into() } else { problems.join("; ") };
+    Err(Failure::Failed(format!("not run: no entry host answers: {problems}")))
+}
+
+fn client(args: &QueryArgs, address: SocketAddr) -> Client {
+    let credentials = Credentials { caller: args.caller.to_string(), token: args.token.clone() };
+    Client::caller(address, credentials, args.timeout.to_duration() + ANSWER_MARGIN)
+}
+
+fn lost(req: &QueryRequest, err: &CallError) -> Failure {
+    if req.idempotent {
+        let command = "send the query again; it is idempotent".to_owned();
+        return Failure::NotKnownYet { reason: err.to_string(), command };
+    }
+    let id = req.request_id.as_ref().map_or("", RequestId::as_str);
+    Failure::NotKnownYet {
+        reason: err.to_string(),
+        command: format!("the same query with --request-id {id}; it runs at most once"),
+    }
+}
+
+fn answered(answer: &QueryAnswer) -> Outcome {
+    let QueryAnswer { request_id, outcome, collections } = answer;
+    let (status, text) = match outcome {
+        QueryOutcome::Done => (Status::Done, "done".to_owned()),
+        QueryOutcome::RefusedNotRun { reason } => {
+            (Status::Failed, format!("refused, not run: {reason}"))
+        }
+        QueryOutcome::Unknown { reason } => {
+            (Status::NotKnownYet, format!("unknown, may have run: {reason}"))
+        }
+    };
+    let mut text = format!("request {request_id}: {text}\n");
+    collections.iter().for_each(|collection| describe(collection, &mut text));
+    Outcome::new(status, text, answer)
+}
+
+fn describe(answer: &CollectionAnswer, text: &mut String) {
+    let CollectionAnswer { collection, snapshot, coverage, parts, .. } = answer;
+    let rows: u64 = parts.iter().map(|part| u64::from(part.rows)).sum();
+    let snapshot = snapshot.map_or("none".to_owned(), |snapshot| snapshot.to_string());
+    let (covered, total) = (coverage.covered, coverage.total);
+    let _ = writeln!(
+        text,
+        "{collection}: {covered} of {total} shards, {rows} rows, snapshot {snapshot}"
+    );
+    for missing in &coverage.missing {
+        let _ = writeln!(text, "  missing {}: {}", missing.shard, missing.reason);
+    }
+    for part in parts {
+        let _ = writeln!(text, "  {} {} rows: {}", part.shard, part.rows, part.payload);
+    }
+}
--- /dev/null
+++ b/src/cmd/status.rs
@@ -0,0 +1,108 @@
+//! `status`: a host's view of the deployment, or whether a plan is in force.
+
+use {
+    crate::{
+        cli::Target,
+        cmd::plan,
+        http::{CallError, Client},
+        outcome::{Failure, Outcome, Status},
+    },
+    std::{
+        cmp::Ordering,
+        fmt::{Display, Write as _},
+        path::Path,
+    },
+    wigeonramp_config::api::{
+        ConfirmAnswer, HostStatus, LeafStatus, PlanAnswer, STATUS_PATH, StatusAnswer,
+    },
+    wigeonramp_units::ConfigVersion,
+};
+
+/// Prints the status, or what became of the plan in `plan_file`.
+pub fn run(target: Target, plan_file: Option<&Path>) -> Result<Outcome, Failure> {
+    let plan = plan_file.map(plan::read).transpose()?;
+    let status = read(&Client::operator(target.host)).map_err(CallError::read_only)?;
+    let (Some(plan), Some(file)) = (plan, plan_file) else {
+        return Ok(Outcome::new(Status::Done, describe(&status), &status));
+    };
+    let again = format!("wigeonramp status --plan {} --host {}", file.display(), target.host);
+    Ok(of_plan(&plan, &status, again))
+}
+
+/// Reads the status of one host.
+pub fn read(client: &Client) -> Result<StatusAnswer, CallError> {
+    client.get(STATUS_PATH, &[])
+}
+
+/// What the host's adopted version says about `plan`.
+fn of_plan(plan: &PlanAnswer, status: &StatusAnswer, command: String) -> Outcome {
+    let wanted = plan.target.version;
+    let not_known = |reason: String| {
+        let text = format!("not known yet: {reason}\nto find out: {command}");
+        let answer = ConfirmAnswer::NotKnownYet { reason, command: command.clone() };
+        Outcome::new(Status::NotKnownYet, text, &answer)
+    };
+    let Some(found) = status.config_version else {
+        return not_known(format!("host {} has no configuration", status.host));
+    };
+    match found.cmp(&wanted) {
+        Ordering::Less => not_known(format!("host {} has version {found}", status.host)),
+        Ordering::Greater => not_known(format!(
+            "host {} has version {found}, which no longer tells who wrote version {wanted}; \
+             compare the plan's changes with its configuration",
+            status.host
+        )),
+        Ordering::Equal if status.config_op.as_ref() == Some(&plan.id) => in_force(wanted, status),
+        Ordering::Equal => {
+            let reason = format!("another operation wrote version {wanted}");
+            let text = format!("refused, nothing changed: {reason}");
+            let answer = ConfirmAnswer::Refused { reason, current: Some(found) };
+            Outcome::new(Status::Failed, text, &answer)
+        }
+    }
+}
+
+fn in_force(version: ConfigVersion, status: &StatusAnswer) -> Outcome {
+    let adopted = |host: &&HostStatus| host.config_version >= Some(version);
+    let (hosts, pending): (Vec<_>, Vec<_>) = status.hosts.iter().partition(adopted);
+    let text =
+        format!("version {version} is in force on {} of {} hosts", hosts.len(), status.hosts.len());
+    let ids = |hosts: Vec<&HostStatus>| hosts.iter().map(|host| host.instance.host()).collect();
+    let answer = ConfirmAnswer::InForce { version, hosts: ids(hosts), pending: ids(pending) };
+    Outcome::new(Status::Done, text, &answer)
+}
+
+fn describe(status: &StatusAnswer) -> String {
+    let StatusAnswer { host, boot, zone, state, hosts, leaves, .. } = status;
+    let mut text = format!(
+        "host {host}@{boot} in {zone}: {state}\nconfiguration: {}\nassignment: {}\n\
+         session: {}\nstore: last answer {}\n",
+        or(status.config_version.as_ref(), "none"),
+        or(status.assignment_version.as_ref(), "none"),
+        status.session_ms.map_or("expired".to_owned(), |ms| format!("valid for {ms}ms")),
+        status.store_contact_ms.map_or("never".to_owned(), |ms| format!("{ms}ms ago")),
+    );
+    let _ = writeln!(text, "hosts: {}", hosts.len());
+    for host in hosts {
+        let HostStatus { instance, zone, operator_address, listed, leaving, .. } = host;
+        let version = or(host.config_version.as_ref(), "none");
+        let listed = if *listed { "listed" } else { "not listed" };
+        let leaving = if *leaving { ", leaving" } else { "" };
+        let _ = writeln!(
+            text,
+            "  {instance} {zone} {operator_address} configuration {version}, {listed}{leaving}"
+        );
+    }
+    let _ = writeln!(text, "upstreams held: {}", leaves.len());
+    for LeafStatus { leaf, state, epoch, in_flight, queued, allowance } in leaves {
+        let _ = writeln!(
+            text,
+            "  {leaf} {state}, epoch {epoch}, {in_flight} of {allowance} in flight, {queued} queued"
+        );
+    }
+    text
+}
+
+fn or<T: Display>(value: Option<&T>, otherwise: &str) -> String {
+    value.map_or(otherwise.to_owned(), T::to_string)
+}
