--- /dev/null
+++ b/components/control/src/assignment.rs
@@ -0,0 +1,106 @@
+//! The object that names each leaf's holder.
+
+pub use crate::assigner::{AssignStep, Assigner, AssignerSettings, Fence};
+
+use {
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    std::{
+        fmt::{Display, Formatter, Result as FmtResult},
+        num::ParseIntError,
+        str::FromStr,
+    },
+    wigeonramp_units::{Epoch, InstanceId, LeafId, OpId},
+};
+
+/// Key of the assignment object.
+pub const ASSIGNMENT_KEY: &str = "control/assignment";
+/// Largest number of assigners; a holder in doubt asks each of them.
+pub const MAX_ASSIGNERS: usize = 5;
+
+/// A version of the assignment; only rises.
+#[derive(
+    Clone, Copy, Debug, Default, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize,
+)]
+#[serde(transparent)]
+pub struct AssignmentVersion(pub u64);
+
+impl AssignmentVersion {
+    /// The version after this one.
+    pub const fn next(self) -> Self {
+        Self(self.0 + 1)
+    }
+}
+
+impl Display for AssignmentVersion {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        self.0.fmt(f)
+    }
+}
+
+impl FromStr for AssignmentVersion {
+    type Err = ParseIntError;
+
+    fn from_str(text: &str) -> Result<Self, ParseIntError> {
+        text.parse().map(Self)
+    }
+}
+
+/// Body of the object `control/assignment`.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Assignment {
+    /// Only rises.
+    pub version: AssignmentVersion,
+    /// The write that made this version.
+    pub op: OpId,
+    /// Instances that may write the next version.
+    pub assigners: Vec<NamedAssigner>,
+    /// Assigners that an outsider replaced and that may still give promises.
+    pub disputed: Vec<InstanceId>,
+    /// The holder of each leaf.
+    pub holdings: IndexMap<LeafId, Holding>,
+}
+
+impl Assignment {
+    /// The instances of all assigners, in order.
+    pub fn assigner_ids(&self) -> impl Iterator<Item = &InstanceId> {
+        self.assigners.iter().map(|named| &named.instance)
+    }
+
+    /// Whether `instance` is an assigner.
+    pub fn names(&self, instance: &InstanceId) -> bool {
+        self.assigner_ids().any(|id| id == instance)
+    }
+
+    /// The number of leaves that `instance` holds.
+    pub fn load_of(&self, instance: &InstanceId) -> usize {
+        self.holdings.values().filter(|holding| holding.instance == *instance).count()
+    }
+}
+
+/// One assigner in the list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct NamedAssigner {
+    /// The assigner.
+    pub instance: InstanceId,
+    /// The version that named it; a new value restarts all its observations.
+    pub since: AssignmentVersion,
+}
+
+/// Who holds a leaf.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Holding {
+    /// The holder.
+    pub instance: InstanceId,
+    /// Rises with each change of the holder.
+    pub epoch: Epoch,
+    /// The old holder that must release the leaf first.
+    pub from: Option<InstanceId>,
+    /// Whether the old holder was given up as dead.
+    pub taken_over: bool,
+    /// The version that made this holding.
+    pub since_version: AssignmentVersion,
+}
--- /dev/null
+++ b/components/control/src/membership.rs
@@ -0,0 +1,218 @@
+//! Which instances are live, leaving or silent.
+//!
+//! Session counters are timed on the observer's own clock. The platform's host list lags, so it can
+//! show that a host is leaving, but never ends a session.
+
+use {
+    crate::session::{SessionRecord, takeover_time},
+    std::collections::{BTreeMap, BTreeSet},
+    wigeonramp_units::{HostId, InstanceId, Instant, Revision, Span, ZoneId},
+};
+
+/// One session object as read from the store.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SessionSeen {
+    /// Its body.
+    pub record: SessionRecord,
+    /// Its revision.
+    pub revision: Revision,
+}
+
+/// One row of the platform's host list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListedHost {
+    /// The host.
+    pub host: HostId,
+    /// Whether the platform is about to stop it.
+    pub leaving: bool,
+}
+
+/// Condition of an instance.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Liveness {
+    /// Renews its session.
+    Live,
+    /// Renews its session and is about to stop.
+    Leaving,
+    /// Has not renewed for a session time.
+    Silent,
+    /// Has not renewed for the takeover time.
+    Expired,
+}
+
+/// An instance as the observer sees it.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct InstanceView {
+    /// The session as last read.
+    pub seen: SessionSeen,
+    /// When the counter was last seen to change, on the observer's clock.
+    pub changed: Instant,
+    /// Whether a renewal was seen since observation started.
+    pub renewed: bool,
+    /// The condition that follows from `changed`.
+    pub liveness: Liveness,
+}
+
+impl InstanceView {
+    /// The zone of the instance.
+    pub fn zone(&self) -> &ZoneId {
+        &self.seen.record.zone
+    }
+
+    /// Whether the instance may be given leaves: a renewal was seen, and it is not leaving.
+    pub fn is_live(&self) -> bool {
+        self.renewed && self.liveness == Liveness::Live
+    }
+}
+
+/// All sessions at one point in time.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct MembershipView {
+    /// When the last complete list of sessions was asked for.
+    pub listed: Option<Instant>,
+    /// When observation last started from scratch.
+    pub restarted: Instant,
+    /// Instances with a session object.
+    pub instances: BTreeMap<InstanceId, InstanceView>,
+    /// Hosts that the platform lists; `None` before the list was first read.
+    pub platform: Option<BTreeSet<HostId>>,
+}
+
+impl MembershipView {
+    /// Whether `instance` renews its session and is not leaving.
+    pub fn is_live(&self, instance: &InstanceId) -> bool {
+        self.instances.get(instance).is_some_and(InstanceView::is_live)
+    }
+
+    /// Whether the process of `instance` is known to have ended: its host runs a newer instance, or
+    /// the platform no longer lists the host.
+    pub fn has_ended(&self, instance: &InstanceId) -> bool {
+        let host = instance.host();
+        let other = |(id, view): (&InstanceId, &InstanceView)| {
+            id != instance && id.host() == host && view.is_live()
+        };
+        self.instances.iter().any(other)
+            || self.platform.as_ref().is_some_and(|hosts| !hosts.contains(&host))
+    }
+}
+
+#[derive(Clone, Debug)]
+struct Observed {
+    seen: SessionSeen,
+    changed: Instant,
+    renewed: bool,
+}
+
+/// The observer of all sessions.
+#[derive(Clone, Debug)]
+pub struct Membership {
+    session_time: Span,
+    sessions: BTreeMap<InstanceId, Observed>,
+    platform: Option<BTreeMap<HostId, bool>>,
+    leaving: BTreeSet<InstanceId>,
+    heard: BTreeMap<InstanceId, Instant>,
+    listed: Option<Instant>,
+    restarted: Instant,
+}
+
+impl Membership {
+    /// An observer that has seen nothing.
+    pub fn new(session_time: Span, now: Instant) -> Self {
+        Self {
+            session_time,
+            sessions: BTreeMap::new(),
+            platform: None,
+            leaving: BTreeSet::new(),
+            heard: BTreeMap::new(),
+            listed: None,
+            restarted: now,
+        }
+    }
+
+    /// A complete list of sessions, asked for at `sent`. A gap of a session time between two lists
+    /// counts as an outage; lists that arrive out of order are ignored.
+    pub fn listed(&mut self, sent: Instant, sessions: Vec<SessionSeen>, now: Instant) {
+        if self.listed.is_some_and(|listed| sent < listed) {
+            return;
+        }
+        if self.listed.is_some_and(|listed| now.since(listed) > self.session_time) {
+            self.restart(now);
+        }
+        self.listed = Some(sent);
+        let mut old = std::mem::take(&mut self.sessions);
+        for seen in sessions {
+            let id = seen.record.instance.clone();
+            let observed = observe(old.remove(&id), seen, now);
+            self.sessions.insert(id, observed);
+        }
+        self.leaving.retain(|id| self.sessions.contains_key(id));
+    }
+
+    /// Starts all observations from scratch: after a store outage, or with the assigner role.
+    pub fn restart(&mut self, now: Instant) {
+        self.restarted = now;
+        for observed in self.sessions.values_mut() {
+            observed.changed = now;
+            observed.renewed = false;
+        }
+    }
+
+    /// The platform's host list.
+    pub fn platform(&mut self, hosts: Vec<ListedHost>) {
+        self.platform = Some(hosts.into_iter().map(|row| (row.host, row.leaving)).collect());
+    }
+
+    /// A heartbeat of `instance`.
+    pub fn heartbeat(&mut self, instance: &InstanceId, leaving: bool, now: Instant) {
+        self.heard.insert(instance.clone(), now);
+        if leaving {
+            self.leaving.insert(instance.clone());
+        }
+        let keep = takeover_time(self.session_time) * 4;
+        self.heard.retain(|_, heard| now.since(*heard) < keep);
+    }
+
+    /// When `instance` was last heard by a heartbeat.
+    pub fn last_heard(&self, instance: &InstanceId) -> Option<Instant> {
+        self.heard.get(instance).copied()
+    }
+
+    /// The condition of all instances.
+    pub fn view(&self, now: Instant) -> MembershipView {
+        let view = |(id, observed): (&InstanceId, &Observed)| {
+            let liveness = self.liveness(id, observed, now);
+            let (seen, changed) = (observed.seen.clone(), observed.changed);
+            (id.clone(), InstanceView { seen, changed, renewed: observed.renewed, liveness })
+        };
+        MembershipView {
+            listed: self.listed,
+            restarted: self.restarted,
+            instances: self.sessions.iter().map(view).collect(),
+            platform: self.platform.as_ref().map(|hosts| hosts.keys().cloned().collect()),
+        }
+    }
+
+    fn liveness(&self, id: &InstanceId, observed: &Observed, now: Instant) -> Liveness {
+        let record = &observed.seen.record;
+        let quiet = now.since(observed.changed);
+        if quiet >= takeover_time(self.session_time) {
+            return Liveness::Expired;
+        }
+        if quiet >= self.session_time {
+            return Liveness::Silent;
+        }
+        let platform = self.platform.as_ref().and_then(|hosts| hosts.get(&record.host));
+        if record.leaving || platform == Some(&true) || self.leaving.contains(id) {
+            return Liveness::Leaving;
+        }
+        Liveness::Live
+    }
+}
+
+fn observe(old: Option<Observed>, seen: SessionSeen, now: Instant) -> Observed {
+    match old {
+        Some(old) if old.seen.record.counter == seen.record.counter => Observed { seen, ..old },
+        Some(_) => Observed { seen, changed: now, renewed: true },
+        None => Observed { seen, changed: now, renewed: false },
+    }
+}
