--- a/components/control/src/assigner.rs
+++ b/components/control/src/assigner.rs
@@ -220,7 +220,7 @@
         let passed = |id: &InstanceId| {
             self.disputed.get(id).is_some_and(|first| input.now.since(*first) >= wait)
         };
-        let open = |id: &&InstanceId| !passed(*id) && !input.view.has_ended(id);
+        let open = |id: &&InstanceId| !passed(id) && !input.view.has_ended(id);
         current.disputed.iter().filter(open).cloned().collect()
     }
 
--- a/components/control/src/placement.rs
+++ b/components/control/src/placement.rs
@@ -36,7 +36,6 @@
 #[derive(Clone, Debug)]
 struct Node {
     host: HostId,
-    zone: ZoneId,
     load: usize,
 }
 
@@ -58,9 +57,9 @@
     ) -> Self {
         let zone_in = |zone| document.zones.get(zone).is_some_and(|z| z.state == Presence::In);
         let eligible = view.instances.iter().filter(|(_, v)| v.is_live() && zone_in(v.zone()));
-        let node = |zone: &ZoneId, host| Node { host, zone: zone.clone(), load: 0 };
+        let node = |host| Node { host, load: 0 };
         let mut nodes: BTreeMap<_, _> =
-            eligible.map(|(id, v)| (id.clone(), node(v.zone(), id.host()))).collect();
+            eligible.map(|(id, _)| (id.clone(), node(id.host()))).collect();
         for holding in holdings.values() {
             if let Some(node) = nodes.get_mut(&holding.instance) {
                 node.load += 1;
--- /dev/null
+++ b/components/control/src/plan.rs
@@ -0,0 +1,258 @@
+//! Plans for a change of the configuration.
+
+pub use crate::confirm::{Confirm, ConfirmOutcome, ConfirmStep, Refusal};
+
+use {
+    indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
+    serde_json::Value,
+    std::{
+        collections::BTreeSet,
+        fmt::{Display, Formatter, Result as FmtResult},
+    },
+    thiserror::Error,
+    wigeonramp_config::{Document, Presence},
+    wigeonramp_units::{
+        CollectionId, ConfigVersion, Digest, LeafId, MapVersion, OpId, ShardId, Slots, ZoneId,
+    },
+};
+
+/// Fewest replicas of a shard that leave a hedge or a retry something to choose.
+const PAIR: usize = 2;
+
+/// Digest of a document, as bound by plans and compared at adoption.
+pub fn digest_of(document: &Document) -> Digest {
+    // A document has only text keys and plain values, so it always serializes.
+    Digest::of(&serde_json::to_vec(document).unwrap_or_default())
+}
+
+/// One shard of one partition map.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct ShardRef {
+    /// The collection.
+    pub collection: CollectionId,
+    /// The partition map.
+    pub map: MapVersion,
+    /// The shard.
+    pub shard: ShardId,
+}
+
+impl Display for ShardRef {
+    fn fmt(&self, f: &mut Formatter<'_>) -> FmtResult {
+        write!(f, "{}/{} (map {})", self.collection, self.shard, self.map)
+    }
+}
+
+/// Capacity and coverage of one document.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Capacity {
+    /// Slots of all leaves that take work.
+    pub slots: Slots,
+    /// Shards with exactly one replica in service.
+    pub single: BTreeSet<ShardRef>,
+    /// Shards with no replica in service.
+    pub uncovered: BTreeSet<ShardRef>,
+}
+
+impl Capacity {
+    /// The capacity that `document` declares.
+    pub fn of(document: &Document) -> Self {
+        let slots = |leaf: &LeafId| {
+            let collection = &document.leaves[leaf].collection;
+            document.collections.get(collection).map_or(0, |c| c.leaf_limits.slots.get())
+        };
+        let in_service = document.leaves.keys().filter(|leaf| document.takes_work(leaf));
+        let slots = Slots(in_service.map(slots).sum());
+        let with = |test: fn(usize) -> bool| shards_with(document, test);
+        Self { slots, single: with(|n| n > 0 && n < PAIR), uncovered: with(|n| n == 0) }
+    }
+}
+
+fn shards_with(document: &Document, test: fn(usize) -> bool) -> BTreeSet<ShardRef> {
+    let mut found = BTreeSet::new();
+    for (collection, of) in &document.collections {
+        for map in &of.maps {
+            for (shard, replicas) in &map.shards {
+                if test(replicas.iter().filter(|leaf| document.takes_work(leaf)).count()) {
+                    let (collection, shard) = (collection.clone(), shard.clone());
+                    found.insert(ShardRef { collection, map: map.version, shard });
+                }
+            }
+        }
+    }
+    found
+}
+
+/// What a plan costs.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Cost {
+    /// Leaves that get another holder, or a first or no holder.
+    pub leaves_moved: usize,
+    /// Capacity and coverage before the change.
+    pub before: Capacity,
+    /// Capacity and coverage after it.
+    pub after: Capacity,
+}
+
+/// One changed value of the document.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Change {
+    /// Where the value stands, for example `/zones/north/state`.
+    pub path: String,
+    /// The value before, as JSON; `None` if it is new.
+    pub before: Option<String>,
+    /// The value after, as JSON; `None` if it goes away.
+    pub after: Option<String>,
+}
+
+/// Why a plan cannot be confirmed.
+#[derive(Clone, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
+pub enum PlanError {
+    /// The configuration changed since the plan was made.
+    #[error("the plan is based on configuration {planned}, but {current} is in force; plan again")]
+    OtherVersion {
+        /// Base of the plan.
+        planned: ConfigVersion,
+        /// Version in force.
+        current: ConfigVersion,
+    },
+    /// The base version has another body than the plan was made for.
+    #[error("configuration {version} has digest {current}, but the plan expected {planned}")]
+    OtherBody {
+        /// The version.
+        version: ConfigVersion,
+        /// Digest of the plan's base.
+        planned: Digest,
+        /// Digest in force.
+        current: Digest,
+    },
+    /// The target does not follow the base.
+    #[error("the plan's target is configuration {target}, expected {expected}")]
+    BadTarget {
+        /// Version of the target.
+        target: ConfigVersion,
+        /// Version after the base.
+        expected: ConfigVersion,
+    },
+    /// Shards would lose their last replica in service.
+    #[error("shards would have no replica in service: {}; allow the coverage loss explicitly", list(.shards))]
+    CoverageLoss {
+        /// The shards that lose it.
+        shards: Vec<ShardRef>,
+    },
+}
+
+fn list(shards: &[ShardRef]) -> String {
+    shards.iter().map(ToString::to_string).collect::<Vec<_>>().join(", ")
+}
+
+/// A change of the configuration that waits for its confirmation.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Plan {
+    /// Id of the plan and of the confirm operation.
+    pub id: OpId,
+    /// Version that the plan changes.
+    pub base: ConfigVersion,
+    /// Digest of that version.
+    pub base_digest: Digest,
+    /// The document that would be in force.
+    pub target: Document,
+    /// What differs.
+    pub changes: Vec<Change>,
+    /// What it costs.
+    pub cost: Cost,
+    /// Whether shards may be left without a replica in service.
+    pub allow_coverage_loss: bool,
+}
+
+impl Plan {
+    /// Plans the change from `base` to `target`, which gets the next version and `id`. `holders` are
+    /// the zones of the present holders of all leaves.
+    pub fn new(
+        id: OpId,
+        base: &Document,
+        mut target: Document,
+        holders: &IndexMap<LeafId, ZoneId>,
+        allow_coverage_loss: bool,
+    ) -> Self {
+        let changes = changes(base, &target);
+        target.version = base.version.next();
+        target.op = id.clone();
+        let cost = Cost {
+            leaves_moved: leaves_moved(base, &target, holders),
+            before: Capacity::of(base),
+            after: Capacity::of(&target),
+        };
+        let (base, base_digest) = (base.version, digest_of(base));
+        Self { id, base, base_digest, target, changes, cost, allow_coverage_loss }
+    }
+
+    /// Whether the plan can be confirmed while `base` is in force.
+    pub fn check(&self, base: &Document) -> Result<(), PlanError> {
+        let (planned, current) = (self.base, base.version);
+        if planned != current {
+            return Err(PlanError::OtherVersion { planned, current });
+        }
+        let (planned, current) = (self.base_digest, digest_of(base));
+        if planned != current {
+            return Err(PlanError::OtherBody { version: base.version, planned, current });
+        }
+        let (target, expected) = (self.target.version, base.version.next());
+        if target != expected || self.target.op != self.id {
+            return Err(PlanError::BadTarget { target, expected });
+        }
+        self.check_coverage(base)
+    }
+
+    // Computed anew from the documents: the cost in the plan came back from an operator's hands.
+    fn check_coverage(&self, base: &Document) -> Result<(), PlanError> {
+        let before = Capacity::of(base).uncovered;
+        let after = Capacity::of(&self.target).uncovered;
+        let shards: Vec<_> = after.difference(&before).cloned().collect();
+        if shards.is_empty() || self.allow_coverage_loss {
+            return Ok(());
+        }
+        Err(PlanError::CoverageLoss { shards })
+    }
+}
+
+fn leaves_moved(base: &Document, target: &Document, holders: &IndexMap<LeafId, ZoneId>) -> usize {
+    let is_in = |document: &Document, zone: &ZoneId| {
+        document.zones.get(zone).is_some_and(|zone| zone.state == Presence::In)
+    };
+    let moves = |leaf: &&LeafId| {
+        let Some(zone) = holders.get(*leaf) else { return true };
+        !base.leaves.contains_key(*leaf) || is_in(base, zone) && !is_in(target, zone)
+    };
+    let gone = base.leaves.keys().filter(|leaf| !target.leaves.contains_key(*leaf));
+    target.leaves.keys().filter(moves).count() + gone.count()
+}
+
+fn changes(base: &Document, target: &Document) -> Vec<Change> {
+    let value = |document: &Document| {
+        let mut value = serde_json::to_value(document).unwrap_or_default();
+        if let Some(fields) = value.as_object_mut() {
+            fields.remove("version");
+            fields.remove("op");
+        }
+        value
+    };
+    let mut found = Vec::new();
+    compare(String::new(), Some(&value(base)), Some(&value(target)), &mut found);
+    found
+}
+
+fn compare(path: String, before: Option<&Value>, after: Option<&Value>, found: &mut Vec<Change>) {
+    if before == after {
+        return;
+    }
+    let (Some(Value::Object(old)), Some(Value::Object(new))) = (before, after) else {
+        let text = |value: Option<&Value>| value.map(Value::to_string);
+        found.push(Change { path, before: text(before), after: text(after) });
+        return;
+    };
+    let keys: BTreeSet<_> = old.keys().chain(new.keys()).collect();
+    for key in keys {
+        compare(format!("{path}/{key}"), old.get(key), new.get(key), found);
+    }
+}
