--- a/src/bin/wigeonramp-standin.rs
+++ b/src/bin/wigeonramp-standin.rs
@@ -44,7 +44,7 @@
     /// Leaves of a deployment, one listener each.
     #[bpaf(command)]
     Leaves {
-        /// The declared deployment.
+        /// The declared deployment (TOML), or a configuration document (`.json`).
         #[bpaf(argument("FILE"))]
         deployment: PathBuf,
         /// Start only leaves whose id starts with this; may be repeated.
@@ -134,6 +134,9 @@
 
 /// Reads the configuration document of a deployment.
 fn load_deployment(path: &Path) -> Result<Document, RunError> {
+    if path.extension().is_some_and(|extension| extension == "json") {
+        return read_json(path);
+    }
     Ok(Deployment::load(path)?.expand())
 }
 
