--- a/components/config/src/deployment.rs
+++ b/components/config/src/deployment.rs
@@ -109,6 +109,7 @@
     pub fn parse(path: &Path, text: &str) -> Result<Deployment, ConfigError> {
         let deployment: Deployment = file::parse(path, text)?;
         deployment.check().map_err(|problem| problem.in_file(path))?;
+        deployment.expand().check().map_err(|problem| problem.in_file(path))?;
         Ok(deployment)
     }
 
--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -206,6 +206,20 @@
 }
 
 impl Document {
+    /// A document without entries: version 0, before the first confirm.
+    pub fn empty() -> Document {
+        Document {
+            version: ConfigVersion(0),
+            op: declared_op(),
+            zones: IndexMap::new(),
+            members: IndexMap::new(),
+            callers: IndexMap::new(),
+            collections: IndexMap::new(),
+            leaves: IndexMap::new(),
+            limits: Limits::default(),
+        }
+    }
+
     /// Digest of the content; version, operation and the order of entries do not count.
     pub fn digest(&self) -> Digest {
         let mut content = self.clone();
--- a/components/config/src/document_check.rs
+++ b/components/config/src/document_check.rs
@@ -10,6 +10,9 @@
     wigeonramp_units::{CollectionId, LeafId, ShardId},
 };
 
+/// Longest document as JSON in bytes; the platform stores values up to 1 MB.
+const MAX_DOCUMENT: usize = 1_000_000;
+
 impl Document {
     /// Checks ranges and references between entries; names the first problem.
     pub fn check(&self) -> Result<(), KeyProblem> {
@@ -18,7 +21,18 @@
         for (id, collection) in &self.collections {
             self.check_collection(id, collection)?;
         }
-        rules::check_limits(&self.limits)
+        rules::check_limits(&self.limits)?;
+        self.check_size()
+    }
+
+    fn check_size(&self) -> Result<(), KeyProblem> {
+        let size = serde_json::to_vec(self).expect("documents serialize to JSON").len();
+        if size > MAX_DOCUMENT {
+            let problem = format!("it has {size} bytes as JSON");
+            let expected = format!("at most {MAX_DOCUMENT}, as the platform stores 1 MB");
+            return Err(KeyProblem::new("document", problem, expected));
+        }
+        Ok(())
     }
 
     fn check_leaves(&self) -> Result<(), KeyProblem> {
--- a/components/config/src/file.rs
+++ b/components/config/src/file.rs
@@ -6,6 +6,9 @@
     std::{fs, path::Path},
 };
 
+/// Message of the standard library's socket addresses.
+const BAD_ADDRESS: &str = "invalid socket address syntax";
+
 /// The text of `path`.
 pub(crate) fn read(path: &Path) -> Result<String, ConfigError> {
     fs::read_to_string(path)
@@ -20,13 +23,18 @@
             file: path.to_owned(),
             line: line_number(text, at),
             key: key_at(text, at),
-            problem: one_line(err.message()),
+            problem: problem(err.message()),
         }
     })
 }
 
-fn one_line(text: &str) -> String {
-    text.lines().map(str::trim).collect::<Vec<_>>().join(" ")
+/// The parser's message on one line, with the expected form where the parser does not say it.
+fn problem(message: &str) -> String {
+    let text = message.lines().map(str::trim).collect::<Vec<_>>().join(" ");
+    if text == BAD_ADDRESS {
+        return format!("{text}; expected an IP address and a port, such as \"127.0.0.1:7000\"");
+    }
+    text
 }
 
 fn line_number(text: &str, at: usize) -> usize {
--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -115,5 +115,6 @@
 
 /// Ids separated by commas, for messages.
 pub(crate) fn listed<T: ToString>(ids: impl Iterator<Item = T>) -> String {
-    ids.map(|id| id.to_string()).collect::<Vec<_>>().join(", ")
+    let ids: Vec<String> = ids.map(|id| id.to_string()).collect();
+    if ids.is_empty() { "none".to_owned() } else { ids.join(", ") }
 }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -46,6 +46,19 @@
     }
 }
 
+/// Address of a host.
+#[derive(Clone, Copy, Debug)]
+pub struct Address(pub SocketAddr);
+
+impl FromStr for Address {
+    type Err = String;
+
+    fn from_str(text: &str) -> Result<Self, String> {
+        let expected = "expected an IP address and a port, such as 10.0.0.1:7003";
+        text.parse().map(Self).map_err(|_| expected.to_owned())
+    }
+}
+
 /// Output format of a command.
 #[derive(Bpaf, Clone, Copy, Debug)]
 pub struct Output {
@@ -59,7 +72,7 @@
 pub struct Target {
     /// Operator address of any host
     #[bpaf(argument("ADDR"), env("WIGEONRAMP_HOST"))]
-    pub host: SocketAddr,
+    pub host: Address,
 }
 
 /// Where a plan is written.
@@ -98,10 +111,10 @@
     pub request_id: Option<RequestId>,
     /// Caller address of the entry host; asked for at the operator host if absent
     #[bpaf(argument("ADDR"))]
-    pub entry: Option<SocketAddr>,
+    pub entry: Option<Address>,
     /// Operator address of any host; needed without --entry
     #[bpaf(argument("ADDR"), env("WIGEONRAMP_HOST"))]
-    pub host: Option<SocketAddr>,
+    pub host: Option<Address>,
 }
 
 /// Which events to print.
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -11,7 +11,7 @@
 pub fn run(file: &Path) -> Result<Outcome, Failure> {
     match SettingsFile::load(file).map_err(|err| Failure::Usage(err.to_string()))? {
         SettingsFile::Host(settings) => Ok(host(file, &settings)),
-        SettingsFile::Deployment(deployment) => deployed(file, &deployment),
+        SettingsFile::Deployment(deployment) => Ok(deployed(file, &deployment)),
     }
 }
 
@@ -22,9 +22,8 @@
     Outcome::new(Status::Done, text, &json)
 }
 
-fn deployed(file: &Path, deployment: &Deployment) -> Result<Outcome, Failure> {
+fn deployed(file: &Path, deployment: &Deployment) -> Outcome {
     let document = deployment.expand();
-    document.check().map_err(|problem| Failure::Usage(problem.in_file(file).to_string()))?;
     let (zones, leaves) = (document.zones.len(), document.leaves.len());
     let (collections, callers) = (document.collections.len(), document.callers.len());
     let slots = document.capacity();
@@ -44,5 +43,5 @@
         "callers": callers,
         "digest": digest,
     });
-    Ok(Outcome::new(Status::Done, text, &json))
+    Outcome::new(Status::Done, text, &json)
 }
--- a/src/cmd/confirm.rs
+++ b/src/cmd/confirm.rs
@@ -16,17 +16,26 @@
 pub fn run(target: Target, file: &Path) -> Result<Outcome, Failure> {
     let plan = plan::read(file)?;
     let answer: Result<ConfirmAnswer, CallError> =
-        Client::operator(target.host).post(CONFIRM_PATH, &ConfirmRequest { plan });
+        Client::operator(target.host.0).post(CONFIRM_PATH, &ConfirmRequest { plan });
     match answer {
-        Ok(answer) => Ok(Outcome::new(status(&answer), describe(&answer), &answer)),
+        Ok(answer) => Ok(outcome(&answer)),
         Err(err @ CallError::Lost { .. }) => Err(Failure::NotKnownYet {
             reason: err.to_string(),
-            command: format!("wigeonramp status --plan {} --host {}", file.display(), target.host),
+            command: format!(
+                "wigeonramp status --plan {} --host {}",
+                file.display(),
+                target.host.0
+            ),
         }),
         Err(err) => Err(Failure::Failed(format!("nothing changed: {err}"))),
     }
 }
 
+/// Text and exit code of a result.
+pub fn outcome(answer: &ConfirmAnswer) -> Outcome {
+    Outcome::new(status(answer), describe(answer), answer)
+}
+
 fn status(answer: &ConfirmAnswer) -> Status {
     match answer {
         ConfirmAnswer::InForce { .. } => Status::Done,
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -30,7 +30,8 @@
 pub fn make(target: Target, out: &PlanOut, intent: Intent) -> Result<Outcome, Failure> {
     let title = intent.to_string();
     let req = PlanRequest { intent };
-    let answer: Result<PlanAnswer, CallError> = Client::operator(target.host).post(PLAN_PATH, &req);
+    let answer: Result<PlanAnswer, CallError> =
+        Client::operator(target.host.0).post(PLAN_PATH, &req);
     let plan = answer.map_err(CallError::read_only)?;
     if plan.changes.is_empty() {
         let version = plan.base_version;
@@ -39,7 +40,7 @@
     }
     let file = write(out, &plan)?;
     let mut text = describe(&title, &plan);
-    let confirm = format!("wigeonramp confirm {} --host {}", file.display(), target.host);
+    let confirm = format!("wigeonramp confirm {} --host {}", file.display(), target.host.0);
     let _ = write!(text, "nothing has changed yet; to confirm: {confirm}");
     Ok(Outcome::new(Status::Done, text, &json!({ "file": file, "plan": plan })))
 }
@@ -91,7 +92,8 @@
 
 fn describe(title: &str, plan: &PlanAnswer) -> String {
     let PlanAnswer { id, base_version, base_digest, changes, cost, .. } = plan;
-    let mut text = format!("plan {id}: {title}\nbase: version {base_version}, {base_digest}\n");
+    let mut text =
+        format!("plan {id}: {title}\nbase: version {base_version}, digest {base_digest}\n");
     text.push_str("changes:\n");
     for change in changes {
         let _ = writeln!(text, "  {change}");
--- a/src/cmd/query.rs
+++ b/src/cmd/query.rs
@@ -49,6 +49,9 @@
     if args.timeout.as_millis() == 0 {
         return usage("--timeout: shorter than a millisecond; expected 1ms or more");
     }
+    if !args.token.chars().all(|c| c.is_ascii_graphic()) {
+        return usage("--token: not a token; expected printable ASCII characters without spaces");
+    }
     if args.non_idempotent && args.shard.is_none() {
         return usage("--non-idempotent: no shard; expected --shard with the only shard to ask");
     }
@@ -74,12 +77,12 @@
 /// Addresses to try, in order.
 fn addresses(args: &QueryArgs) -> Result<Vec<SocketAddr>, Failure> {
     if let Some(entry) = args.entry {
-        return Ok(vec![entry]);
+        return Ok(vec![entry.0]);
     }
     let Some(host) = args.host else {
         return Err(Failure::Usage("no entry host; expected --entry or --host".to_owned()));
     };
-    let status = status::read(&Client::operator(host)).map_err(CallError::read_only)?;
+    let status = status::read(&Client::operator(host.0)).map_err(CallError::read_only)?;
     let listed = status.hosts.iter().filter(|host| host.listed);
     let mut problems = Vec::new();
     for host in listed {
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         cli::Target,
-        cmd::plan,
+        cmd::{confirm, plan},
         http::{CallError, Client},
         outcome::{Failure, Outcome, Status},
     },
@@ -21,12 +21,16 @@
 /// Prints the status, or what became of the plan in `plan_file`.
 pub fn run(target: Target, plan_file: Option<&Path>) -> Result<Outcome, Failure> {
     let plan = plan_file.map(plan::read).transpose()?;
-    let status = read(&Client::operator(target.host)).map_err(CallError::read_only)?;
+    let status = read(&Client::operator(target.host.0)).map_err(CallError::read_only)?;
     let (Some(plan), Some(file)) = (plan, plan_file) else {
         return Ok(Outcome::new(Status::Done, describe(&status), &status));
     };
-    let again = format!("wigeonramp status --plan {} --host {}", file.display(), target.host);
-    Ok(of_plan(&plan, &status, again))
+    let again = format!("wigeonramp status --plan {} --host {}", file.display(), target.host.0);
+    let events = format!(
+        "wigeonramp timeline --config-version {} --host {}",
+        plan.target.version, target.host.0
+    );
+    Ok(confirm::outcome(&of_plan(&plan, &status, again, events)))
 }
 
 /// Reads the status of one host.
@@ -35,41 +39,42 @@
 }
 
 /// What the host's adopted version says about `plan`.
-fn of_plan(plan: &PlanAnswer, status: &StatusAnswer, command: String) -> Outcome {
+///
+/// A later version does not tell who wrote the plan's version; the events of its adoption do.
+fn of_plan(
+    plan: &PlanAnswer,
+    status: &StatusAnswer,
+    again: String,
+    events: String,
+) -> ConfirmAnswer {
     let wanted = plan.target.version;
-    let not_known = |reason: String| {
-        let text = format!("not known yet: {reason}\nto find out: {command}");
-        let answer = ConfirmAnswer::NotKnownYet { reason, command: command.clone() };
-        Outcome::new(Status::NotKnownYet, text, &answer)
-    };
+    let host = &status.host;
     let Some(found) = status.config_version else {
-        return not_known(format!("host {} has no configuration", status.host));
+        let reason = format!("host {host} has no configuration");
+        return ConfirmAnswer::NotKnownYet { reason, command: again };
     };
     match found.cmp(&wanted) {
-        Ordering::Less => not_known(format!("host {} has version {found}", status.host)),
-        Ordering::Greater => not_known(format!(
-            "host {} has version {found}, which no longer tells who wrote version {wanted}; \
-             compare the plan's changes with its configuration",
-            status.host
-        )),
+        Ordering::Less => {
+            let reason = format!("host {host} has version {found}, before {wanted}");
+            ConfirmAnswer::NotKnownYet { reason, command: again }
+        }
+        Ordering::Greater => {
+            let reason = format!("host {host} has version {found}, after {wanted}");
+            ConfirmAnswer::NotKnownYet { reason, command: events }
+        }
         Ordering::Equal if status.config_op.as_ref() == Some(&plan.id) => in_force(wanted, status),
         Ordering::Equal => {
             let reason = format!("another operation wrote version {wanted}");
-            let text = format!("refused, nothing changed: {reason}");
-            let answer = ConfirmAnswer::Refused { reason, current: Some(found) };
-            Outcome::new(Status::Failed, text, &answer)
+            ConfirmAnswer::Refused { reason, current: Some(found) }
         }
     }
 }
 
-fn in_force(version: ConfigVersion, status: &StatusAnswer) -> Outcome {
+fn in_force(version: ConfigVersion, status: &StatusAnswer) -> ConfirmAnswer {
     let adopted = |host: &&HostStatus| host.config_version >= Some(version);
     let (hosts, pending): (Vec<_>, Vec<_>) = status.hosts.iter().partition(adopted);
-    let text =
-        format!("version {version} is in force on {} of {} hosts", hosts.len(), status.hosts.len());
     let ids = |hosts: Vec<&HostStatus>| hosts.iter().map(|host| host.instance.host()).collect();
-    let answer = ConfirmAnswer::InForce { version, hosts: ids(hosts), pending: ids(pending) };
-    Outcome::new(Status::Done, text, &answer)
+    ConfirmAnswer::InForce { version, hosts: ids(hosts), pending: ids(pending) }
 }
 
 fn describe(status: &StatusAnswer) -> String {
--- a/src/cmd/timeline.rs
+++ b/src/cmd/timeline.rs
@@ -19,10 +19,10 @@
 /// Reads the timelines of all hosts that the first one names.
 pub fn run(target: Target, args: TimelineArgs) -> Result<Outcome, Failure> {
     let query = query(&args)?;
-    let first = Client::operator(target.host);
+    let first = Client::operator(target.host.0);
     let known = status::read(&first).map_err(CallError::read_only)?;
     let mut addresses: BTreeSet<_> = known.hosts.iter().map(|host| host.operator_address).collect();
-    addresses.insert(target.host);
+    addresses.insert(target.host.0);
     let addresses: Vec<_> = addresses.into_iter().collect();
     let (mut lists, mut problems) = (Vec::new(), Vec::new());
     for answer in read_all(&addresses, &query) {
--- a/src/http.rs
+++ b/src/http.rs
@@ -17,6 +17,7 @@
 /// Time to connect; a host on the same network answers in milliseconds.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(2);
 
+const JSON_TYPE: &str = "application/json";
 /// Longest answer in bytes; a full timeline exceeds the client's default of 10 MB.
 const MAX_ANSWER: u64 = 64 * 1024 * 1024;
 
@@ -112,7 +113,8 @@
         for (key, value) in self.headers() {
             req = req.header(key, value);
         }
-        answer(url, req.send_json(body))
+        let body = serde_json::to_vec(body).expect("requests serialize to JSON");
+        answer(url, req.content_type(JSON_TYPE).send(&body))
     }
 
     fn url(&self, path: &str) -> String {
@@ -180,7 +182,10 @@
 fn not_sent(err: &UreqError) -> bool {
     match err {
         UreqError::Timeout(Timeout::Connect | Timeout::Resolve) => true,
-        UreqError::ConnectionFailed | UreqError::HostNotFound | UreqError::BadUri(_) => true,
+        UreqError::ConnectionFailed
+        | UreqError::HostNotFound
+        | UreqError::BadUri(_)
+        | UreqError::Http(_) => true,
         UreqError::Io(err) => matches!(
             err.kind(),
             ErrorKind::ConnectionRefused
--- /dev/null
+++ b/tests/tool/query.rs
@@ -0,0 +1,79 @@
+//! Guards against queries that report a lost answer as failed, and against a second send of a
+//! non-idempotent request under another id.
+
+use {
+    crate::support::{Canned, Host, Scratch},
+    insta::assert_snapshot,
+    serde_json::json,
+};
+
+const QUERY: [&str; 6] = [
+    "query",
+    "--collection=quote-desk",
+    "--body={\"part\":7}",
+    "--caller=brazos-quotes",
+    "--token=demo",
+    "--request-id=1-a",
+];
+
+fn answer(outcome: serde_json::Value, done: bool) -> Canned {
+    let collections = json!([{
+        "collection": "quote-desk", "snapshot": 41, "map_version": 1,
+        "coverage": {
+            "covered": 1, "total": 2,
+            "missing": [{ "shard": "quote-desk/01", "reason": "deadline" }],
+        },
+        "parts": [{ "shard": "quote-desk/00", "rows": 3, "payload": "[1,2,3]" }],
+    }]);
+    let collections = if done { collections } else { json!([]) };
+    let body = json!({ "request_id": "1-a", "outcome": outcome, "collections": collections });
+    Canned::Answer(if done { 200 } else { 503 }, body.to_string())
+}
+
+#[test]
+fn each_outcome_has_its_text_and_exit_code() {
+    let scratch = Scratch::new();
+    let canned = [
+        answer(json!({ "kind": "done" }), true),
+        answer(json!({ "kind": "refused_not_run", "reason": "overload" }), false),
+        answer(json!({ "kind": "unknown", "reason": "the leaf gave no answer" }), false),
+        Canned::Answer(401, r#"{"error":"unknown token"}"#.to_owned()),
+        Canned::Lose,
+    ];
+    let mut table = String::new();
+    for canned in canned {
+        let host = Host::start(|_| vec![("/v1/query", canned)]);
+        let entry = format!("--entry={}", host.address);
+        let args = [&QUERY[..], &[&entry, "--non-idempotent", "--shard=quote-desk/00"]].concat();
+        table.push_str(&scratch.run(&args, &[host.address]));
+        assert_eq!(host.requests().len(), 1);
+    }
+    assert_snapshot!(table);
+}
+
+#[test]
+fn the_entry_host_is_found_through_any_host() {
+    let scratch = Scratch::new();
+    let host = Host::start(|at| {
+        let known = json!({
+            "instance": "gulf-00@b1", "zone": "gulf-a", "caller_address": at,
+            "operator_address": at, "listed": true, "leaving": false, "config_version": 1,
+        });
+        let status = json!({
+            "host": "gulf-00", "boot": "b1", "zone": "gulf-a", "state": "serving",
+            "config_version": 1, "config_op": "op-1", "config_digest": null,
+            "assignment_version": null, "session_ms": null, "store_contact_ms": null,
+            "hosts": [known], "leaves": [],
+        });
+        let entry = json!({ "addresses": [at], "lifetime_ms": 5000 });
+        vec![
+            ("/v1/status", Canned::Answer(200, status.to_string())),
+            ("/v1/entry", Canned::Answer(200, entry.to_string())),
+            ("/v1/query", answer(json!({ "kind": "done" }), true)),
+        ]
+    });
+    let at = format!("--host={}", host.address);
+    let output = scratch.run(&[&QUERY[..], &[&at, "--format=json"]].concat(), &[host.address]);
+    assert_snapshot!(output);
+    assert_snapshot!("requests", host.requests().join("\n"));
+}
