--- a/components/standin/src/leaves/counters.rs
+++ b/components/standin/src/leaves/counters.rs
@@ -31,12 +31,18 @@
     pub malformed: u64,
     /// Requests refused with 504 because their deadline had passed.
     pub past_deadline: u64,
-    /// Requests ended by `DELETE /search/<attempt>` or by the end of their connection.
+    /// Requests ended by `DELETE /search/<attempt>`.
     pub cancelled: u64,
+    /// Requests whose connection ended before their answer, by the sender or by a crash.
+    pub abandoned: u64,
     /// Requests that arrived and are not answered, now.
     pub in_flight: u64,
     /// Most requests that had arrived and were not answered.
     pub most_in_flight: u64,
+    /// Requests that wait for a slot, now.
+    pub waiting: u64,
+    /// Most slots in use at the same time, by requests and connects.
+    pub most_slots: u64,
     /// Connections accepted.
     pub connects: u64,
     /// Connections reset because of the connection cap.
--- a/components/standin/src/leaves/leaf.rs
+++ b/components/standin/src/leaves/leaf.rs
@@ -26,7 +26,9 @@
         time::sleep,
     },
     wigeonramp_config::LeafLimits,
-    wigeonramp_units::{BootId, Digest, LeafId, Percent, RequestId, SnapshotId, Span, ZoneId},
+    wigeonramp_units::{
+        BootId, Digest, LeafId, Percent, RequestId, SnapshotId, Span, UnixMillis, ZoneId,
+    },
 };
 
 /// One leaf behind its port.
@@ -49,12 +51,14 @@
     pub(crate) index: Index,
     pub(crate) previous: Option<Answered>,
     rng: ChaCha8Rng,
+    /// Start of the process; keeps boot ids new when the stand-in itself restarts.
+    process: UnixMillis,
     starts: u64,
     cold: Option<Cold>,
     waiting: usize,
     /// Crashes that wait for their restart; only the last one restarts the leaf.
     downs: u64,
-    running: HashMap<String, Arc<Notify>>,
+    attempts: HashMap<String, Arc<Notify>>,
 }
 
 /// What a leaf is started with.
@@ -105,11 +109,12 @@
             index,
             previous: None,
             rng: ChaCha8Rng::seed_from_u64(seed ^ Digest::of(id.as_str().as_bytes()).0),
+            process: unix_now(),
             starts: 1,
             cold: (!start_warm).then(|| Cold::start(now, Some(now))),
             waiting: 0,
             downs: 0,
-            running: HashMap::new(),
+            attempts: HashMap::new(),
         };
         let slots = Arc::new(Semaphore::new(limits.slots.get() as usize));
         Self { id, zone, limits, port, slots, state: Mutex::new(state) }
@@ -120,23 +125,23 @@
     }
 
     pub(crate) fn boot(&self) -> BootId {
-        boot_id(self.lock().starts)
+        self.lock().boot()
     }
 
     /// Counts a new connection; `false` if it is over the cap.
     pub(crate) fn count_connect(&self, open: usize) -> bool {
         let mut state = self.lock();
         state.refresh();
-        if open > self.limits.connections.get() as usize {
-            state.counters.connects_refused += 1;
-            return false;
-        }
-        state.counters.connects += 1;
-        state.counters.most_connections = state.counters.most_connections.max(open as u64);
         let State { cold, counters, .. } = &mut *state;
         if let Some(cold) = cold {
             cold.connected(&mut Load { now: Instant::now(), limits: &self.limits, counters });
         }
+        if open > self.limits.connections.get() as usize {
+            counters.connects_refused += 1;
+            return false;
+        }
+        counters.connects += 1;
+        counters.most_connections = counters.most_connections.max(open as u64);
         true
     }
 
@@ -177,11 +182,14 @@
         self.slots.clone().acquire_owned().await.ok()
     }
 
-    /// Counts a run and returns its duration and what ends it early.
-    pub(crate) fn run(self: &Arc<Self>, id: &RequestId, attempt: &str) -> Run {
+    /// Counts a run and returns how long it takes.
+    pub(crate) fn count_run(&self, id: &RequestId) -> Span {
         let mut state = self.lock();
         state.refresh();
         state.counters.count_run(id);
+        let used =
+            (self.limits.slots.get() as usize).saturating_sub(self.slots.available_permits());
+        state.counters.most_slots = state.counters.most_slots.max(used as u64);
         let State { settings, rng, faults, .. } = &mut *state;
         let mut time = settings.service.draw(rng);
         for (percent, factor) in [
@@ -192,15 +200,19 @@
                 time = time * u64::from(factor);
             }
         }
-        let time = state.slowed(time);
+        state.slowed(time)
+    }
+
+    /// Makes the attempt known to `cancel` until the mark is dropped.
+    pub(crate) fn register(self: &Arc<Self>, attempt: &str) -> Running {
         let cancelled = Arc::new(Notify::new());
-        state.running.insert(attempt.to_owned(), cancelled.clone());
-        Run { leaf: self.clone(), attempt: attempt.to_owned(), time, cancelled }
+        self.lock().attempts.insert(attempt.to_owned(), cancelled.clone());
+        Running { leaf: self.clone(), attempt: attempt.to_owned(), cancelled }
     }
 
-    /// Ends the attempt if it runs here.
+    /// Ends the attempt if it waits or runs here.
     pub(crate) fn cancel(&self, attempt: &str) -> bool {
-        match self.lock().running.get(attempt) {
+        match self.lock().attempts.get(attempt) {
             Some(cancelled) => {
                 cancelled.notify_one();
                 true
@@ -226,7 +238,7 @@
             LeafFault::AddSnapshot { snapshot, map_version, shards } => {
                 self.lock().index.add(*snapshot, *map_version, shards.clone());
             }
-            LeafFault::TurnCold { break_connections } => self.turn_cold(*break_connections),
+            LeafFault::TurnCold { break_connections } => self.turn_cold(*break_connections).await,
             LeafFault::Listener { open } => self.port.set_open(*open).await,
             _ => {}
         }
@@ -241,28 +253,31 @@
             state.downs
         };
         self.port.set_open(false).await;
-        self.port.reset_all();
+        self.port.reset_all().await;
         let leaf = self.clone();
         tokio::spawn(async move {
             sleep(down.to_duration()).await;
             if leaf.lock().downs == crash {
-                leaf.turn_cold(true);
+                leaf.turn_cold(true).await;
                 leaf.port.set_open(true).await;
             }
         });
     }
 
-    fn turn_cold(&self, break_connections: bool) {
+    async fn turn_cold(&self, break_connections: bool) {
+        self.start_cold(break_connections);
+        if break_connections {
+            self.port.reset_all().await;
+        }
+    }
+
+    fn start_cold(&self, announced: bool) {
         let mut state = self.lock();
         let now = Instant::now();
         let grace = state.settings.announce_grace.to_duration();
         state.starts += 1;
         state.counters.cold_starts += 1;
-        state.cold = Some(Cold::start(now, break_connections.then(|| now + grace)));
-        drop(state);
-        if break_connections {
-            self.port.reset_all();
-        }
+        state.cold = Some(Cold::start(now, announced.then(|| now + grace)));
     }
 
     pub(crate) fn health(&self) -> Health {
@@ -277,26 +292,25 @@
             HealthReport::AlwaysWell => (false, false, Percent(0)),
             HealthReport::AlwaysIll => (true, false, Percent(100)),
         };
-        Health {
-            boot: boot_id(state.starts),
-            cold,
-            leaving,
-            load,
-            snapshots: state.index.snapshots(),
-        }
+        Health { boot: state.boot(), cold, leaving, load, snapshots: state.index.snapshots() }
     }
 
     pub(crate) fn status(&self) -> LeafStatus {
         let mut state = self.lock();
         state.refresh();
         let mut counters = state.counters.clone();
+        counters.waiting = state.waiting as u64;
         counters.open_connections = self.port.open_connections() as u64;
-        let (boot, cold) = (boot_id(state.starts), state.cold.is_some());
+        let (boot, cold) = (state.boot(), state.cold.is_some());
         LeafStatus { leaf: self.id.clone(), boot, cold, counters }
     }
 }
 
 impl State {
+    fn boot(&self) -> BootId {
+        boot_id(self.process, self.starts)
+    }
+
     /// Ends the cold state when it is over.
     fn refresh(&mut self) {
         let over = |cold: &Cold| cold.is_over(&self.settings, Instant::now());
@@ -332,7 +346,7 @@
     fn drop(&mut self) {
         let mut state = self.leaf.lock();
         state.counters.in_flight = state.counters.in_flight.saturating_sub(1);
-        state.counters.cancelled += u64::from(!self.answered);
+        state.counters.abandoned += u64::from(!self.answered);
         if self.start == state.starts
             && let Some(cold) = state.cold.as_mut()
         {
@@ -341,27 +355,28 @@
     }
 }
 
-/// A request in its slot.
-pub(crate) struct Run {
+/// Marks an attempt that waits or runs.
+pub(crate) struct Running {
     leaf: Arc<Leaf>,
     attempt: String,
-    time: Span,
     cancelled: Arc<Notify>,
 }
 
-impl Run {
-    /// Runs to the end; `false` if the attempt was cancelled.
-    pub(crate) async fn finish(self) -> bool {
-        tokio::select! {
-            () = sleep(self.time.to_duration()) => true,
-            () = self.cancelled.notified() => false,
-        }
+impl Running {
+    /// Returns when the attempt is cancelled.
+    pub(crate) async fn cancelled(&self) {
+        self.cancelled.notified().await;
     }
 }
 
-impl Drop for Run {
+impl Drop for Running {
     fn drop(&mut self) {
-        self.leaf.lock().running.remove(&self.attempt);
+        let mut state = self.leaf.lock();
+        // Another sender may have used the same attempt id since.
+        let own = state.attempts.get(&self.attempt);
+        if own.is_some_and(|own| Arc::ptr_eq(own, &self.cancelled)) {
+            state.attempts.remove(&self.attempt);
+        }
     }
 }
 
@@ -378,8 +393,8 @@
     percent.get() > 0 && rng.random_range(0..100) < percent.get()
 }
 
-fn boot_id(starts: u64) -> BootId {
-    match format!("boot-{starts}").parse() {
+fn boot_id(process: UnixMillis, starts: u64) -> BootId {
+    match format!("boot-{process}-{starts}").parse() {
         Ok(boot) => boot,
         Err(err) => unreachable!("boot ids are well formed: {err}"),
     }
--- a/components/standin/src/leaves/search.rs
+++ b/components/standin/src/leaves/search.rs
@@ -108,17 +108,14 @@
         match self.run_search(&search).await {
             Ok(answered) => self.send(conn, in_flight, answered).await,
             Err(refusal) => {
-                // Dropping the mark unanswered counts the cancellation.
-                if !matches!(refusal, Refusal::Cancelled) {
-                    in_flight.answered(false);
-                }
+                in_flight.answered(false);
                 self.refuse(&refusal)
             }
         }
     }
 
     async fn run_search(self: &Arc<Self>, search: &Search) -> Result<Answered, Refusal> {
-        let Identity { member, snapshot, map_version, shard, attempt } = &search.identity;
+        let Identity { snapshot, map_version, shard, attempt, .. } = &search.identity;
         if self.lock().faults.leaving {
             return Err(Refusal::Leaving);
         }
@@ -131,16 +128,23 @@
         if !self.lock().index.holds(*snapshot, *map_version, shard) {
             return Err(Refusal::LostSnapshot);
         }
+        let running = self.register(attempt);
+        tokio::select! {
+            ran = self.run_in_slot(search) => ran,
+            () = running.cancelled() => Err(Refusal::Cancelled),
+        }
+    }
+
+    async fn run_in_slot(self: &Arc<Self>, search: &Search) -> Result<Answered, Refusal> {
         let slot = self.slot().await.ok_or(Refusal::Shed)?;
         if search.deadline <= unix_now() {
             return Err(Refusal::PastDeadline);
         }
-        let run = self.run(&search.request, attempt);
+        let time = self.count_run(&search.request);
         self.crash_if_told(&search.body).await;
-        if !run.finish().await {
-            return Err(Refusal::Cancelled);
-        }
+        sleep(time.to_duration()).await;
         drop(slot);
+        let Identity { member, snapshot, shard, .. } = &search.identity;
         let source = RowSource { shard, member, snapshot: *snapshot, body: &search.body };
         let count = self.lock().settings.rows;
         let body = serde_json::to_vec(&Rows::of(source, count)).unwrap_or_default();
@@ -225,7 +229,10 @@
                 counters.past_deadline += 1;
                 status(StatusCode::GATEWAY_TIMEOUT, "past the deadline")
             }
-            Refusal::Cancelled => status(cancelled_status(), "cancelled"),
+            Refusal::Cancelled => {
+                counters.cancelled += 1;
+                status(cancelled_status(), "cancelled")
+            }
             Refusal::LostSnapshot => {
                 counters.lost_snapshot += 1;
                 let held = state.index.snapshots();
@@ -245,6 +252,8 @@
 
 async fn read(req: Request<Incoming>) -> Result<Search, Refused> {
     let (parts, body) = req.into_parts();
+    // hyper closes a connection that is answered before its request body was read.
+    let body = body_within(body, MAX_BODY_BYTES).await?;
     let headers = &parts.headers;
     let request = header(headers, "x-request-id")?;
     let deadline = header(headers, "x-deadline-ms")?;
@@ -255,14 +264,15 @@
         shard: header(headers, "x-shard")?,
         attempt: header(headers, "x-attempt")?,
     };
-    let body = body_within(body, MAX_BODY_BYTES).await?;
     Ok(Search { request, deadline, identity, body })
 }
 
 fn header<T: FromStr>(headers: &HeaderMap, name: &'static str) -> Result<T, Refused> {
-    let text = headers.get(name).and_then(|value| value.to_str().ok());
-    let value = text.and_then(|text| text.parse().ok());
-    value.ok_or_else(|| Refused::malformed(format!("header {name} is missing or not valid")))
+    let mut values = headers.get_all(name).iter();
+    let text = values.next().and_then(|value| value.to_str().ok());
+    let value = text.and_then(|text| text.parse().ok()).filter(|_| values.next().is_none());
+    let reason = || format!("header {name}: expected one valid value");
+    value.ok_or_else(|| Refused::malformed(reason()))
 }
 
 fn set(answer: &mut Response<Payload>, name: &'static str, value: impl Display) {
--- a/components/standin/src/net/payload.rs
+++ b/components/standin/src/net/payload.rs
@@ -16,19 +16,22 @@
     rest: Option<Bytes>,
     announced: u64,
     truncated: bool,
+    flushed: bool,
 }
 
 impl Payload {
     pub(crate) fn whole(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
         let announced = bytes.len() as u64;
-        Self { rest: Some(bytes).filter(|bytes| !bytes.is_empty()), announced, truncated: false }
+        let rest = Some(bytes).filter(|bytes| !bytes.is_empty());
+        Self { rest, announced, truncated: false, flushed: false }
     }
 
     pub(crate) fn truncated(bytes: impl Into<Bytes>) -> Self {
         let bytes = bytes.into();
         let announced = bytes.len() as u64;
-        Self { rest: Some(bytes.slice(..bytes.len() / 2)), announced, truncated: true }
+        let rest = Some(bytes.slice(..bytes.len() / 2));
+        Self { rest, announced, truncated: true, flushed: false }
     }
 }
 
@@ -38,12 +41,18 @@
 
     fn poll_frame(
         mut self: Pin<&mut Self>,
-        _: &mut Context<'_>,
+        cx: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, Error>>> {
         if let Some(bytes) = self.rest.take() {
             self.announced -= bytes.len() as u64;
             return Poll::Ready(Some(Ok(Frame::data(bytes))));
         }
+        if self.truncated && !self.flushed {
+            // hyper writes its buffer out when the body is not ready; an error would discard it.
+            self.flushed = true;
+            cx.waker().wake_by_ref();
+            return Poll::Pending;
+        }
         if self.truncated {
             return Poll::Ready(Some(Err(Error::new(ErrorKind::UnexpectedEof, "truncated"))));
         }
--- a/components/standin/src/net/port.rs
+++ b/components/standin/src/net/port.rs
@@ -48,6 +48,8 @@
     _reserved: TcpSocket,
     wanted: Sender<bool>,
     actual: Sender<bool>,
+    /// Notified whenever a connection is closed.
+    closed: Sender<()>,
     conns: Mutex<Conns>,
 }
 
@@ -75,6 +77,7 @@
             _reserved: reserved,
             wanted: Sender::new(true),
             actual: Sender::new(false),
+            closed: Sender::new(()),
             conns: Mutex::default(),
         }))
     }
@@ -98,8 +101,17 @@
         let _ = self.actual.subscribe().wait_for(|actual| *actual == open).await;
     }
 
-    pub(crate) fn reset_all(&self) {
-        self.conns().open.values().for_each(|conn| conn.reset());
+    /// Resets the connections that are open now; returns once they are closed.
+    pub(crate) async fn reset_all(&self) {
+        let mut closed = self.closed.subscribe();
+        let ids: Vec<u64> = {
+            let conns = self.conns();
+            conns.open.values().for_each(|conn| conn.reset());
+            conns.open.keys().copied().collect()
+        };
+        let gone = |_: &()| ids.iter().all(|id| !self.conns().open.contains_key(id));
+        // Fails only if the sender is gone, which `self` owns.
+        let _ = closed.wait_for(gone).await;
     }
 
     pub(crate) fn silence_all(&self) {
@@ -199,4 +211,5 @@
         () = conn.ended() => {}
     }
     port.conns().open.remove(&added.id);
+    port.closed.send_replace(());
 }
--- a/components/standin/src/platform/api.rs
+++ b/components/standin/src/platform/api.rs
@@ -146,7 +146,7 @@
                 self.lock().faults.outage = Some(mode);
                 self.port.set_open(mode != OutageMode::Refuse).await;
                 if mode == OutageMode::Refuse {
-                    self.port.reset_all();
+                    self.port.reset_all().await;
                 }
             }
             PlatformFault::Slow { by } => self.lock().faults.slow = by,
--- /dev/null
+++ b/components/standin/tests/platform.rs
@@ -0,0 +1,231 @@
+//! The platform's faults as `HttpStore` reports them, and its protocol beyond the client.
+
+use {
+    insta::{assert_json_snapshot, assert_snapshot},
+    std::{
+        fmt::Write,
+        thread::{spawn, yield_now},
+        time::{Duration, Instant},
+    },
+    ureq::Agent,
+    wigeonramp_standin::platform::{
+        OutageMode, Platform, PlatformCounters, PlatformFault, PlatformOptions, start,
+    },
+    wigeonramp_store::{
+        Fetched, HttpStore, HttpStoreTimes, ObjectStore, PlatformHost, Precondition, Put,
+        StoreError,
+    },
+    wigeonramp_units::{Revision, Span},
+};
+
+fn platform() -> Platform {
+    start(&PlatformOptions::default()).expect("platform")
+}
+
+fn store(platform: &Platform) -> HttpStore {
+    let times = HttpStoreTimes { connect: Span::secs(20), call: Span::secs(20) };
+    HttpStore::new(platform.address(), times)
+}
+
+/// A client that gives up early on calls that are meant to stay unanswered.
+fn impatient(platform: &Platform) -> HttpStore {
+    let times = HttpStoreTimes { connect: Span::secs(2), call: Span::millis(400) };
+    HttpStore::new(platform.address(), times)
+}
+
+/// A client with an open connection; impatient if its next call is meant to stay unanswered.
+fn connected(platform: &Platform, unanswered: bool) -> HttpStore {
+    let store = if unanswered { impatient(platform) } else { store(platform) };
+    // On a busy machine the impatient client may give up on a good answer.
+    while store.get("k").is_err() {}
+    store
+}
+
+/// A fault and which calls under it stay unanswered.
+struct Case {
+    fault: PlatformFault,
+    put: bool,
+    get: bool,
+    watch: bool,
+}
+
+fn case(fault: PlatformFault, [put, get, watch]: [bool; 3]) -> Case {
+    Case { fault, put, get, watch }
+}
+
+fn client() -> Agent {
+    Agent::config_builder().http_status_as_error(false).proxy(None).build().new_agent()
+}
+
+fn kind<T>(result: &Result<T, StoreError>) -> &'static str {
+    match result {
+        Ok(_) => "ok",
+        Err(StoreError::Refused { .. }) => "refused",
+        Err(StoreError::Unavailable { .. }) => "unavailable",
+        Err(StoreError::Unknown { .. }) => "unknown",
+        Err(StoreError::Malformed { .. }) => "malformed",
+    }
+}
+
+fn body(platform: &Platform, key: &str) -> Option<String> {
+    match platform.content().get(key) {
+        Ok(Fetched::Found(object)) => Some(object.body),
+        _ => None,
+    }
+}
+
+/// Guards against a fault that is reported as another outcome, that lets a write through or stops
+/// it against its description, or that `clear` leaves on.
+#[test]
+fn faults_show_as_the_right_errors() {
+    let (none, all, watch) = ([false; 3], [true; 3], [false, false, true]);
+    let cases = [
+        case(PlatformFault::Outage { mode: OutageMode::Refuse }, none),
+        case(PlatformFault::Outage { mode: OutageMode::Hang }, all),
+        case(PlatformFault::Outage { mode: OutageMode::Unavailable }, none),
+        case(PlatformFault::Slow { by: Span::secs(60) }, all),
+        case(PlatformFault::LostAnswers { writes: 1 }, none),
+        case(PlatformFault::SilentWatch { on: true }, watch),
+        case(PlatformFault::SilentConnections {}, all),
+    ];
+    let mut table = String::new();
+    for Case { fault, put, get, watch } in cases {
+        let platform = platform();
+        let [writer, reader, watcher] =
+            [put, get, watch].map(|unanswered| connected(&platform, unanswered));
+        platform.fault(&fault);
+        let put = writer.put("k", "v", Precondition::Create);
+        let written = body(&platform, "k").is_some();
+        let get = reader.get("k");
+        let watch = watcher.watch("k", Revision(9), Span::millis(1));
+        platform.fault(&PlatformFault::Clear {});
+        let after = store(&platform).get("k");
+        let name = serde_json::to_string(&fault).expect("fault");
+        let [put, get, watch, after] = [kind(&put), kind(&get), kind(&watch), kind(&after)];
+        writeln!(
+            table,
+            "{name}: put {put}, written {written}, get {get}, watch {watch}, cleared {after}"
+        )
+        .expect("write");
+    }
+    assert_snapshot!(table);
+}
+
+/// Guards against stale reads that also make conditional writes compare with the old content.
+#[test]
+fn stale_reads_leave_writes_current() {
+    let platform = platform();
+    let store = store(&platform);
+    store.put("k", "old", Precondition::Create).expect("create");
+    platform.fault(&PlatformFault::StaleReads { on: true });
+    let put = store.put("k", "new", Precondition::Revision(Revision(1)));
+    assert_eq!(put, Ok(Put::Written(Revision(2))));
+    let Ok(Fetched::Found(stale)) = store.get("k") else { panic!("no object") };
+    assert_eq!(stale.body, "old");
+    platform.fault(&PlatformFault::StaleReads { on: false });
+    let Ok(Fetched::Found(fresh)) = store.get("k") else { panic!("no object") };
+    assert_eq!(fresh.body, "new");
+}
+
+/// Guards against a watch that waits although its key changed, and against many waiting watches
+/// that keep other calls from being served.
+#[test]
+fn writes_wake_many_waiting_watches() {
+    const WATCHES: u64 = 64;
+    let platform = platform();
+    let watchers: Vec<_> = (0..WATCHES)
+        .map(|_| {
+            let store = store(&platform);
+            spawn(move || store.watch("config/", Revision(0), Span::secs(30)))
+        })
+        .collect();
+    let start = Instant::now();
+    while platform.counters().watch < WATCHES {
+        assert!(start.elapsed() < Duration::from_secs(20), "watches did not arrive");
+        yield_now();
+    }
+    let store = store(&platform);
+    store.put("other", "{}", Precondition::Create).expect("other");
+    store.put("config/current", "{}", Precondition::Create).expect("create");
+    for watcher in watchers {
+        let changes = watcher.join().expect("thread").expect("watch");
+        assert_eq!(changes.len(), 1);
+        assert_eq!(changes[0].revision, Revision(2));
+    }
+    assert!(start.elapsed() < Duration::from_secs(30), "watches waited to their end");
+}
+
+/// Guards against a host list that shows changes at once although it must lag.
+#[test]
+fn host_list_lags() {
+    let lag = Span::secs(3600);
+    let options = PlatformOptions { hosts_lag: lag, ..PlatformOptions::default() };
+    let lagging = start(&options).expect("platform");
+    let prompt = platform();
+    let row = r#"[{"host":"h1","zone":"z1","address":"127.0.0.1:1","leaving":false}]"#;
+    for platform in [&lagging, &prompt] {
+        let url = format!("http://{}/v1/hosts", platform.address());
+        assert_eq!(client().post(url).send(row).expect("post").status(), 204);
+    }
+    let expected: Vec<PlatformHost> = serde_json::from_str(row).expect("row");
+    assert_eq!(store(&lagging).hosts(), Ok(Vec::new()));
+    assert_eq!(store(&prompt).hosts(), Ok(expected));
+}
+
+/// Guards against writes without a condition, oversized values and malformed calls that are
+/// accepted.
+#[test]
+fn api_refuses_what_the_protocol_forbids() {
+    let platform = platform();
+    let base = format!("http://{}/v1", platform.address());
+    let put = |key: &str, header: (&str, &str), body: &[u8]| {
+        let req = client().put(format!("{base}/objects/{key}")).header(header.0, header.1);
+        req.send(body).expect("answer").status().as_u16()
+    };
+    let get = |path: &str| {
+        client().get(format!("{base}/{path}")).call().expect("answer").status().as_u16()
+    };
+    let limit = 1024 * 1024;
+    let statuses = [
+        ("no condition", put("k", ("x-other", "1"), b"v")),
+        ("bare revision", put("k", ("if-match", "1"), b"v")),
+        ("bad if-none-match", put("k", ("if-none-match", "\"1\""), b"v")),
+        ("not UTF-8", put("k", ("if-none-match", "*"), b"\xff")),
+        ("not a key", put("a%20b", ("if-none-match", "*"), b"v")),
+        ("1 MiB", put("k", ("if-none-match", "*"), &vec![b'x'; limit])),
+        ("over 1 MiB", put("l", ("if-none-match", "*"), &vec![b'x'; limit + 1])),
+        ("false condition", put("k", ("if-match", "\"9\""), b"v")),
+        ("missing object", get("objects/none")),
+        ("watch without after", get("watch?prefix=k&wait_ms=1")),
+        ("unknown path", get("unknown")),
+    ];
+    assert_json_snapshot!(statuses);
+}
+
+/// Guards against calls that are counted under the wrong kind, and unknown control requests.
+#[test]
+fn control_counts_calls_and_refuses_unknown_faults() {
+    let platform = platform();
+    let store = store(&platform);
+    store.get("k").expect("get");
+    store.list("k").expect("list");
+    store.put("k", "v", Precondition::Create).expect("put");
+    store.put("k", "v", Precondition::Create).expect("conflict");
+    store.delete("k", Revision(1)).expect("delete");
+    store.watch("k", Revision(0), Span::ZERO).expect("watch");
+    store.hosts().expect("hosts");
+    let control = platform.ready().control;
+    let mut answer = client().get(format!("http://{control}/counters")).call().expect("counters");
+    let text = answer.body_mut().read_to_string().expect("text");
+    let counters: PlatformCounters = serde_json::from_str(&text).expect("counters");
+    assert_json_snapshot!("platform_counters", counters);
+    let post = |body: &str| {
+        let url = format!("http://{control}/faults");
+        client().post(url).send(body).expect("answer").status().as_u16()
+    };
+    assert_eq!(post(r#"{"kind":"outage","mode":"unavailable"}"#), 204);
+    assert!(matches!(store.get("k"), Err(StoreError::Unavailable { .. })));
+    assert_eq!(post(r#"{"kind":"clear"}"#), 204);
+    assert_eq!(post(r#"{"kind":"clear","mode":"hang"}"#), 400);
+    assert_eq!(post(r#"{"kind":"slow","by":"soon"}"#), 400);
+}
--- a/components/store/src/http.rs
+++ b/components/store/src/http.rs
@@ -78,7 +78,10 @@
         let answer = req.call().map_err(|err| call_error(key, err))?;
         match answer.status() {
             StatusCode::OK => read(key, answer).map(Fetched::Found),
-            StatusCode::NOT_FOUND => Ok(Fetched::Missing),
+            StatusCode::NOT_FOUND => {
+                discard_body(answer);
+                Ok(Fetched::Missing)
+            }
             _ => Err(status_error(key, answer)),
         }
     }
@@ -107,6 +110,7 @@
         let req = self.limit(req, Span::ZERO);
         let answer = req.call().map_err(|err| call_error(key, err))?;
         if answer.status() == StatusCode::NOT_FOUND {
+            discard_body(answer);
             return Ok(Put::Conflict(None));
         }
         written(key, answer)
@@ -133,6 +137,12 @@
     format!("\"{revision}\"")
 }
 
+/// Reads the body to its end; ureq closes a connection whose answer is not read.
+fn discard_body(mut answer: Answer) {
+    // The status alone decides the outcome.
+    let _ = answer.body_mut().read_to_vec();
+}
+
 fn written(key: &str, answer: Answer) -> Result<Put, StoreError> {
     match answer.status() {
         StatusCode::OK | StatusCode::CREATED => {
--- /dev/null
+++ b/components/store/tests/memory.rs
@@ -0,0 +1,91 @@
+//! Faults of the in-memory store: each error must say truly whether the write took effect.
+
+use {
+    std::thread::spawn,
+    wigeonramp_store::{Fetched, MemoryStore, ObjectStore, Precondition, Put, StoreError},
+    wigeonramp_units::{Revision, Span},
+};
+
+const KEY: &str = "config/current";
+
+fn body(store: &MemoryStore) -> Option<String> {
+    match store.get(KEY) {
+        Ok(Fetched::Found(object)) => Some(object.body),
+        Ok(Fetched::Missing) => None,
+        Err(err) => panic!("get: {err}"),
+    }
+}
+
+fn create(store: &MemoryStore) -> Result<Put, StoreError> {
+    store.put(KEY, "{}", Precondition::Create)
+}
+
+/// Guards against a down store that still applies writes.
+#[test]
+fn down_changes_nothing() {
+    let store = MemoryStore::new();
+    store.set_down(true);
+    assert!(matches!(create(&store), Err(StoreError::Unavailable { .. })));
+    assert!(matches!(store.list(""), Err(StoreError::Unavailable { .. })));
+    store.set_down(false);
+    assert_eq!(body(&store), None);
+    assert_eq!(store.calls(), 3);
+}
+
+/// Guards against a lost answer that is reported as a failed write, or lost more than once.
+#[test]
+fn lost_answer_means_written() {
+    let store = MemoryStore::new();
+    store.lose_answers(1);
+    assert!(matches!(create(&store), Err(StoreError::Unknown { .. })));
+    assert_eq!(body(&store).as_deref(), Some("{}"));
+    let put = store.put(KEY, "[]", Precondition::Revision(Revision(1)));
+    assert_eq!(put, Ok(Put::Written(Revision(2))));
+}
+
+/// Guards against stale reads that also make conditional writes compare with the old content.
+#[test]
+fn stale_reads_leave_writes_current() {
+    let store = MemoryStore::new();
+    create(&store).expect("create");
+    store.set_stale_reads(true);
+    let put = store.put(KEY, "[]", Precondition::Revision(Revision(1)));
+    assert_eq!(put, Ok(Put::Written(Revision(2))));
+    assert_eq!(body(&store).as_deref(), Some("{}"));
+    store.set_stale_reads(false);
+    assert_eq!(body(&store).as_deref(), Some("[]"));
+}
+
+/// Guards against a slow write that takes effect at once or never.
+#[test]
+fn slow_write_takes_effect_later() {
+    let store = MemoryStore::new();
+    store.set_slow(Some(2));
+    assert!(matches!(create(&store), Err(StoreError::Unknown { .. })));
+    assert_eq!(store.revision(), Revision(0));
+    assert!(matches!(store.get(KEY), Err(StoreError::Unknown { .. })));
+    assert_eq!(store.revision(), Revision(0));
+    assert!(matches!(store.get(KEY), Err(StoreError::Unknown { .. })));
+    assert_eq!(store.revision(), Revision(1));
+}
+
+/// Guards against slow writes that are forgotten when the store recovers.
+#[test]
+fn slow_writes_are_applied_at_recovery() {
+    let store = MemoryStore::new();
+    store.set_slow(Some(1_000));
+    assert!(create(&store).is_err());
+    store.set_slow(None);
+    assert_eq!(body(&store).as_deref(), Some("{}"));
+}
+
+/// Guards against a watch on a clone that misses writes through another clone.
+#[test]
+fn watch_wakes_on_writes_of_clones() {
+    let store = MemoryStore::new();
+    let writer = store.clone();
+    let watcher = spawn(move || store.watch("config/", Revision(0), Span::secs(10)));
+    create(&writer).expect("create");
+    let changes = watcher.join().expect("watcher").expect("watch");
+    assert_eq!(changes.len(), 1);
+}
