Add fault tables and random event sequences for the upstream

The random sequences found that a reset raised a halved allowance back to the cold one; going cold now only lowers it. A warm leaf whose rate is halved keeps half of the new rate free, so that its probe is not delayed.

--- a/components/serving/src/quarantine.rs
+++ b/components/serving/src/quarantine.rs
@@ -32,14 +32,21 @@
 pub struct SharedSuspect {
     /// The request.
     pub fingerprint: Fingerprint,
-    /// Leaves that reset while it ran; two or more mean quarantined.
+    /// Leaves that reset while it ran.
     pub leaves: Vec<LeafId>,
+    /// Whether it ran alone at one of them. A sender that does not say so is taken at its worst.
+    #[serde(default = "unknown_is_proven")]
+    pub proven: bool,
     /// Time until the entry expires.
     pub expires_in: Span,
     /// Whether the request has succeeded since.
     pub cleared: bool,
 }
 
+const fn unknown_is_proven() -> bool {
+    true
+}
+
 #[derive(Clone, Debug)]
 struct Entry {
     leaves: Vec<LeafId>,
@@ -109,14 +116,12 @@
     /// Entries for a heartbeat.
     pub fn share(&mut self, now: Instant) -> Vec<SharedSuspect> {
         self.expire(now);
-        let share = |(fingerprint, entry): (&Fingerprint, &Entry)| {
-            let counted = if entry.is_quarantined() { entry.leaves.len() } else { 1 };
-            SharedSuspect {
-                fingerprint: *fingerprint,
-                leaves: entry.leaves.iter().take(counted).cloned().collect(),
-                expires_in: entry.expires.since(now),
-                cleared: entry.cleared.is_some(),
-            }
+        let share = |(fingerprint, entry): (&Fingerprint, &Entry)| SharedSuspect {
+            fingerprint: *fingerprint,
+            leaves: entry.leaves.clone(),
+            proven: entry.proven,
+            expires_in: entry.expires.since(now),
+            cleared: entry.cleared.is_some(),
         };
         self.entries.iter().map(share).collect()
     }
@@ -151,7 +156,7 @@
         }
         let entry = self.entry(suspect.fingerprint, expires, now);
         entry.expires = entry.expires.max(expires);
-        entry.proven |= suspect.leaves.len() >= LEAVES;
+        entry.proven |= suspect.proven;
         for leaf in &suspect.leaves {
             if !entry.leaves.contains(leaf) {
                 entry.leaves.push(leaf.clone());
--- a/components/serving/src/query/attempt.rs
+++ b/components/serving/src/query/attempt.rs
@@ -157,12 +157,13 @@
         true
     }
 
-    /// Tries all replicas again after a pause. The canary moves to another shard instead.
+    /// Tries all replicas again after a pause. The canary first moves on to the other shards.
     fn pause(&mut self, shard: usize, now: Instant) -> bool {
         let give_up = self.targets[self.shards[shard].target].give_up;
+        let others = self.canary.is_some_and(|canary| canary.tried < self.live().len());
         let state = &mut self.shards[shard];
         let at = now + ROUND_PAUSE * (1 << state.rounds.min(6));
-        if self.canary.is_some() && self.spec.idempotent || at >= give_up {
+        if others || at >= give_up {
             return false;
         }
         state.rounds += 1;
--- a/components/serving/src/query/query.rs
+++ b/components/serving/src/query/query.rs
@@ -279,13 +279,23 @@
     fn stop_held(&mut self, reason: MissingReason) {
         for shard in &mut self.shards {
             if matches!(shard.progress, Progress::Held) {
-                shard.progress = Progress::Missing(reason);
+                let untried = shard.last == MissingReason::NoReplica;
+                shard.progress = Progress::Missing(if untried { reason } else { shard.last });
             }
         }
     }
 
+    /// The shard that could not run the canary waits with the others for one that can.
     fn move_canary(&mut self, mut canary: Canary, now: Instant) {
         let live = self.live();
+        let left = &mut self.shards[live[canary.shard]];
+        let late = matches!(left.progress, Progress::Missing(MissingReason::Late));
+        let final_reason =
+            matches!(left.last, MissingReason::NoReplica | MissingReason::SnapshotGone);
+        if !late && !final_reason {
+            left.progress = Progress::Held;
+            left.tried.clear();
+        }
         while canary.move_on(live.len()) {
             let shard = live[canary.shard];
             if !matches!(self.shards[shard].progress, Progress::Held) {
--- a/components/serving/src/upstream/handover.rs
+++ b/components/serving/src/upstream/handover.rs
@@ -15,6 +15,8 @@
     pub boot: Option<BootId>,
     /// Recent service time.
     pub service: Span,
+    /// Sends and connects in the last second.
+    pub spent: u32,
     /// Time since the last answer.
     pub idle: Span,
     /// Requests that were running when the leaf reset.
--- a/components/serving/src/upstream/lifecycle.rs
+++ b/components/serving/src/upstream/lifecycle.rs
@@ -14,9 +14,10 @@
     /// Stops new work; queued jobs are dropped by `next`.
     pub fn leave(&mut self, now: Instant) -> Vec<Effect> {
         let mut effects = Vec::new();
-        if self.presence == Presence::Here {
-            self.presence = Presence::Leaving;
-        }
+        self.presence = match self.presence {
+            Presence::Here | Presence::Leaving => Presence::Leaving,
+            Presence::Gone(_) => Presence::Gone(None),
+        };
         self.announced = false;
         self.finish_leaving(now, &mut effects);
         self.state_change(effects)
@@ -46,7 +47,7 @@
 
     /// Whether no job is queued or at the leaf, so that it can be handed over.
     pub fn is_drained(&self) -> bool {
-        self.running.is_empty() && self.queue.len() == 0
+        self.running.is_empty() && self.queue.is_empty()
     }
 
     /// The state for the next holder.
@@ -61,6 +62,7 @@
             allowance: self.ramp.allowance(now),
             boot: self.boot.clone(),
             service: self.service,
+            spent: self.ramp.spent_last_second(now),
             idle: now.since(self.last_active),
             suspects: self.suspects.iter().map(suspect).collect(),
         }
@@ -72,6 +74,7 @@
         if state.boot.is_some() && state.idle <= IDLE_COLD {
             self.ramp.restore(state.allowance, now);
         }
+        self.ramp.spent_elsewhere(state.spent, now);
         self.boot = state.boot;
         self.boot_confirmed = false;
         self.service = state.service;
--- a/components/serving/src/upstream/queue.rs
+++ b/components/serving/src/upstream/queue.rs
@@ -32,6 +32,11 @@
         self.urgent.len() + self.ordinary.len()
     }
 
+    /// Whether no job is queued or waits to be dropped.
+    pub(super) fn is_empty(&self) -> bool {
+        self.len() == 0 && self.shed.is_empty()
+    }
+
     /// Jobs that would go before a job of this priority and deadline.
     pub(super) fn ahead(&self, priority: Priority, deadline: Instant) -> usize {
         let earlier = |jobs: &[JobMeta]| jobs.partition_point(|job| job.deadline <= deadline);
--- a/components/serving/src/upstream/ramp.rs
+++ b/components/serving/src/upstream/ramp.rs
@@ -2,11 +2,13 @@
 
 use {
     super::limits::{Allowance, RAMP_STEP, STEP_SUCCESSES},
-    std::collections::VecDeque,
+    std::{collections::VecDeque, iter},
     wigeonramp_config::LeafLimits,
     wigeonramp_units::{Instant, PerSecond, Slots, Span},
 };
 
+/// Bound on a count that another host reports.
+const MAX_SPENT: u32 = 100_000;
 const SECOND: Span = Span::secs(1);
 
 #[derive(Debug)]
@@ -46,8 +48,9 @@
 
     pub(super) fn go_cold(&mut self, now: Instant) {
         let (in_flight, per_second) = cold(&self.limits);
-        self.in_flight = in_flight;
-        self.per_second = Some(per_second);
+        // A halved allowance may be lower; only a success raises it.
+        self.in_flight = self.in_flight.min(in_flight);
+        self.per_second = Some(self.per_second.map_or(per_second, |rate| rate.min(per_second)));
         self.before_doubt = None;
         self.restart_step(now);
     }
@@ -82,6 +85,17 @@
         self.recent.push_back(now);
     }
 
+    pub(super) fn spent_last_second(&mut self, now: Instant) -> u32 {
+        self.forget(now);
+        u32::try_from(self.recent.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Counts what the last holder sent within the last second.
+    pub(super) fn spent_elsewhere(&mut self, count: u32, now: Instant) {
+        let count = count.min(MAX_SPENT) as usize;
+        self.recent.extend(iter::repeat_n(now, count));
+    }
+
     /// When the next send or connect fits into the rate; `now` or earlier if it fits at once.
     pub(super) fn rate_room(&mut self, now: Instant) -> Instant {
         self.forget(now);
@@ -122,17 +136,25 @@
 
     /// Halves the allowance.
     pub(super) fn halve(&mut self, now: Instant) {
-        self.forget(now);
-        let measured = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
-        let floor = self.limits.cold_per_second.get().max(1);
         self.per_second = Some(match self.per_second {
             Some(rate) => (rate / 2).max(1),
-            None => (measured / 2).max(floor),
+            None => self.half_of_measured(now),
         });
         self.in_flight = (self.in_flight / 2).max(1);
         self.restart_step(now);
     }
 
+    /// Half of the present rate. Half of that stays free at once: a warm leaf would otherwise get
+    /// nothing, not even the probe, for half a second.
+    fn half_of_measured(&mut self, now: Instant) -> u32 {
+        let floor = self.limits.cold_per_second.get().max(1);
+        let rate = (self.spent_last_second(now) / 2).max(floor);
+        while self.recent.len() > rate as usize / 2 {
+            self.recent.pop_front();
+        }
+        rate
+    }
+
     /// The allowance before a halving, for `forgive`; across several overdue answers, the first.
     pub(super) fn mark(&self) -> (u32, Option<u32>) {
         self.before_doubt.unwrap_or((self.in_flight, self.per_second))
@@ -143,6 +165,11 @@
         self.before_doubt = Some(mark);
     }
 
+    /// The leaf itself was slow: the halved allowance stays.
+    pub(super) fn blame(&mut self) {
+        self.before_doubt = None;
+    }
+
     pub(super) fn lower_to(&mut self, slots: Slots, now: Instant) {
         if slots.get() >= self.in_flight {
             return;
@@ -150,7 +177,7 @@
         self.in_flight = slots.get().max(1);
         self.before_doubt = None;
         if self.per_second.is_none() {
-            let measured = u32::try_from(self.recent.len()).unwrap_or(u32::MAX);
+            let measured = self.spent_last_second(now);
             self.per_second = Some(measured.max(self.limits.cold_per_second.get()).max(1));
         }
         self.restart_step(now);
--- a/components/serving/src/upstream/upstream.rs
+++ b/components/serving/src/upstream/upstream.rs
@@ -154,7 +154,8 @@
         if let Some(refusal) = self.blocked(now, rights) {
             return self.drop_one(refusal, now, rights);
         }
-        if let Some(job) = self.queue.take_late(now, self.least_time()) {
+        let soonest = self.ramp.rate_room(now).max(now);
+        if let Some(job) = self.queue.take_late(soonest, self.least_time()) {
             return Next::Drop(job, Refusal::Deadline);
         }
         if rights == Rights::Full && self.wants_probe() && self.may_connect(now) {
@@ -268,12 +269,14 @@
         Next::Send { job, connection }
     }
 
-    fn wake(&self, now: Instant) -> Option<Instant> {
+    fn wake(&mut self, now: Instant) -> Option<Instant> {
+        let probe = self.wants_probe() && !self.connections.is_opening();
+        let probe = probe.then(|| self.ramp.rate_room(now).max(self.connections.retry_at()));
         let overdue = self.running.values().filter(|run| !run.overdue);
         let overdue = overdue.map(|run| self.overdue_at(run));
         let deadline = self.queue.first_deadline();
-        let retry = (now < self.connections.retry_at()).then(|| self.connections.retry_at());
-        overdue.chain(deadline).chain(retry).filter(|&at| at > now).min()
+        let retry = Some(self.connections.retry_at());
+        overdue.chain(deadline).chain(retry).chain(probe).filter(|&at| at > now).min()
     }
 
     fn overdue_at(&self, run: &Running) -> Instant {
@@ -325,6 +328,7 @@
         if self.doubt.is_some_and(|doubt| doubt.probe == Some(connection)) {
             self.probe_answered(connection, &mut effects);
         }
+        self.finish_leaving(now, &mut effects);
         self.state_change(effects)
     }
 
@@ -437,6 +441,7 @@
         if run.overdue {
             // The leaf was slow, not the connection silent: the halved allowance stays.
             self.doubt = None;
+            self.ramp.blame();
         } else if same && !busy && self.doubt.is_none() {
             self.ramp.success(self.service, now);
         }
@@ -480,7 +485,9 @@
 
     /// Lowers the allowance by what the leaf's health endpoint says.
     pub fn health(&mut self, health: Health, now: Instant) -> Vec<Effect> {
-        if health.overloaded {
+        // Successes outweigh an endpoint that always claims too much load: it cannot push the
+        // leaf below the cold allowance.
+        if health.overloaded && !self.ramp.is_cold() {
             self.ramp.halve(now);
         }
         if let Some(slots) = health.slots {
--- /dev/null
+++ b/components/serving/tests/common/mod.rs
@@ -0,0 +1,146 @@
+//! Builders shared by the tests.
+#![allow(dead_code, missing_docs)]
+
+use {
+    indexmap::IndexMap,
+    std::sync::Arc,
+    wigeonramp_config::{Collection, Document, LeafLimits, Limits, PartitionMap, Prefer, Priority},
+    wigeonramp_serving::{
+        budget::Budgets,
+        query::{LeafInfo, LeafView, QuerySpec, Target, Trust},
+        upstream::{JobId, JobMeta, State},
+    },
+    wigeonramp_units::{
+        AttemptId, ByteSize, CollectionId, ConfigVersion, Connections, Fingerprint, Instant,
+        LeafId, MapVersion, PerSecond, Percent, ShardId, Slots, SnapshotId, Span,
+    },
+};
+
+pub fn ms(n: u64) -> Instant {
+    Instant(n * 1_000)
+}
+
+pub fn limits(slots: u32, cold: u32, rate: u32) -> LeafLimits {
+    LeafLimits {
+        slots: Slots(slots),
+        connections: Connections(4),
+        connect_cost: Span::millis(6),
+        cold_in_flight: Slots(cold),
+        cold_per_second: PerSecond(rate),
+    }
+}
+
+pub fn job(id: u64, deadline: Instant) -> JobMeta {
+    JobMeta {
+        id: JobId(id),
+        priority: Priority::Ordinary,
+        deadline,
+        hedge: false,
+        alone: false,
+        idempotent: true,
+        fingerprint: Fingerprint(id),
+        size: ByteSize(100),
+    }
+}
+
+pub fn leaf(name: &str) -> LeafId {
+    name.parse().expect("leaf id")
+}
+
+/// Shards `s0..`, each with the leaves `a<i>` and `b<i>`, laid out by map 1 from snapshot 1, and
+/// with `x<i>` in place of `b<i>` by map 2 from snapshot 10.
+pub fn collection(shards: usize, prefer: Prefer) -> Collection {
+    let map = |version, from, second: &str| {
+        let replicas = |i| vec![leaf(&format!("a{i}")), leaf(&format!("{second}{i}"))];
+        let shard = |i| (format!("s{i}").parse::<ShardId>().expect("shard id"), replicas(i));
+        PartitionMap {
+            version: MapVersion(version),
+            from_snapshot: SnapshotId(from),
+            shards: (0..shards).map(shard).collect(),
+        }
+    };
+    Collection {
+        prefer,
+        soft_deadline: Span::millis(100),
+        max_deadline: Span::secs(1),
+        hedge: true,
+        canary: false,
+        leaf_limits: limits(2, 1, 10),
+        maps: vec![map(1, 1, "b"), map(2, 10, "x")],
+    }
+}
+
+pub fn document(collections: impl IntoIterator<Item = (&'static str, Collection)>) -> Document {
+    let named = |(name, collection): (&str, _)| {
+        (name.parse::<CollectionId>().expect("collection id"), collection)
+    };
+    Document {
+        version: ConfigVersion(1),
+        op: "op".parse().expect("operation id"),
+        zones: IndexMap::new(),
+        members: IndexMap::new(),
+        callers: IndexMap::new(),
+        collections: collections.into_iter().map(named).collect(),
+        leaves: IndexMap::new(),
+        limits: Limits {
+            entry_lifetime: Span::secs(5),
+            max_body: ByteSize(1 << 20),
+            hedge_budget: Percent(5),
+            retry_budget: Percent(10),
+            ordinary_floor: Percent(10),
+            max_ejected: Percent(30),
+            claim_retention: Span::secs(600),
+            quarantine: Span::secs(600),
+            session_time: Span::secs(4),
+            stale_after: Span::secs(2),
+        },
+    }
+}
+
+pub fn info(snapshots: &[u64]) -> LeafInfo {
+    LeafInfo {
+        state: State::Warm,
+        in_flight: 0,
+        queued: 0,
+        allowance: 2,
+        p50: Span::millis(5),
+        p95: Span::millis(20),
+        zone: "z1".parse().expect("zone id"),
+        takes_work: true,
+        ejected: false,
+        snapshots: snapshots.iter().copied().map(SnapshotId).collect(),
+    }
+}
+
+/// All leaves of the document's maps, warm, with the given snapshots. The `a` leaves are faster.
+pub fn view(doc: &Document, snapshots: &[u64]) -> LeafView {
+    let maps = doc.collections.values().flat_map(|collection| &collection.maps);
+    let leaves = maps.flat_map(|map| map.shards.values()).flatten();
+    let entry = |leaf: &LeafId| {
+        let mut info = info(snapshots);
+        if !leaf.as_str().starts_with('a') {
+            info.p50 = Span::millis(8);
+        }
+        (leaf.clone(), info)
+    };
+    LeafView { leaves: leaves.map(entry).collect() }
+}
+
+pub fn spec(collections: &[&str]) -> QuerySpec {
+    let target = |name: &&str| Target {
+        collection: name.parse().expect("collection id"),
+        shards: None,
+        budgets: Arc::new(Budgets::new(Percent(5), Percent(10), 10)),
+    };
+    QuerySpec {
+        request: "1-r".parse().expect("request id"),
+        member: "m".parse().expect("member id"),
+        fingerprint: Fingerprint(0),
+        deadline: ms(500),
+        idempotent: true,
+        trust: Trust::Known,
+        zone: "z1".parse().expect("zone id"),
+        targets: collections.iter().map(target).collect(),
+        first_attempt: AttemptId(1),
+    }
+}
--- /dev/null
+++ b/components/serving/tests/query.rs
@@ -0,0 +1,400 @@
+//! Fault table of the query: scripted events with times, the resulting actions and the answer.
+
+mod common;
+
+use {
+    bytes::Bytes,
+    common::{collection, document, leaf, ms, spec, view},
+    indexmap::IndexMap,
+    insta::assert_snapshot,
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{fmt::Write, sync::Arc},
+    wigeonramp_config::{Document, Prefer},
+    wigeonramp_serving::{
+        budget::Budgets,
+        query::{
+            Action, Answer, AttemptResult, Event, LeafView, Query, QuerySpec, Reply, Send, Trust,
+        },
+        snapshot::choose,
+        upstream::{Refusal, State},
+    },
+    wigeonramp_units::{AttemptId, Digest, Fingerprint, Instant, Percent, SnapshotId, Span},
+};
+
+struct Rig {
+    query: Query,
+    sends: IndexMap<u64, Send>,
+    now: Instant,
+    answer: Option<Answer>,
+    table: String,
+}
+
+impl Rig {
+    fn start(doc: Document, view: LeafView, spec: QuerySpec) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(7);
+        let now = ms(0);
+        let (query, actions) = Query::new(spec, Arc::new(doc), Arc::new(view), now, &mut rng);
+        let sends = IndexMap::new();
+        let mut rig = Self { query, sends, now, answer: None, table: String::new() };
+        rig.line("start");
+        rig.note(actions);
+        rig
+    }
+
+    /// One collection `c` with that many shards, all leaves warm with snapshot 5.
+    fn with(
+        shards: usize,
+        change: impl FnOnce(&mut Document, &mut LeafView, &mut QuerySpec),
+    ) -> Self {
+        let mut doc = document([("c", collection(shards, Prefer::Coverage))]);
+        let mut view = view(&doc, &[5]);
+        let mut spec = spec(&["c"]);
+        change(&mut doc, &mut view, &mut spec);
+        Self::start(doc, view, spec)
+    }
+
+    fn line(&mut self, text: &str) {
+        let _ = writeln!(self.table, "{:>6} {text}", self.now.to_string());
+    }
+
+    fn note(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Send(send) => self.note_send(send),
+                Action::Cancel { attempt } => self.line(&format!("  cancel {attempt}")),
+                Action::WakeAt(at) => self.line(&format!("  wake at {at}")),
+                Action::Finish(answer) => self.note_answer(*answer),
+            }
+        }
+    }
+
+    fn note_send(&mut self, send: Send) {
+        let hedge = if send.hedge { " hedge" } else { "" };
+        let alone = if send.alone { " alone" } else { "" };
+        let Send { attempt, leaf, shard, snapshot, map_version, .. } = &send;
+        let text = format!("  send {attempt} {leaf} {shard} snapshot {snapshot} map {map_version}");
+        self.line(&(text + hedge + alone));
+        self.sends.insert(send.attempt.get(), send);
+    }
+
+    fn note_answer(&mut self, answer: Answer) {
+        let coverage = &answer.coverage;
+        let missing = coverage.missing.iter().map(|m| format!(" {}={}", m.shard, m.reason));
+        let missing: String = missing.collect();
+        let (covered, total) = (coverage.covered, coverage.total);
+        self.line(&format!("  finish {:?} {covered}/{total}{missing}", answer.outcome));
+        let counters = self.query.counters();
+        self.line(&format!("  {counters:?}"));
+        self.answer = Some(answer);
+    }
+
+    fn at(&mut self, time: u64) -> &mut Self {
+        self.now = ms(time);
+        self
+    }
+
+    fn event(&mut self, text: &str, event: Event) -> &mut Self {
+        self.line(text);
+        let actions = self.query.on(event, self.now);
+        self.note(actions);
+        self
+    }
+
+    fn tick(&mut self, time: u64) -> &mut Self {
+        self.at(time).event("tick", Event::Tick)
+    }
+
+    fn end(&mut self, attempt: u64, result: AttemptResult) -> &mut Self {
+        let name = match &result {
+            AttemptResult::NotSent(refusal) => format!("NotSent:{refusal}"),
+            other => format!("{other:?}"),
+        };
+        let name: String = name.chars().take_while(|c| !"{( ".contains(*c)).collect();
+        let event = Event::Partial { attempt: AttemptId(attempt), result };
+        self.event(&format!("{name} {attempt}"), event)
+    }
+
+    fn reply(&self, attempt: u64) -> Reply {
+        let send = &self.sends[&attempt];
+        let payload = Bytes::from(format!("{} {}", send.shard, send.snapshot));
+        Reply {
+            request: "1-r".parse().expect("request id"),
+            leaf: send.leaf.clone(),
+            shard: send.shard.clone(),
+            member: "m".parse().expect("member id"),
+            snapshot: send.snapshot,
+            map_version: send.map_version,
+            rows: 1,
+            digest: Digest::of(&payload),
+            payload,
+        }
+    }
+
+    fn ok(&mut self, attempt: u64) -> &mut Self {
+        let reply = self.reply(attempt);
+        self.end(attempt, AttemptResult::Answered(reply))
+    }
+
+    fn not_sent(&mut self, attempt: u64, refusal: Refusal) -> &mut Self {
+        self.end(attempt, AttemptResult::NotSent(refusal))
+    }
+}
+
+#[test]
+fn slow_attempt_is_hedged_and_the_loser_cancelled() {
+    let mut rig = Rig::with(2, |_, _, _| {});
+    rig.at(5).ok(1).tick(20).at(25).ok(3).ok(2);
+    assert_snapshot!(rig.table);
+}
+
+#[test]
+fn no_hedge_to_a_cold_leaf_nor_without_budget_nor_for_a_request_that_must_not_run_twice() {
+    let mut cold = Rig::with(1, |_, view, _| {
+        view.leaves[&leaf("b0")].state = State::Cold;
+        view.leaves[&leaf("b0")].in_flight = 9;
+    });
+    cold.tick(20).tick(500);
+    let mut broke = Rig::with(1, |_, _, spec| {
+        spec.targets[0].budgets = Arc::new(Budgets::new(Percent(5), Percent(10), 0));
+    });
+    broke.tick(20).tick(500);
+    let mut once = Rig::with(1, |_, _, spec| spec.idempotent = false);
+    once.tick(20).tick(500);
+    assert_snapshot!(cold.table + &broke.table + &once.table);
+}
+
+#[test]
+fn holder_refusals_lead_to_the_other_replica_then_to_another_round() {
+    let mut rig = Rig::with(1, |_, _, _| {});
+    rig.at(1).not_sent(1, Refusal::Moving).at(2).not_sent(2, Refusal::Cold).tick(22).at(30).ok(3);
+    let mut none = Rig::with(1, |_, _, _| {});
+    none.at(1).not_sent(1, Refusal::NotHolder).not_sent(2, Refusal::Overload);
+    for (time, attempts) in [(21, [3, 4]), (61, [5, 6])] {
+        none.tick(time);
+        for attempt in attempts {
+            none.not_sent(attempt, Refusal::Overload);
+        }
+    }
+    none.tick(141);
+    assert_snapshot!(rig.table + &none.table);
+}
+
+#[test]
+fn one_retry_follows_resets_and_it_runs_alone() {
+    let mut rig = Rig::with(2, |_, _, _| {});
+    rig.at(5).end(1, AttemptResult::Reset).end(2, AttemptResult::Reset);
+    rig.at(9).end(3, AttemptResult::Reset);
+    assert_snapshot!(rig.table);
+}
+
+#[test]
+fn request_that_must_not_run_twice_moves_on_only_when_no_byte_was_sent() {
+    let once = || Rig::with(1, |_, _, spec| spec.idempotent = false);
+    let mut table = String::new();
+    for result in [AttemptResult::Unknown, AttemptResult::Refused, AttemptResult::Reset] {
+        let mut rig = once();
+        rig.at(5).end(1, result);
+        table += &rig.table;
+    }
+    let mut unsent = once();
+    unsent.at(5).not_sent(1, Refusal::Leaving).at(9).ok(2);
+    let mut silent = once();
+    silent.tick(500);
+    let many = Rig::with(2, |_, _, spec| spec.idempotent = false);
+    assert_snapshot!(table + &unsent.table + &silent.table + &many.table);
+}
+
+#[test]
+fn unseen_request_runs_on_one_shard_first_and_harms_at_most_two_leaves() {
+    let unseen = || {
+        Rig::with(3, |doc, _, spec| {
+            doc.collections[0].canary = true;
+            spec.trust = Trust::Unseen;
+            spec.fingerprint = Fingerprint(1);
+        })
+    };
+    let mut good = unseen();
+    good.at(5).ok(1).at(9).ok(2).ok(3);
+    let mut crashing = unseen();
+    crashing.at(5).end(1, AttemptResult::Reset).at(9).end(2, AttemptResult::Reset);
+    let mut busy = unseen();
+    busy.at(5).not_sent(1, Refusal::Cold).not_sent(2, Refusal::Cold).at(9).ok(3).ok(4).ok(5);
+    let mut refused = unseen();
+    refused.at(5).not_sent(1, Refusal::Quarantined);
+    assert_snapshot!(good.table + &crashing.table + &busy.table + &refused.table);
+}
+
+#[test]
+fn lost_snapshot_leads_to_the_replica_and_then_restarts_where_more_is_covered() {
+    let mut rig = Rig::with(3, |_, view, _| {
+        for info in view.leaves.values_mut() {
+            info.snapshots = vec![SnapshotId(5), SnapshotId(12)];
+        }
+        // The newest snapshot is not everywhere yet.
+        view.leaves[&leaf("a2")].snapshots.pop();
+        view.leaves[&leaf("x2")].snapshots.pop();
+    });
+    rig.at(5).ok(1).end(2, AttemptResult::SnapshotGone).end(3, AttemptResult::SnapshotGone);
+    rig.at(9).end(4, AttemptResult::SnapshotGone).end(5, AttemptResult::SnapshotGone);
+    rig.at(12).ok(2).ok(6).ok(7).ok(8);
+    assert_snapshot!(rig.table);
+    let answer = rig.answer.expect("answer");
+    assert!(answer.parts.iter().all(|part| part.reply.snapshot == answer.pinned[0].snapshot));
+}
+
+#[test]
+fn no_restart_without_time() {
+    let mut rig = Rig::with(2, |_, view, _| {
+        for info in view.leaves.values_mut() {
+            info.snapshots = vec![SnapshotId(5), SnapshotId(6)];
+        }
+    });
+    rig.at(490);
+    for attempt in [1, 2, 3, 4] {
+        rig.end(attempt, AttemptResult::SnapshotGone);
+    }
+    assert_snapshot!(rig.table);
+}
+
+#[test]
+fn replies_that_do_not_match_are_dropped_and_the_shard_is_retried() {
+    type Change = fn(&mut Reply);
+    let changes: [(&str, Change); 8] = [
+        ("request", |reply| reply.request = "2-r".parse().expect("request id")),
+        ("leaf", |reply| reply.leaf = leaf("b0")),
+        ("shard", |reply| reply.shard = "s9".parse().expect("shard id")),
+        ("member", |reply| reply.member = "other".parse().expect("member id")),
+        ("snapshot", |reply| reply.snapshot = SnapshotId(4)),
+        ("map", |reply| reply.map_version = reply.map_version.next()),
+        ("payload", |reply| reply.payload = Bytes::from_static(b"cut")),
+        ("rows", |reply| {
+            reply.payload = Bytes::new();
+            reply.digest = Digest::of(b"");
+        }),
+    ];
+    let mut table = String::new();
+    for (name, change) in changes {
+        let mut rig = Rig::with(1, |_, _, _| {});
+        let mut reply = rig.reply(1);
+        change(&mut reply);
+        rig.at(5).end(1, AttemptResult::Answered(reply)).at(9).ok(2);
+        let counted = rig.query.counters().mismatched;
+        let covered = rig.answer.expect("answer").coverage.covered;
+        let _ = writeln!(table, "{name}: mismatched {counted}, covered {covered}");
+    }
+    let mut once = Rig::with(1, |_, _, spec| spec.idempotent = false);
+    let mut foreign = once.reply(1);
+    foreign.member = "other".parse().expect("member id");
+    once.at(5).end(1, AttemptResult::Answered(foreign)).at(9).ok(1);
+    assert_snapshot!(table + &once.table);
+}
+
+#[test]
+fn doubled_and_late_answers_count_once() {
+    let mut rig = Rig::with(2, |_, _, _| {});
+    rig.at(5).ok(1).ok(1).tick(20).at(30).ok(2).ok(3);
+    let counters = rig.query.counters();
+    rig.line(&format!("{counters:?}"));
+    assert_snapshot!(rig.table);
+}
+
+#[test]
+fn latency_first_answers_at_the_soft_deadline_and_coverage_first_waits() {
+    let run = |prefer| {
+        let mut rig = Rig::with(2, |doc, _, _| {
+            doc.collections[0].prefer = prefer;
+            doc.collections[0].hedge = false;
+        });
+        rig.at(5).ok(1).tick(100);
+        if rig.answer.is_none() {
+            rig.tick(500);
+        }
+        rig.table
+    };
+    assert_snapshot!(run(Prefer::Latency) + &run(Prefer::Coverage));
+}
+
+#[test]
+fn several_collections_are_pinned_each_to_its_own_snapshot() {
+    let slow = collection(1, Prefer::Latency);
+    let doc = document([("c", collection(1, Prefer::Coverage)), ("d", slow)]);
+    let view = view(&doc, &[5]);
+    let mut rig = Rig::start(doc, view, spec(&["c", "d"]));
+    rig.tick(100).at(200).ok(1);
+    assert_snapshot!(rig.table);
+}
+
+#[test]
+fn nothing_sent_is_reported_as_not_run() {
+    let out = Rig::with(1, |_, view, _| {
+        for info in view.leaves.values_mut() {
+            info.takes_work = false;
+        }
+    });
+    let late = Rig::with(1, |_, _, spec| spec.deadline = ms(0));
+    let mut refused = Rig::with(1, |_, _, spec| spec.deadline = ms(10));
+    refused.at(1).not_sent(1, Refusal::StaleConfig).not_sent(2, Refusal::StaleConfig);
+    let mut open = Rig::with(1, |_, _, _| {});
+    open.tick(500);
+    assert_snapshot!(out.table + &late.table + &refused.table + &open.table);
+}
+
+#[test]
+fn replica_choice_avoids_cold_ejected_leaving_loaded_and_far_leaves() {
+    let mut table = String::new();
+    let mut pick = |name: &str, change: fn(&mut LeafView)| {
+        let rig = Rig::with(1, |_, view, _| change(view));
+        let leaf = rig.sends.values().next().map(|send| send.leaf.to_string());
+        let _ = writeln!(table, "{name}: {leaf:?}");
+    };
+    pick("all good", |_| {});
+    pick("a0 cold and busy", |view| {
+        view.leaves[&leaf("a0")].state = State::Cold;
+        view.leaves[&leaf("a0")].queued = 1;
+    });
+    pick("a0 ejected", |view| view.leaves[&leaf("a0")].ejected = true);
+    pick("a0 leaving", |view| view.leaves[&leaf("a0")].state = State::Leaving);
+    pick("a0 zone out", |view| view.leaves[&leaf("a0")].takes_work = false);
+    pick("a0 loaded", |view| view.leaves[&leaf("a0")].queued = 4);
+    pick("a0 far", |view| {
+        view.leaves[&leaf("a0")].zone = "z2".parse().expect("zone id");
+        view.leaves[&leaf("b0")].p50 = Span::millis(6);
+    });
+    pick("only a cold one", |view| {
+        view.leaves[&leaf("a0")].state = State::Cold;
+        view.leaves[&leaf("b0")].state = State::Gone;
+    });
+    assert_snapshot!(table);
+}
+
+#[test]
+fn idle_cold_replica_gets_a_share_of_the_queries() {
+    let picks = (0..1_000).filter(|seed| {
+        let doc = document([("c", collection(1, Prefer::Coverage))]);
+        let mut view = view(&doc, &[5]);
+        view.leaves[&leaf("a0")].state = State::Cold;
+        let mut rng = ChaCha8Rng::seed_from_u64(*seed);
+        let spec = spec(&["c"]);
+        let (_, actions) = Query::new(spec, Arc::new(doc), Arc::new(view), ms(0), &mut rng);
+        actions.iter().any(|a| matches!(a, Action::Send(send) if send.leaf == leaf("a0")))
+    });
+    let picks = picks.count();
+    assert!((80..170).contains(&picks), "{picks} of 1000 queries went to the cold leaf");
+}
+
+#[test]
+fn snapshot_choice_prefers_coverage_then_age() {
+    let collection = collection(2, Prefer::Coverage);
+    let doc = document([("c", collection.clone())]);
+    let mut view = view(&doc, &[5, 6]);
+    let pick = |view: &LeafView| choose(&collection, None, view, &Default::default());
+    let both = pick(&view);
+    view.leaves[&leaf("a0")].snapshots.pop();
+    view.leaves[&leaf("b0")].snapshots.pop();
+    let table = format!("{both:?}\n{:?}\n", pick(&view));
+    assert_snapshot!(table, @r"
+    Some(Choice { snapshot: SnapshotId(6), covered: 2, total: 2 })
+    Some(Choice { snapshot: SnapshotId(5), covered: 2, total: 2 })
+    ");
+}
--- /dev/null
+++ b/components/serving/tests/upstream_props.rs
@@ -0,0 +1,350 @@
+//! Random event sequences against the upstream, checked by a model that sees only the events and
+//! the decisions.
+
+mod common;
+
+use {
+    common::{job, limits, ms},
+    indexmap::{IndexMap, IndexSet},
+    proptest::{collection::vec, prelude::*, test_runner::RngSeed},
+    std::mem,
+    wigeonramp_config::Priority,
+    wigeonramp_serving::upstream::{
+        Cancelled, Completion, ConnectionId, Effect, Health, JobId, JobMeta, Next, Offer, Rights,
+        State, Upstream,
+    },
+    wigeonramp_units::{BootId, Fingerprint, Instant, Slots, Span},
+};
+
+const SLOTS: u32 = 6;
+const COLD: u32 = 2;
+const RATE: u32 = 8;
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer {
+        urgent: bool,
+        within: u64,
+        hedge: bool,
+        alone: bool,
+        once: bool,
+    },
+    Pass(u64),
+    End {
+        which: usize,
+        how: How,
+    },
+    Opened {
+        fails: bool,
+        boot: Option<u8>,
+    },
+    Cancel(u64),
+    Rights(Rights),
+    Health {
+        slots: Option<u32>,
+        overloaded: bool,
+    },
+    Leave,
+    Rejoin,
+    /// Many quick answers, so that later steps meet a ramping or warm leaf.
+    Serve(u16),
+}
+
+#[derive(Clone, Debug)]
+enum How {
+    Answered { boot: Option<u8>, busy: bool },
+    Rejected,
+    Leaving,
+    Reset,
+    TimedOut,
+    Cancelled(bool),
+}
+
+fn boot_number() -> impl Strategy<Value = Option<u8>> {
+    prop_oneof![8 => Just(Some(1)), 1 => Just(Some(2)), 1 => Just(None)]
+}
+
+fn how() -> impl Strategy<Value = How> {
+    prop_oneof![
+        12 => (boot_number(), prop::bool::weighted(0.1))
+            .prop_map(|(boot, busy)| How::Answered { boot, busy }),
+        1 => Just(How::Rejected),
+        1 => Just(How::Leaving),
+        1 => Just(How::Reset),
+        1 => Just(How::TimedOut),
+        1 => any::<bool>().prop_map(How::Cancelled),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let rights = prop_oneof![
+        4 => Just(Rights::Full),
+        2 => Just(Rights::WarmOnly),
+        1 => Just(Rights::None),
+    ];
+    let (rare, even) = (prop::bool::weighted(0.1), any::<bool>());
+    let offer = (even, 1u64..2_000, rare, rare, rare);
+    prop_oneof![
+        10 => offer.prop_map(|(urgent, within, hedge, alone, once)| {
+            Step::Offer { urgent, within, hedge, alone, once }
+        }),
+        6 => prop_oneof![8 => 1u64..50, 2 => 50u64..400, 1 => 1_000u64..70_000].prop_map(Step::Pass),
+        8 => (any::<usize>(), how()).prop_map(|(which, how)| Step::End { which, how }),
+        6 => (prop::bool::weighted(0.1), boot_number())
+            .prop_map(|(fails, boot)| Step::Opened { fails, boot }),
+        1 => (0u64..60).prop_map(Step::Cancel),
+        1 => rights.prop_map(Step::Rights),
+        1 => (prop::option::of(0u32..9), prop::bool::weighted(0.3))
+            .prop_map(|(slots, overloaded)| Step::Health { slots, overloaded }),
+        1 => Just(Step::Rejoin),
+        1 => prop::bool::weighted(0.2).prop_map(|leave| if leave { Step::Leave } else { Step::Rejoin }),
+        2 => (50u16..800).prop_map(Step::Serve),
+    ]
+}
+
+struct Model {
+    upstream: Upstream,
+    now: Instant,
+    rights: Rights,
+    next_job: u64,
+    queued: IndexSet<u64>,
+    left: IndexSet<u64>,
+    running: IndexMap<u64, ConnectionId>,
+    /// Jobs offered to run alone; the upstream adds crash suspects by itself.
+    alone: IndexSet<u64>,
+    idle: IndexSet<ConnectionId>,
+    opening: Option<ConnectionId>,
+    /// Sends and connects since the leaf was last seen not cold.
+    spent_cold: Vec<Instant>,
+    boot_known: bool,
+    in_flight: u32,
+}
+
+impl Model {
+    fn new() -> Self {
+        Self {
+            upstream: Upstream::new(limits(SLOTS, COLD, RATE), ms(0)),
+            now: ms(0),
+            rights: Rights::Full,
+            next_job: 0,
+            queued: IndexSet::new(),
+            left: IndexSet::new(),
+            running: IndexMap::new(),
+            alone: IndexSet::new(),
+            idle: IndexSet::new(),
+            opening: None,
+            spent_cold: Vec::new(),
+            boot_known: false,
+            in_flight: COLD,
+        }
+    }
+
+    fn run(&mut self, step: Step) {
+        let answered = matches!(step, Step::End { how: How::Answered { .. }, .. } | Step::Serve(_));
+        match step {
+            Step::Offer { urgent, within, hedge, alone, once } => {
+                self.offer(urgent, within, hedge, alone, once);
+            }
+            Step::Pass(time) => self.now = self.now + Span::millis(time),
+            Step::End { which, how } if !self.running.is_empty() => {
+                let index = which % self.running.len();
+                let job = *self.running.get_index(index).expect("running job").0;
+                self.end(job, how);
+            }
+            Step::Opened { fails, boot } => self.opened(fails, boot),
+            Step::Cancel(id) if self.upstream.cancel(JobId(id)) == Cancelled::Removed => {
+                self.leaves(id);
+            }
+            Step::Rights(rights) => self.rights = rights,
+            Step::Health { slots, overloaded } => {
+                let health = Health { slots: slots.map(Slots), overloaded };
+                let effects = self.upstream.health(health, self.now);
+                self.apply(effects);
+            }
+            Step::Leave => {
+                let effects = self.upstream.leave(self.now);
+                self.apply(effects);
+            }
+            Step::Rejoin if self.upstream.state() == State::Gone => {
+                let effects = self.upstream.rejoin(self.now);
+                self.boot_known = false;
+                self.apply(effects);
+            }
+            Step::Serve(count) => self.serve(count),
+            _ => {}
+        }
+        self.pump();
+        let in_flight = self.upstream.report(self.now).allowance.in_flight.get();
+        assert!(answered || in_flight <= self.in_flight, "the allowance grew without a success");
+        self.in_flight = in_flight;
+    }
+
+    fn offer(&mut self, urgent: bool, within: u64, hedge: bool, alone: bool, once: bool) {
+        self.next_job += 1;
+        let id = self.next_job;
+        let meta = JobMeta {
+            priority: if urgent { Priority::Urgent } else { Priority::Ordinary },
+            hedge,
+            alone,
+            idempotent: !once,
+            fingerprint: Fingerprint(id % 7),
+            ..job(id, self.now + Span::millis(within))
+        };
+        if self.upstream.offer(meta, self.now) == Offer::Queued {
+            self.queued.insert(id);
+        }
+        if alone {
+            self.alone.insert(id);
+        }
+    }
+
+    fn leaves(&mut self, id: u64) {
+        assert!(self.queued.contains(&id), "job {id} left without being queued");
+        assert!(self.left.insert(id), "job {id} left twice");
+    }
+
+    fn end(&mut self, job: u64, how: How) {
+        let connection = self.running.shift_remove(&job).expect("running job");
+        let keeps = matches!(how, How::Answered { .. } | How::Rejected | How::Cancelled(true));
+        if keeps {
+            self.idle.insert(connection);
+        }
+        let completion = match how {
+            How::Answered { boot: number, busy } => {
+                self.boot_known |= number.is_some();
+                let latency = Span::millis(4);
+                Completion::Answered { boot: number.map(boot), latency, busy }
+            }
+            How::Rejected => Completion::Rejected,
+            How::Leaving => Completion::Leaving,
+            How::Reset => {
+                self.boot_known = false;
+                Completion::Reset
+            }
+            How::TimedOut => Completion::TimedOut,
+            How::Cancelled(reusable) => Completion::Cancelled { reusable },
+        };
+        let effects = self.upstream.done(JobId(job), completion, self.now);
+        self.apply(effects);
+    }
+
+    fn opened(&mut self, fails: bool, number: Option<u8>) {
+        let Some(id) = self.opening.take() else { return };
+        let effects = if fails {
+            self.upstream.connect_failed(id, self.now)
+        } else {
+            self.idle.insert(id);
+            self.upstream.connected(id, number.map(boot), self.now)
+        };
+        self.apply(effects);
+    }
+
+    fn serve(&mut self, count: u16) {
+        for _ in 0..count {
+            self.now = self.now + Span::millis(10);
+            self.offer(false, 1_000, false, false, false);
+            self.pump();
+            self.opened(false, None);
+            self.pump();
+            for job in self.running.keys().copied().collect::<Vec<_>>() {
+                self.end(job, How::Answered { boot: Some(1), busy: false });
+            }
+        }
+    }
+
+    fn apply(&mut self, effects: Vec<Effect>) {
+        for effect in effects {
+            let Effect::Close { connection, job } = effect else { continue };
+            self.idle.shift_remove(&connection);
+            if let Some(job) = job {
+                self.running.shift_remove(&job.0).expect("a running job is given up");
+            }
+        }
+    }
+
+    fn pump(&mut self) {
+        for _ in 0..1_000 {
+            let before = self.upstream.report(self.now).state;
+            if before != State::Cold {
+                self.spent_cold.clear();
+            }
+            match self.upstream.next(self.now, self.rights) {
+                Next::Send { job, connection } => self.sent(job.0, connection, before),
+                Next::Connect { connection, .. } => self.connects(connection, before),
+                Next::Drop(job, _) => self.leaves(job.0),
+                Next::Wait(until) => {
+                    assert!(until.is_none_or(|at| at > self.now), "waits for the past");
+                    return;
+                }
+            }
+        }
+        panic!("next never waits");
+    }
+
+    fn sent(&mut self, job: u64, connection: ConnectionId, before: State) {
+        assert!(self.idle.shift_remove(&connection), "sent on a connection that is not idle");
+        if self.rights == Rights::WarmOnly {
+            assert_eq!(before, State::Warm, "holder in doubt sent to a leaf that is not warm");
+            assert!(self.running.is_empty(), "holder in doubt sent a second request");
+        }
+        self.leaves(job);
+        self.running.insert(job, connection);
+        let alone = self.running.keys().any(|id| self.alone.contains(id));
+        assert!(!alone || self.running.len() == 1, "a job that must run alone has company");
+        let in_flight = self.running.len() as u32;
+        assert!(in_flight <= SLOTS, "more requests than slots");
+        assert!(self.boot_known || in_flight == 1, "second request at an unknown boot");
+        if before == State::Cold {
+            assert!(in_flight <= COLD, "{in_flight} requests at a cold leaf");
+        }
+        self.spend(before);
+    }
+
+    fn connects(&mut self, connection: ConnectionId, before: State) {
+        assert_eq!(self.rights, Rights::Full, "connect without full rights");
+        assert_eq!(self.opening, None, "two connects at the same time");
+        self.opening = Some(connection);
+        let open = self.idle.len() + self.running.len() + 1;
+        assert!(open <= 4, "{open} connections");
+        self.spend(before);
+    }
+
+    fn spend(&mut self, before: State) {
+        assert_ne!(self.rights, Rights::None, "sent without rights");
+        if before != State::Cold {
+            return;
+        }
+        self.spent_cold.push(self.now);
+        let recent = self.spent_cold.iter().filter(|at| self.now.since(**at) < Span::secs(1));
+        assert!(recent.count() <= RATE as usize, "too many sends and connects at a cold leaf");
+    }
+
+    fn finish(&mut self) {
+        self.rights = Rights::None;
+        self.pump();
+        let left = mem::take(&mut self.left);
+        assert!(self.queued.iter().all(|id| left.contains(id)), "a queued job never left");
+    }
+}
+
+fn boot(number: u8) -> BootId {
+    format!("b{number}").parse().expect("boot id")
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        failure_persistence: None,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against overload of a cold leaf, lost or doubled jobs, and sends without rights.
+    #[test]
+    fn upstream_keeps_its_limits(steps in vec(step(), 1..120)) {
+        let mut model = Model::new();
+        for step in steps {
+            model.run(step);
+        }
+        model.finish();
+    }
+}
