--- a/components/control/src/assigner.rs
+++ b/components/control/src/assigner.rs
@@ -369,6 +369,8 @@
 struct Draft {
     holdings: IndexMap<LeafId, Holding>,
     placement: Placement,
+    // Holders that were getting leaves by hand-over before this step.
+    receiving: BTreeSet<InstanceId>,
     version: AssignmentVersion,
     changed: bool,
 }
@@ -377,7 +379,9 @@
     fn new(current: &Assignment, input: &AssignInput<'_>, version: AssignmentVersion) -> Self {
         let holdings = current.holdings.clone();
         let placement = Placement::new(input.view, input.document, &holdings);
-        Self { holdings, placement, version, changed: false }
+        let handed = holdings.values().filter(|h| h.from.is_some() && !h.taken_over);
+        let receiving = handed.map(|holding| holding.instance.clone()).collect();
+        Self { holdings, placement, receiving, version, changed: false }
     }
 
     // Clears `from` where the old holder is gone or the new one reports the hand-over finished.
@@ -453,8 +457,14 @@
             }
             left -= usize::from(self.move_away(leaf));
         }
-        while left > 0 && self.move_to_least_loaded(input.document) {
-            left -= 1;
+        while left > 0
+            && let Some(to) = self.placement.underloaded(&self.receiving)
+        {
+            let moved = self.fill(&to, input.document, left);
+            if moved == 0 {
+                return;
+            }
+            left -= moved;
         }
     }
 
@@ -486,14 +496,22 @@
         true
     }
 
-    fn move_to_least_loaded(&mut self, document: &Document) -> bool {
-        let Some(to) = self.placement.least_loaded() else { return false };
+    // Moves up to `most` leaves to `to`, until it has its share.
+    fn fill(&mut self, to: &InstanceId, document: &Document, most: usize) -> usize {
+        let mut moved = 0;
+        while moved < most && self.placement.is_below_mean(to) && self.move_one(to, document) {
+            moved += 1;
+        }
+        moved
+    }
+
+    fn move_one(&mut self, to: &InstanceId, document: &Document) -> bool {
         let movable = |(leaf, holding): &(&LeafId, &Holding)| {
             holding.from.is_none() && document.leaves.contains_key(*leaf)
         };
         let leaves = self.holdings.iter().filter(movable).map(|(leaf, _)| leaf);
-        let Some(leaf) = self.placement.leaf_for(&to, leaves).cloned() else { return false };
-        self.hand_to(leaf, to);
+        let Some(leaf) = self.placement.leaf_for(to, leaves).cloned() else { return false };
+        self.hand_to(leaf, to.clone());
         true
     }
 
--- a/components/control/src/placement.rs
+++ b/components/control/src/placement.rs
@@ -16,6 +16,8 @@
 
 /// Most leaves of one host, in hundredths of the mean.
 const BOUND_PERCENT: usize = 125;
+/// Load below which leaves move to a host, in hundredths of the mean.
+const UNDERLOADED_PERCENT: usize = 66;
 
 /// Rendezvous weight of `host` for `key`; the highest wins.
 pub fn weight(key: &str, host: &HostId) -> u64 {
@@ -113,12 +115,27 @@
         }
     }
 
-    /// The host with the fewest leaves, if it lacks a leaf to its share.
-    pub(crate) fn least_loaded(&self) -> Option<InstanceId> {
-        let total: usize = self.nodes.values().map(|node| node.load).sum();
-        let mean = total / self.nodes.len().max(1);
-        let (id, node) = self.nodes.iter().min_by_key(|(_, node)| node.load)?;
-        (node.load < mean).then(|| id.clone())
+    /// The host with the fewest leaves to which leaves should move: one with few leaves, or one that
+    /// is `receiving` and lacks leaves to its share. Hosts just below the mean are left alone, so
+    /// that the loss of a host moves only its own leaves.
+    pub(crate) fn underloaded(&self, receiving: &BTreeSet<InstanceId>) -> Option<InstanceId> {
+        let few =
+            |node: &Node| node.load * self.nodes.len() * 100 < self.total() * UNDERLOADED_PERCENT;
+        let wants = |(id, node): &(&InstanceId, &Node)| {
+            few(node) || receiving.contains(*id) && self.is_below_mean(id)
+        };
+        let wanting = self.nodes.iter().filter(wants);
+        wanting.min_by_key(|(_, node)| node.load).map(|(id, _)| id.clone())
+    }
+
+    /// Whether `instance` has fewer leaves than the mean, rounded down.
+    pub(crate) fn is_below_mean(&self, instance: &InstanceId) -> bool {
+        let mean = self.total() / self.nodes.len().max(1);
+        self.nodes.get(instance).is_some_and(|node| node.load < mean)
+    }
+
+    fn total(&self) -> usize {
+        self.nodes.values().map(|node| node.load).sum()
     }
 
     /// The leaf that `to` should get from a host with at least two leaves more.
--- a/components/control/src/rights.rs
+++ b/components/control/src/rights.rs
@@ -134,7 +134,7 @@
 
     fn covered_until(&self, now: Instant) -> Option<Instant> {
         let until = self.session.valid_until().max(self.promises.valid_until());
-        until.filter(|until| now < *until)
+        until.filter(|until| now < *until && !self.session.has_ended())
     }
 
     /// Whether the session has expired and promises are needed.
@@ -143,9 +143,10 @@
     }
 
     /// Latest deadline that may be given to a leaf: the end of session or promises, or of the
-    /// freshness when neither holds. Never before `now`.
+    /// freshness when neither holds. It is `now` when nothing may be sent.
     pub fn deadline_cap(&self, now: Instant) -> Instant {
-        let fresh = self.contact.map(|contact| contact + self.stale_after);
+        let contact = self.contact.filter(|_| !self.session.has_ended());
+        let fresh = contact.map(|contact| contact + self.stale_after);
         self.covered_until(now).or(fresh).unwrap_or(now).max(now)
     }
 
--- /dev/null
+++ b/components/control/tests/claims.rs
@@ -0,0 +1,222 @@
+//! Guards against a non-idempotent request that runs twice, and against answers that say "not run"
+//! of a request that was sent.
+
+mod common;
+
+use {
+    common::id,
+    proptest::{collection::vec, prelude::*},
+    std::{collections::BTreeMap, fmt::Write},
+    wigeonramp_control::{
+        claims::{
+            ClaimBody, ClaimBook, ClaimCall, ClaimId, ClaimNonce, ClaimSettings, ClaimState,
+            ClaimWrite, Verdict, deletable,
+        },
+        write::{ReadResult, Stored, WriteResult},
+    },
+    wigeonramp_units::{ByteSize, Revision, Span, UnixMillis},
+};
+
+const NOW: UnixMillis = UnixMillis(1_800_000_000_000);
+const SETTINGS: ClaimSettings = ClaimSettings { buckets: 2, ..ClaimSettings::new(Span::secs(600)) };
+
+fn claim(n: u64) -> ClaimId {
+    let request = id(&format!("{}-r{n}", NOW.0 - 1_000));
+    ClaimId { member: id("m"), caller: id("c"), request }
+}
+
+#[derive(Default)]
+struct Store {
+    objects: BTreeMap<String, Stored<ClaimBody>>,
+    late: Vec<ClaimWrite>,
+    revision: u64,
+}
+
+impl Store {
+    fn write(&mut self, write: &ClaimWrite) -> WriteResult<ClaimBody> {
+        let ClaimCall::Write { body, replaces } = &write.call else { return WriteResult::NoEffect };
+        let present = self.objects.get(&write.key);
+        if present.map(|stored| stored.revision) != *replaces {
+            return WriteResult::Conflict(present.cloned());
+        }
+        self.revision += 1;
+        let stored = Stored { revision: Revision(self.revision), value: body.clone() };
+        self.objects.insert(write.key.clone(), stored);
+        WriteResult::Written(Revision(self.revision))
+    }
+
+    fn read(&self, key: &str) -> ReadResult<ClaimBody> {
+        self.objects.get(key).cloned().map_or(ReadResult::Missing, ReadResult::Found)
+    }
+
+    /// Does the next call of `book`; `luck` decides whether it or its answer is lost.
+    fn step(
+        &mut self,
+        book: &mut ClaimBook,
+        luck: u8,
+    ) -> Vec<wigeonramp_control::claims::Decision> {
+        let (call, mut decided) = book.batch(NOW);
+        let Some(write) = call else { return decided };
+        decided.extend(match (&write.call, luck) {
+            (ClaimCall::Read, 0) => book.read(&write.key, ReadResult::Failed),
+            (ClaimCall::Read, _) => book.read(&write.key, self.read(&write.key)),
+            (_, 0) => book.written(&write.key, WriteResult::NoEffect, NOW),
+            (_, 1) => {
+                self.write(&write);
+                book.written(&write.key, WriteResult::Unknown, NOW)
+            }
+            (_, 2) => {
+                self.late.push(write.clone());
+                book.written(&write.key, WriteResult::Unknown, NOW)
+            }
+            _ => {
+                let result = self.write(&write);
+                book.written(&write.key, result, NOW)
+            }
+        });
+        decided
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Event {
+    Request { host: usize, n: u64 },
+    Step { host: usize, luck: u8, sent: bool },
+    Late,
+    Restart { host: usize },
+    Withdraw { host: usize, n: u64 },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        3 => (0_usize..3, 0_u64..4).prop_map(|(host, n)| Event::Request { host, n }),
+        6 => (0_usize..3, 0_u8..8, any::<bool>())
+            .prop_map(|(host, luck, sent)| Event::Step { host, luck, sent }),
+        2 => Just(Event::Late),
+        1 => (0_usize..3).prop_map(|host| Event::Restart { host }),
+        1 => (0_usize..3, 0_u64..4).prop_map(|(host, n)| Event::Withdraw { host, n }),
+    ]
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(13), failure_persistence: None,
+        ..Default::default()
+    })]
+
+    #[test]
+    fn a_request_is_sent_at_most_once(events in vec(event(), 1..120)) {
+        let mut store = Store::default();
+        let mut books = [(); 3].map(|()| ClaimBook::new(SETTINGS));
+        let (mut nonce, mut sends) = (0, BTreeMap::<ClaimId, u32>::new());
+        for event in events {
+            match event {
+                Event::Request { host, n } => {
+                    nonce += 1;
+                    books[host].request(claim(n), ClaimNonce(nonce), NOW);
+                }
+                Event::Step { host, luck, sent } => {
+                    for decision in store.step(&mut books[host], luck) {
+                        if decision.verdict != Verdict::Granted {
+                            continue;
+                        }
+                        let state = if sent { ClaimState::Done } else { ClaimState::NotRun };
+                        *sends.entry(decision.claim.clone()).or_default() += u32::from(sent);
+                        books[host].record(decision.claim, decision.nonce, state);
+                    }
+                }
+                Event::Late => {
+                    if let Some(write) = store.late.pop() {
+                        store.write(&write);
+                    }
+                }
+                Event::Restart { host } => books[host] = ClaimBook::new(SETTINGS),
+                Event::Withdraw { host, n } => drop(books[host].withdraw(&claim(n))),
+            }
+        }
+        prop_assert!(sends.values().all(|sends| *sends <= 1), "sent twice: {sends:?}");
+    }
+}
+
+/// Verdicts of a second host, after a first one went through `lucks` and recorded `state`.
+fn second_verdict(lucks: &[u8], state: Option<ClaimState>) -> String {
+    let mut store = Store::default();
+    let (mut first, mut second) = (ClaimBook::new(SETTINGS), ClaimBook::new(SETTINGS));
+    first.request(claim(1), ClaimNonce(1), NOW);
+    let decided: Vec<_> = lucks.iter().flat_map(|luck| store.step(&mut first, *luck)).collect();
+    if let Some(state) = state {
+        first.record(claim(1), ClaimNonce(1), state);
+        store.step(&mut first, 9);
+    }
+    second.request(claim(1), ClaimNonce(2), NOW);
+    let later: Vec<_> = (0..4).flat_map(|_| store.step(&mut second, 9)).collect();
+    let verdicts = |list: Vec<wigeonramp_control::claims::Decision>| {
+        list.into_iter().map(|decision| decision.verdict).collect::<Vec<_>>()
+    };
+    format!("first {:?}, second {:?}", verdicts(decided), verdicts(later))
+}
+
+#[test]
+fn claims_by_fault() {
+    let mut table = String::new();
+    for (case, lucks, state) in [
+        ("granted, no outcome", &[9][..], None),
+        ("done", &[9], Some(ClaimState::Done)),
+        ("no answer from the leaf", &[9], Some(ClaimState::Unknown)),
+        ("holder sent nothing", &[9], Some(ClaimState::NotRun)),
+        ("store down", &[0], None),
+        ("answer lost, read back", &[1, 9, 9], None),
+        ("answer lost, read back fails", &[1, 0], None),
+        ("write lost, read back, written again", &[2, 9, 9], None),
+    ] {
+        writeln!(table, "{case}: {}", second_verdict(lucks, state)).unwrap();
+    }
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn bad_old_and_used_requests_are_refused_at_once() {
+    let mut book = ClaimBook::new(SETTINGS);
+    let of = |text: &str| ClaimId { request: id(text), ..claim(1) };
+    let mut ask = |text: &str, nonce| {
+        book.request(of(text), ClaimNonce(nonce), NOW).map(|decision| decision.verdict)
+    };
+    insta::assert_debug_snapshot!([
+        ask("abc", 1),
+        ask("5x-1", 2),
+        ask("1800000000000-", 3),
+        ask("1799999399999-x", 4),
+        ask("1800000060001-x", 5),
+        ask("1800000000000-x", 6),
+        ask("1800000000000-x", 7),
+        ask("1800000000000-y", 6),
+    ]);
+}
+
+#[test]
+fn a_full_object_takes_no_more_claims_and_outcomes_still_fit() {
+    let settings = ClaimSettings { max_body: ByteSize(1_000), buckets: 1, ..SETTINGS };
+    let mut book = ClaimBook::new(settings);
+    let mut store = Store::default();
+    for n in 0..40 {
+        book.request(claim(n), ClaimNonce(u64::MAX - n), NOW);
+    }
+    let decided = store.step(&mut book, 9);
+    let granted: Vec<_> = decided.iter().filter(|d| d.verdict == Verdict::Granted).collect();
+    for decision in &granted {
+        book.record(decision.claim.clone(), decision.nonce, ClaimState::Unknown);
+    }
+    store.step(&mut book, 9);
+    let body = &store.objects.values().next().unwrap().value;
+    assert!(granted.len() > 5 && decided.len() == 40);
+    assert!(body.claims.values().all(|claim| claim.state == ClaimState::Unknown));
+    assert!(serde_json::to_string(body).unwrap().len() <= 1_000);
+}
+
+#[test]
+fn an_object_is_deleted_5_min_after_its_last_request_is_forgotten() {
+    let key = SETTINGS.key_of(&claim(1)).unwrap();
+    let end = (NOW.0 - 1_000) / 60_000 * 60_000 + 60_000;
+    assert!(!deletable(&key, &SETTINGS, UnixMillis(end + 900_000)));
+    assert!(deletable(&key, &SETTINGS, UnixMillis(end + 900_001)));
+}
--- a/components/control/tests/common/mod.rs
+++ b/components/control/tests/common/mod.rs
@@ -3,15 +3,14 @@
 #![allow(dead_code, reason = "each test file uses some of these")]
 
 use {
-    std::fmt::Debug,
-    std::str::FromStr,
-    wigeonramp_config::Document,
+    std::{fmt::Debug, str::FromStr},
+    wigeonramp_config::{Document, Presence},
     wigeonramp_control::{
         assignment::AssignmentVersion,
         membership::{Membership, SessionSeen},
         session::SessionRecord,
     },
-    wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Revision, Span},
+    wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Revision, Span, ZoneId},
 };
 
 pub const SESSION: Span = Span::secs(4);
@@ -52,6 +51,10 @@
     "ordinary_floor":10,"max_ejected":30,"claim_retention":"10min","quarantine":"10min",
     "session_time":"4s","stale_after":"2s"}"#;
 
+pub fn take_out(document: &mut Document, zone: &str) {
+    document.zones[&id::<ZoneId>(zone)].state = Presence::Out;
+}
+
 pub fn record(instance: &InstanceId, zone: &str, counter: u64) -> SessionRecord {
     let (host, boot) = instance.as_str().split_once('@').unwrap();
     let address = "127.0.0.1:1".parse().unwrap();
--- /dev/null
+++ b/components/control/tests/edges.rs
@@ -0,0 +1,162 @@
+//! Guards of drain, entry choice, backoff, heartbeats and the budget of platform calls.
+
+mod common;
+
+use {
+    common::id,
+    proptest::{collection::vec, prelude::*},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::fmt::Write,
+    wigeonramp_control::{
+        assignment::AssignmentVersion,
+        backoff::Backoff,
+        calls::CallBudget,
+        drain::{Drain, DrainFacts, DrainSettings, DrainState},
+        entry::{EntryHost, EntryView, choose},
+        heartbeat::{Versions, next_peers},
+    },
+    wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Span},
+};
+
+const DRAIN: DrainSettings = DrainSettings {
+    entry_lifetime: Span::secs(5),
+    max_deadline: Span::secs(2),
+    stale_after: Span::secs(2),
+    patience: Span::secs(20),
+};
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        rng_seed: proptest::test_runner::RngSeed::Fixed(14), failure_persistence: None,
+        ..Default::default()
+    })]
+
+    #[test]
+    fn drain_stops_only_when_nothing_is_in_flight_and_callers_have_left(
+        facts in vec((any::<bool>(), 0_usize..3, 0_usize..3, 0_u64..8_000), 1..40),
+    ) {
+        let mut now = Instant(1_000_000);
+        let mut drain = Drain::new(DRAIN, now);
+        drain.begin(now);
+        let (mut unlisted, mut last) = (None, DrainState::Unlisted);
+        for (leaving_written, held, in_flight, ms) in facts {
+            now = now + Span::millis(ms);
+            let state = drain.step(DrainFacts { leaving_written, held, in_flight }, now);
+            if state == DrainState::HandingOver && last == DrainState::Unlisted {
+                unlisted = Some(now);
+            }
+            if state == DrainState::Stopped && last != DrainState::Stopped {
+                prop_assert_eq!(in_flight, 0);
+                prop_assert!(now.since(unlisted.unwrap()) >= Span::secs(9));
+            }
+            last = state;
+        }
+    }
+}
+
+#[test]
+fn drain_goes_through_all_states_and_passes_a_store_outage_after_its_patience() {
+    let mut table = String::new();
+    let none = DrainFacts { leaving_written: false, held: 0, in_flight: 0 };
+    for (case, facts) in [
+        ("calm", DrainFacts { leaving_written: true, ..none }),
+        ("store down, leaves kept", DrainFacts { held: 2, ..none }),
+        ("request runs for ever", DrainFacts { leaving_written: true, in_flight: 1, ..none }),
+    ] {
+        let mut drain = Drain::new(DRAIN, Instant(0));
+        drain.begin(Instant(0));
+        let mut last = DrainState::Serving;
+        for second in 0..100 {
+            let state = drain.step(facts, Instant(0) + Span::secs(second));
+            if state != last {
+                writeln!(table, "{case}: {state:?} at {second}s").unwrap();
+            }
+            last = state;
+        }
+    }
+    insta::assert_snapshot!(table);
+}
+
+fn hosts() -> Vec<EntryHost> {
+    let host = |n: usize| EntryHost {
+        host: id(&format!("h{n}")),
+        zone: id(["a", "b", "c"][n % 3]),
+        zone_in: true,
+        address: format!("127.0.0.1:{}", 100 + n).parse().unwrap(),
+        load: Percent(10),
+        leaving: false,
+        heard: Instant(10_000_000),
+    };
+    (0..9).map(host).collect()
+}
+
+#[test]
+fn callers_are_never_sent_to_leaving_stale_or_taken_out_hosts() {
+    let mut all = hosts();
+    let mut table = String::new();
+    let mut row = |case: &str, hosts: &[EntryHost], zone: Option<&str>| {
+        let (stale_after, lifetime) = (Span::secs(2), Span::secs(5));
+        let view = EntryView { hosts: hosts.to_vec(), stale_after, lifetime };
+        let zone = zone.map(id);
+        let answer = choose(&view, &id("caller-1"), zone.as_ref(), Instant(11_000_000));
+        let ports: Vec<_> = answer.addresses.iter().map(|address| address.port()).collect();
+        writeln!(table, "{case:<32} {ports:?} for {}", answer.lifetime).unwrap();
+    };
+    row("zone a", &all, Some("a"));
+    row("no zone", &all, None);
+    all[0].leaving = true;
+    row("zone a, h0 leaving", &all, Some("a"));
+    all[3].heard = Instant(8_000_000);
+    row("zone a, h3 stale too", &all, Some("a"));
+    all[6].load = Percent(90);
+    row("zone a, h6 busy too", &all, Some("a"));
+    all.iter_mut().filter(|h| h.zone == id("b")).for_each(|h| h.zone_in = false);
+    row("zone a, zone b out too", &all, Some("a"));
+    all.iter_mut().for_each(|h| h.zone_in = false);
+    row("all out", &all, Some("a"));
+    insta::assert_snapshot!(table);
+}
+
+#[test]
+fn backoff_grows_to_2s_and_starts_again() {
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    let mut backoff = Backoff::default();
+    let pauses: Vec<_> = (0..12).map(|_| backoff.failed(&mut rng)).collect();
+    assert!(pauses.iter().all(|pause| *pause <= Span::secs(2)));
+    assert!(pauses[8] >= Span::secs(1) && pauses[0] <= Span::millis(50));
+    backoff.succeeded();
+    assert!(backoff.failed(&mut rng) <= Span::millis(50));
+}
+
+#[test]
+fn heartbeats_reach_all_peers_in_turn_and_fetch_only_higher_versions() {
+    let mut rng = ChaCha8Rng::seed_from_u64(4);
+    let peers: Vec<InstanceId> = (0..18).map(|n| id(&format!("h{n}@1"))).collect();
+    let mut reached = std::collections::BTreeSet::new();
+    for _ in 0..40 {
+        let next = next_peers(&peers, &mut rng);
+        assert!(next.len() == 3 && next[0] != next[1] && next[1] != next[2] && next[0] != next[2]);
+        reached.extend(next);
+    }
+    assert_eq!(reached.len(), 18);
+    assert_eq!(next_peers(&peers[..1], &mut rng), peers[..1]);
+    let versions = |config, assignment| Versions {
+        config: ConfigVersion(config),
+        assignment: AssignmentVersion(assignment),
+    };
+    let fetch = versions(2, 5).behind(versions(3, 4));
+    assert!(fetch.config && !fetch.assignment);
+    assert_eq!(versions(2, 5).merged(versions(3, 4)), versions(3, 5));
+}
+
+#[test]
+fn platform_calls_stay_within_the_rates_at_both_sizes() {
+    let (now, later) = (CallBudget::new(18, Span::secs(4)), CallBudget::new(570, Span::secs(15)));
+    for budget in [&now, &later] {
+        assert!(budget.writes() < 300.0 && budget.reads() < 1_000.0);
+    }
+    let rows =
+        [now, later].map(|b| format!("{b:.1?} writes {:.1} reads {:.1}", b.writes(), b.reads()));
+    insta::assert_snapshot!(rows.join("\n"));
+}
