--- a/components/control/tests/fleet/main.rs
+++ b/components/control/tests/fleet/main.rs
@@ -14,7 +14,10 @@
 
 fn fault() -> impl Strategy<Value = Fault> {
     let node = 0..HOSTS;
+    // All hosts but one, among them all assigners, or any side.
+    let side = prop_oneof![(0..HOSTS).prop_map(|n| !(1 << n)), 1_u32..1 << HOSTS];
     prop_oneof![
+        (side, 5_000_u64..60_000).prop_map(|(side, ms)| Fault::Partition { side, ms }),
         (node.clone(), 100_u64..12_000).prop_map(|(node, ms)| Fault::Pause { node, ms }),
         (node.clone(), 1_000_u64..40_000).prop_map(|(node, ms)| Fault::CutStore { node, ms }),
         (1_000_u64..20_000).prop_map(|ms| Fault::CutAll { ms }),
@@ -43,7 +46,7 @@
     #[test]
     fn no_leaf_has_two_full_holders(
         seed: u64,
-        faults in vec((0_u64..6_000, fault()), 1..16),
+        faults in vec((0_u64..15_000, fault()), 1..16),
     ) {
         let mut world = World::new(seed);
         prop_assert_eq!(world.run(Span::secs(20)), Ok(()));
--- a/components/control/tests/fleet/world.rs
+++ b/components/control/tests/fleet/world.rs
@@ -20,13 +20,35 @@
 
 #[derive(Clone, Copy, Debug)]
 pub enum Fault {
-    Pause { node: usize, ms: u64 },
-    CutStore { node: usize, ms: u64 },
-    CutAll { ms: u64 },
-    CutPeers { node: usize, ms: u64 },
-    Restart { node: usize },
-    Leave { node: usize },
-    Lossy { ms: u64 },
+    Pause {
+        node: usize,
+        ms: u64,
+    },
+    CutStore {
+        node: usize,
+        ms: u64,
+    },
+    CutAll {
+        ms: u64,
+    },
+    /// Hosts in `side` reach neither the store nor the other hosts, but each other.
+    Partition {
+        side: u32,
+        ms: u64,
+    },
+    CutPeers {
+        node: usize,
+        ms: u64,
+    },
+    Restart {
+        node: usize,
+    },
+    Leave {
+        node: usize,
+    },
+    Lossy {
+        ms: u64,
+    },
 }
 
 #[derive(Default)]
@@ -65,6 +87,7 @@
     events: BTreeMap<(u64, u64), Event>,
     serial: u64,
     all_cut: u64,
+    partition: (u32, u64),
     lossy: u64,
     rng: ChaCha8Rng,
 }
@@ -84,6 +107,7 @@
             events,
             serial: 0,
             all_cut: 0,
+            partition: (0, 0),
             lossy: 0,
             rng,
         }
@@ -95,6 +119,7 @@
             Fault::Pause { node, ms } => self.nodes[node].paused = until(ms),
             Fault::CutStore { node, ms } => self.nodes[node].store_cut = until(ms),
             Fault::CutAll { ms } => self.all_cut = until(ms),
+            Fault::Partition { side, ms } => self.partition = (side, until(ms)),
             Fault::CutPeers { node, ms } => self.nodes[node].peers_cut = until(ms),
             Fault::Restart { node } => self.nodes[node].restart(self.now),
             Fault::Leave { node } => self.nodes[node].leaving = true,
@@ -124,9 +149,10 @@
         let loss = if self.lossy > self.now { self.rng.random_range(0..4) } else { 0 };
         let cut = if op.is_peer() {
             let peer = op.peer(&self.nodes);
-            self.cut_off(node) || peer.is_none_or(|peer| self.cut_off(peer))
+            self.cut_off(node)
+                || peer.is_none_or(|peer| self.cut_off(peer) || self.side(node) != self.side(peer))
         } else {
-            self.all_cut > self.now || self.nodes[node].store_cut > self.now
+            self.all_cut > self.now || self.nodes[node].store_cut > self.now || self.side(node)
         };
         let failed = |reply| Event::Answer { node, me: me.clone(), op: op.clone(), reply };
         match loss {
@@ -142,6 +168,11 @@
         }
     }
 
+    fn side(&self, node: usize) -> bool {
+        let (side, until) = self.partition;
+        until > self.now && side >> node & 1 == 1
+    }
+
     fn cut_off(&self, node: usize) -> bool {
         self.nodes[node].peers_cut > self.now
     }
