--- a/components/daemon/src/caller/check.rs
+++ b/components/daemon/src/caller/check.rs
@@ -1,16 +1,20 @@
 //! Checks of a caller's request before anything runs.
 
 use {
-    crate::{clock, entry::QueryRequest, http_server::HttpRequest},
+    crate::{
+        clock,
+        entry::request::{Identity, QueryRequest, Question},
+        http_server::HttpRequest,
+    },
     http::{HeaderMap, StatusCode},
     rand::RngExt,
     sha2::{Digest as Sha2Digest, Sha256},
     thiserror::Error,
     wigeonramp_config::{
-        Caller, Document, Priority,
+        Caller, Document,
         caller_api::{CALLER_HEADER, QueryRequest as QueryBody, TOKEN_HEADER, TOKEN_SCHEME},
     },
-    wigeonramp_units::{CallerId, CollectionId, MemberId, RequestId, Span},
+    wigeonramp_units::{CallerId, CollectionId, RequestId, Span},
 };
 
 /// Longest time between a request's own timestamp and this host's clock; NTP keeps clocks closer.
@@ -52,6 +56,22 @@
 }
 
 impl Rejection {
+    /// Name of the kind, for metrics.
+    pub fn kind(&self) -> &'static str {
+        match self {
+            Self::Body(_) => "body",
+            Self::DuplicateCollection(_) => "duplicate_collection",
+            Self::Incomplete => "body_incomplete",
+            Self::Method(_) => "method",
+            Self::NotIdempotent(_) => "not_idempotent",
+            Self::Path(_) => "path",
+            Self::TooLarge(_) => "body_too_large",
+            Self::Unauthenticated => "unauthenticated",
+            Self::UnknownCollection(_) => "unknown_collection",
+            Self::UnknownShard(..) => "unknown_shard",
+        }
+    }
+
     /// The HTTP status of the refusal.
     pub fn status(&self) -> StatusCode {
         match self {
@@ -69,17 +89,6 @@
     }
 }
 
-/// An authenticated caller.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub struct Identity {
-    /// The caller.
-    pub caller: CallerId,
-    /// The member whose rows it may see.
-    pub member: MemberId,
-    /// Priority of its requests.
-    pub priority: Priority,
-}
-
 /// Finds the caller that the headers name and checks its token.
 pub fn authenticate(document: &Document, headers: &HeaderMap) -> Result<Identity, Rejection> {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
@@ -124,17 +133,15 @@
         .unwrap_or_default();
     let timeout = body.timeout_ms.map_or(longest, |ms| Span::millis(ms).min(longest));
     let leaf_body = serde_json::to_vec(&body.body).expect("a JSON value is always writable");
-    Ok(QueryRequest {
+    let question = Question {
         body: leaf_body.into(),
-        caller: identity.caller,
         collections: body.collections,
         deadline: clock::now() + timeout,
         idempotent: body.idempotent,
-        member: identity.member,
-        priority: identity.priority,
         request: body.request_id.unwrap_or_else(new_request_id),
         shard: body.shard,
-    })
+    };
+    Ok(QueryRequest::new(identity, question))
 }
 
 fn check_collections(document: &Document, body: &QueryBody) -> Result<(), Rejection> {
--- a/components/daemon/src/caller/handler.rs
+++ b/components/daemon/src/caller/handler.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller::check::{self, Rejection},
-        entry::Entry,
+        entry::{Entry, answer::Reply, claims::RunOnce},
         http_server::{Handler, HttpRequest, ServerRefusal, json_response},
         view::HolderRights,
     },
@@ -16,13 +16,15 @@
         sync::Arc,
     },
     wigeonramp_config::caller_api::{
-        ENTRY_PATH, EntryAnswer, ErrorAnswer, QUERY_PATH, QueryAnswer, QueryOutcome,
+        ENTRY_PATH, EntryAnswer, ErrorAnswer, QUERY_PATH, QueryOutcome,
     },
-    wigeonramp_units::{RequestId, Span},
+    wigeonramp_units::Span,
 };
 
-/// When a refused caller should try again, in seconds.
-const RETRY_AFTER: &str = "1";
+/// When a refused caller should try again, if nothing better is known.
+const RETRY_AFTER: Span = Span::secs(1);
+/// Header with that time in milliseconds.
+pub const RETRY_AFTER_MS_HEADER: &str = "retry-after-ms";
 
 /// Which hosts a caller should use; answered by the control side.
 pub trait EntryAddresses: Send + Sync + 'static {
@@ -40,14 +42,14 @@
 }
 
 /// The caller API of a host.
-pub struct CallerApi<A, R> {
+pub struct CallerApi<A, K, R> {
     addresses: Arc<A>,
-    entry: Arc<Entry<R>>,
+    entry: Arc<Entry<K, R>>,
 }
 
-impl<A: EntryAddresses, R: HolderRights> CallerApi<A, R> {
+impl<A: EntryAddresses, K: RunOnce, R: HolderRights> CallerApi<A, K, R> {
     /// An API over `entry`.
-    pub fn new(entry: Arc<Entry<R>>, addresses: Arc<A>) -> Self {
+    pub fn new(entry: Arc<Entry<K, R>>, addresses: Arc<A>) -> Self {
         Self { addresses, entry }
     }
 
@@ -81,38 +83,36 @@
         let identity = check::authenticate(&view.document, &request.headers)?;
         let query = check::query(&view.document, identity, request)?;
         // Once leaves may have been asked, a fault must not read like a refusal.
-        let answer = catch_unwind(AssertUnwindSafe(|| self.entry.run(&query)));
-        let answer = answer.unwrap_or_else(|_| unknown(query.request.clone(), "internal fault"));
-        Ok(query_response(&answer))
+        let reply = catch_unwind(AssertUnwindSafe(|| self.entry.run(&query)));
+        let reply = reply.unwrap_or_else(|_| Reply::unknown(&query, "internal fault"));
+        Ok(query_response(&reply))
     }
 }
 
-fn unknown(request_id: RequestId, reason: &str) -> QueryAnswer {
-    QueryAnswer {
-        request_id,
-        outcome: QueryOutcome::Unknown { reason: reason.to_owned() },
-        collections: Vec::new(),
-    }
-}
-
-fn query_response(answer: &QueryAnswer) -> Response<Full<Bytes>> {
+fn query_response(reply: &Reply) -> Response<Full<Bytes>> {
+    let answer = &reply.answer;
     match answer.outcome {
         QueryOutcome::Done => json_response(StatusCode::OK, answer),
         QueryOutcome::Unknown { .. } => json_response(StatusCode::GATEWAY_TIMEOUT, answer),
         QueryOutcome::RefusedNotRun { .. } => {
-            retry_later(json_response(StatusCode::SERVICE_UNAVAILABLE, answer))
+            retry_later(json_response(StatusCode::SERVICE_UNAVAILABLE, answer), reply.retry_after)
         }
     }
 }
 
-fn retry_later(mut response: Response<Full<Bytes>>) -> Response<Full<Bytes>> {
-    response.headers_mut().insert(header::RETRY_AFTER, HeaderValue::from_static(RETRY_AFTER));
+/// Names the time to try again: whole seconds for any client, milliseconds for those that know.
+fn retry_later(mut response: Response<Full<Bytes>>, after: Span) -> Response<Full<Bytes>> {
+    let after = if after == Span::ZERO { RETRY_AFTER } else { after };
+    let seconds = after.as_millis().div_ceil(1_000);
+    let headers = response.headers_mut();
+    headers.insert(header::RETRY_AFTER, HeaderValue::from(seconds));
+    headers.insert(RETRY_AFTER_MS_HEADER, HeaderValue::from(after.as_millis()));
     response
 }
 
 fn busy(reason: &str) -> Response<Full<Bytes>> {
     let answer = ErrorAnswer { error: reason.to_owned() };
-    retry_later(json_response(StatusCode::SERVICE_UNAVAILABLE, &answer))
+    retry_later(json_response(StatusCode::SERVICE_UNAVAILABLE, &answer), RETRY_AFTER)
 }
 
 fn rejected(rejection: &Rejection) -> Response<Full<Bytes>> {
@@ -124,12 +124,16 @@
     response
 }
 
-impl<A: EntryAddresses, R: HolderRights> Handler for CallerApi<A, R> {
+impl<A: EntryAddresses, K: RunOnce, R: HolderRights> Handler for CallerApi<A, K, R> {
     fn handle(&self, request: HttpRequest) -> Response<Full<Bytes>> {
-        self.dispatch(&request).unwrap_or_else(|rejection| rejected(&rejection))
+        self.dispatch(&request).unwrap_or_else(|rejection| {
+            self.entry.observer().refused(None, rejection.kind(), None);
+            rejected(&rejection)
+        })
     }
 
     fn refuse(&self, refusal: ServerRefusal) -> Response<Full<Bytes>> {
+        self.entry.observer().refused(None, refusal.as_str(), None);
         match refusal {
             ServerRefusal::BodyTooLarge => {
                 rejected(&Rejection::TooLarge(self.entry.view().document.limits.max_body.get()))
--- a/components/daemon/src/control/simple.rs
+++ b/components/daemon/src/control/simple.rs
@@ -7,6 +7,10 @@
     crate::{
         caller::handler::{EntryAddresses, EntryChoice},
         clock,
+        entry::{
+            QueryRequest,
+            claims::{Claim, ClaimedOutcome, RunOnce},
+        },
         peer::server::PeerControl,
         view::{ClusterView, Holder, HolderRights, HostView, Views},
     },
@@ -198,6 +202,14 @@
     }
 }
 
+impl<S: ObjectStore> RunOnce for SimpleControl<S> {
+    fn claim(&self, _query: &QueryRequest) -> Claim {
+        Claim::NotRun("claims are not available".to_owned())
+    }
+
+    fn record(&self, _query: &QueryRequest, _outcome: &ClaimedOutcome) {}
+}
+
 impl<S: ObjectStore> HolderRights for SimpleControl<S> {
     fn rights(&self, _leaf: &LeafId, now: Instant) -> Rights {
         let contact = Instant(self.contact.load(Ordering::Acquire));
--- /dev/null
+++ b/components/daemon/src/entry/answer.rs
@@ -0,0 +1,141 @@
+//! The answer as callers get it.
+
+use {
+    crate::{
+        entry::QueryRequest,
+        observe::{CoverageRef, Observer, QueryRef},
+        view::ClusterView,
+    },
+    wigeonramp_config::caller_api::{
+        CollectionAnswer, CoverageAnswer, MissingShard, PartAnswer, QueryAnswer, QueryOutcome,
+    },
+    wigeonramp_serving::query::{Answer, Outcome, Part, Pinned},
+    wigeonramp_units::{CollectionId, Span},
+};
+
+/// An answer, and when a refused caller should ask again.
+#[derive(Clone, Debug)]
+pub struct Reply {
+    /// The answer.
+    pub answer: QueryAnswer,
+    /// When asking again makes sense; zero when that is not known.
+    pub retry_after: Span,
+}
+
+impl Reply {
+    /// The request was not sent to any leaf.
+    pub fn refused(query: &QueryRequest, reason: &str, retry_after: Span) -> Self {
+        let outcome = QueryOutcome::RefusedNotRun { reason: reason.to_owned() };
+        Self { answer: without_parts(query, outcome), retry_after }
+    }
+
+    /// The request may have run.
+    pub fn unknown(query: &QueryRequest, reason: &str) -> Self {
+        let outcome = QueryOutcome::Unknown { reason: reason.to_owned() };
+        Self { answer: without_parts(query, outcome), retry_after: Span::ZERO }
+    }
+
+    /// What the query found.
+    pub fn of(query: &QueryRequest, answer: Answer) -> Self {
+        let reason = match answer.outcome {
+            Outcome::Done => {
+                let answer = QueryAnswer {
+                    request_id: query.request.clone(),
+                    outcome: QueryOutcome::Done,
+                    collections: collections(query, answer),
+                };
+                return Self { answer, retry_after: Span::ZERO };
+            }
+            Outcome::NotRun(reason) => {
+                return Self::refused(query, &reason.to_string(), Span::ZERO);
+            }
+            Outcome::Unknown(reason) => reason,
+        };
+        Self::unknown(query, &reason.to_string())
+    }
+}
+
+fn without_parts(query: &QueryRequest, outcome: QueryOutcome) -> QueryAnswer {
+    QueryAnswer { request_id: query.request.clone(), outcome, collections: Vec::new() }
+}
+
+fn collections(query: &QueryRequest, answer: Answer) -> Vec<CollectionAnswer> {
+    let Answer { pinned, coverage, parts, .. } = answer;
+    let mut parts = parts;
+    let mut missing = coverage.missing;
+    query
+        .collections
+        .iter()
+        .map(|id| {
+            let mine: Vec<Part> = parts.extract_if(.., |part| part.collection == *id).collect();
+            let missing: Vec<MissingShard> = missing
+                .extract_if(.., |missing| missing.collection == *id)
+                .map(|missing| MissingShard {
+                    shard: missing.shard,
+                    reason: missing.reason.to_string(),
+                })
+                .collect();
+            collection(id, &pinned, mine, missing)
+        })
+        .collect()
+}
+
+fn collection(
+    id: &CollectionId,
+    pinned: &[Pinned],
+    parts: Vec<Part>,
+    missing: Vec<MissingShard>,
+) -> CollectionAnswer {
+    let covered = u32::try_from(parts.len()).unwrap_or(u32::MAX);
+    let total = covered + u32::try_from(missing.len()).unwrap_or(u32::MAX);
+    let pinned = pinned.iter().find(|pinned| pinned.collection == *id && covered > 0);
+    CollectionAnswer {
+        collection: id.clone(),
+        snapshot: pinned.map(|pinned| pinned.snapshot),
+        map_version: pinned.map(|pinned| pinned.map_version),
+        coverage: CoverageAnswer { covered, total, missing },
+        parts: parts.into_iter().map(part).collect(),
+    }
+}
+
+fn part(part: Part) -> PartAnswer {
+    let reply = part.reply;
+    PartAnswer {
+        shard: reply.shard,
+        rows: reply.rows,
+        // The holder drops answers that are not text.
+        payload: String::from_utf8_lossy(&reply.payload).into_owned(),
+    }
+}
+
+/// Records an answered query.
+pub fn observe(observer: &Observer, cluster: &ClusterView, answer: &QueryAnswer, took: Span) {
+    let (name, outcome) = match &answer.outcome {
+        QueryOutcome::Done => ("done", "done".to_owned()),
+        QueryOutcome::RefusedNotRun { reason } => {
+            ("refused_not_run", format!("refused_not_run: {reason}"))
+        }
+        QueryOutcome::Unknown { reason } => ("unknown", format!("unknown: {reason}")),
+    };
+    let coverage = answer.collections.iter().map(|collection| &collection.coverage);
+    let (covered, total) = coverage.fold((0, 0), |(covered, total), coverage| {
+        (covered + coverage.covered, total + coverage.total)
+    });
+    observer.query_finished(&QueryRef {
+        config: cluster.document.version,
+        covered,
+        outcome: &outcome,
+        request: &answer.request_id,
+        took,
+        total,
+    });
+    for collection in &answer.collections {
+        observer.coverage(&CoverageRef {
+            collection: &collection.collection,
+            covered: collection.coverage.covered,
+            outcome: name,
+            took,
+            total: collection.coverage.total,
+        });
+    }
+}
--- /dev/null
+++ b/components/daemon/src/entry/claims.rs
@@ -0,0 +1,50 @@
+//! The claims of requests that must not run twice, as queries use them.
+
+use {
+    crate::entry::QueryRequest,
+    wigeonramp_config::caller_api::{QueryAnswer, QueryOutcome},
+};
+
+/// Whether a request may be sent.
+#[derive(Clone, Debug)]
+pub enum Claim {
+    /// It may be sent once, by this host, now.
+    Granted,
+    /// It was not sent and will not be.
+    NotRun(String),
+    /// It was sent before and this is its recorded answer.
+    Ran(Box<QueryAnswer>),
+    /// It may have been sent before.
+    Unknown(String),
+}
+
+/// What is recorded of a claimed request.
+#[derive(Clone, Debug)]
+pub enum ClaimedOutcome {
+    /// It ran; the answer is for repetitions.
+    Done(Box<QueryAnswer>),
+    /// No byte was sent; the claim can be released.
+    NotRun,
+    /// Bytes were sent and no answer came.
+    Unknown,
+}
+
+impl ClaimedOutcome {
+    /// The record of `answer`.
+    pub fn of(answer: &QueryAnswer) -> Self {
+        match answer.outcome {
+            QueryOutcome::Done => Self::Done(Box::new(answer.clone())),
+            QueryOutcome::RefusedNotRun { .. } => Self::NotRun,
+            QueryOutcome::Unknown { .. } => Self::Unknown,
+        }
+    }
+}
+
+/// Grants each request that must not run twice to one sender.
+pub trait RunOnce: Send + Sync + 'static {
+    /// Asks to send the request; blocks until the answer is certain.
+    fn claim(&self, query: &QueryRequest) -> Claim;
+
+    /// Records the outcome of a granted request.
+    fn record(&self, query: &QueryRequest, outcome: &ClaimedOutcome);
+}
--- /dev/null
+++ b/components/daemon/src/entry/drive.rs
@@ -0,0 +1,280 @@
+//! The loop that feeds a `Query` its events and does what it decides.
+
+use {
+    crate::{
+        clock,
+        entry::{
+            EntryParts, QueryRequest,
+            board::LeafBoard,
+            dispatch::{Dispatcher, Route},
+        },
+        observe::AttemptRef,
+        peer::client::{EntryEvent, Lost},
+        reply::{Reply, ReplyOutcome},
+        view::{ClusterView, HolderRights},
+    },
+    crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded},
+    std::{
+        collections::{HashMap, HashSet},
+        sync::Arc,
+    },
+    wigeonramp_serving::{
+        query::{
+            Action, Answer, AttemptResult, Event, LeafView, Query, QuerySpec, Reply as Rows, Send,
+        },
+        upstream::Refusal,
+    },
+    wigeonramp_units::{AttemptId, CollectionId, Instant, ShardId, SnapshotId},
+};
+
+/// A finished query.
+pub(super) struct Driven {
+    pub(super) answer: Answer,
+    /// Whether a leaf reset while the query ran there.
+    pub(super) reset: bool,
+}
+
+struct Open {
+    began: Instant,
+    route: Route,
+    send: Send,
+}
+
+/// A shard that was asked; asking it again is a retry.
+#[derive(Debug, Eq, Hash, PartialEq)]
+struct Asked {
+    collection: CollectionId,
+    shard: ShardId,
+    snapshot: SnapshotId,
+}
+
+/// One query on its request thread.
+pub(super) struct Drive<'a, K, R> {
+    asked: HashSet<Asked>,
+    board: &'a LeafBoard,
+    cluster: &'a Arc<ClusterView>,
+    dispatcher: Dispatcher<'a, K, R>,
+    events: Sender<EntryEvent>,
+    incoming: Receiver<EntryEvent>,
+    open: HashMap<AttemptId, Open>,
+    parts: &'a EntryParts<K, R>,
+    query: &'a QueryRequest,
+    reset: bool,
+    wake: Option<Instant>,
+}
+
+impl<'a, K, R: HolderRights> Drive<'a, K, R> {
+    pub(super) fn new(
+        query: &'a QueryRequest,
+        cluster: &'a Arc<ClusterView>,
+        board: &'a LeafBoard,
+        parts: &'a EntryParts<K, R>,
+        dispatcher: Dispatcher<'a, K, R>,
+    ) -> Self {
+        let (events, incoming) = unbounded();
+        Self {
+            asked: HashSet::new(),
+            board,
+            cluster,
+            dispatcher,
+            events,
+            incoming,
+            open: HashMap::new(),
+            parts,
+            query,
+            reset: false,
+            wake: None,
+        }
+    }
+
+    /// Runs to the answer.
+    pub(super) fn run(mut self, spec: QuerySpec, view: Arc<LeafView>) -> Driven {
+        let document = Arc::clone(&self.cluster.document);
+        let now = clock::now();
+        let (mut query, mut actions) = Query::new(spec, document, view, now, &mut rand::rng());
+        loop {
+            if let Some(answer) = self.apply(actions) {
+                return Driven { answer, reset: self.reset };
+            }
+            actions = self.step(&mut query);
+        }
+    }
+
+    /// Waits for the next event, and takes in all that are there.
+    fn step(&mut self, query: &mut Query) -> Vec<Action> {
+        let until = self.wake.unwrap_or(self.query.deadline);
+        let mut actions = match self.incoming.recv_timeout(clock::until(until).to_duration()) {
+            Ok(event) => self.take(query, event),
+            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
+                query.on(Event::Tick, clock::now())
+            }
+        };
+        while let Ok(event) = self.incoming.try_recv() {
+            actions.extend(self.take(query, event));
+        }
+        actions
+    }
+
+    fn take(&mut self, query: &mut Query, event: EntryEvent) -> Vec<Action> {
+        match event {
+            EntryEvent::Reply(reply) => {
+                if let Some(report) = &reply.report {
+                    self.board.report(self.cluster, report);
+                }
+                let attempt = reply.attempt;
+                let result = self.result_of(*reply);
+                self.deliver(query, attempt, result)
+            }
+            EntryEvent::Lost(lost) => self.lost(query, &lost),
+        }
+    }
+
+    fn lost(&mut self, query: &mut Query, lost: &Lost) -> Vec<Action> {
+        let mut actions = Vec::new();
+        for attempt in &lost.attempts {
+            let result = if lost.maybe_sent {
+                AttemptResult::Unknown
+            } else {
+                AttemptResult::NotSent(Refusal::Unreachable)
+            };
+            self.failed(*attempt, &result, &lost.reason);
+            actions.extend(self.deliver(query, *attempt, result));
+        }
+        actions
+    }
+
+    fn deliver(
+        &mut self,
+        query: &mut Query,
+        attempt: AttemptId,
+        result: AttemptResult,
+    ) -> Vec<Action> {
+        let before = query.counters();
+        let actions = query.on(Event::Partial { attempt, result }, clock::now());
+        if query.counters().mismatched > before.mismatched {
+            // The attempt stays open: the right reply may still come.
+            if let Some(open) = self.open.get(&attempt) {
+                self.parts.observer.dropped(&self.about(&open.send), "does not match its attempt");
+            }
+        } else {
+            self.open.remove(&attempt);
+        }
+        actions
+    }
+
+    /// What the reply means to the query; also to latencies, ejection and the timeline.
+    fn result_of(&mut self, reply: Reply) -> AttemptResult {
+        let now = clock::now();
+        let attempt = reply.attempt;
+        let (result, reason) = match reply.outcome {
+            ReplyOutcome::Answered(rows) => {
+                if let Some(open) = self.open.get(&attempt) {
+                    let took = now.since(open.began);
+                    let id = &open.send.collection;
+                    self.board.answered(self.cluster, id, &open.send.leaf, took, now);
+                    self.parts.observer.attempt_answered(id, took);
+                }
+                return AttemptResult::Answered(Rows {
+                    request: reply.request,
+                    leaf: reply.leaf,
+                    shard: reply.shard,
+                    member: reply.member,
+                    snapshot: reply.snapshot,
+                    map_version: reply.map_version,
+                    rows: rows.count,
+                    digest: rows.digest,
+                    payload: rows.payload,
+                });
+            }
+            ReplyOutcome::NotSent(refusal) => {
+                (AttemptResult::NotSent(refusal), refusal.to_string())
+            }
+            ReplyOutcome::Refused(reason) => (AttemptResult::Refused, reason),
+            ReplyOutcome::Reset(reason) => (AttemptResult::Reset, reason),
+            ReplyOutcome::SnapshotGone => (AttemptResult::SnapshotGone, String::new()),
+            ReplyOutcome::Unknown(reason) => (AttemptResult::Unknown, reason),
+        };
+        self.failed(attempt, &result, &reason);
+        result
+    }
+
+    fn failed(&mut self, attempt: AttemptId, result: &AttemptResult, reason: &str) {
+        let now = clock::now();
+        let Some(open) = self.open.get(&attempt) else { return };
+        let (name, blames) = match result {
+            AttemptResult::Answered(_) => ("answered", false),
+            AttemptResult::NotSent(_) => ("not_sent", false),
+            AttemptResult::Refused => ("refused", false),
+            AttemptResult::Reset => ("reset", true),
+            AttemptResult::SnapshotGone => ("snapshot_gone", false),
+            AttemptResult::Unknown => ("unknown", true),
+        };
+        self.reset |= matches!(result, AttemptResult::Reset);
+        let took = now.since(open.began);
+        self.parts.observer.attempt_failed(&self.about(&open.send), name, reason, took);
+        if blames {
+            let Send { collection, leaf, .. } = &open.send;
+            if self.board.failed(self.cluster, collection, leaf, now) {
+                log::warn!("leaf {leaf} is ejected: too many failures in a row");
+            }
+        }
+    }
+
+    /// Does what the query decided; the answer, when it is finished.
+    fn apply(&mut self, actions: Vec<Action>) -> Option<Answer> {
+        let mut sends = Vec::new();
+        let mut cancels = Vec::new();
+        let mut answer = None;
+        for action in actions {
+            match action {
+                Action::Send(send) => sends.push(send),
+                Action::Cancel { attempt } => {
+                    // An attempt of this very batch was not sent yet.
+                    sends.retain(|send| send.attempt != attempt);
+                    if let Some(open) = self.open.remove(&attempt) {
+                        cancels.push((attempt, open.route));
+                    }
+                }
+                Action::WakeAt(at) => self.wake = Some(at),
+                Action::Finish(finished) => answer = Some(*finished),
+            }
+        }
+        if !cancels.is_empty() {
+            self.dispatcher.cancel(cancels);
+        }
+        if answer.is_none() && !sends.is_empty() {
+            self.send(sends);
+        }
+        answer
+    }
+
+    fn send(&mut self, sends: Vec<Send>) {
+        for send in &sends {
+            let again = !self.asked.insert(Asked {
+                collection: send.collection.clone(),
+                shard: send.shard.clone(),
+                snapshot: send.snapshot,
+            });
+            match (send.hedge, again) {
+                (true, _) => self.parts.observer.hedge(&self.about(send)),
+                (false, true) => self.parts.observer.retry(&self.about(send)),
+                (false, false) => (),
+            }
+        }
+        let began = clock::now();
+        let routes = self.dispatcher.send(sends.clone(), &self.events);
+        for (send, route) in sends.into_iter().zip(routes) {
+            self.open.insert(send.attempt, Open { began, route, send });
+        }
+    }
+
+    fn about<'b>(&'b self, send: &'b Send) -> AttemptRef<'b> {
+        AttemptRef {
+            attempt: send.attempt,
+            collection: &send.collection,
+            leaf: &send.leaf,
+            request: &self.query.request,
+            shard: &send.shard,
+        }
+    }
+}
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -1,268 +1,292 @@
 //! Queries of callers, run on the entry host.
 
+pub mod answer;
+pub mod board;
+pub mod claims;
+mod dispatch;
+mod drive;
+pub mod request;
+
+pub use request::QueryRequest;
+
 use {
     crate::{
         clock,
-        holder::{
-            Holders,
-            connection::LeafCall,
-            job::{LeafJob, ReplySink},
+        entry::{
+            answer::Reply,
+            board::LeafBoard,
+            claims::{Claim, ClaimedOutcome, RunOnce},
+            dispatch::Dispatcher,
+            drive::{Drive, Driven},
         },
-        peer::client::{EntryEvent, Peers},
-        reply::{Reply, ReplyOutcome, Rows},
+        holder::Holders,
+        observe::Observer,
+        peer::client::Peers,
+        suspects::Suspects,
         view::{ClusterView, HolderRights, Views},
     },
-    bytes::Bytes,
-    crossbeam::channel::{Sender, unbounded},
+    parking_lot::Mutex,
     std::{
         collections::HashMap,
-        net::SocketAddr,
         sync::{
             Arc,
             atomic::{AtomicU64, Ordering},
         },
     },
-    wigeonramp_config::{
-        Priority,
-        caller_api::{
-            CollectionAnswer, CoverageAnswer, MissingShard, PartAnswer, QueryAnswer, QueryOutcome,
-        },
-    },
-    wigeonramp_proto::peer::{LeafWork, RunLeavesRequest},
-    wigeonramp_units::{
-        AttemptId, CallerId, CollectionId, Digest, Epoch, Fingerprint, InstanceId, Instant, LeafId,
-        MapVersion, MemberId, RequestId, ShardId, SnapshotId,
+    wigeonramp_config::{Limits, Priority},
+    wigeonramp_serving::{
+        admission::{Admission, Admit, AdmitRefusal},
+        budget::Budgets,
+        query::{ATTEMPTS_PER_QUERY, LeafView, QuerySpec, Target, Trust},
     },
-    xxhash_rust::xxh3::xxh3_64,
+    wigeonramp_units::{AttemptId, CollectionId, InstanceId, Instant, Percent, Span, ZoneId},
 };
 
-/// A checked query of a caller.
-#[derive(Clone, Debug)]
-pub struct QueryRequest {
-    /// What the leaves get.
-    pub body: Bytes,
-    /// The authenticated caller.
-    pub caller: CallerId,
-    /// What is queried, each once.
-    pub collections: Vec<CollectionId>,
-    /// End of the query on this host's clock.
-    pub deadline: Instant,
-    /// Whether it may run more than once.
-    pub idempotent: bool,
-    /// The caller's member.
-    pub member: MemberId,
-    /// The caller's priority.
-    pub priority: Priority,
-    /// The caller's id of the request.
-    pub request: RequestId,
-    /// The only shard to ask.
-    pub shard: Option<ShardId>,
+/// Extra sends that a collection may save up.
+const BUDGET_BURST: u32 = 10;
+
+/// The parts of the host that queries use.
+pub struct EntryParts<K, R> {
+    /// Claims of requests that must not run twice.
+    pub claims: Arc<K>,
+    /// Leaves that this host holds.
+    pub holders: Arc<Holders<R>>,
+    /// This start of the host.
+    pub instance: InstanceId,
+    /// Timeline and metrics.
+    pub observer: Arc<Observer>,
+    /// Connections to other hosts.
+    pub peers: Arc<Peers>,
+    /// Queries at the same time.
+    pub query_limit: u32,
+    /// Requests that may crash leaves.
+    pub suspects: Arc<Suspects>,
+    /// The cluster.
+    pub views: Arc<Views>,
+    /// Where the host stands.
+    pub zone: ZoneId,
 }
 
-/// Runs queries on this host.
-pub struct Entry<R> {
-    attempts: AtomicU64,
-    holders: Arc<Holders<R>>,
-    instance: InstanceId,
-    peers: Arc<Peers>,
-    views: Arc<Views>,
+struct Limited {
+    admission: Admission,
+    floor: Percent,
+}
+
+/// Gives the admission back at the end of a query, also when its thread panics.
+struct Admitted<'a> {
+    admission: &'a Mutex<Limited>,
+    begun: Instant,
+    priority: Priority,
+}
+
+impl Drop for Admitted<'_> {
+    fn drop(&mut self) {
+        let took = clock::now().since(self.begun);
+        self.admission.lock().admission.finished(self.priority, took);
+    }
+}
+
+struct CollectionBudgets {
+    budgets: Arc<Budgets>,
+    hedge: Percent,
+    retry: Percent,
 }
 
-struct Target {
-    attempt: AttemptId,
-    epoch: Epoch,
-    leaf: LeafId,
-    shard: ShardId,
+/// Runs queries on this host.
+pub struct Entry<K, R> {
+    admission: Mutex<Limited>,
+    attempts: AtomicU64,
+    board: Arc<LeafBoard>,
+    budgets: Mutex<HashMap<CollectionId, CollectionBudgets>>,
+    parts: EntryParts<K, R>,
 }
 
-impl<R: HolderRights> Entry<R> {
-    /// Queries that start at `instance`.
-    pub fn new(
-        instance: InstanceId,
-        views: Arc<Views>,
-        holders: Arc<Holders<R>>,
-        peers: Arc<Peers>,
-    ) -> Self {
-        // Leaves know attempts by number alone, so the numbers of two hosts must differ.
-        let first = xxh3_64(instance.as_str().as_bytes()) << 32;
-        Self { attempts: AtomicU64::new(first), holders, instance, peers, views }
+impl<K: RunOnce, R: HolderRights> Entry<K, R> {
+    /// An entry that knows nothing of the leaves yet.
+    pub fn new(parts: EntryParts<K, R>) -> Self {
+        let floor = parts.views.load().document.limits.ordinary_floor;
+        let admission = Admission::new(parts.query_limit, floor);
+        Self {
+            admission: Mutex::new(Limited { admission, floor }),
+            attempts: AtomicU64::new(0),
+            board: Arc::new(LeafBoard::default()),
+            budgets: Mutex::new(HashMap::new()),
+            parts,
+        }
     }
 
-    /// The current view.
+    /// The current view of the cluster.
     pub fn view(&self) -> Arc<ClusterView> {
-        self.views.load()
+        self.parts.views.load()
     }
 
-    /// Runs `query`.
-    pub fn run(&self, query: &QueryRequest) -> QueryAnswer {
-        let collections = query.collections.iter();
-        let collections = collections.filter_map(|id| self.run_collection(query, id)).collect();
-        QueryAnswer { request_id: query.request.clone(), outcome: QueryOutcome::Done, collections }
+    /// What is known of the leaves; heartbeats report to it.
+    pub fn board(&self) -> &Arc<LeafBoard> {
+        &self.board
     }
 
-    fn run_collection(&self, query: &QueryRequest, id: &CollectionId) -> Option<CollectionAnswer> {
-        let view = self.views.load();
-        let map = view.document.collections.get(id)?.maps.last()?;
-        let snapshot = map.from_snapshot;
-        let (tx, rx) = unbounded();
-        let mut open: HashMap<AttemptId, ShardId> = HashMap::new();
-        let total = map.shards.len() as u32;
-        let mut answer = CollectionAnswer {
-            collection: id.clone(),
-            snapshot: Some(snapshot),
-            map_version: Some(map.version),
-            coverage: CoverageAnswer { covered: 0, total, missing: Vec::new() },
-            parts: Vec::new(),
+    /// Timeline and metrics.
+    pub fn observer(&self) -> &Arc<Observer> {
+        &self.parts.observer
+    }
+
+    /// Share of the query limit in use.
+    pub fn load(&self) -> Percent {
+        self.admission.lock().admission.load()
+    }
+
+    /// Runs `query` to its answer.
+    pub fn run(&self, query: &QueryRequest) -> Reply {
+        let begun = clock::now();
+        let cluster = self.parts.views.load();
+        let Some(trust) = self.parts.suspects.trust(query.fingerprint(), begun) else {
+            return self.refuse(query, "quarantined: crashed two leaves", Span::ZERO);
         };
-        let mut targets: HashMap<SocketAddr, Vec<Target>> = HashMap::new();
-        let mut local = Vec::new();
-        for (shard, leaves) in &map.shards {
-            let held = leaves.iter().find_map(|leaf| Some((leaf, view.holders.get(leaf)?)));
-            let Some((leaf, holder)) = held else {
-                let reason = "no holder".to_owned();
-                answer.coverage.missing.push(MissingShard { reason, shard: shard.clone() });
-                continue;
+        let view = self.leaf_view(&cluster, query, begun);
+        if let Admit::Refused { retry_after, reason } = self.admit(&cluster, query, &view, begun) {
+            let reason = match reason {
+                AdmitRefusal::Deadline => "deadline cannot be met",
+                AdmitRefusal::Overload => "overload",
             };
-            let attempt = AttemptId(self.attempts.fetch_add(1, Ordering::Relaxed));
-            open.insert(attempt, shard.clone());
-            let target =
-                Target { attempt, epoch: holder.epoch, leaf: leaf.clone(), shard: shard.clone() };
-            if holder.instance == self.instance {
-                local.push(target);
-            } else {
-                targets.entry(holder.address).or_default().push(target);
-            }
+            return self.refuse(query, reason, retry_after);
         }
-        for (address, work) in targets {
-            let message = self.message(query, id, snapshot, map.version, work);
-            self.peers.run_leaves(address, message, query.deadline, tx.clone());
-        }
-        for target in local {
-            self.holders.run(self.job(query, snapshot, map.version, target, &tx));
-        }
-        while !open.is_empty() {
-            let Ok(event) = rx.recv_timeout(clock::until(query.deadline).to_duration()) else {
-                break;
-            };
-            take(event, query, &mut open, &mut answer);
+        let reply = {
+            let _admitted =
+                Admitted { admission: &self.admission, begun, priority: query.priority };
+            self.run_claimed(query, trust, &cluster, view)
+        };
+        let took = clock::now().since(begun);
+        answer::observe(&self.parts.observer, &cluster, &reply.answer, took);
+        reply
+    }
+
+    /// Runs a request that must not run twice under its claim.
+    fn run_claimed(
+        &self,
+        query: &QueryRequest,
+        trust: Trust,
+        cluster: &Arc<ClusterView>,
+        view: Arc<LeafView>,
+    ) -> Reply {
+        if query.idempotent {
+            return self.drive(query, trust, cluster, view);
         }
-        for shard in open.into_values() {
-            answer
-                .coverage
-                .missing
-                .push(MissingShard { reason: "no answer in time".to_owned(), shard });
+        match self.parts.claims.claim(query) {
+            Claim::Granted => {
+                let reply = self.drive(query, trust, cluster, view);
+                self.parts.claims.record(query, &ClaimedOutcome::of(&reply.answer));
+                reply
+            }
+            Claim::NotRun(reason) => Reply::refused(query, &reason, Span::ZERO),
+            Claim::Unknown(reason) => Reply::unknown(query, &reason),
+            Claim::Ran(answer) => Reply { answer: *answer, retry_after: Span::ZERO },
         }
-        Some(answer)
     }
 
-    fn message(
+    fn drive(
         &self,
         query: &QueryRequest,
-        collection: &CollectionId,
-        snapshot: SnapshotId,
-        map_version: MapVersion,
-        work: Vec<Target>,
-    ) -> RunLeavesRequest {
-        let work = work.into_iter().map(|target| LeafWork {
-            attempt: target.attempt.get(),
-            leaf: target.leaf.into(),
-            shard: target.shard.into(),
-            hedge: false,
-            alone: false,
-            epoch: target.epoch.get(),
+        trust: Trust,
+        cluster: &Arc<ClusterView>,
+        view: Arc<LeafView>,
+    ) -> Reply {
+        let dispatcher = Dispatcher::new(query, cluster, &self.parts);
+        let spec = self.spec(query, trust, cluster);
+        let drive = Drive::new(query, cluster, &self.board, &self.parts, dispatcher);
+        let Driven { answer, reset } = drive.run(spec, view);
+        let now = clock::now();
+        if reset {
+            self.parts.suspects.forget(query.fingerprint());
+        } else if !answer.parts.is_empty() {
+            self.parts.suspects.succeeded(query.fingerprint(), now);
+        }
+        Reply::of(query, answer)
+    }
+
+    fn spec(&self, query: &QueryRequest, trust: Trust, cluster: &ClusterView) -> QuerySpec {
+        let limits = &cluster.document.limits;
+        let targets = query.collections.iter().map(|id| Target {
+            collection: id.clone(),
+            shards: query.shard.clone().map(|shard| vec![shard]),
+            budgets: self.budgets(id, limits),
         });
-        RunLeavesRequest {
-            request_id: query.request.as_str().to_owned(),
-            member: query.member.as_str().to_owned(),
-            caller: query.caller.as_str().to_owned(),
-            collection: collection.as_str().to_owned(),
-            entry: self.instance.as_str().to_owned(),
-            urgent: query.priority == Priority::Urgent,
+        let first = self.attempts.fetch_add(ATTEMPTS_PER_QUERY, Ordering::Relaxed);
+        QuerySpec {
+            request: query.request.clone(),
+            member: query.member.clone(),
+            fingerprint: query.fingerprint(),
+            deadline: query.deadline,
             idempotent: query.idempotent,
-            timeout_ms: clock::until(query.deadline).as_millis(),
-            snapshot: snapshot.get(),
-            map_version: map_version.get(),
-            fingerprint: Fingerprint::of(&query.body).0,
-            body: query.body.to_vec(),
-            work: work.collect(),
-            config_version: self.views.load().document.version.get(),
+            trust,
+            zone: self.parts.zone.clone(),
+            targets: targets.collect(),
+            first_attempt: AttemptId(first),
         }
     }
 
-    fn job(
+    fn budgets(&self, id: &CollectionId, limits: &Limits) -> Arc<Budgets> {
+        let (hedge, retry) = (limits.hedge_budget, limits.retry_budget);
+        let fresh = || CollectionBudgets {
+            budgets: Arc::new(Budgets::new(hedge, retry, BUDGET_BURST)),
+            hedge,
+            retry,
+        };
+        let mut all = self.budgets.lock();
+        let found = all.entry(id.clone()).or_insert_with(fresh);
+        if (found.hedge, found.retry) != (hedge, retry) {
+            *found = fresh();
+        }
+        Arc::clone(&found.budgets)
+    }
+
+    fn leaf_view(
         &self,
+        cluster: &Arc<ClusterView>,
         query: &QueryRequest,
-        snapshot: SnapshotId,
-        map_version: MapVersion,
-        target: Target,
-        events: &Sender<EntryEvent>,
-    ) -> LeafJob {
-        LeafJob {
-            alone: false,
-            call: LeafCall {
-                attempt: target.attempt,
-                body: query.body.clone(),
-                deadline: query.deadline,
-                entry: self.instance.clone(),
-                leaf: target.leaf,
-                map_version,
-                member: query.member.clone(),
-                request: query.request.clone(),
-                shard: target.shard,
-                snapshot,
-            },
-            epoch: target.epoch,
-            fingerprint: Fingerprint::of(&query.body),
-            hedge: false,
-            idempotent: query.idempotent,
-            priority: query.priority,
-            sink: ReplySink::Local(events.clone()),
-            since: clock::now(),
+        now: Instant,
+    ) -> Arc<LeafView> {
+        let mut views = query.collections.iter().map(|id| self.board.view(cluster, id, now));
+        let first = views.next().unwrap_or_default();
+        let Some(second) = views.next() else { return first };
+        let mut leaves = first.leaves.clone();
+        for view in [second].into_iter().chain(views) {
+            leaves.extend(view.leaves.iter().map(|(leaf, info)| (leaf.clone(), info.clone())));
         }
+        Arc::new(LeafView { leaves })
     }
-}
 
-fn take(
-    event: EntryEvent,
-    query: &QueryRequest,
-    open: &mut HashMap<AttemptId, ShardId>,
-    answer: &mut CollectionAnswer,
-) {
-    match event {
-        EntryEvent::Reply(reply) => {
-            let Some(shard) = open.remove(&reply.attempt) else { return };
-            match rows_of(*reply, query, &shard) {
-                Ok(rows) => {
-                    answer.coverage.covered += 1;
-                    answer.parts.push(PartAnswer {
-                        shard,
-                        rows: rows.count,
-                        payload: String::from_utf8_lossy(&rows.payload).into_owned(),
-                    });
-                }
-                Err(reason) => answer.coverage.missing.push(MissingShard { reason, shard }),
-            }
-        }
-        EntryEvent::Lost(lost) => {
-            for attempt in lost.attempts {
-                let Some(shard) = open.remove(&attempt) else { continue };
-                answer.coverage.missing.push(MissingShard { reason: lost.reason.clone(), shard });
-            }
+    fn admit(
+        &self,
+        cluster: &ClusterView,
+        query: &QueryRequest,
+        view: &LeafView,
+        now: Instant,
+    ) -> Admit {
+        let floor = cluster.document.limits.ordinary_floor;
+        let mut limited = self.admission.lock();
+        // A changed floor applies once nothing is counted under the old one.
+        if limited.floor != floor && limited.admission.in_flight() == 0 {
+            *limited = Limited { admission: Admission::new(self.parts.query_limit, floor), floor };
         }
+        let expected = expected(cluster, query, view);
+        limited.admission.admit(query.priority, query.deadline, expected, now)
     }
-}
 
-fn rows_of(reply: Reply, query: &QueryRequest, shard: &ShardId) -> Result<Rows, String> {
-    if reply.member != query.member || reply.request != query.request || reply.shard != *shard {
-        return Err("reply to another request".to_owned());
-    }
-    match reply.outcome {
-        ReplyOutcome::Answered(rows) if Digest::of(&rows.payload) == rows.digest => Ok(rows),
-        ReplyOutcome::Answered(_) => Err("digest does not match the rows".to_owned()),
-        ReplyOutcome::NotSent(refusal) => Err(refusal.to_string()),
-        ReplyOutcome::Refused(reason)
-        | ReplyOutcome::Reset(reason)
-        | ReplyOutcome::Unknown(reason) => Err(reason),
-        ReplyOutcome::SnapshotGone => Err("snapshot gone".to_owned()),
+    fn refuse(&self, query: &QueryRequest, reason: &str, retry_after: Span) -> Reply {
+        self.parts.observer.refused(Some(&query.request), reason, Some(query.priority));
+        Reply::refused(query, reason, retry_after)
     }
 }
+
+/// The time that the slowest shard of the query is expected to take at its fastest replica.
+fn expected(cluster: &ClusterView, query: &QueryRequest, view: &LeafView) -> Span {
+    let collections = query.collections.iter();
+    let collections = collections.filter_map(|id| cluster.document.collections.get(id));
+    let maps = collections.filter_map(|collection| collection.maps.last());
+    let shards = maps.flat_map(|map| &map.shards);
+    let asked = shards.filter(|(shard, _)| query.shard.as_ref().is_none_or(|only| only == *shard));
+    let fastest = asked.filter_map(|(_, replicas)| {
+        replicas.iter().filter_map(|leaf| view.get(leaf)).map(|info| info.p50).min()
+    });
+    fastest.max().unwrap_or_default()
+}
--- /dev/null
+++ b/components/daemon/src/entry/request.rs
@@ -0,0 +1,89 @@
+//! A checked query.
+
+use {
+    bytes::Bytes,
+    wigeonramp_config::Priority,
+    wigeonramp_units::{
+        CallerId, CollectionId, Fingerprint, Instant, MemberId, RequestId, ShardId,
+    },
+};
+
+/// A checked query of a caller.
+#[derive(Clone, Debug)]
+pub struct QueryRequest {
+    /// What the leaves get.
+    pub body: Bytes,
+    /// The authenticated caller.
+    pub caller: CallerId,
+    /// What is queried, each once.
+    pub collections: Vec<CollectionId>,
+    /// End of the query on this host's clock.
+    pub deadline: Instant,
+    fingerprint: Fingerprint,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// The caller's member.
+    pub member: MemberId,
+    /// The caller's priority.
+    pub priority: Priority,
+    /// The caller's id of the request.
+    pub request: RequestId,
+    /// The only shard to ask.
+    pub shard: Option<ShardId>,
+}
+
+/// Who asks, and how urgently.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Identity {
+    /// The caller.
+    pub caller: CallerId,
+    /// The member whose rows it may see.
+    pub member: MemberId,
+    /// Priority of its requests.
+    pub priority: Priority,
+}
+
+/// What is asked.
+#[derive(Clone, Debug)]
+pub struct Question {
+    /// What the leaves get.
+    pub body: Bytes,
+    /// What is queried, each once.
+    pub collections: Vec<CollectionId>,
+    /// End of the query on this host's clock.
+    pub deadline: Instant,
+    /// Whether it may run more than once.
+    pub idempotent: bool,
+    /// The caller's id of the request.
+    pub request: RequestId,
+    /// The only shard to ask.
+    pub shard: Option<ShardId>,
+}
+
+impl QueryRequest {
+    /// The question as `identity` asks it.
+    pub fn new(identity: Identity, question: Question) -> Self {
+        let Identity { caller, member, priority } = identity;
+        let Question { body, collections, deadline, idempotent, request, shard } = question;
+        let mut text = format!("{member}\n{caller}\n").into_bytes();
+        text.extend_from_slice(&body);
+        let fingerprint = Fingerprint::of(&text);
+        Self {
+            body,
+            caller,
+            collections,
+            deadline,
+            fingerprint,
+            idempotent,
+            member,
+            priority,
+            request,
+            shard,
+        }
+    }
+
+    /// Hash of member, caller and body, the same for each repetition of the request.
+    pub fn fingerprint(&self) -> Fingerprint {
+        self.fingerprint
+    }
+}
--- a/components/daemon/src/holder/connection.rs
+++ b/components/daemon/src/holder/connection.rs
@@ -17,8 +17,8 @@
     },
     ureq::{Agent, Error as CallError},
     wigeonramp_units::{
-        AttemptId, BootId, Digest, InstanceId, Instant, LeafId, MapVersion, MemberId, RequestId,
-        ShardId, SnapshotId, UnixMillis,
+        AttemptId, BootId, CollectionId, Digest, InstanceId, Instant, LeafId, MapVersion, MemberId,
+        RequestId, ShardId, SnapshotId, UnixMillis,
     },
 };
 
@@ -34,6 +34,8 @@
     pub attempt: AttemptId,
     /// The caller's body.
     pub body: Bytes,
+    /// The leaf's collection.
+    pub collection: CollectionId,
     /// End of the request on this host's clock.
     pub deadline: Instant,
     /// Instance of the entry host.
@@ -255,6 +257,9 @@
     if header(headers, "x-digest") != Some(digest) {
         return CallEnd::Broken("digest does not match the answer");
     }
+    if str::from_utf8(&payload).is_err() {
+        return CallEnd::Broken("answer is not text");
+    }
     let Some(rows) = header(headers, "x-rows") else {
         return CallEnd::Broken("answer without a row count");
     };
--- a/components/daemon/src/holder/leaf.rs
+++ b/components/daemon/src/holder/leaf.rs
@@ -4,9 +4,10 @@
 use {
     crate::{
         clock,
-        holder::{connection::Connection, job::LeafJob, outcome::Ended},
+        holder::{HolderParts, connection::Connection, job::LeafJob, outcome::Ended},
         observe::Observer,
         reply::ReplyOutcome,
+        suspects::Suspects,
         view::HolderRights,
     },
     parking_lot::{Condvar, Mutex, MutexGuard},
@@ -17,9 +18,12 @@
     },
     wigeonramp_config::LeafLimits,
     wigeonramp_proto::peer::LeafReport,
-    wigeonramp_serving::upstream::{
-        Cancelled, ConnectionId, Effect, JobId, JobMeta, Offer, Refusal, Upstream, UpstreamReport,
-        UpstreamState,
+    wigeonramp_serving::{
+        quarantine::Verdict,
+        upstream::{
+            Cancelled, ConnectionId, Effect, JobId, JobMeta, Offer, Refusal,
+            State as UpstreamStateName, Upstream, UpstreamReport, UpstreamState,
+        },
     },
     wigeonramp_units::{AttemptId, ByteSize, Epoch, InstanceId, Instant, LeafId, SnapshotId, Span},
 };
@@ -61,6 +65,8 @@
     pub(super) ended: bool,
     pub(super) jobs: HashMap<JobId, Pending>,
     next_job: u64,
+    /// The state that metrics show.
+    shown: UpstreamStateName,
     /// Snapshots that the leaf is known to have.
     pub(super) snapshots: BTreeSet<SnapshotId>,
     taken_out: bool,
@@ -74,6 +80,7 @@
     pub(super) observer: Arc<Observer>,
     pub(super) rights: Arc<R>,
     pub(super) state: Mutex<State>,
+    suspects: Arc<Suspects>,
 }
 
 /// An attempt that is running and must be cancelled at the leaf.
@@ -87,7 +94,7 @@
 
 impl<R: HolderRights> HeldLeaf<R> {
     /// A leaf whose workers are still to be started.
-    pub fn new(holding: Holding, start: Start, rights: Arc<R>, observer: Arc<Observer>) -> Self {
+    pub fn new(holding: Holding, start: Start, parts: &HolderParts<R>) -> Self {
         let now = clock::now();
         let limits = holding.limits.clone();
         let upstream = match start {
@@ -102,16 +109,27 @@
                 upstream
             }
         };
+        let shown = upstream.state();
         let state = State {
             connections: HashMap::new(),
             ended: false,
             jobs: HashMap::new(),
             next_job: 0,
+            shown,
             snapshots: BTreeSet::new(),
             taken_out: false,
             upstream,
         };
-        Self { changed: Condvar::new(), holding, observer, rights, state: Mutex::new(state) }
+        let observer = Arc::clone(&parts.observer);
+        observer.leaf_state(&holding.leaf, holding.epoch, None, Some(state.shown));
+        Self {
+            changed: Condvar::new(),
+            holding,
+            observer,
+            rights: Arc::clone(&parts.rights),
+            state: Mutex::new(state),
+            suspects: Arc::clone(&parts.suspects),
+        }
     }
 
     /// What is held.
@@ -127,6 +145,11 @@
             drop(state);
             return job.refuse(Refusal::NotHolder);
         }
+        let verdict = self.suspects.verdict(job.fingerprint, now);
+        if verdict == Verdict::Quarantined {
+            drop(state);
+            return job.refuse(Refusal::Quarantined);
+        }
         state.next_job += 1;
         let id = JobId(state.next_job);
         let meta = JobMeta {
@@ -134,7 +157,7 @@
             priority: job.priority,
             deadline: job.call.deadline,
             hedge: job.hedge,
-            alone: job.alone,
+            alone: job.alone || verdict == Verdict::Alone,
             idempotent: job.idempotent,
             fingerprint: job.fingerprint,
             size: ByteSize(job.call.body.len() as u64),
@@ -220,7 +243,12 @@
     /// Stops new work and ends the workers when nothing runs any more.
     pub fn end(&self) {
         self.leave();
-        self.state.lock().ended = true;
+        let mut state = self.state.lock();
+        if !std::mem::replace(&mut state.ended, true) {
+            let leaf = &self.holding.leaf;
+            self.observer.leaf_state(leaf, self.holding.epoch, Some(state.shown), None);
+        }
+        drop(state);
         self.changed.notify_all();
     }
 
@@ -274,6 +302,12 @@
         self.apply(state, effects, now);
         // A job that was given up with its connection has been reported already.
         let Some(pending) = state.jobs.remove(&id) else { return };
+        let fingerprint = pending.job.fingerprint;
+        if matches!(ended.outcome, ReplyOutcome::Answered(_))
+            && self.suspects.cleared(fingerprint, now)
+        {
+            self.observer.cleared(&self.holding.leaf, fingerprint);
+        }
         let report = self.report_of(state, now);
         pending.job.reply(ended.outcome, latency, Some(report));
     }
@@ -284,9 +318,11 @@
         for effect in effects {
             match effect {
                 Effect::Suspect { fingerprint, alone } => {
-                    self.observer.suspect(leaf, fingerprint, alone);
+                    let verdict = self.suspects.suspect(fingerprint, leaf, alone, now);
+                    self.observer.suspect(leaf, fingerprint, alone, verdict);
                 }
-                Effect::Cleared(fingerprint) => self.observer.cleared(leaf, fingerprint),
+                // `succeeded` clears suspects of all leaves.
+                Effect::Cleared(_) => (),
                 Effect::Close { connection, job } => {
                     if let Some(connection) = state.connections.remove(&connection) {
                         connection.close();
@@ -295,14 +331,19 @@
                         self.give_up(state, job, now);
                     }
                 }
-                Effect::State(entered) => self.observer.leaf_state(leaf, entered),
+                Effect::State(entered) => {
+                    let epoch = self.holding.epoch;
+                    self.observer.leaf_state(leaf, epoch, Some(state.shown), Some(entered));
+                    state.shown = entered;
+                }
             }
         }
     }
 
     fn give_up(&self, state: &mut State, id: JobId, now: Instant) {
         let Some(pending) = state.jobs.remove(&id) else { return };
-        self.observer.silent_connection(&self.holding.leaf, pending.job.call.attempt);
+        let call = &pending.job.call;
+        self.observer.silent_connection(&self.holding.leaf, &call.request, call.attempt);
         let at_leaf = pending.sent.map_or(Span::ZERO, |sent| now.since(sent));
         let report = self.report_of(state, now);
         let outcome = ReplyOutcome::Unknown("connection went silent".to_owned());
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -17,6 +17,7 @@
             side::{CheckedLeaves, SideChannel},
         },
         observe::Observer,
+        suspects::Suspects,
         view::{ClusterView, HolderRights},
     },
     parking_lot::RwLock,
@@ -37,12 +38,22 @@
 
 type LeafMap<R> = RwLock<HashMap<LeafId, Arc<HeldLeaf<R>>>>;
 
+/// The parts of the host that holding uses.
+pub struct HolderParts<R> {
+    /// This start of the host.
+    pub instance: InstanceId,
+    /// Timeline and metrics.
+    pub observer: Arc<Observer>,
+    /// What may be sent.
+    pub rights: Arc<R>,
+    /// Requests that may crash leaves.
+    pub suspects: Arc<Suspects>,
+}
+
 /// All leaves that this host holds.
 pub struct Holders<R> {
-    instance: InstanceId,
     leaves: Arc<LeafMap<R>>,
-    observer: Arc<Observer>,
-    rights: Arc<R>,
+    parts: HolderParts<R>,
     side: SideChannel,
 }
 
@@ -59,10 +70,10 @@
 
 impl<R: HolderRights> Holders<R> {
     /// Holds nothing yet.
-    pub fn new(instance: InstanceId, rights: Arc<R>, observer: Arc<Observer>) -> IoResult<Self> {
+    pub fn new(parts: HolderParts<R>) -> IoResult<Self> {
         let leaves = Arc::new(RwLock::new(HashMap::new()));
         let side = SideChannel::start(SideLeaves(Arc::downgrade(&leaves)))?;
-        Ok(Self { instance, leaves, observer, rights, side })
+        Ok(Self { leaves, parts, side })
     }
 
     /// Takes the leaves that `view` assigns to this instance, and gives up all others.
@@ -72,7 +83,7 @@
     pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) {
         let mine = |leaf: &LeafId| {
             let holder = view.holders.get(leaf)?;
-            (holder.instance == self.instance).then_some(holder)
+            (holder.instance == self.parts.instance).then_some(holder)
         };
         for leaf in self.ids() {
             if mine(&leaf).is_none() {
@@ -80,7 +91,7 @@
             }
         }
         for (leaf, holder) in &view.holders {
-            if holder.instance != self.instance {
+            if holder.instance != self.parts.instance {
                 continue;
             }
             let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
@@ -106,8 +117,7 @@
     /// Starts to hold a leaf.
     pub fn hold(&self, holding: Holding, start: Start) {
         let id = holding.leaf.clone();
-        let rights = Arc::clone(&self.rights);
-        let leaf = Arc::new(HeldLeaf::new(holding, start, rights, Arc::clone(&self.observer)));
+        let leaf = Arc::new(HeldLeaf::new(holding, start, &self.parts));
         if let Err(err) = worker::start(&leaf) {
             log::error!("leaf {id}: workers not started: {err}");
             leaf.end();
--- a/components/daemon/src/holder/side.rs
+++ b/components/daemon/src/holder/side.rs
@@ -12,7 +12,13 @@
         },
     },
     crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded},
-    std::{collections::HashMap, io::Result as IoResult, net::SocketAddr, thread, time::Duration},
+    std::{
+        collections::{HashMap, hash_map::Entry},
+        io::Result as IoResult,
+        net::SocketAddr,
+        thread,
+        time::Duration,
+    },
     wigeonramp_units::{Instant, Span},
 };
 
--- a/components/daemon/src/holder/worker.rs
+++ b/components/daemon/src/holder/worker.rs
@@ -4,10 +4,11 @@
     crate::{
         clock,
         holder::{
-            connection::{CallEnd, Connection},
+            connection::{CallEnd, Connection, LeafCall},
             leaf::{HeldLeaf, State},
             outcome::Ended,
         },
+        observe::AttemptRef,
         view::HolderRights,
     },
     parking_lot::MutexGuard,
@@ -90,7 +91,7 @@
     let ended_at = clock::now();
     let latency = ended_at.since(now);
     if let CallEnd::Broken(what) = &end {
-        leaf.observer.broken_answer(&leaf.holding().leaf, call.attempt, what);
+        leaf.observer.broken_answer(&attempt_ref(&call), what);
     }
     match &end {
         CallEnd::Answered(_) => drop(state.snapshots.insert(call.snapshot)),
@@ -121,7 +122,8 @@
             state.upstream.connected(id, opened.boot, now)
         }
         Err(err) => {
-            log::info!("leaf {}: connect failed: {err}", leaf.holding().leaf);
+            let what = format!("connect failed: {err}");
+            leaf.observer.connection(&leaf.holding().leaf, &what);
             state.upstream.connect_failed(id, now)
         }
     };
@@ -129,6 +131,16 @@
     leaf.changed.notify_all();
 }
 
+fn attempt_ref(call: &LeafCall) -> AttemptRef<'_> {
+    AttemptRef {
+        attempt: call.attempt,
+        collection: &call.collection,
+        leaf: &call.leaf,
+        request: &call.request,
+        shard: &call.shard,
+    }
+}
+
 struct Opened {
     boot: Option<BootId>,
     connection: Connection,
--- a/components/daemon/src/host.rs
+++ b/components/daemon/src/host.rs
@@ -5,11 +5,12 @@
         caller::handler::CallerApi,
         clock,
         control::simple::{ROUND, SessionBody, SimpleControl},
-        entry::Entry,
-        holder::{Holders, leaf::Start},
+        entry::{Entry, EntryParts},
+        holder::{HolderParts, Holders, leaf::Start},
         http_server::{HttpLimits, HttpServer},
         observe::Observer,
         peer::{client::Peers, server::PeerListener},
+        suspects::Suspects,
         view::Views,
     },
     crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded},
@@ -25,6 +26,7 @@
     tokio::runtime::{Builder, Runtime},
     wigeonramp_config::HostSettings,
     wigeonramp_store::ObjectStore,
+    wigeonramp_telemetry::{metrics::Metrics, timeline::Timeline},
     wigeonramp_units::{BootId, InstanceId},
 };
 
@@ -34,6 +36,11 @@
 const MAX_CONNECTIONS: usize = 4096;
 /// Requests that wait for a worker, for each worker.
 const QUEUE_PER_WORKER: usize = 4;
+/// Workers above the limit of queries, so that a refusal and an urgent query never wait for one
+/// that runs.
+const REFUSING_WORKERS: usize = 4;
+/// Events that the timeline keeps.
+const RING: usize = 65_536;
 /// Time for a caller to send its head, its body, or to take an answer.
 const SLOW_CLIENT: Duration = Duration::from_secs(5);
 /// Longest wait for running requests at the end of a stop.
@@ -49,12 +56,14 @@
 }
 
 type Control<S> = SimpleControl<S>;
+type Api<S> = CallerApi<Control<S>, Control<S>, Control<S>>;
 
 /// A running host.
 pub struct Host<S: ObjectStore> {
     addresses: BoundAddresses,
-    caller: HttpServer<CallerApi<Control<S>, Control<S>>>,
+    caller: HttpServer<Api<S>>,
     control: Arc<Control<S>>,
+    entry: Arc<Entry<Control<S>, Control<S>>>,
     instance: InstanceId,
     peer: PeerListener,
     rounds: Option<JoinHandle<()>>,
@@ -82,11 +91,26 @@
             zone: settings.zone.clone(),
         };
         let control = Arc::new(SimpleControl::new(store, session, Arc::clone(&views)));
-        let observer = Arc::new(Observer::default());
-        let holders =
-            Arc::new(Holders::new(instance.clone(), Arc::clone(&control), Arc::clone(&observer))?);
-        let peers = Arc::new(Peers::new(runtime.handle().clone()));
-        let entry = Entry::new(instance.clone(), Arc::clone(&views), Arc::clone(&holders), peers);
+        let timeline = Timeline::new(settings.host.clone(), settings.zone.clone(), boot, RING);
+        let observer = Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())));
+        let suspects = Arc::new(Suspects::default());
+        let holders = Arc::new(Holders::new(HolderParts {
+            instance: instance.clone(),
+            observer: Arc::clone(&observer),
+            rights: Arc::clone(&control),
+            suspects: Arc::clone(&suspects),
+        })?);
+        let entry = Arc::new(Entry::new(EntryParts {
+            claims: Arc::clone(&control),
+            holders: Arc::clone(&holders),
+            instance: instance.clone(),
+            observer,
+            peers: Arc::new(Peers::new(runtime.handle().clone())),
+            query_limit: settings.caller_workers,
+            suspects,
+            views: Arc::clone(&views),
+            zone: settings.zone.clone(),
+        }));
         let peer = PeerListener::start(
             runtime.handle(),
             settings.peer_listen,
@@ -94,14 +118,14 @@
             Arc::clone(&holders),
         )
         .map_err(|err| named(settings.peer_listen, &err))?;
-        let workers = settings.caller_workers as usize;
+        let workers = settings.caller_workers as usize + REFUSING_WORKERS;
         let limits = HttpLimits {
             connections: MAX_CONNECTIONS,
             queue: workers * QUEUE_PER_WORKER,
             slow_client: SLOW_CLIENT,
             workers,
         };
-        let api = CallerApi::new(Arc::new(entry), Arc::clone(&control));
+        let api = CallerApi::new(Arc::clone(&entry), Arc::clone(&control));
         let caller = HttpServer::start(runtime.handle(), settings.caller_listen, &limits, api)
             .map_err(|err| named(settings.caller_listen, &err))?;
         let addresses = BoundAddresses { caller: caller.address(), peer: peer.address() };
@@ -118,6 +142,7 @@
             addresses,
             caller,
             control,
+            entry,
             instance,
             peer,
             rounds: Some(rounds),
@@ -136,6 +161,11 @@
         &self.instance
     }
 
+    /// What runs the queries of callers.
+    pub fn entry(&self) -> &Arc<Entry<Control<S>, Control<S>>> {
+        &self.entry
+    }
+
     /// Stops without cutting off a request.
     pub fn stop(mut self) {
         drop(self.stop.take());
--- a/components/daemon/src/http_server.rs
+++ b/components/daemon/src/http_server.rs
@@ -77,6 +77,18 @@
     HandlerFailed,
 }
 
+impl ServerRefusal {
+    /// Name of the refusal, for metrics.
+    pub const fn as_str(self) -> &'static str {
+        match self {
+            Self::BodyTooLarge => "body_too_large",
+            Self::BodyIncomplete => "body_incomplete",
+            Self::Busy => "all_workers_busy",
+            Self::HandlerFailed => "internal_fault",
+        }
+    }
+}
+
 /// What answers the requests of a server.
 pub trait Handler: Send + Sync + 'static {
     /// Answers one request on a worker thread.
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod observe;
 pub mod peer;
 pub mod reply;
+pub mod suspects;
 pub mod view;
--- a/components/daemon/src/peer/server.rs
+++ b/components/daemon/src/peer/server.rs
@@ -37,8 +37,8 @@
         peer_server::{Peer, PeerServer},
     },
     wigeonramp_units::{
-        AttemptId, Epoch, Fingerprint, InstanceId, MapVersion, MemberId, ParseError, RequestId,
-        SnapshotId, Span,
+        AttemptId, CollectionId, Epoch, Fingerprint, InstanceId, MapVersion, MemberId, ParseError,
+        RequestId, SnapshotId, Span,
     },
 };
 
@@ -79,6 +79,7 @@
 /// The parts that all attempts of a request share.
 struct Common {
     body: Bytes,
+    collection: CollectionId,
     entry: InstanceId,
     member: MemberId,
     request: RequestId,
@@ -88,6 +89,7 @@
     fn of(message: &mut RunLeavesRequest) -> Result<Self, ParseError> {
         Ok(Self {
             body: std::mem::take(&mut message.body).into(),
+            collection: message.collection.parse()?,
             entry: message.entry.parse()?,
             member: message.member.parse()?,
             request: message.request_id.parse()?,
@@ -106,6 +108,7 @@
             call: LeafCall {
                 attempt: AttemptId(work.attempt),
                 body: self.body.clone(),
+                collection: self.collection.clone(),
                 deadline: now + Span::millis(message.timeout_ms),
                 entry: self.entry.clone(),
                 leaf: work.leaf.parse()?,
