Separate the data path from the control side

DataPath runs over any control side that implements four small traits. A peer that abandons its stream cancels its attempts; changed limits of a held leaf wait for work in flight.

--- a/components/daemon/src/control/simple.rs
+++ b/components/daemon/src/control/simple.rs
@@ -97,8 +97,9 @@
         me.peer_address = peer;
     }
 
-    /// One round: renews the session, lists all sessions, reads the configuration.
-    pub fn round(&self) -> Result<(), StoreError> {
+    /// One round: renews the session, lists all sessions, reads the configuration. Returns the
+    /// view that follows.
+    pub fn round(&self) -> Result<ClusterView, StoreError> {
         let begun = clock::now();
         self.renew()?;
         let live = self.live_sessions(begun)?;
@@ -116,9 +117,8 @@
             .filter_map(|leaf| Some((leaf.clone(), holder_of(leaf, &live)?)))
             .collect::<IndexMap<LeafId, Holder>>();
         let hosts = live.iter().map(host_view).collect();
-        self.views.store(ClusterView { document, holders, hosts });
         self.contact.store(begun.0, Ordering::Release);
-        Ok(())
+        Ok(ClusterView { document, holders, hosts })
     }
 
     /// Deletes the session.
--- /dev/null
+++ b/components/daemon/src/data_path.rs
@@ -0,0 +1,217 @@
+//! The data path of a host: caller server, peer server, holders and entry, over any control side.
+
+use {
+    crate::{
+        caller::handler::{CallerApi, EntryAddresses},
+        entry::{Entry, EntryParts, claims::RunOnce},
+        holder::{HolderParts, Holders, leaf::Start},
+        http_server::{HttpLimits, HttpServer},
+        observe::Observer,
+        peer::{
+            client::Peers,
+            server::{PeerControl, PeerListener},
+        },
+        suspects::Suspects,
+        view::{ClusterView, HolderRights, Views},
+    },
+    serde::Serialize,
+    std::{
+        io::{Error as IoError, Result as IoResult},
+        net::SocketAddr,
+        sync::Arc,
+        time::Duration,
+    },
+    tokio::runtime::{Builder, Runtime},
+    wigeonramp_config::HostSettings,
+    wigeonramp_telemetry::{metrics::Metrics, timeline::Timeline},
+    wigeonramp_units::{BootId, InstanceId, LeafId},
+};
+
+/// Threads of the tokio runtime; they only move bytes.
+const RUNTIME_THREADS: usize = 2;
+/// Connections of callers.
+const MAX_CONNECTIONS: usize = 4096;
+/// Requests that wait for a worker, for each worker.
+const QUEUE_PER_WORKER: usize = 4;
+/// Workers above the limit of queries, so that a refusal and an urgent query never wait for one
+/// that runs.
+const REFUSING_WORKERS: usize = 4;
+/// Time for a caller to send its head, its body, or to take an answer.
+const SLOW_CLIENT: Duration = Duration::from_secs(5);
+/// Events that the timeline keeps.
+const RING: usize = 65_536;
+
+/// What the data path asks of the control side.
+pub trait Control: EntryAddresses + HolderRights + PeerControl + RunOnce {}
+
+impl<C: EntryAddresses + HolderRights + PeerControl + RunOnce> Control for C {}
+
+/// The addresses that a host has bound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct BoundAddresses {
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+}
+
+/// The running data path of a host.
+pub struct DataPath<C: Control> {
+    caller: HttpServer<CallerApi<C, C, C>>,
+    entry: Arc<Entry<C, C>>,
+    holders: Arc<Holders<C>>,
+    instance: InstanceId,
+    observer: Arc<Observer>,
+    peer: PeerListener,
+    peers: Arc<Peers>,
+    runtime: Runtime,
+    suspects: Arc<Suspects>,
+    views: Arc<Views>,
+}
+
+impl<C: Control> DataPath<C> {
+    /// Binds the caller's and the peers' address and serves them; holds no leaf yet.
+    pub fn start(
+        settings: &HostSettings,
+        boot: &BootId,
+        control: Arc<C>,
+        views: Arc<Views>,
+    ) -> IoResult<Self> {
+        let runtime = Builder::new_multi_thread()
+            .worker_threads(RUNTIME_THREADS)
+            .thread_name("net")
+            .enable_all()
+            .build()?;
+        let instance = InstanceId::new(&settings.host, boot);
+        let (host, zone) = (settings.host.clone(), settings.zone.clone());
+        let timeline = Timeline::new(host, zone.clone(), boot.clone(), RING);
+        let observer = Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())));
+        let suspects = Arc::new(Suspects::default());
+        let peers = Arc::new(Peers::new(runtime.handle().clone()));
+        let holders = Arc::new(Holders::new(HolderParts {
+            instance: instance.clone(),
+            observer: Arc::clone(&observer),
+            rights: Arc::clone(&control),
+            suspects: Arc::clone(&suspects),
+        })?);
+        let entry = Arc::new(Entry::new(EntryParts {
+            claims: Arc::clone(&control),
+            holders: Arc::clone(&holders),
+            instance: instance.clone(),
+            observer: Arc::clone(&observer),
+            peers: Arc::clone(&peers),
+            query_limit: settings.caller_workers,
+            suspects: Arc::clone(&suspects),
+            views: Arc::clone(&views),
+            zone,
+        }));
+        let peer = PeerListener::start(
+            runtime.handle(),
+            settings.peer_listen,
+            Arc::clone(&control),
+            Arc::clone(&holders),
+        )
+        .map_err(|err| at(settings.peer_listen, &err))?;
+        let workers = settings.caller_workers as usize + REFUSING_WORKERS;
+        let limits = HttpLimits {
+            connections: MAX_CONNECTIONS,
+            queue: workers * QUEUE_PER_WORKER,
+            slow_client: SLOW_CLIENT,
+            workers,
+        };
+        let api = CallerApi::new(Arc::clone(&entry), control);
+        let caller = HttpServer::start(runtime.handle(), settings.caller_listen, &limits, api)
+            .map_err(|err| at(settings.caller_listen, &err))?;
+        Ok(Self {
+            caller,
+            entry,
+            holders,
+            instance,
+            observer,
+            peer,
+            peers,
+            runtime,
+            suspects,
+            views,
+        })
+    }
+
+    /// The bound addresses.
+    pub fn addresses(&self) -> BoundAddresses {
+        BoundAddresses { caller: self.caller.address(), peer: self.peer.address() }
+    }
+
+    /// Puts `view` in force: for queries, for held leaves and for connections to peers.
+    ///
+    /// Returns whether all leaves are held as the view says; if not, call again soon. `start`
+    /// says how a leaf begins that nobody handed over.
+    pub fn adopt(&self, view: ClusterView, start: impl Fn(&LeafId) -> Start) -> bool {
+        self.views.store(view);
+        let view = self.views.load();
+        self.peers.retain(|address| {
+            view.hosts.iter().any(|host| host.peer_address == address)
+                || view.holders.values().any(|holder| holder.address == address)
+        });
+        self.holders.adopt(&view, start)
+    }
+
+    /// What runs the queries of callers.
+    pub fn entry(&self) -> &Arc<Entry<C, C>> {
+        &self.entry
+    }
+
+    /// The leaves that this host holds.
+    pub fn holders(&self) -> &Arc<Holders<C>> {
+        &self.holders
+    }
+
+    /// This start of the host.
+    pub fn instance(&self) -> &InstanceId {
+        &self.instance
+    }
+
+    /// Timeline and metrics.
+    pub fn observer(&self) -> &Arc<Observer> {
+        &self.observer
+    }
+
+    /// Connections to other hosts.
+    pub fn peers(&self) -> &Arc<Peers> {
+        &self.peers
+    }
+
+    /// The runtime that carries sockets, for further servers.
+    pub fn runtime(&self) -> &Runtime {
+        &self.runtime
+    }
+
+    /// Requests that may crash leaves.
+    pub fn suspects(&self) -> &Arc<Suspects> {
+        &self.suspects
+    }
+
+    /// Requests of callers that wait or run.
+    pub fn running(&self) -> usize {
+        self.caller.running()
+    }
+
+    /// Asks callers, with each answer, to leave their connection.
+    pub fn send_away(&self) {
+        self.caller.send_away();
+    }
+
+    /// Stops accepting and waits for running requests, first of callers and then of peers.
+    ///
+    /// Returns whether all ended within `patience` each.
+    pub fn stop(self, patience: Duration) -> bool {
+        let callers = self.caller.stop(patience);
+        let peers = self.peer.stop(patience);
+        self.holders.end_all();
+        self.runtime.shutdown_background();
+        callers && peers
+    }
+}
+
+fn at(address: SocketAddr, err: &IoError) -> IoError {
+    IoError::new(err.kind(), format!("{address}: {err}"))
+}
--- a/components/daemon/src/entry/dispatch.rs
+++ b/components/daemon/src/entry/dispatch.rs
@@ -63,9 +63,9 @@
         let mut local = Vec::new();
         let mut nowhere = Vec::new();
         let mut routes = Vec::with_capacity(batch.len());
+        // Read for each batch: a holder may have changed since the query began.
+        let cluster = self.parts.views.load();
         for send in batch {
-            // Read for each batch: the holder may have changed since the query began.
-            let cluster = self.parts.views.load();
             let holder = cluster.holders.get(&send.leaf);
             routes.push(match holder {
                 None => {
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -140,7 +140,8 @@
         let begun = clock::now();
         let cluster = self.parts.views.load();
         let Some(trust) = self.parts.suspects.trust(query.fingerprint(), begun) else {
-            return self.refuse(query, "quarantined: crashed two leaves", Span::ZERO);
+            let wait = cluster.document.limits.quarantine;
+            return self.refuse(query, "quarantined: crashed two leaves", wait);
         };
         let view = self.leaf_view(&cluster, query, begun);
         if let Admit::Refused { retry_after, reason } = self.admit(&cluster, query, &view, begun) {
--- a/components/daemon/src/holder/connection.rs
+++ b/components/daemon/src/holder/connection.rs
@@ -81,6 +81,8 @@
     Answered(LeafAnswer),
     /// An answer that is not the one to this call, or not whole.
     Broken(&'static str),
+    /// The deadline passed before a byte was sent.
+    Expired,
     /// The leaf takes no new work.
     Leaving,
     /// The connection ended before a byte was sent.
@@ -173,7 +175,7 @@
         self.socket.start_request();
         let timeout = clock::until(call.deadline).to_duration();
         if timeout.is_zero() {
-            return CallEnd::NotSent;
+            return CallEnd::Expired;
         }
         let sent = self
             .agent
--- a/components/daemon/src/holder/leaf.rs
+++ b/components/daemon/src/holder/leaf.rs
@@ -141,7 +141,8 @@
     pub fn offer(&self, job: LeafJob) {
         let now = clock::now();
         let mut state = self.state.lock();
-        if state.ended {
+        // An entry host that knows a later epoch knows that this host has lost the leaf.
+        if state.ended || job.epoch > self.holding.epoch {
             drop(state);
             return job.refuse(Refusal::NotHolder);
         }
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -79,8 +79,10 @@
     /// Takes the leaves that `view` assigns to this instance, and gives up all others.
     ///
     /// A leaf that another holder still has to release is not taken; `hold` takes it once it is
-    /// released. `start` says how a leaf begins that nobody handed over.
-    pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) {
+    /// released. `start` says how a leaf begins that nobody handed over. Returns false while a
+    /// leaf whose declaration changed still has work in flight; call again soon.
+    pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) -> bool {
+        let mut settled = true;
         let mine = |leaf: &LeafId| {
             let holder = view.holders.get(leaf)?;
             (holder.instance == self.parts.instance).then_some(holder)
@@ -95,23 +97,40 @@
                 continue;
             }
             let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
-            if self.update(&holding, view.document.takes_work(leaf)) || holder.releasing.is_some() {
-                continue;
+            match self.update(&holding, view.document.takes_work(leaf)) {
+                Update::Done => (),
+                Update::Waits => settled = false,
+                Update::NotHeld if holder.releasing.is_some() => (),
+                Update::NotHeld => self.hold(holding, start(leaf)),
             }
-            self.hold(holding, start(leaf));
         }
+        settled
     }
 
-    /// Brings a leaf that is held already up to date; false if it is not held like this.
-    fn update(&self, holding: &Holding, takes_work: bool) -> bool {
-        let Some(leaf) = self.get(&holding.leaf) else { return false };
+    /// Brings a leaf that is held already up to date.
+    fn update(&self, holding: &Holding, takes_work: bool) -> Update {
+        let Some(leaf) = self.get(&holding.leaf) else { return Update::NotHeld };
         let held = leaf.holding();
-        if held != holding {
+        if held.epoch != holding.epoch || held.address != holding.address {
             self.end(&holding.leaf);
-            return false;
+            return Update::NotHeld;
+        }
+        if held != holding {
+            // The new limits count all work at the leaf, so nothing of the old holding may run.
+            let Some(state) = leaf.release() else { return Update::Waits };
+            self.hold(holding.clone(), Start::HandedOver(state));
+        }
+        if let Some(leaf) = self.get(&holding.leaf) {
+            leaf.set_takes_work(takes_work);
+        }
+        Update::Done
+    }
+
+    /// Stops sending to all leaves.
+    pub fn end_all(&self) {
+        for leaf in self.ids() {
+            self.end(&leaf);
         }
-        leaf.set_takes_work(takes_work);
-        true
     }
 
     /// Starts to hold a leaf.
@@ -177,6 +196,16 @@
     }
 }
 
+/// What became of a leaf that may be held already.
+enum Update {
+    /// It is held as declared.
+    Done,
+    /// It is not held, or was held in another epoch or at another address.
+    NotHeld,
+    /// Work under the old declaration is still in flight.
+    Waits,
+}
+
 /// What holding `leaf` consists of; `None` if the document does not declare it.
 pub fn holding_of(document: &Document, leaf: &LeafId, epoch: Epoch) -> Option<Holding> {
     let declared = document.leaves.get(leaf)?;
--- a/components/daemon/src/holder/outcome.rs
+++ b/components/daemon/src/holder/outcome.rs
@@ -33,6 +33,7 @@
         match end {
             CallEnd::Answered(answer) => Self::answered(answer, latency),
             CallEnd::Broken(what) => Self::new(close, ReplyOutcome::Unknown(what.to_owned())),
+            CallEnd::Expired => Self::new(keep, ReplyOutcome::NotSent(Refusal::Deadline)),
             CallEnd::Leaving => Self::new(Completion::Leaving, refused("leaf is leaving")),
             // The leaf may have restarted since the connection was used, so it starts cold again;
             // the request was not sent and is no suspect.
@@ -67,6 +68,7 @@
         let whole = matches!(
             end,
             CallEnd::Answered(_)
+                | CallEnd::Expired
                 | CallEnd::Leaving
                 | CallEnd::PastDeadline
                 | CallEnd::Refused(_)
--- a/components/daemon/src/holder/worker.rs
+++ b/components/daemon/src/holder/worker.rs
@@ -99,7 +99,10 @@
             state.snapshots = held.iter().copied().collect();
         }
         CallEnd::SnapshotGone(_) => drop(state.snapshots.remove(&call.snapshot)),
-        CallEnd::NotSent => state.upstream.closed(connection),
+        CallEnd::NotSent => {
+            state.connections.remove(&connection);
+            state.upstream.closed(connection);
+        }
         _ => (),
     }
     let cancelled = state.jobs.get(&id).is_none_or(|pending| pending.cancelled);
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod clock;
 pub mod control;
+pub mod data_path;
 pub mod entry;
 pub mod holder;
 pub mod host;
--- /dev/null
+++ b/components/daemon/src/peer/replies.rs
@@ -0,0 +1,57 @@
+//! The stream of replies to one `RunLeaves` call.
+
+use {
+    crate::{holder::Holders, view::HolderRights},
+    std::{
+        collections::HashSet,
+        pin::Pin,
+        sync::Arc,
+        task::{Context, Poll},
+    },
+    tokio::sync::mpsc::UnboundedReceiver,
+    tokio_stream::Stream,
+    tonic::Status,
+    wigeonramp_proto::peer::LeafReply,
+    wigeonramp_units::{AttemptId, InstanceId},
+};
+
+/// Replies as the leaves give them. When the entry host goes away, the attempts without a reply
+/// are cancelled.
+pub struct Replies<R: HolderRights> {
+    entry: InstanceId,
+    holders: Arc<Holders<R>>,
+    incoming: UnboundedReceiver<LeafReply>,
+    open: HashSet<AttemptId>,
+}
+
+impl<R: HolderRights> Replies<R> {
+    /// The replies to `open`, attempts of `entry`.
+    pub fn new(
+        entry: InstanceId,
+        open: HashSet<AttemptId>,
+        holders: Arc<Holders<R>>,
+        incoming: UnboundedReceiver<LeafReply>,
+    ) -> Self {
+        Self { entry, holders, incoming, open }
+    }
+}
+
+impl<R: HolderRights> Stream for Replies<R> {
+    type Item = Result<LeafReply, Status>;
+
+    fn poll_next(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<Option<Self::Item>> {
+        let next = self.incoming.poll_recv(cx);
+        if let Poll::Ready(Some(reply)) = &next {
+            self.open.remove(&AttemptId(reply.attempt));
+        }
+        next.map(|reply| reply.map(Ok))
+    }
+}
+
+impl<R: HolderRights> Drop for Replies<R> {
+    fn drop(&mut self) {
+        for attempt in self.open.drain() {
+            self.holders.cancel(&self.entry, attempt);
+        }
+    }
+}
--- a/components/daemon/src/peer/server.rs
+++ b/components/daemon/src/peer/server.rs
@@ -8,6 +8,7 @@
             connection::LeafCall,
             job::{LeafJob, ReplySink},
         },
+        peer::replies::Replies,
         view::HolderRights,
     },
     bytes::Bytes,
@@ -24,15 +25,12 @@
         sync::{mpsc, oneshot, watch},
         time,
     },
-    tokio_stream::{
-        StreamExt,
-        wrappers::{TcpListenerStream, UnboundedReceiverStream},
-    },
+    tokio_stream::{StreamExt, wrappers::TcpListenerStream},
     tonic::{Request, Response, Status, transport::Server},
     wigeonramp_config::Priority,
     wigeonramp_proto::peer::{
         CancelAttemptsReply, CancelAttemptsRequest, FetchDocumentReply, FetchDocumentRequest,
-        Heartbeat, LeafReply, LeafWork, PromiseReply, PromiseRequest, ReleaseReply, ReleaseRequest,
+        Heartbeat, LeafWork, PromiseReply, PromiseRequest, ReleaseReply, ReleaseRequest,
         RunLeavesRequest,
         peer_server::{Peer, PeerServer},
     },
@@ -129,12 +127,9 @@
     }
 }
 
-type Replies = UnboundedReceiverStream<LeafReply>;
-type ReplyResult = fn(LeafReply) -> Result<LeafReply, Status>;
-
 #[tonic::async_trait]
 impl<C: PeerControl, R: HolderRights> Peer for PeerService<C, R> {
-    type RunLeavesStream = tokio_stream::adapters::Map<Replies, ReplyResult>;
+    type RunLeavesStream = Replies<R>;
 
     async fn run_leaves(
         &self,
@@ -148,11 +143,13 @@
             .iter()
             .map(|work| common.job(&message, work, ReplySink::Remote(tx.clone())))
             .collect();
-        for job in jobs.map_err(|err| invalid(&err))? {
+        let jobs = jobs.map_err(|err| invalid(&err))?;
+        let open = jobs.iter().map(|job| job.call.attempt).collect();
+        let replies = Replies::new(common.entry, open, Arc::clone(&self.holders), rx);
+        for job in jobs {
             self.holders.run(job);
         }
-        let wrap: ReplyResult = Ok;
-        Ok(Response::new(UnboundedReceiverStream::new(rx).map(wrap)))
+        Ok(Response::new(replies))
     }
 
     async fn cancel_attempts(
--- a/src/bin/wigeonrampd.rs
+++ b/src/bin/wigeonrampd.rs
@@ -14,7 +14,7 @@
         process::ExitCode,
     },
     wigeonramp_config::{HostSettings, LogLevel},
-    wigeonramp_daemon::host::{BoundAddresses, Host},
+    wigeonramp_daemon::{data_path::BoundAddresses, host::Host},
     wigeonramp_store::{HttpStore, HttpStoreTimes},
     wigeonramp_telemetry::logging::{self, LogOutput},
     wigeonramp_units::InstanceId,
