Test queries under leaf faults, and keep a crashing request from its second leaf

The entry host counts resets at both replicas, which their holders cannot see. A reset proves a request only when it was sent to run alone: a fan-out is often alone at many leaves, and the loss of a zone would quarantine innocent queries.

--- a/components/daemon/src/entry/drive.rs
+++ b/components/daemon/src/entry/drive.rs
@@ -209,7 +209,12 @@
             AttemptResult::SnapshotGone => ("snapshot_gone", false),
             AttemptResult::Unknown => ("unknown", true),
         };
-        self.reset |= matches!(result, AttemptResult::Reset);
+        if matches!(result, AttemptResult::Reset) {
+            // This host sees both replicas, whose holders each see one.
+            let Send { alone, leaf, .. } = &open.send;
+            self.parts.suspects.suspect(self.query.fingerprint(), leaf, *alone, now);
+            self.reset = true;
+        }
         let took = now.since(open.began);
         self.parts.observer.attempt_failed(&self.about(&open.send), name, reason, took);
         if blames {
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -196,9 +196,7 @@
         let drive = Drive::new(query, cluster, &self.board, &self.parts, dispatcher);
         let Driven { answer, reset } = drive.run(spec, view);
         let now = clock::now();
-        if reset {
-            self.parts.suspects.forget(query.fingerprint());
-        } else if !answer.parts.is_empty() {
+        if !reset && !answer.parts.is_empty() {
             self.parts.suspects.succeeded(query.fingerprint(), now);
         }
         Reply::of(query, answer)
--- a/components/daemon/src/holder/leaf.rs
+++ b/components/daemon/src/holder/leaf.rs
@@ -12,7 +12,7 @@
     },
     parking_lot::{Condvar, Mutex, MutexGuard},
     std::{
-        collections::{BTreeSet, HashMap},
+        collections::{BTreeSet, HashMap, HashSet},
         net::SocketAddr,
         sync::Arc,
     },
@@ -25,7 +25,9 @@
             State as UpstreamStateName, Upstream, UpstreamReport, UpstreamState,
         },
     },
-    wigeonramp_units::{AttemptId, ByteSize, Epoch, InstanceId, Instant, LeafId, SnapshotId, Span},
+    wigeonramp_units::{
+        AttemptId, ByteSize, Epoch, Fingerprint, InstanceId, Instant, LeafId, SnapshotId, Span,
+    },
 };
 
 /// How a holding begins.
@@ -54,6 +56,8 @@
 
 /// A job that is queued or at the leaf.
 pub(super) struct Pending {
+    /// Whether it runs alone because it is suspected, not just because nothing else is there.
+    alone: bool,
     pub(super) cancelled: bool,
     pub(super) job: LeafJob,
     pub(super) sent: Option<Instant>,
@@ -62,6 +66,8 @@
 /// State of the leaf, behind one lock.
 pub(super) struct State {
     pub(super) connections: HashMap<ConnectionId, Arc<Connection>>,
+    /// Requests that were suspected, ran alone here, and reset the leaf.
+    crashers: HashSet<Fingerprint>,
     pub(super) ended: bool,
     pub(super) jobs: HashMap<JobId, Pending>,
     next_job: u64,
@@ -112,6 +118,7 @@
         let shown = upstream.state();
         let state = State {
             connections: HashMap::new(),
+            crashers: HashSet::new(),
             ended: false,
             jobs: HashMap::new(),
             next_job: 0,
@@ -147,25 +154,28 @@
             return job.refuse(Refusal::NotHolder);
         }
         let verdict = self.suspects.verdict(job.fingerprint, now);
-        if verdict == Verdict::Quarantined {
+        // A crasher is refused here at once, before other hosts have heard of it.
+        let crasher = verdict == Verdict::Alone && state.crashers.contains(&job.fingerprint);
+        if crasher || verdict == Verdict::Quarantined {
             drop(state);
             return job.refuse(Refusal::Quarantined);
         }
         state.next_job += 1;
         let id = JobId(state.next_job);
+        let alone = job.alone || verdict == Verdict::Alone;
         let meta = JobMeta {
             id,
             priority: job.priority,
             deadline: job.call.deadline,
             hedge: job.hedge,
-            alone: job.alone || verdict == Verdict::Alone,
+            alone,
             idempotent: job.idempotent,
             fingerprint: job.fingerprint,
             size: ByteSize(job.call.body.len() as u64),
         };
         match state.upstream.offer(meta, now) {
             Offer::Queued => {
-                state.jobs.insert(id, Pending { cancelled: false, job, sent: None });
+                state.jobs.insert(id, Pending { alone, cancelled: false, job, sent: None });
                 drop(state);
                 self.changed.notify_one();
             }
@@ -319,8 +329,7 @@
         for effect in effects {
             match effect {
                 Effect::Suspect { fingerprint, alone } => {
-                    let verdict = self.suspects.suspect(fingerprint, leaf, alone, now);
-                    self.observer.suspect(leaf, fingerprint, alone, verdict);
+                    self.suspect(state, fingerprint, alone, now);
                 }
                 // `succeeded` clears suspects of all leaves.
                 Effect::Cleared(_) => (),
@@ -341,6 +350,22 @@
         }
     }
 
+    /// Counts as proof only what was sent to run alone. A query that fanned out is often the only
+    /// request at many leaves; when their zone is lost, it would be quarantined as innocent.
+    fn suspect(&self, state: &mut State, fingerprint: Fingerprint, alone: bool, now: Instant) {
+        let mut running = state.jobs.values().filter(|pending| pending.sent.is_some());
+        let proven =
+            alone && running.any(|pending| pending.alone && pending.job.fingerprint == fingerprint);
+        let leaf = &self.holding.leaf;
+        let verdict = self.suspects.suspect(fingerprint, leaf, proven, now);
+        self.observer.suspect(leaf, fingerprint, proven, verdict);
+        if proven {
+            let suspects = &self.suspects;
+            state.crashers.retain(|known| suspects.verdict(*known, now) != Verdict::Clear);
+            state.crashers.insert(fingerprint);
+        }
+    }
+
     fn give_up(&self, state: &mut State, id: JobId, now: Instant) {
         let Some(pending) = state.jobs.remove(&id) else { return };
         let call = &pending.job.call;
--- a/components/daemon/src/suspects.rs
+++ b/components/daemon/src/suspects.rs
@@ -62,11 +62,6 @@
         quarantine.verdict(fingerprint, now)
     }
 
-    /// A query ran through a reset, here or at another host.
-    pub fn forget(&self, fingerprint: Fingerprint) {
-        self.known.lock().forget(fingerprint);
-    }
-
     /// The request succeeded at a leaf; returns whether it was a suspect.
     pub fn cleared(&self, fingerprint: Fingerprint, now: Instant) -> bool {
         // Most requests are no suspects; they share the lock.
--- /dev/null
+++ b/components/daemon/tests/data_path/faults.rs
@@ -0,0 +1,151 @@
+//! Queries while leaves fail.
+
+use {
+    crate::support::{Cluster, PATIENCE, Shape, assert_truthful, covered},
+    serde_json::json,
+    std::time::Instant,
+    wigeonramp_config::caller_api::QueryOutcome,
+    wigeonramp_standin::leaves::LeafFault,
+    wigeonramp_telemetry::timeline::EventKind,
+    wigeonramp_units::{Percent, Span},
+};
+
+/// Longer than a test runs.
+const LONG: Span = Span::secs(600);
+const ALWAYS: Percent = Percent(100);
+
+/// Guards against a merge that loses, doubles or mixes up parts, from any entry host.
+#[test]
+fn every_entry_host_gives_the_whole_answer() {
+    let cluster = Cluster::start(&Shape { hosts: 3, ..Shape::default() });
+    cluster.warm_up();
+    for host in 0..3 {
+        let body = json!({"part": host});
+        let answer = cluster.ask(host, &body);
+        assert_truthful(&answer, "m1", &body, 4);
+        assert_eq!(covered(&answer), 4, "{answer:?}");
+    }
+}
+
+/// Guards against coverage that claims a shard without rows, and against a lost replica that
+/// costs coverage.
+#[test]
+fn killed_leaves_are_replaced_or_named_as_missing() {
+    let cluster = Cluster::start(&Shape::default());
+    cluster.warm_up();
+    cluster.fault("s0-a", LeafFault::Crash { down: LONG });
+    let body = json!("one replica left");
+    let answer = cluster.ask(0, &body);
+    assert_truthful(&answer, "m1", &body, 4);
+    assert_eq!(covered(&answer), 4, "{answer:?}");
+
+    cluster.fault("s0-b", LeafFault::Crash { down: LONG });
+    let body = json!("no replica left");
+    let answer = cluster.ask(1, &body);
+    assert_truthful(&answer, "m1", &body, 4);
+    assert_eq!(covered(&answer), 3, "{answer:?}");
+    assert_eq!(answer.collections[0].coverage.missing[0].shard.as_str(), "s0");
+    assert!(cluster.events(EventKind::AttemptFinished) > 0, "the timeline names no failure");
+}
+
+/// Guards against a query that waits for a connection that has gone silent, and against blaming
+/// the leaf, which answers on new connections.
+#[test]
+fn silent_connections_are_left_and_their_leaves_used_again() {
+    let cluster = Cluster::start(&Shape::default());
+    cluster.warm_up();
+    cluster.fault("s", LeafFault::Silent {});
+    let begun = Instant::now();
+    let mut n = 0;
+    loop {
+        let body = json!({"after the silence": n});
+        let answer = cluster.ask(n % 2, &body);
+        assert_truthful(&answer, "m1", &body, 4);
+        if covered(&answer) == 4 {
+            break;
+        }
+        assert!(begun.elapsed() < PATIENCE, "{answer:?}");
+        n += 1;
+    }
+    assert!(cluster.events(EventKind::LeafConnection) > 0, "no connection was given up");
+}
+
+/// Guards against rows of another request, half of the rows, or rows whose origin is unclear.
+#[test]
+fn wrong_answers_never_reach_the_caller() {
+    let faults = [
+        LeafFault::TruncatedBody { percent: ALWAYS },
+        LeafFault::WrongDigest { percent: ALWAYS },
+        LeafFault::DoubledHeaders { percent: ALWAYS },
+        LeafFault::CrossedHeaders { percent: ALWAYS },
+        LeafFault::CrossedAnswer { percent: ALWAYS },
+    ];
+    for fault in faults {
+        let cluster = Cluster::start(&Shape::default());
+        cluster.warm_up();
+        cluster.fault("s1-a", fault.clone());
+        let body = json!("one replica wrong");
+        let answer = cluster.ask(0, &body);
+        assert_truthful(&answer, "m1", &body, 4);
+        assert_eq!(covered(&answer), 4, "{fault:?}: {answer:?}");
+
+        cluster.fault("s1-b", fault.clone());
+        let body = json!("both replicas wrong");
+        let answer = cluster.ask(1, &body);
+        assert_truthful(&answer, "m1", &body, 4);
+        let missing = &answer.collections[0].coverage.missing;
+        assert_eq!(missing.len(), 1, "{fault:?}: {answer:?}");
+        assert_eq!(missing[0].shard.as_str(), "s1");
+    }
+}
+
+/// Guards against a request that crashes every leaf which runs it, sent again through each host.
+#[test]
+fn a_crashing_request_harms_at_most_two_leaves() {
+    let cluster = Cluster::start(&Shape { canary: true, ..Shape::default() });
+    cluster.warm_up();
+    let down = Span::millis(1);
+    cluster.fault("s", LeafFault::CrashOn { text: "poison".to_owned(), down });
+    for n in 0..6 {
+        let answer = cluster.ask(n % 2, &json!("poison"));
+        assert_eq!(covered(&answer), 0, "{answer:?}");
+    }
+    // No heartbeat tells one host what the other has seen. Each leaf crashes at most once with the
+    // request next to others and once with the request alone.
+    let leaves = cluster.leaves.counters("");
+    let crashes: Vec<u64> = leaves.iter().map(|leaf| leaf.counters.crashes).collect();
+    assert!(crashes.iter().filter(|crashes| **crashes > 0).count() <= 2, "{crashes:?}");
+    assert!(crashes.iter().all(|crashes| *crashes <= 2), "{crashes:?}");
+    assert!(crashes.iter().sum::<u64>() > 0, "the fault was never met");
+    let innocent = json!("harmless");
+    let begun = Instant::now();
+    while covered(&cluster.ask(0, &innocent)) < 4 {
+        assert!(begun.elapsed() < PATIENCE, "other requests suffer");
+    }
+}
+
+/// Guards against refusals that are not true: what a refused request did to the leaves.
+#[test]
+fn a_host_without_rights_sends_nothing_and_says_so() {
+    let cluster = Cluster::start(&Shape { hosts: 1, ..Shape::default() });
+    cluster.warm_up();
+    cluster.hosts[0].control.lost.store(true, std::sync::atomic::Ordering::Release);
+    cluster.leaves.reset_counters();
+    let answer = cluster.ask(0, &json!("without rights"));
+    assert!(matches!(answer.outcome, QueryOutcome::RefusedNotRun { .. }), "{answer:?}");
+    let arrived: u64 = cluster.leaves.counters("").iter().map(|leaf| leaf.counters.arrived).sum();
+    assert_eq!(arrived, 0);
+}
+
+/// Guards against work that is lost with a holder although another holder has a replica.
+#[test]
+fn a_stopped_holder_costs_no_coverage() {
+    let mut cluster = Cluster::start(&Shape::default());
+    cluster.warm_up();
+    let stopped = cluster.hosts.pop().expect("two hosts");
+    assert!(stopped.data.stop(PATIENCE));
+    let body = json!("one holder left");
+    let answer = cluster.ask(0, &body);
+    assert_truthful(&answer, "m1", &body, 4);
+    assert_eq!(covered(&answer), 4, "{answer:?}");
+}
--- /dev/null
+++ b/components/daemon/tests/data_path/main.rs
@@ -0,0 +1,6 @@
+//! The data path of several hosts in one process, against leaf stand-ins.
+
+mod callers;
+mod cold_start;
+mod faults;
+mod support;
