--- a/components/daemon/src/control/simple.rs
+++ b/components/daemon/src/control/simple.rs
@@ -7,6 +7,10 @@
     crate::{
         caller::handler::{EntryAddresses, EntryChoice},
         clock,
+        entry::{
+            QueryRequest,
+            claims::{Claim, ClaimedOutcome, RunOnce},
+        },
         peer::server::PeerControl,
         view::{ClusterView, Holder, HolderRights, HostView, Views},
     },
@@ -93,8 +97,9 @@
         me.peer_address = peer;
     }
 
-    /// One round: renews the session, lists all sessions, reads the configuration.
-    pub fn round(&self) -> Result<(), StoreError> {
+    /// One round: renews the session, lists all sessions, reads the configuration. Returns the
+    /// view that follows.
+    pub fn round(&self) -> Result<ClusterView, StoreError> {
         let begun = clock::now();
         self.renew()?;
         let live = self.live_sessions(begun)?;
@@ -112,9 +117,8 @@
             .filter_map(|leaf| Some((leaf.clone(), holder_of(leaf, &live)?)))
             .collect::<IndexMap<LeafId, Holder>>();
         let hosts = live.iter().map(host_view).collect();
-        self.views.store(ClusterView { document, holders, hosts });
         self.contact.store(begun.0, Ordering::Release);
-        Ok(())
+        Ok(ClusterView { document, holders, hosts })
     }
 
     /// Deletes the session.
@@ -198,6 +202,14 @@
     }
 }
 
+impl<S: ObjectStore> RunOnce for SimpleControl<S> {
+    fn claim(&self, _query: &QueryRequest) -> Claim {
+        Claim::NotRun("claims are not available".to_owned())
+    }
+
+    fn record(&self, _query: &QueryRequest, _outcome: &ClaimedOutcome) {}
+}
+
 impl<S: ObjectStore> HolderRights for SimpleControl<S> {
     fn rights(&self, _leaf: &LeafId, now: Instant) -> Rights {
         let contact = Instant(self.contact.load(Ordering::Acquire));
--- a/components/daemon/src/holder/connection.rs
+++ b/components/daemon/src/holder/connection.rs
@@ -17,8 +17,8 @@
     },
     ureq::{Agent, Error as CallError},
     wigeonramp_units::{
-        AttemptId, BootId, Digest, InstanceId, Instant, LeafId, MapVersion, MemberId, RequestId,
-        ShardId, SnapshotId, UnixMillis,
+        AttemptId, BootId, CollectionId, Digest, InstanceId, Instant, LeafId, MapVersion, MemberId,
+        RequestId, ShardId, SnapshotId, UnixMillis,
     },
 };
 
@@ -34,6 +34,8 @@
     pub attempt: AttemptId,
     /// The caller's body.
     pub body: Bytes,
+    /// The leaf's collection.
+    pub collection: CollectionId,
     /// End of the request on this host's clock.
     pub deadline: Instant,
     /// Instance of the entry host.
@@ -79,6 +81,8 @@
     Answered(LeafAnswer),
     /// An answer that is not the one to this call, or not whole.
     Broken(&'static str),
+    /// The deadline passed before a byte was sent.
+    Expired,
     /// The leaf takes no new work.
     Leaving,
     /// The connection ended before a byte was sent.
@@ -171,7 +175,7 @@
         self.socket.start_request();
         let timeout = clock::until(call.deadline).to_duration();
         if timeout.is_zero() {
-            return CallEnd::NotSent;
+            return CallEnd::Expired;
         }
         let sent = self
             .agent
@@ -255,6 +259,9 @@
     if header(headers, "x-digest") != Some(digest) {
         return CallEnd::Broken("digest does not match the answer");
     }
+    if str::from_utf8(&payload).is_err() {
+        return CallEnd::Broken("answer is not text");
+    }
     let Some(rows) = header(headers, "x-rows") else {
         return CallEnd::Broken("answer without a row count");
     };
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -6,6 +6,7 @@
 pub mod caller;
 pub mod clock;
 pub mod control;
+pub mod data_path;
 pub mod entry;
 pub mod holder;
 pub mod host;
@@ -13,4 +14,5 @@
 pub mod observe;
 pub mod peer;
 pub mod reply;
+pub mod suspects;
 pub mod view;
