--- a/components/standin/tests/common/mod.rs
+++ b/components/standin/tests/common/mod.rs
@@ -147,14 +147,15 @@
             req = req.header(*name, value);
         }
         let mut got = req.send(self.body)?;
-        let body = got.body_mut().read_to_vec()?;
+        let body = got.body_mut().read_to_vec();
+        let cut = body.is_err();
         let all = |name| got.headers().get_all(name).iter();
         let header = |name| {
             let values: Vec<_> = all(name).map(|value| value.to_str().expect("text")).collect();
             (name, values.join("|"))
         };
         let headers = ANSWER_HEADERS.map(header).to_vec();
-        Ok(Answer { status: got.status().as_u16(), headers, body })
+        Ok(Answer { status: got.status().as_u16(), headers, body: body.unwrap_or_default(), cut })
     }
 }
 
@@ -177,8 +178,10 @@
     pub status: u16,
     /// Headers of the leaf protocol; values of repeated ones are joined by `|`.
     pub headers: Vec<(&'static str, String)>,
-    /// Body.
+    /// Body; empty if it was cut.
     pub body: Vec<u8>,
+    /// Whether the body ended before its announced length.
+    pub cut: bool,
 }
 
 impl Answer {
--- a/components/standin/tests/leaf_faults.rs
+++ b/components/standin/tests/leaf_faults.rs
@@ -59,11 +59,12 @@
         fault(&leaves, set);
         let seen = match Search::attempt(2).send(&sender, to) {
             Ok(answer) => format!(
-                "{} attempt={} member={} digest matches={}",
+                "{} attempt={} member={} digest matches={} cut={}",
                 answer.status,
                 answer.header("x-attempt"),
                 answer.header("x-member"),
-                answer.digest_matches()
+                answer.digest_matches(),
+                answer.cut
             ),
             Err(err) => err.to_string(),
         };
