--- a/components/control/src/assigner.rs
+++ b/components/control/src/assigner.rs
@@ -7,9 +7,10 @@
 
 use {
     crate::{
-        assignment::{Assignment, AssignmentVersion, Holding, MAX_ASSIGNERS, NamedAssigner},
+        assignment::{Assignment, AssignmentVersion, MAX_ASSIGNERS, NamedAssigner},
+        draft::Draft,
         membership::{InstanceView, Liveness, MembershipView},
-        placement::{Fit, Placement, weight},
+        placement::weight,
         promise::PromiseBook,
         session::takeover_time,
     },
@@ -19,7 +20,7 @@
         collections::{BTreeMap, BTreeSet},
     },
     wigeonramp_config::{Document, Presence},
-    wigeonramp_units::{Epoch, InstanceId, Instant, LeafId, OpId, Revision, Span},
+    wigeonramp_units::{InstanceId, Instant, OpId, Revision, Span},
 };
 
 /// Time that an outsider waits for named assigners, in takeover times.
@@ -234,9 +235,11 @@
         let version = current.version.next();
         let mut draft = Draft::new(current, input, version);
         draft.finish_handovers(input.view, gone);
-        draft.replace_gone(input.document, gone);
-        draft.place_new(input.document);
-        draft.hand_over(input, self.settings.max_moves);
+        if self.knows_all_live(input) {
+            draft.replace_gone(input.document, gone);
+            draft.place_new(input.document);
+            draft.hand_over(input, self.settings.max_moves);
+        }
         let assigners = self.assigners(current, input, version);
         let changed = draft.changed
             || assigners != current.assigners
@@ -245,6 +248,14 @@
         changed.then_some(Assignment { version, op, assigners, disputed, holdings })
     }
 
+    // All live instances renew within half a session time. Placing leaves earlier would give them to
+    // the few that renewed first.
+    fn knows_all_live(&self, input: &AssignInput<'_>) -> bool {
+        let role = self.role.map_or(input.now, |(_, role)| role);
+        let began = role.max(input.view.restarted);
+        input.now.since(began) >= self.settings.session_time / 2
+    }
+
     fn assigners(
         &self,
         current: &Assignment,
@@ -266,7 +277,8 @@
     }
 
     fn first(&mut self, input: &AssignInput<'_>, promises: &mut PromiseBook) -> AssignStep {
-        if !input.view.is_live(&self.me) {
+        // An object that was there and is gone cannot be replaced without knowing its holders.
+        if self.adopted.is_some() || !input.view.is_live(&self.me) {
             return AssignStep::Nothing;
         }
         let version = AssignmentVersion(1);
@@ -365,160 +377,3 @@
     };
     fit.min_by_key(rank).map(|(id, _)| id.clone())
 }
-
-struct Draft {
-    holdings: IndexMap<LeafId, Holding>,
-    placement: Placement,
-    // Holders that were getting leaves by hand-over before this step.
-    receiving: BTreeSet<InstanceId>,
-    version: AssignmentVersion,
-    changed: bool,
-}
-
-impl Draft {
-    fn new(current: &Assignment, input: &AssignInput<'_>, version: AssignmentVersion) -> Self {
-        let holdings = current.holdings.clone();
-        let placement = Placement::new(input.view, input.document, &holdings);
-        let handed = holdings.values().filter(|h| h.from.is_some() && !h.taken_over);
-        let receiving = handed.map(|holding| holding.instance.clone()).collect();
-        Self { holdings, placement, receiving, version, changed: false }
-    }
-
-    // Clears `from` where the old holder is gone or the new one reports the hand-over finished.
-    fn finish_handovers(&mut self, view: &MembershipView, gone: &BTreeSet<InstanceId>) {
-        let settled = |holding: &Holding| {
-            let holder = view.instances.get(&holding.instance);
-            holder.is_some_and(|holder| holder.seen.record.settled >= holding.since_version)
-        };
-        for holding in self.holdings.values_mut() {
-            let Some(from) = &holding.from else { continue };
-            let lost = gone.contains(from);
-            if lost || settled(holding) {
-                holding.taken_over |= lost;
-                holding.from = None;
-                self.changed = true;
-            }
-        }
-    }
-
-    fn replace_gone(&mut self, document: &Document, gone: &BTreeSet<InstanceId>) {
-        let lost = |(_, holding): &(&LeafId, &Holding)| gone.contains(&holding.instance);
-        let leaves: Vec<_> =
-            self.holdings.iter().filter(lost).map(|(leaf, _)| leaf.clone()).collect();
-        for leaf in leaves {
-            if document.leaves.contains_key(&leaf) {
-                self.take_over(leaf);
-            } else if self.holdings[&leaf].from.is_none() {
-                self.holdings.shift_remove(&leaf);
-                self.changed = true;
-            }
-        }
-    }
-
-    fn take_over(&mut self, leaf: LeafId) {
-        let Some(instance) = self.placement.best(&leaf) else { return };
-        let old = &self.holdings[&leaf];
-        let from = old.from.clone().filter(|from| *from != instance);
-        let epoch = old.epoch.next();
-        self.set(
-            leaf,
-            Holding { instance, epoch, from, taken_over: true, since_version: self.version },
-        );
-    }
-
-    fn place_new(&mut self, document: &Document) {
-        for leaf in document.leaves.keys() {
-            if self.holdings.contains_key(leaf) {
-                continue;
-            }
-            let Some(instance) = self.placement.best(leaf) else { return };
-            let (epoch, since_version) = (Epoch(1), self.version);
-            let holding = Holding { instance, epoch, from: None, taken_over: false, since_version };
-            self.set(leaf.clone(), holding);
-        }
-    }
-
-    fn set(&mut self, leaf: LeafId, holding: Holding) {
-        self.placement.moved(&leaf, &holding.instance);
-        self.holdings.insert(leaf, holding);
-        self.changed = true;
-    }
-
-    fn hand_over(&mut self, input: &AssignInput<'_>, max_moves: usize) {
-        let open = self.holdings.values().filter(|holding| holding.from.is_some()).count();
-        let mut left = max_moves.saturating_sub(open);
-        let answers = |id: &InstanceId| {
-            let view = input.view.instances.get(id);
-            view.is_some_and(|v| matches!(v.liveness, Liveness::Live | Liveness::Leaving))
-        };
-        for leaf in self.misplaced(&answers) {
-            if left == 0 {
-                return;
-            }
-            left -= usize::from(self.move_away(leaf));
-        }
-        while left > 0
-            && let Some(to) = self.placement.underloaded(&self.receiving)
-        {
-            let moved = self.fill(&to, input.document, left);
-            if moved == 0 {
-                return;
-            }
-            left -= moved;
-        }
-    }
-
-    // Leaves of hosts that have to be emptied, then leaves that share a host with another replica.
-    fn misplaced(&self, answers: &impl Fn(&InstanceId) -> bool) -> Vec<LeafId> {
-        let movable =
-            self.holdings.iter().filter(|(_, h)| h.from.is_none() && answers(&h.instance));
-        let emptied = |holding: &Holding| !self.placement.is_eligible(&holding.instance);
-        let doubled =
-            |leaf, holding: &Holding| self.placement.fit(leaf, &holding.instance) == Fit::SameHost;
-        let (first, rest): (Vec<_>, Vec<_>) = movable.partition(|(_, holding)| emptied(holding));
-        let rest = rest.into_iter().filter(|(leaf, holding)| doubled(leaf, holding));
-        first.into_iter().chain(rest).map(|(leaf, _)| leaf.clone()).collect()
-    }
-
-    fn move_away(&mut self, leaf: LeafId) -> bool {
-        let Some(to) = self.placement.best(&leaf) else { return false };
-        let holder = &self.holdings[&leaf].instance;
-        let worse = self.placement.fit(&leaf, &to) == Fit::SameHost;
-        if self.placement.is_eligible(holder) && worse {
-            return false;
-        }
-        // An earlier move of this step may have separated the replicas already.
-        let apart = self.placement.fit(&leaf, holder) != Fit::SameHost;
-        if self.placement.is_eligible(holder) && apart {
-            return false;
-        }
-        self.hand_to(leaf, to);
-        true
-    }
-
-    // Moves up to `most` leaves to `to`, until it has its share.
-    fn fill(&mut self, to: &InstanceId, document: &Document, most: usize) -> usize {
-        let mut moved = 0;
-        while moved < most && self.placement.is_below_mean(to) && self.move_one(to, document) {
-            moved += 1;
-        }
-        moved
-    }
-
-    fn move_one(&mut self, to: &InstanceId, document: &Document) -> bool {
-        let movable = |(leaf, holding): &(&LeafId, &Holding)| {
-            holding.from.is_none() && document.leaves.contains_key(*leaf)
-        };
-        let leaves = self.holdings.iter().filter(movable).map(|(leaf, _)| leaf);
-        let Some(leaf) = self.placement.leaf_for(to, leaves).cloned() else { return false };
-        self.hand_to(leaf, to.clone());
-        true
-    }
-
-    fn hand_to(&mut self, leaf: LeafId, instance: InstanceId) {
-        let old = &self.holdings[&leaf];
-        let (from, epoch) = (Some(old.instance.clone()), old.epoch.next());
-        let since_version = self.version;
-        self.set(leaf, Holding { instance, epoch, from, taken_over: false, since_version });
-    }
-}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -11,6 +11,7 @@
 mod claim;
 pub mod claims;
 mod confirm;
+mod draft;
 pub mod drain;
 pub mod entry;
 pub mod handover;
--- a/components/control/src/membership.rs
+++ b/components/control/src/membership.rs
@@ -5,7 +5,10 @@
 
 use {
     crate::session::{SessionRecord, takeover_time},
-    std::collections::{BTreeMap, BTreeSet},
+    std::{
+        collections::{BTreeMap, BTreeSet},
+        mem,
+    },
     wigeonramp_units::{HostId, InstanceId, Instant, Revision, Span, ZoneId},
 };
 
@@ -59,6 +62,11 @@
         &self.seen.record.zone
     }
 
+    /// Whether the instance renews its session, leaving or not.
+    pub fn answers(&self) -> bool {
+        matches!(self.liveness, Liveness::Live | Liveness::Leaving)
+    }
+
     /// Whether the instance may be given leaves: a renewal was seen, and it is not leaving.
     pub fn is_live(&self) -> bool {
         self.renewed && self.liveness == Liveness::Live
@@ -74,8 +82,9 @@
     pub restarted: Instant,
     /// Instances with a session object.
     pub instances: BTreeMap<InstanceId, InstanceView>,
-    /// Hosts that the platform lists; `None` before the list was first read.
-    pub platform: Option<BTreeSet<HostId>>,
+    /// Hosts that the platform listed before and lists no longer. A host that was never listed may
+    /// be new, since the list lags.
+    pub unlisted: BTreeSet<HostId>,
 }
 
 impl MembershipView {
@@ -91,8 +100,7 @@
         let other = |(id, view): (&InstanceId, &InstanceView)| {
             id != instance && id.host() == host && view.is_live()
         };
-        self.instances.iter().any(other)
-            || self.platform.as_ref().is_some_and(|hosts| !hosts.contains(&host))
+        self.unlisted.contains(&host) || self.instances.iter().any(other)
     }
 }
 
@@ -108,7 +116,8 @@
 pub struct Membership {
     session_time: Span,
     sessions: BTreeMap<InstanceId, Observed>,
-    platform: Option<BTreeMap<HostId, bool>>,
+    platform: BTreeMap<HostId, bool>,
+    unlisted: BTreeSet<HostId>,
     leaving: BTreeSet<InstanceId>,
     heard: BTreeMap<InstanceId, Instant>,
     listed: Option<Instant>,
@@ -121,7 +130,8 @@
         Self {
             session_time,
             sessions: BTreeMap::new(),
-            platform: None,
+            platform: BTreeMap::new(),
+            unlisted: BTreeSet::new(),
             leaving: BTreeSet::new(),
             heard: BTreeMap::new(),
             listed: None,
@@ -139,7 +149,7 @@
             self.restart(now);
         }
         self.listed = Some(sent);
-        let mut old = std::mem::take(&mut self.sessions);
+        let mut old = mem::take(&mut self.sessions);
         for seen in sessions {
             let id = seen.record.instance.clone();
             let observed = observe(old.remove(&id), seen, now);
@@ -159,7 +169,10 @@
 
     /// The platform's host list.
     pub fn platform(&mut self, hosts: Vec<ListedHost>) {
-        self.platform = Some(hosts.into_iter().map(|row| (row.host, row.leaving)).collect());
+        let listed = hosts.into_iter().map(|row| (row.host, row.leaving)).collect();
+        let old = mem::replace(&mut self.platform, listed);
+        self.unlisted.extend(old.into_keys());
+        self.unlisted.retain(|host| !self.platform.contains_key(host));
     }
 
     /// A heartbeat of `instance`.
@@ -188,7 +201,7 @@
             listed: self.listed,
             restarted: self.restarted,
             instances: self.sessions.iter().map(view).collect(),
-            platform: self.platform.as_ref().map(|hosts| hosts.keys().cloned().collect()),
+            unlisted: self.unlisted.clone(),
         }
     }
 
@@ -201,7 +214,7 @@
         if quiet >= self.session_time {
             return Liveness::Silent;
         }
-        let platform = self.platform.as_ref().and_then(|hosts| hosts.get(&record.host));
+        let platform = self.platform.get(&record.host);
         if record.leaving || platform == Some(&true) || self.leaving.contains(id) {
             return Liveness::Leaving;
         }
