--- a/components/control/src/backoff.rs
+++ b/components/control/src/backoff.rs
@@ -8,6 +8,11 @@
 const FIRST: Span = Span::millis(50);
 const LONGEST: Span = Span::secs(2);
 
+/// `period`, made up to 10% longer or shorter, so that the hosts' calls spread out.
+pub fn jittered(period: Span, rng: &mut impl Rng) -> Span {
+    period.percent(rng.random_range(90..=110))
+}
+
 /// Exponentially growing pauses with jitter, at most 2 s.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Backoff {
--- a/components/control/src/heartbeat.rs
+++ b/components/control/src/heartbeat.rs
@@ -1,9 +1,11 @@
 //! Whom to send heartbeats to, and what the versions in them mean.
 
 use {
-    crate::assignment::AssignmentVersion,
+    crate::{assignment::AssignmentVersion, entry::EntryHost},
     rand::{Rng, RngExt},
-    wigeonramp_units::{ConfigVersion, InstanceId},
+    std::{collections::BTreeMap, net::SocketAddr},
+    wigeonramp_config::{Document, Presence},
+    wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Span, ZoneId},
 };
 
 /// Peers that get a heartbeat each second.
@@ -51,3 +53,91 @@
         }
     }
 }
+
+/// What a peer says of itself.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct PeerReport {
+    /// The peer.
+    pub instance: InstanceId,
+    /// Its zone.
+    pub zone: ZoneId,
+    /// Where other hosts connect.
+    pub peer_address: SocketAddr,
+    /// Where callers connect.
+    pub caller_address: SocketAddr,
+    /// Versions that it knows.
+    pub versions: Versions,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+    /// Share of request workers in use.
+    pub load: Percent,
+}
+
+#[derive(Clone, Debug)]
+struct Peer {
+    report: PeerReport,
+    heard: Instant,
+}
+
+/// Peers by what was last heard of them.
+#[derive(Clone, Debug)]
+pub struct Peers {
+    me: InstanceId,
+    forget_after: Span,
+    peers: BTreeMap<InstanceId, Peer>,
+}
+
+impl Peers {
+    /// No peers; those not heard for `forget_after` are dropped.
+    pub fn new(me: InstanceId, forget_after: Span) -> Self {
+        Self { me, forget_after, peers: BTreeMap::new() }
+    }
+
+    /// A heartbeat arrived, or its answer. Another boot of the same host is replaced.
+    pub fn heard(&mut self, report: PeerReport, now: Instant) {
+        if report.instance == self.me {
+            return;
+        }
+        let host = report.instance.host();
+        self.peers.retain(|id, peer| {
+            let replaced = id.host() == host && *id != report.instance;
+            !replaced && now.since(peer.heard) < self.forget_after
+        });
+        self.peers.insert(report.instance.clone(), Peer { report, heard: now });
+    }
+
+    /// Peers that get the next heartbeat.
+    pub fn next(&self, rng: &mut impl Rng) -> Vec<&PeerReport> {
+        let ids: Vec<_> = self.peers.keys().cloned().collect();
+        let next = next_peers(&ids, rng);
+        next.iter().filter_map(|id| self.peers.get(id)).map(|peer| &peer.report).collect()
+    }
+
+    /// The last report of `instance`.
+    pub fn get(&self, instance: &InstanceId) -> Option<&PeerReport> {
+        self.peers.get(instance).map(|peer| &peer.report)
+    }
+
+    /// Peers that adopted `version` or a higher configuration.
+    pub fn with_config(&self, version: ConfigVersion) -> impl Iterator<Item = &InstanceId> {
+        let reports = self.peers.values().map(|peer| &peer.report);
+        reports.filter(move |report| report.versions.config >= version).map(|r| &r.instance)
+    }
+
+    /// The peers as entry hosts.
+    pub fn entry_hosts(&self, document: &Document) -> Vec<EntryHost> {
+        let host = |peer: &Peer| {
+            let PeerReport { instance, zone, caller_address, load, leaving, .. } = &peer.report;
+            EntryHost {
+                host: instance.host(),
+                zone: zone.clone(),
+                zone_in: document.zones.get(zone).is_some_and(|z| z.state == Presence::In),
+                address: *caller_address,
+                load: *load,
+                leaving: *leaving,
+                heard: peer.heard,
+            }
+        };
+        self.peers.values().map(host).collect()
+    }
+}
--- a/components/control/src/lib.rs
+++ b/components/control/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod assignment;
 pub mod backoff;
 pub mod calls;
+pub mod caution;
 mod claim;
 pub mod claims;
 mod confirm;
--- a/components/control/src/promise.rs
+++ b/components/control/src/promise.rs
@@ -225,6 +225,14 @@
         }
     }
 
+    /// Whether a round should begin: one renews promises in the second half of their term, and one
+    /// without an answer is repeated after a quarter of it.
+    pub fn is_due(&self, term: Span, now: Instant) -> bool {
+        let asked = self.asking.as_ref().is_some_and(|asking| now.since(asking.began) < term / 4);
+        let fresh = self.valid_until.is_some_and(|until| now + term / 2 < until);
+        !asked && !fresh
+    }
+
     /// Until when all assigners keep their promise; counted from before they were asked.
     pub fn valid_until(&self) -> Option<Instant> {
         self.valid_until
--- a/components/control/src/rights.rs
+++ b/components/control/src/rights.rs
@@ -142,6 +142,14 @@
         !self.session.has_ended() && !self.session.is_valid(now)
     }
 
+    /// Whether to begin a round of promises: the session has expired or is about to, and no round is
+    /// under way. Asking a little early leaves no gap between session and promises.
+    pub fn wants_promises(&self, now: Instant) -> bool {
+        let term = self.session.term();
+        let began = self.session.last_renewal().is_some() && !self.session.has_ended();
+        began && !self.session.is_valid(now + term / 5) && self.promises.is_due(term, now)
+    }
+
     /// Latest deadline that may be given to a leaf: the end of session or promises, or of the
     /// freshness when neither holds. It is `now` when nothing may be sent.
     pub fn deadline_cap(&self, now: Instant) -> Instant {
--- a/components/control/src/session.rs
+++ b/components/control/src/session.rs
@@ -6,8 +6,8 @@
 //! session was deleted can never renew it: it is fenced, and goes on under a new boot id.
 
 use {
-    crate::assignment::AssignmentVersion,
-    rand::{Rng, RngExt},
+    crate::{assignment::AssignmentVersion, backoff::jittered},
+    rand::Rng,
     serde::{Deserialize, Serialize},
     std::{collections::BTreeMap, net::SocketAddr},
     wigeonramp_units::{BootId, ConfigVersion, HostId, InstanceId, Instant, Percent, Span, ZoneId},
@@ -18,8 +18,6 @@
 const TRUSTED_PERCENT: u64 = 98;
 /// Silence after which a session may be taken over, in hundredths of the session time.
 const TAKEOVER_PERCENT: u64 = 125;
-/// Deviation of a renewal from a third of the session time, in hundredths.
-const JITTER_PERCENT: u64 = 10;
 
 /// The part of `term` that its owner relies on.
 pub(crate) const fn trusted(term: Span) -> Span {
@@ -125,8 +123,7 @@
     pub fn renewing(&mut self, now: Instant, rng: &mut impl Rng) -> Renewal {
         self.counter += 1;
         self.unconfirmed.insert(self.counter, now);
-        let percent = rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
-        self.due = now + (self.time / 3).percent(percent);
+        self.due = now + jittered(self.time / 3, rng);
         Renewal { counter: self.counter, sent: now }
     }
 
@@ -202,6 +199,11 @@
         self.valid_until().is_some_and(|until| now < until)
     }
 
+    /// How long the session lasts without renewal.
+    pub fn term(&self) -> Span {
+        self.time
+    }
+
     /// When the next renewal falls due.
     pub fn due(&self) -> Instant {
         self.due
