--- a/components/control/src/assignment.rs
+++ b/components/control/src/assignment.rs
@@ -1,6 +1,6 @@
 //! The object that names each leaf's holder.
 
-pub use crate::assigner::{AssignStep, Assigner, AssignerSettings, Fence};
+pub use crate::assigner::{AssignInput, AssignStep, Assigner, AssignerSettings, Fence};
 
 use {
     indexmap::IndexMap,
--- /dev/null
+++ b/components/control/tests/fleet/node.rs
@@ -0,0 +1,315 @@
+//! One instance: a minimal shell around the aggregates.
+
+use {
+    super::world::{Store, chance},
+    crate::common::{SESSION, id, record},
+    rand::{RngExt, SeedableRng},
+    rand_chacha::ChaCha8Rng,
+    wigeonramp_config::Document,
+    wigeonramp_control::{
+        assignment::{AssignInput, AssignStep, Assigner, AssignerSettings, Assignment, Fence},
+        handover::{Release, ReleaseAsk},
+        membership::{Membership, SessionSeen},
+        promise::{PromiseAnswer, PromiseAsk, PromiseBook},
+        rights::{HolderRights, NoRights, Rights},
+        session::{ReadBack, Renewal, Session, SessionRecord},
+    },
+    wigeonramp_units::{InstanceId, Instant, LeafId, Revision, Span},
+};
+
+const HORIZON: Span = Span::secs(30);
+const STALE: Span = Span::secs(2);
+const SETTINGS: AssignerSettings =
+    AssignerSettings { session_time: SESSION, max_moves: 4, horizon: HORIZON };
+
+#[derive(Clone, Debug)]
+pub enum Op {
+    Renew { renewal: Renewal, record: Box<SessionRecord>, replaces: Option<Revision> },
+    ReadSession { me: InstanceId },
+    ReadAssignment { sent: Instant },
+    List { sent: Instant },
+    Fence(Fence),
+    Write { next: Box<Assignment>, replaces: Option<Revision> },
+    Exchange { peer: usize, sent: Instant },
+    Promise { ask: PromiseAsk, began: Instant },
+    Release { ask: ReleaseAsk },
+}
+
+#[derive(Clone, Debug)]
+pub enum Reply {
+    NoEffect,
+    Unknown,
+    Conflict,
+    Written(Revision),
+    Session(Option<(u64, Revision)>),
+    Assignment(Option<(Assignment, Revision)>),
+    Sessions(Vec<SessionSeen>),
+    Peer(Option<Assignment>),
+    Promise(PromiseAnswer),
+    Release(Release),
+}
+
+impl Op {
+    pub fn is_peer(&self) -> bool {
+        matches!(self, Op::Exchange { .. } | Op::Promise { .. } | Op::Release { .. })
+    }
+
+    /// The called peer; none if its instance has ended.
+    pub fn peer(&self, nodes: &[Node]) -> Option<usize> {
+        let find = |id: &InstanceId| nodes.iter().position(|node| node.me == *id);
+        match self {
+            Op::Exchange { peer, .. } => Some(*peer),
+            Op::Promise { ask, .. } => find(&ask.assigner),
+            Op::Release { ask } => find(&ask.from),
+            _ => None,
+        }
+    }
+
+    pub fn apply(&self, store: &mut Store) -> Reply {
+        match self {
+            Op::Renew { record, replaces, .. } => {
+                let present = store.sessions.get(&record.instance).map(|(_, revision)| *revision);
+                if present != *replaces {
+                    return Reply::Conflict;
+                }
+                let revision = store.next();
+                store.sessions.insert(record.instance.clone(), (*record.clone(), revision));
+                Reply::Written(revision)
+            }
+            Op::Fence(fence) => {
+                let present = store.sessions.get(&fence.instance).map(|(_, revision)| *revision);
+                if present != Some(fence.revision) {
+                    return Reply::Conflict;
+                }
+                store.sessions.remove(&fence.instance);
+                Reply::Written(store.next())
+            }
+            Op::Write { next, replaces } => {
+                if store.assignment.as_ref().map(|(_, revision)| *revision) != *replaces {
+                    return Reply::Conflict;
+                }
+                let revision = store.next();
+                store.assignment = Some((*next.clone(), revision));
+                Reply::Written(revision)
+            }
+            Op::ReadSession { me } => {
+                Reply::Session(store.sessions.get(me).map(|(record, rev)| (record.counter, *rev)))
+            }
+            Op::ReadAssignment { .. } => Reply::Assignment(store.assignment.clone()),
+            _ => Reply::Sessions(store.list()),
+        }
+    }
+}
+
+pub struct Node {
+    pub me: InstanceId,
+    pub paused: u64,
+    pub store_cut: u64,
+    pub peers_cut: u64,
+    pub leaving: bool,
+    n: usize,
+    boot: u64,
+    rate_permille: u64,
+    offset: u64,
+    holder: HolderRights,
+    membership: Membership,
+    assigner: Assigner,
+    book: PromiseBook,
+    view: Option<Assignment>,
+    stored: Option<Option<(Assignment, Revision)>>,
+    revision: Option<Revision>,
+    renewing: bool,
+    next_poll: Instant,
+    rng: ChaCha8Rng,
+}
+
+impl Node {
+    pub fn new(n: usize, rng: &mut ChaCha8Rng) -> Self {
+        let rate_permille = rng.random_range(990..=1010);
+        let offset = rng.random_range(10_000_000..1_000_000_000);
+        let rng = ChaCha8Rng::seed_from_u64(rng.random());
+        Self::started(n, 1, rate_permille, offset, rng, 0)
+    }
+
+    fn started(
+        n: usize,
+        boot: u64,
+        rate_permille: u64,
+        offset: u64,
+        rng: ChaCha8Rng,
+        t: u64,
+    ) -> Self {
+        let me: InstanceId = id(&format!("h{n}@{boot}"));
+        let now = Instant(t * rate_permille / 1_000 + offset);
+        Self {
+            paused: 0,
+            store_cut: 0,
+            peers_cut: 0,
+            leaving: false,
+            n,
+            boot,
+            rate_permille,
+            offset,
+            holder: HolderRights::new(me.clone(), Session::new(SESSION, now), STALE),
+            membership: Membership::new(SESSION, now),
+            assigner: Assigner::new(me.clone(), SETTINGS),
+            book: PromiseBook::new(me.clone(), SESSION, HORIZON),
+            view: None,
+            stored: None,
+            revision: None,
+            renewing: false,
+            next_poll: now,
+            rng,
+            me,
+        }
+    }
+
+    pub fn restart(&mut self, t: u64) {
+        let rng = ChaCha8Rng::seed_from_u64(self.rng.random());
+        let (store_cut, peers_cut) = (self.store_cut, self.peers_cut);
+        let new = Self::started(self.n, self.boot + 1, self.rate_permille, self.offset, rng, t);
+        *self = Self { store_cut, peers_cut, ..new };
+    }
+
+    fn now(&self, t: u64) -> Instant {
+        Instant(t * self.rate_permille / 1_000 + self.offset)
+    }
+
+    pub fn rights(&self, leaf: &LeafId, document: &Document, t: u64) -> Rights {
+        let none = Rights::None(NoRights::NothingKnown);
+        let view = self.view.as_ref();
+        view.map_or(none, |view| self.holder.rights(leaf, view, document, self.now(t)))
+    }
+
+    pub fn act(&mut self, t: u64, document: &Document) -> Vec<Op> {
+        if self.holder.session.is_fenced() {
+            self.restart(t);
+        }
+        let now = self.now(t);
+        let mut ops = Vec::new();
+        if now >= self.holder.session.due() && !self.renewing {
+            ops.push(self.renew(now));
+        }
+        if now < self.next_poll {
+            return ops;
+        }
+        self.next_poll = now + Span::millis(self.rng.random_range(200..500));
+        ops.push(Op::ReadAssignment { sent: now });
+        let peer = self.rng.random_range(0..super::world::HOSTS);
+        ops.push(Op::Exchange { peer, sent: now });
+        ops.extend(self.doubt(now));
+        ops.extend(self.releases());
+        ops.extend(self.step(now, document));
+        ops
+    }
+
+    fn renew(&mut self, now: Instant) -> Op {
+        self.renewing = true;
+        let renewal = self.holder.session.renewing(now, &mut self.rng);
+        let zone = ["a", "b", "c"][self.n % 3];
+        let mut record = record(&self.me, zone, renewal.counter);
+        record.leaving = self.leaving;
+        record.settled = self.view.as_ref().map(|v| self.holder.settled(v)).unwrap_or_default();
+        Op::Renew { renewal, record: Box::new(record), replaces: self.revision }
+    }
+
+    fn doubt(&mut self, now: Instant) -> Vec<Op> {
+        let Some(view) = &self.view else { return Vec::new() };
+        if !self.holder.in_doubt(now) || chance(&mut self.rng, 50) {
+            return Vec::new();
+        }
+        let asks = self.holder.promises.begin(&self.me, view, SESSION, now);
+        asks.into_iter().map(|ask| Op::Promise { ask, began: now }).collect()
+    }
+
+    fn releases(&self) -> Vec<Op> {
+        let asks = self.view.iter().flat_map(|view| self.holder.releases_to_ask(view));
+        asks.map(|ask| Op::Release { ask }).collect()
+    }
+
+    fn step(&mut self, now: Instant, document: &Document) -> Vec<Op> {
+        let Some(stored) = &self.stored else { return Vec::new() };
+        let current = stored.as_ref().map(|(assignment, _)| assignment);
+        let replaces = stored.as_ref().map(|(_, revision)| *revision);
+        let view = &self.membership.view(now);
+        let op = id(&format!("op-{}-{}", self.me, now.0));
+        let input = AssignInput { current, view, document, op, now };
+        match self.assigner.step(&input, &mut self.book) {
+            AssignStep::Nothing => Vec::new(),
+            AssignStep::Fence(fences) => fences.into_iter().map(Op::Fence).collect(),
+            AssignStep::Write(next) | AssignStep::TakeRole(next) => {
+                vec![Op::Write { next: Box::new(next), replaces }]
+            }
+        }
+    }
+
+    /// Answers a peer's call.
+    pub fn serve(&mut self, op: &Op, t: u64) -> Reply {
+        let now = self.now(t);
+        match op {
+            Op::Promise { ask, .. } => {
+                let renewal = self.holder.session.last_renewal();
+                Reply::Promise(self.book.ask(ask, renewal, now))
+            }
+            Op::Release { ask } => {
+                let own = self.view.as_ref().and_then(|view| view.holdings.get(&ask.leaf));
+                let own = own.filter(|holding| holding.instance == self.me).map(|h| h.epoch);
+                let in_flight = self.rng.random_range(0..2);
+                Reply::Release(self.holder.outgoing.ask(&ask.leaf, ask.epoch, own, in_flight))
+            }
+            _ => Reply::Peer(self.view.clone()),
+        }
+    }
+
+    pub fn answered(&mut self, op: Op, reply: Reply, t: u64, _: &Document) -> Vec<Op> {
+        let now = self.now(t);
+        match (op, reply) {
+            (Op::Renew { renewal, .. }, Reply::Written(revision)) => {
+                self.renewing = false;
+                self.revision = Some(revision);
+                self.holder.session.renewed(renewal.counter, renewal.sent, now);
+                self.holder.contact(renewal.sent);
+            }
+            (Op::Renew { .. }, Reply::NoEffect) => self.renewing = false,
+            (Op::Renew { .. }, _) => return vec![Op::ReadSession { me: self.me.clone() }],
+            (Op::ReadSession { .. }, Reply::Session(found)) => self.read_back(found, now),
+            (Op::ReadSession { .. }, _) => self.renewing = false,
+            (Op::ReadAssignment { sent }, Reply::Assignment(found)) => {
+                self.holder.contact(sent);
+                if let Some((assignment, _)) = &found {
+                    self.adopt(assignment);
+                }
+                self.stored = Some(found);
+                return vec![Op::List { sent: now }];
+            }
+            (Op::List { sent }, Reply::Sessions(seen)) => self.membership.listed(sent, seen, now),
+            (Op::Exchange { sent, .. }, Reply::Peer(view)) => {
+                self.holder.contact(sent);
+                view.iter().for_each(|view| self.adopt(view));
+            }
+            (Op::Promise { ask, began }, Reply::Promise(answer)) => {
+                self.holder.promises.answered(&ask, answer, began);
+            }
+            (Op::Release { ask }, Reply::Release(Release::Released)) => {
+                self.holder.incoming.released(&ask.leaf, ask.epoch);
+            }
+            _ => {}
+        }
+        Vec::new()
+    }
+
+    fn read_back(&mut self, found: Option<(u64, Revision)>, now: Instant) {
+        self.renewing = false;
+        let counter = found.map(|(counter, _)| counter);
+        if self.holder.session.read_back(counter, now) != ReadBack::Fenced {
+            self.revision = found.map(|(_, revision)| revision);
+        }
+    }
+
+    fn adopt(&mut self, assignment: &Assignment) {
+        if self.view.as_ref().is_none_or(|view| view.version < assignment.version) {
+            self.view = Some(assignment.clone());
+            self.book.adopted(assignment);
+        }
+    }
+}
