--- a/components/config/src/api.rs
+++ b/components/config/src/api.rs
@@ -45,6 +45,9 @@
 pub struct PlanRequest {
     /// What operators want.
     pub intent: Intent,
+    /// Whether shards may be left without a replica that takes work.
+    #[serde(default)]
+    pub allow_coverage_loss: bool,
 }
 
 /// What operators want.
@@ -106,6 +109,9 @@
     pub changes: Vec<ConfigChange>,
     /// What the change costs.
     pub cost: PlanCost,
+    /// Whether shards may be left without a replica that takes work.
+    #[serde(default)]
+    pub allow_coverage_loss: bool,
 }
 
 /// What a change costs.
--- a/components/control/src/assigner.rs
+++ b/components/control/src/assigner.rs
@@ -104,6 +104,11 @@
         Self { me, settings, adopted: None, role: None, wanted: None, disputed, quiet }
     }
 
+    /// Replaces the settings.
+    pub fn set_settings(&mut self, settings: AssignerSettings) {
+        self.settings = settings;
+    }
+
     /// Decides what to do next. `promises` is this instance's own book under the same lock; takeovers
     /// and writes that begin are noted in it.
     pub fn step(&mut self, input: &AssignInput<'_>, promises: &mut PromiseBook) -> AssignStep {
--- a/components/control/src/calls.rs
+++ b/components/control/src/calls.rs
@@ -15,7 +15,7 @@
 /// Watches of a host: configuration and assignment.
 const WATCHES: f64 = 2.0;
 /// Time that one watch waits.
-const WATCH_WAIT: Span = Span::secs(30);
+pub const WATCH_WAIT: Span = Span::secs(30);
 /// Reads of the platform's host list by one assigner in one second.
 const HOST_LISTS: f64 = 0.2;
 /// Claim writes of all hosts together, in one second.
--- a/components/control/src/membership.rs
+++ b/components/control/src/membership.rs
@@ -129,6 +129,11 @@
         }
     }
 
+    /// Sets the session time that silence is compared with.
+    pub fn set_session_time(&mut self, session_time: Span) {
+        self.session_time = session_time;
+    }
+
     /// A complete list of sessions, asked for at `sent`. A gap of a session time between two lists
     /// counts as an outage; lists that arrive out of order are ignored.
     pub fn listed(&mut self, sent: Instant, sessions: Vec<SessionSeen>, now: Instant) {
--- a/components/control/src/promise.rs
+++ b/components/control/src/promise.rs
@@ -79,6 +79,11 @@
         }
     }
 
+    /// Sets the longest term of a promise; promises that were given keep their end.
+    pub fn set_session_time(&mut self, session_time: Span) {
+        self.session_time = session_time;
+    }
+
     /// This host adopted `assignment`.
     pub fn adopted(&mut self, assignment: &Assignment) {
         if assignment.version < self.known {
--- a/components/control/src/session.rs
+++ b/components/control/src/session.rs
@@ -121,6 +121,11 @@
         }
     }
 
+    /// Sets the session time; also applies to the renewals that are confirmed already.
+    pub fn set_time(&mut self, session_time: Span) {
+        self.time = session_time;
+    }
+
     /// Starts a renewal; the next one falls due a third of the session time later, with jitter.
     pub fn renewing(&mut self, now: Instant, rng: &mut impl Rng) -> Renewal {
         self.counter += 1;
--- /dev/null
+++ b/components/daemon/src/control/adopt.rs
@@ -0,0 +1,123 @@
+//! Adopting documents, from wherever they come.
+
+use {
+    crate::{
+        clock,
+        control::{gate::Gate, times::SessionTimes},
+    },
+    std::sync::Arc,
+    wigeonramp_config::{Document, Presence},
+    wigeonramp_control::{
+        adoption::{AdoptionConflict, Offered, Source},
+        assignment::Assignment,
+        plan::digest_of,
+    },
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::{ConfigVersion, Digest},
+};
+
+const CONFIG: &str = "configuration";
+const ASSIGNMENT: &str = "assignment";
+
+impl Gate {
+    /// Offers a configuration; a document that breaks a rule is logged and refused.
+    pub fn offer_document(&self, document: Document, source: Source) {
+        if let Err(problem) = document.check() {
+            log::error!("configuration {} refused: {problem}", document.version);
+            return;
+        }
+        let (digest, document) = (digest_of(&document), Arc::new(document));
+        let now = clock::now();
+        let (offered, before) = {
+            let mut core = self.core();
+            let offered = core.configs.offer(document.version, digest, source);
+            let before = Arc::clone(&core.document);
+            if offered == Offered::Adopt {
+                let limits = &document.limits;
+                match before.version {
+                    ConfigVersion(0) => core.times = SessionTimes::new(limits.session_time),
+                    _ => core.times.change(limits.session_time, now),
+                }
+                let time = core.times.holder(now);
+                core.rights.session.set_time(time);
+                core.rights.set_stale_after(limits.stale_after);
+                core.document = Arc::clone(&document);
+            }
+            (offered, before)
+        };
+        match offered {
+            Offered::Adopt => self.document_adopted(&before, &document, source),
+            Offered::Conflict(conflict) => self.conflict(CONFIG, document.version.get(), &conflict),
+            Offered::Older | Offered::Same => (),
+        }
+    }
+
+    fn document_adopted(&self, before: &Document, document: &Document, source: Source) {
+        let version = document.version;
+        log::info!("configuration {version} adopted from {}", name(source));
+        self.metrics().config_version.set(version.get() as i64);
+        let entry = Entry::now(EventKind::ConfigAdopted).config_version(version);
+        self.record(entry.field("source", name(source)).field("op", &document.op));
+        for (id, zone) in &document.zones {
+            if before.zones.get(id).is_some_and(|old| old.state == zone.state) {
+                continue;
+            }
+            let state = if zone.state == Presence::In { "in" } else { "out" };
+            let entry = Entry::now(EventKind::ZoneState).config_version(version);
+            self.record(entry.field("zone", id).field("state", state));
+        }
+        self.wake_after_adoption();
+    }
+
+    /// Offers an assignment.
+    pub fn offer_assignment(&self, assignment: Assignment, source: Source) {
+        // An assignment has only text keys and plain values, so it always serializes.
+        let digest = Digest::of(&serde_json::to_vec(&assignment).unwrap_or_default());
+        let (version, assignment) = (assignment.version, Arc::new(assignment));
+        let offered = {
+            let mut core = self.core();
+            let offered = core.assignments.offer(version, digest, source);
+            if offered == Offered::Adopt {
+                core.assignment = Some(Arc::clone(&assignment));
+            }
+            offered
+        };
+        match offered {
+            Offered::Adopt => {
+                self.metrics().assignment_version.set(version.0 as i64);
+                let entry = Entry::now(EventKind::AssignmentAdopted);
+                self.record(entry.field("version", version).field("source", name(source)));
+                self.wake_after_adoption();
+            }
+            Offered::Conflict(conflict) => self.conflict(ASSIGNMENT, version.0, &conflict),
+            Offered::Older | Offered::Same => (),
+        }
+    }
+
+    fn wake_after_adoption(&self) {
+        self.hosts_changed();
+        let wakers = self.wakers();
+        [&wakers.apply, &wakers.gossip, &wakers.release, &wakers.assign, &wakers.doubt]
+            .iter()
+            .for_each(|waker| waker.wake());
+    }
+
+    fn conflict(&self, document: &str, version: u64, conflict: &AdoptionConflict) {
+        let AdoptionConflict { adopted, offered, source } = conflict;
+        let source = name(*source);
+        log::error!(
+            "{document} {version}: {source} offers {offered}, but {adopted} was adopted; refused"
+        );
+        let entry = Entry::now(EventKind::VersionConflict).field("document", document);
+        let entry = entry.field("version", version).field("adopted", adopted);
+        self.record(entry.field("offered", offered).field("source", source));
+    }
+}
+
+fn name(source: Source) -> &'static str {
+    match source {
+        Source::Watch => "watch",
+        Source::List => "store",
+        Source::Peer => "peer",
+    }
+}
--- /dev/null
+++ b/components/daemon/src/control/gossip.rs
@@ -0,0 +1,240 @@
+//! Heartbeats: versions, membership and conditions of leaves, exchanged with random peers.
+
+use {
+    crate::{
+        clock,
+        control::{
+            calls::{self, PeerCall},
+            directory::KnownHost,
+            fetching::{Fetcher, Wanted},
+            gate::Gate,
+            platform::{CallKind, Platform},
+        },
+        peer::client::Peers,
+    },
+    rand::RngExt,
+    std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
+    wigeonramp_control::{
+        assignment::Holding,
+        heartbeat::{PEERS_PER_ROUND, next_peers},
+        session::SessionRecord,
+        write::ReadResult,
+    },
+    wigeonramp_proto::peer::{Heartbeat, LeafReport, Suspect},
+    wigeonramp_store::ObjectStore,
+    wigeonramp_telemetry::metrics::DirectionLabels,
+    wigeonramp_units::{InstanceId, Instant, Percent, Span},
+};
+
+/// Time between two rounds.
+const ROUND: Span = Span::secs(1);
+/// Deviation of the time between two rounds, in hundredths.
+const JITTER_PERCENT: u64 = 10;
+/// Shortest time between two rounds that a change of versions asks for.
+const SHORTEST_PAUSE: Span = Span::millis(10);
+/// Reads of unknown holders' sessions in one round.
+const LOOKUPS: usize = 5;
+
+/// The data path's part of heartbeats.
+pub trait LeafNews: Send + Sync + 'static {
+    /// Conditions of the leaves that are held here.
+    fn reports(&self) -> Vec<LeafReport>;
+
+    /// Requests suspected of crashing leaves.
+    fn suspects(&self) -> Vec<Suspect>;
+
+    /// Takes what a peer reported.
+    fn heard(&self, reports: Vec<LeafReport>, suspects: Vec<Suspect>);
+}
+
+/// Builds and takes heartbeats.
+pub struct Gossip<N> {
+    fetcher: Fetcher,
+    gate: Arc<Gate>,
+    news: Arc<N>,
+}
+
+impl<N: LeafNews> Gossip<N> {
+    /// Heartbeats of this host.
+    pub fn new(gate: Arc<Gate>, news: Arc<N>, fetcher: Fetcher) -> Self {
+        Self { fetcher, gate, news }
+    }
+
+    /// This host's heartbeat.
+    pub fn heartbeat(&self) -> Heartbeat {
+        let now = clock::now();
+        let (reports, suspects) = (self.news.reports(), self.news.suspects());
+        let core = self.gate.core();
+        let own = core.own(now).report(now);
+        Heartbeat {
+            instance: own.instance,
+            zone: own.zone,
+            config_version: own.config_version,
+            assignment_version: own.assignment_version,
+            leaving: own.leaving,
+            load_percent: own.load_percent,
+            suspects,
+            reports,
+            store_contact_ms: core.store_contact.map_or(u64::MAX, |at| now.since(at).as_millis()),
+            address: own.address,
+            entry_address: own.entry_address,
+            operator_address: own.operator_address,
+            hosts: core.hosts.reports(now, &mut rand::rng()),
+        }
+    }
+
+    /// Takes a peer's heartbeat that was sent no earlier than `heard`.
+    pub fn take(&self, heartbeat: Heartbeat, heard: Instant) {
+        let sender = match KnownHost::of_heartbeat(&heartbeat, heard) {
+            Ok(sender) => sender,
+            Err(err) => return log::warn!("heartbeat ignored: {err}"),
+        };
+        let named = heartbeat.hosts.iter().filter_map(|report| {
+            KnownHost::of_report(report, heard).inspect_err(|err| log::warn!("{err}")).ok()
+        });
+        let hosts: Vec<_> = named.chain([sender.clone()]).collect();
+        let (changed, behind) = {
+            let mut core = self.gate.core();
+            let me = core.me.instance.clone();
+            let others = hosts.into_iter().filter(|host| host.instance != me);
+            let changed = others.fold(false, |changed, host| core.hosts.hear(host) || changed);
+            (changed, core.versions().behind(sender.versions))
+        };
+        self.gate.hosts_changed();
+        if changed {
+            self.gate.wakers().apply.wake();
+        }
+        if behind.config || behind.assignment {
+            self.fetcher.fetch(Wanted { from: sender.peer_address, documents: behind });
+        }
+        self.news.heard(heartbeat.reports, heartbeat.suspects);
+    }
+
+    /// Sends heartbeats until the host stops. `load` gives the share of request workers in use.
+    pub fn run<S: ObjectStore>(
+        &self,
+        peers: &Peers,
+        platform: &Platform<S>,
+        seeds: &[SocketAddr],
+        load: impl Fn() -> Percent,
+    ) {
+        let mut rng = rand::rng();
+        let mut listed = false;
+        let mut left = false;
+        while !self.gate.is_stopped() {
+            self.gate.core().load = load();
+            if !listed {
+                listed = self.learn_hosts(platform);
+            }
+            let leaving = self.gate.core().leaving();
+            // All peers hear of a stop at once, so that they name this host to no caller.
+            let everybody = leaving && !left;
+            left = leaving;
+            self.round(peers, seeds, everybody);
+            self.look_up_holders(platform);
+            let percent = rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
+            std::thread::sleep(SHORTEST_PAUSE.to_duration());
+            self.gate.wakers().gossip.wait(ROUND.percent(percent));
+        }
+    }
+
+    fn round(&self, peers: &Peers, seeds: &[SocketAddr], everybody: bool) {
+        let addresses = self.choose(seeds, everybody);
+        let heartbeat = self.heartbeat();
+        let bytes = prost_len(&heartbeat);
+        let calls = addresses
+            .into_iter()
+            .map(|address| PeerCall { address, request: heartbeat.clone() })
+            .collect();
+        let sent = clock::now();
+        calls::all(
+            peers,
+            calls,
+            |mut client, request| async move { client.send_heartbeat(request).await },
+            |_, answer| match answer {
+                Ok(heartbeat) => {
+                    self.count("sent", bytes);
+                    self.count("received", prost_len(&heartbeat));
+                    self.gate.peer_answered(sent);
+                    self.take(heartbeat, sent);
+                }
+                Err(status) => log::debug!("heartbeat not answered: {}", status.message()),
+            },
+        );
+    }
+
+    /// Random peers; the seeds as well while nobody is known.
+    fn choose(&self, seeds: &[SocketAddr], everybody: bool) -> Vec<SocketAddr> {
+        let now = clock::now();
+        let core = self.gate.core();
+        let me = core.me.peer_address;
+        let fresh: Vec<_> = core.hosts.fresh(core.silent_after(), now).collect();
+        if everybody {
+            return fresh.iter().map(|host| host.peer_address).collect();
+        }
+        let ids: Vec<InstanceId> = fresh.iter().map(|host| host.instance.clone()).collect();
+        let chosen = next_peers(&ids, &mut rand::rng());
+        let address = |id: &InstanceId| core.hosts.get(id).map(|host| host.peer_address);
+        let mut addresses: BTreeSet<_> = chosen.iter().filter_map(address).collect();
+        if addresses.len() < PEERS_PER_ROUND {
+            addresses.extend(seeds.iter().copied().filter(|seed| *seed != me));
+        }
+        addresses.into_iter().collect()
+    }
+
+    /// The first list of hosts: one read of all sessions after the start, never again.
+    fn learn_hosts<S: ObjectStore>(&self, platform: &Platform<S>) -> bool {
+        let Ok(objects) = platform.list(CallKind::Session, "session/") else { return false };
+        let now = clock::now();
+        let records = objects.iter().filter_map(|object| {
+            let record = serde_json::from_str::<SessionRecord>(&object.body);
+            record.inspect_err(|err| log::error!("{} cannot be read: {err}", object.key)).ok()
+        });
+        let records: Vec<_> = records.collect();
+        let mut core = self.gate.core();
+        let me = core.me.instance.clone();
+        for record in records.iter().filter(|record| record.instance != me) {
+            core.hosts.hear(KnownHost::of_session(record, now));
+        }
+        drop(core);
+        self.gate.wakers().apply.wake();
+        true
+    }
+
+    /// Reads the sessions of holders whose address is not known.
+    fn look_up_holders<S: ObjectStore>(&self, platform: &Platform<S>) {
+        let unknown: BTreeSet<InstanceId> = {
+            let core = self.gate.core();
+            let Some(assignment) = &core.assignment else { return };
+            let involved = |holding: &Holding| {
+                [Some(holding.instance.clone()), holding.from.clone()].into_iter().flatten()
+            };
+            let strange = |id: &InstanceId| {
+                core.hosts.get(id).is_none() && *id != core.me.instance
+            };
+            let all = assignment.holdings.values().flat_map(involved);
+            all.chain(assignment.assigner_ids().cloned()).filter(strange).collect()
+        };
+        for id in unknown.iter().take(LOOKUPS) {
+            let key = SessionRecord::key(id);
+            match platform.read::<SessionRecord>(CallKind::Session, &key) {
+                ReadResult::Found(found) => {
+                    let host = KnownHost::of_session(&found.value, clock::now());
+                    self.gate.core().hosts.hear(host);
+                    self.gate.wakers().apply.wake();
+                }
+                ReadResult::Missing => (),
+                ReadResult::Failed => return,
+            }
+        }
+    }
+
+    fn count(&self, direction: &str, bytes: u64) {
+        let labels = DirectionLabels { direction: direction.to_owned() };
+        self.gate.metrics().heartbeat_bytes.get_or_create(&labels).inc_by(bytes);
+    }
+}
+
+fn prost_len(heartbeat: &Heartbeat) -> u64 {
+    prost::Message::encoded_len(heartbeat) as u64
+}
--- /dev/null
+++ b/components/daemon/src/control/platform.rs
@@ -0,0 +1,184 @@
+//! Calls to the platform: counted, timed and noted as contact.
+
+use {
+    crate::{clock, control::gate::Gate},
+    std::{
+        fmt::Display,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, Ordering},
+        },
+    },
+    wigeonramp_control::write::{ReadResult, Stored, WriteResult},
+    wigeonramp_store::{
+        Change, Fetched, Object, ObjectStore, PlatformHost, Precondition, Put, StoreError,
+    },
+    wigeonramp_telemetry::{
+        metrics::StoreLabels,
+        timeline::{Entry, EventKind},
+    },
+    wigeonramp_units::{Revision, Span},
+};
+
+/// What a call is for; a label of the metrics.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum CallKind {
+    /// Reads and writes of the assignment, lists of sessions and hosts.
+    Assign,
+    /// Claims and their clean-up.
+    Claim,
+    /// Plans and confirmations.
+    Plan,
+    /// Sessions of single instances.
+    Session,
+    /// Watches and the reads before them.
+    Watch,
+}
+
+impl CallKind {
+    fn as_str(self) -> &'static str {
+        match self {
+            Self::Assign => "assign",
+            Self::Claim => "claim",
+            Self::Plan => "plan",
+            Self::Session => "session",
+            Self::Watch => "watch",
+        }
+    }
+}
+
+/// The platform as the control threads call it.
+pub struct Platform<S> {
+    available: AtomicBool,
+    gate: Arc<Gate>,
+    store: S,
+}
+
+impl<S: ObjectStore> Platform<S> {
+    /// Calls go to `store`.
+    pub fn new(store: S, gate: Arc<Gate>) -> Self {
+        Self { available: AtomicBool::new(true), gate, store }
+    }
+
+    /// Reads one key.
+    pub fn get(&self, kind: CallKind, key: &str) -> Result<Fetched, StoreError> {
+        self.call(kind, || self.store.get(key))
+    }
+
+    /// Reads one key as a JSON value.
+    pub fn read<T: serde::de::DeserializeOwned>(&self, kind: CallKind, key: &str) -> ReadResult<T> {
+        match self.get(kind, key) {
+            Ok(Fetched::Found(object)) => parsed(&object).map_or(ReadResult::Failed, |value| {
+                ReadResult::Found(Stored { revision: object.revision, value })
+            }),
+            Ok(Fetched::Missing) => ReadResult::Missing,
+            Err(_) => ReadResult::Failed,
+        }
+    }
+
+    /// Writes a JSON value if the key has revision `replaces`; `None` creates the key.
+    pub fn write<T: serde::de::DeserializeOwned + serde::Serialize>(
+        &self,
+        kind: CallKind,
+        key: &str,
+        value: &T,
+        replaces: Option<Revision>,
+    ) -> WriteResult<T> {
+        let body = serde_json::to_string(value).expect("stored values serialize to JSON");
+        match self.put(kind, key, &body, replaces) {
+            Ok(Put::Written(revision)) => WriteResult::Written(revision),
+            Ok(Put::Conflict(None)) => WriteResult::Conflict(None),
+            Ok(Put::Conflict(Some(object))) => match parsed(&object) {
+                Some(value) => {
+                    WriteResult::Conflict(Some(Stored { revision: object.revision, value }))
+                }
+                // What stands there cannot be read, and a later write could still take effect.
+                None => WriteResult::Unknown,
+            },
+            Err(StoreError::Refused { .. } | StoreError::Unavailable { .. }) => {
+                WriteResult::NoEffect
+            }
+            Err(StoreError::Unknown { .. } | StoreError::Malformed { .. }) => WriteResult::Unknown,
+        }
+    }
+
+    /// Writes one key if it has revision `replaces`; `None` creates it.
+    pub fn put(
+        &self,
+        kind: CallKind,
+        key: &str,
+        body: &str,
+        replaces: Option<Revision>,
+    ) -> Result<Put, StoreError> {
+        let precondition = replaces.map_or(Precondition::Create, Precondition::Revision);
+        self.call(kind, || self.store.put(key, body, precondition))
+    }
+
+    /// Deletes one key if it has `revision`.
+    pub fn delete(&self, kind: CallKind, key: &str, at: Revision) -> Result<Put, StoreError> {
+        self.call(kind, || self.store.delete(key, at))
+    }
+
+    /// Reads all keys with a prefix.
+    pub fn list(&self, kind: CallKind, prefix: &str) -> Result<Vec<Object>, StoreError> {
+        self.call(kind, || self.store.list(prefix))
+    }
+
+    /// Waits for changes of keys with a prefix.
+    pub fn watch(
+        &self,
+        prefix: &str,
+        after: Revision,
+        wait: Span,
+    ) -> Result<Vec<Change>, StoreError> {
+        self.call(CallKind::Watch, || self.store.watch(prefix, after, wait))
+    }
+
+    /// Reads the platform's list of hosts.
+    pub fn hosts(&self) -> Result<Vec<PlatformHost>, StoreError> {
+        self.call(CallKind::Assign, || self.store.hosts())
+    }
+
+    fn call<T>(
+        &self,
+        kind: CallKind,
+        call: impl FnOnce() -> Result<T, StoreError>,
+    ) -> Result<T, StoreError> {
+        let sent = clock::now();
+        let result = call();
+        let text = match &result {
+            Ok(_) => "ok",
+            Err(StoreError::Refused { .. }) => "refused",
+            Err(StoreError::Unavailable { .. }) => "unavailable",
+            Err(StoreError::Unknown { .. }) => "unknown",
+            Err(StoreError::Malformed { .. }) => "malformed",
+        };
+        let labels = StoreLabels { kind: kind.as_str().to_owned(), result: text.to_owned() };
+        let metrics = self.gate.metrics();
+        metrics.store_calls.get_or_create(&labels).inc();
+        let took = clock::now().since(sent).to_duration().as_secs_f64();
+        metrics.store_seconds.get_or_create(&labels).observe(took);
+        match &result {
+            Ok(_) => {
+                self.gate.store_answered(sent);
+                self.set_available(true, "answered");
+            }
+            Err(err) => self.set_available(false, err),
+        }
+        result
+    }
+
+    fn set_available(&self, available: bool, why: impl Display) {
+        if self.available.swap(available, Ordering::AcqRel) == available {
+            return;
+        }
+        let kind = if available { EventKind::StoreAvailable } else { EventKind::StoreUnavailable };
+        log::warn!("store available: {available} ({why})");
+        self.gate.record(Entry::now(kind).field("reason", why));
+    }
+}
+
+fn parsed<T: serde::de::DeserializeOwned>(object: &Object) -> Option<T> {
+    let parsed = serde_json::from_str(&object.body);
+    parsed.inspect_err(|err| log::error!("{} cannot be read: {err}", object.key)).ok()
+}
--- /dev/null
+++ b/components/daemon/src/control/watching.rs
@@ -0,0 +1,107 @@
+//! Follows one document in the store.
+
+use {
+    crate::{
+        clock,
+        control::{
+            gate::Gate,
+            platform::{CallKind, Platform},
+        },
+    },
+    serde::de::DeserializeOwned,
+    std::sync::Arc,
+    wigeonramp_control::{
+        adoption::Source,
+        assignment::{ASSIGNMENT_KEY, Assignment},
+        backoff::Backoff,
+        calls::WATCH_WAIT,
+    },
+    wigeonramp_store::{Change, Fetched, ObjectStore, StoreError},
+    wigeonramp_units::{Revision, Span},
+};
+
+/// Key of the configuration.
+pub const CONFIG_KEY: &str = "config/current";
+/// Pause after an answer, so that a store whose watches do not wait is not flooded.
+const SHORTEST_PAUSE: Span = Span::millis(20);
+
+/// A document that is followed.
+pub trait Followed: DeserializeOwned + Send + 'static {
+    /// Its key in the store.
+    const KEY: &'static str;
+
+    /// Offers it for adoption.
+    fn offer(self, gate: &Gate, source: Source);
+}
+
+impl Followed for wigeonramp_config::Document {
+    const KEY: &'static str = CONFIG_KEY;
+
+    fn offer(self, gate: &Gate, source: Source) {
+        gate.offer_document(self, source);
+    }
+}
+
+impl Followed for Assignment {
+    const KEY: &'static str = ASSIGNMENT_KEY;
+
+    fn offer(self, gate: &Gate, source: Source) {
+        gate.offer_assignment(self, source);
+    }
+}
+
+/// Follows `T` until the host stops. The thread is not joined: a long poll may outlast the host.
+pub fn run<T: Followed>(gate: &Gate, platform: &Arc<Platform<impl ObjectStore>>) {
+    let mut backoff = Backoff::default();
+    // None after a failure: the next call reads the document instead of waiting for a change.
+    let mut after = None;
+    while !gate.is_stopped() {
+        let began = clock::now();
+        match round::<T>(gate, platform, after) {
+            Ok(revision) => {
+                backoff.succeeded();
+                after = Some(revision);
+                if clock::now().since(began) < SHORTEST_PAUSE {
+                    std::thread::sleep(SHORTEST_PAUSE.to_duration());
+                }
+            }
+            Err(err) => {
+                log::debug!("{err}");
+                after = None;
+                std::thread::sleep(backoff.failed(&mut rand::rng()).to_duration());
+            }
+        }
+    }
+}
+
+fn round<T: Followed>(
+    gate: &Gate,
+    platform: &Platform<impl ObjectStore>,
+    after: Option<Revision>,
+) -> Result<Revision, StoreError> {
+    let Some(after) = after else {
+        let Fetched::Found(object) = platform.get(CallKind::Watch, T::KEY)? else {
+            return Ok(Revision(0));
+        };
+        take::<T>(gate, &object.body, Source::List);
+        return Ok(object.revision);
+    };
+    let changes = platform.watch(T::KEY, after, WATCH_WAIT)?;
+    Ok(changes.into_iter().fold(after, |after, change| {
+        let Change { key, revision, body } = change;
+        if key == T::KEY {
+            match body {
+                Some(body) => take::<T>(gate, &body, Source::Watch),
+                None => log::error!("{key} was deleted; the adopted version stays in force"),
+            }
+        }
+        after.max(revision)
+    }))
+}
+
+fn take<T: Followed>(gate: &Gate, body: &str, source: Source) {
+    match serde_json::from_str::<T>(body) {
+        Ok(document) => document.offer(gate, source),
+        Err(err) => log::error!("{} cannot be read and is refused: {err}", T::KEY),
+    }
+}
--- a/components/telemetry/src/timeline.rs
+++ b/components/telemetry/src/timeline.rs
@@ -35,6 +35,10 @@
     HostStopped,
     /// A configuration version was adopted.
     ConfigAdopted,
+    /// Another body of the adopted version was seen, of the configuration or the assignment.
+    VersionConflict,
+    /// A zone went out or came in.
+    ZoneState,
     /// The configuration became stale; no new work is sent.
     ConfigStale,
     /// The configuration is fresh again.
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -62,9 +62,11 @@
     pub host: SocketAddr,
 }
 
-/// Where a plan is written.
+/// What a plan may cost and where it is written.
 #[derive(Bpaf, Clone, Debug)]
 pub struct PlanOut {
+    /// Allow a plan that leaves shards without a replica that takes work
+    pub allow_coverage_loss: bool,
     /// File for the plan; plan-<id>.json if absent
     #[bpaf(argument("FILE"))]
     pub out: Option<PathBuf>,
--- a/src/cmd/plan.rs
+++ b/src/cmd/plan.rs
@@ -29,7 +29,7 @@
 /// Asks for the plan of `intent` and writes it to a file.
 pub fn make(target: Target, out: &PlanOut, intent: Intent) -> Result<Outcome, Failure> {
     let title = intent.to_string();
-    let req = PlanRequest { intent };
+    let req = PlanRequest { intent, allow_coverage_loss: out.allow_coverage_loss };
     let answer: Result<PlanAnswer, CallError> = Client::operator(target.host).post(PLAN_PATH, &req);
     let plan = answer.map_err(CallError::read_only)?;
     if plan.changes.is_empty() {
