--- a/components/control/src/claims.rs
+++ b/components/control/src/claims.rs
@@ -13,7 +13,7 @@
         collections::{BTreeMap, BTreeSet},
         mem,
     },
-    wigeonramp_units::{Revision, UnixMillis},
+    wigeonramp_units::{Revision, Span, UnixMillis},
 };
 
 /// Decision about one claim.
@@ -134,6 +134,11 @@
         Self { settings, buckets, used, withdrawn }
     }
 
+    /// Sets how long a request id is known.
+    pub fn set_retention(&mut self, retention: Span) {
+        self.settings.retention = retention;
+    }
+
     /// Asks for a claim. `None` means that the decision comes with a later result.
     pub fn request(
         &mut self,
@@ -184,6 +189,11 @@
         bucket.pending.remove(&text)?.decide(Verdict::NotRun(NotRun::Withdrawn))
     }
 
+    /// Whether nothing waits to be written or read.
+    pub fn is_idle(&self) -> bool {
+        self.buckets.values().all(Bucket::is_idle)
+    }
+
     /// The next call to the store, with decisions that need none. At most one call for each object
     /// is out at the same time.
     pub fn batch(&mut self, now: UnixMillis) -> (Option<ClaimWrite>, Vec<Decision>) {
--- a/components/daemon/src/caller/handler.rs
+++ b/components/daemon/src/caller/handler.rs
@@ -18,7 +18,7 @@
     wigeonramp_config::caller_api::{
         ENTRY_PATH, EntryAnswer, ErrorAnswer, QUERY_PATH, QueryOutcome,
     },
-    wigeonramp_units::Span,
+    wigeonramp_units::{CallerId, Span},
 };
 
 /// When a refused caller should try again, if nothing better is known.
@@ -28,8 +28,8 @@
 
 /// Which hosts a caller should use; answered by the control side.
 pub trait EntryAddresses: Send + Sync + 'static {
-    /// Addresses in order of preference and how long they may be used.
-    fn entry_addresses(&self) -> EntryChoice;
+    /// Addresses for `caller` in order of preference and how long they may be used.
+    fn entry_addresses(&self, caller: &CallerId) -> EntryChoice;
 }
 
 /// Hosts for a caller.
@@ -65,8 +65,8 @@
 
     fn entry_addresses(&self, request: &HttpRequest) -> Result<Response<Full<Bytes>>, Rejection> {
         let view = self.entry.view();
-        check::authenticate(&view.document, &request.headers)?;
-        let choice = self.addresses.entry_addresses();
+        let identity = check::authenticate(&view.document, &request.headers)?;
+        let choice = self.addresses.entry_addresses(&identity.caller);
         if choice.addresses.is_empty() {
             return Ok(busy("no host takes callers at the moment"));
         }
--- a/components/daemon/src/control/adopt.rs
+++ b/components/daemon/src/control/adopt.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         clock,
-        control::{gate::Gate, times::SessionTimes},
+        control::{changing::ChangingTime, gate::Gate},
     },
     std::sync::Arc,
     wigeonramp_config::{Document, Presence},
@@ -35,10 +35,16 @@
             if offered == Offered::Adopt {
                 let limits = &document.limits;
                 match before.version {
-                    ConfigVersion(0) => core.times = SessionTimes::new(limits.session_time),
-                    _ => core.times.change(limits.session_time, now),
+                    ConfigVersion(0) => {
+                        core.session_time = ChangingTime::new(limits.session_time);
+                        core.retention = ChangingTime::new(limits.claim_retention);
+                    }
+                    _ => {
+                        core.session_time.change(limits.session_time, now);
+                        core.retention.change(limits.claim_retention, now);
+                    }
                 }
-                let time = core.times.holder(now);
+                let time = core.session_time.shorter(now);
                 core.rights.session.set_time(time);
                 core.rights.set_stale_after(limits.stale_after);
                 core.document = Arc::clone(&document);
--- /dev/null
+++ b/components/daemon/src/control/applying.rs
@@ -0,0 +1,105 @@
+//! Builds the data path's view and applies the assignment to the held leaves.
+
+use {
+    crate::{
+        clock,
+        control::gate::{Core, Gate},
+        holder::{Holders, leaf::Start},
+        suspects::Suspects,
+        view::{ClusterView, Holder, Views},
+    },
+    indexmap::IndexMap,
+    std::sync::Arc,
+    wigeonramp_control::assignment::{Assignment, Holding},
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::{InstanceId, LeafId, Span},
+};
+
+/// Time after which the view is built again without a change, for hosts that have gone silent.
+const REFRESH: Span = Span::millis(500);
+
+/// The parts that a new view is applied to.
+pub struct Applier {
+    /// Knowledge and rights.
+    pub gate: Arc<Gate>,
+    /// Held leaves.
+    pub holders: Arc<Holders<Gate>>,
+    /// Requests that may crash leaves.
+    pub suspects: Arc<Suspects>,
+    /// The data path's view.
+    pub views: Arc<Views>,
+}
+
+impl Applier {
+    /// Applies changes until the host stops.
+    pub fn run(&self) {
+        while !self.gate.is_stopped() {
+            self.apply();
+            self.gate.wakers().apply.wait(REFRESH);
+        }
+    }
+
+    fn apply(&self) {
+        let now = clock::now();
+        let (me, assignment, view) = {
+            let mut core = self.gate.core();
+            prune(&mut core);
+            (core.me.instance.clone(), core.assignment.clone(), view(&core))
+        };
+        let quarantine = view.document.limits.quarantine;
+        if self.views.load().document.limits.quarantine != quarantine {
+            self.suspects.set_time(quarantine, now);
+        }
+        self.views.store(view);
+        let view = self.views.load();
+        let Some(assignment) = assignment else { return };
+        self.holders.adopt(&me, &view, |leaf| self.start(&assignment, leaf));
+    }
+
+    fn start(&self, assignment: &Assignment, leaf: &LeafId) -> Start {
+        let Some(holding) = assignment.holdings.get(leaf) else { return Start::Cold };
+        let how = if holding.taken_over { "taken_over" } else { "cold" };
+        let entry = Entry::now(EventKind::LeafAcquired).leaf(leaf).epoch(holding.epoch);
+        self.gate.record(entry.field("start", how));
+        if holding.taken_over {
+            return Start::AfterTakeover(self.gate.core().session_time.longer(clock::now()));
+        }
+        Start::Cold
+    }
+}
+
+fn view(core: &Core) -> ClusterView {
+    let address = |id: &InstanceId| {
+        if *id == core.me.instance {
+            return Some(core.me.peer_address);
+        }
+        core.hosts.get(id).map(|host| host.peer_address)
+    };
+    let holder = |(leaf, holding): (&LeafId, &Holding)| {
+        let holder = Holder {
+            address: address(&holding.instance)?,
+            epoch: holding.epoch,
+            instance: holding.instance.clone(),
+            releasing: holding.from.clone(),
+        };
+        Some((leaf.clone(), holder))
+    };
+    let holders: IndexMap<_, _> = core
+        .assignment
+        .iter()
+        .flat_map(|assignment| &assignment.holdings)
+        .filter_map(holder)
+        .collect();
+    let hosts = core.host_views(clock::now());
+    ClusterView { document: Arc::clone(&core.document), holders, hosts }
+}
+
+/// Forgets instances that are long silent and hold nothing.
+fn prune(core: &mut Core) {
+    let Some(assignment) = core.assignment.clone() else { return };
+    let involved = |id: &InstanceId| {
+        let of = |h: &Holding| h.instance == *id || h.from.as_ref() == Some(id);
+        assignment.names(id) || assignment.holdings.values().any(of)
+    };
+    core.hosts.prune(clock::now(), involved);
+}
--- a/components/daemon/src/control/directory.rs
+++ b/components/daemon/src/control/directory.rs
@@ -80,8 +80,7 @@
             field,
             found: found.to_owned(),
         };
-        let address =
-            |field, text: &str| text.parse::<SocketAddr>().map_err(|_| bad(field, text));
+        let address = |field, text: &str| text.parse::<SocketAddr>().map_err(|_| bad(field, text));
         Ok(Self {
             caller_address: address("entry_address", &report.entry_address)?,
             heard: now - Span::millis(report.age_ms),
--- /dev/null
+++ b/components/daemon/src/control/doubt.rs
@@ -0,0 +1,122 @@
+//! Promises of assigners while the session cannot be renewed.
+
+use {
+    crate::{
+        clock,
+        control::{
+            assigning::AssignDesk,
+            calls::{self, PeerCall},
+            gate::{Core, Gate},
+        },
+        peer::client::Peers,
+    },
+    wigeonramp_control::promise::{PromiseAnswer, PromiseAsk, PromiseRefusal},
+    wigeonramp_proto::peer::PromiseRequest,
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::{Instant, Span},
+};
+
+/// Looks at the session in one session time.
+const LOOKS: u64 = 16;
+/// A round begins when less than one part in this many of the session time is left, so that the
+/// promises are there when the session expires. A renewal is due when two thirds are left.
+const LATE_PART: u64 = 2;
+/// Rounds in one session time while they succeed.
+const ROUNDS: u64 = 3;
+
+struct Round {
+    asks: Vec<PromiseAsk>,
+    began: Instant,
+}
+
+/// Asks for promises whenever the session is about to expire or has expired.
+pub fn run(gate: &Gate, desk: &AssignDesk, peers: &Peers) {
+    let mut held = false;
+    while !gate.is_stopped() {
+        let (round, time) = {
+            let mut core = gate.core();
+            let now = clock::now();
+            let time = core.session_time.shorter(now);
+            (is_due(&core, time, now).then(|| begin(&mut core, time, now)).flatten(), time)
+        };
+        if let Some(round) = round {
+            ask(gate, desk, peers, round);
+        }
+        let holds = gate.core().rights.promises.is_valid(clock::now());
+        if holds != held {
+            held = holds;
+            log::info!("promises of all assigners hold: {held}");
+            gate.record(Entry::now(EventKind::PromiseRound).field("all_promised", held));
+        }
+        gate.wakers().doubt.wait(time / LOOKS);
+    }
+}
+
+fn is_due(core: &Core, time: Span, now: Instant) -> bool {
+    let rights = &core.rights;
+    if rights.session.has_ended() || rights.session.last_renewal().is_none() {
+        return false;
+    }
+    let left = |until: Option<Instant>| until.map_or(Span::ZERO, |until| until.since(now));
+    let session_late = left(rights.session.valid_until()) < time / LATE_PART;
+    let promises_late = left(rights.promises.valid_until()) < time - time / ROUNDS;
+    session_late && promises_late
+}
+
+fn begin(core: &mut Core, time: Span, now: Instant) -> Option<Round> {
+    let assignment = core.assignment.clone()?;
+    if assignment.load_of(&core.me.instance) == 0 {
+        return None;
+    }
+    let me = core.me.instance.clone();
+    let asks = core.rights.promises.begin(&me, &assignment, time, now);
+    Some(Round { asks, began: now })
+}
+
+fn ask(gate: &Gate, desk: &AssignDesk, peers: &Peers, round: Round) {
+    let Round { asks, began } = round;
+    let (own, others): (Vec<_>, Vec<_>) = {
+        let me = gate.instance();
+        asks.into_iter().partition(|ask| ask.assigner == me)
+    };
+    for ask in own {
+        let answer = desk.promise(gate, &ask);
+        gate.core().rights.promises.answered(&ask, answer, began);
+    }
+    let reachable: Vec<_> = {
+        let core = gate.core();
+        let address =
+            |ask: PromiseAsk| core.hosts.get(&ask.assigner).map(|host| (host.peer_address, ask));
+        others.into_iter().filter_map(address).collect()
+    };
+    let requests = reachable.iter().map(|(address, ask)| PeerCall {
+        address: *address,
+        request: PromiseRequest {
+            instance: ask.asker.as_str().to_owned(),
+            term_ms: ask.term.as_millis(),
+            assigner: ask.assigner.as_str().to_owned(),
+            assignment_version: ask.known.0,
+        },
+    });
+    calls::all(
+        peers,
+        requests.collect(),
+        |mut client, request| async move { client.promise(request).await },
+        |i, reply| {
+            let ask = &reachable[i].1;
+            let answer = match reply {
+                Ok(reply) if reply.granted => PromiseAnswer::Granted,
+                Ok(reply) => {
+                    log::info!("{} gives no promise: {}", ask.assigner, reply.reason);
+                    PromiseAnswer::Refused(PromiseRefusal::NotAssigner)
+                }
+                Err(status) => {
+                    return log::debug!("{} does not answer: {}", ask.assigner, status.message());
+                }
+            };
+            let mut core = gate.core();
+            core.rights.contact(began);
+            core.rights.promises.answered(ask, answer, began);
+        },
+    );
+}
--- a/components/daemon/src/control/gate.rs
+++ b/components/daemon/src/control/gate.rs
@@ -9,11 +9,11 @@
         caller::handler::{EntryAddresses, EntryChoice},
         clock,
         control::{
+            changing::ChangingTime,
             directory::{Directory, KnownHost},
-            times::SessionTimes,
             waker::Wakers,
         },
-        view::{ClusterView, HolderRights, HostView, Rights},
+        view::{ClusterView, HolderRights, HostView},
     },
     parking_lot::{Condvar, Mutex, MutexGuard},
     std::{
@@ -33,6 +33,7 @@
         rights::{HolderRights as RightsRules, Rights as RightsRule},
         session::{Session, takeover_time},
     },
+    wigeonramp_serving::upstream::Rights,
     wigeonramp_telemetry::{
         metrics::Metrics,
         timeline::{Entry, Timeline},
@@ -75,16 +76,20 @@
     pub drain: DrainState,
     /// Other hosts.
     pub hosts: Directory,
+    /// Whether the session object says that this host is leaving.
+    pub leaving_written: bool,
     /// Share of request workers in use.
     pub load: Percent,
     /// This host.
     pub me: Identity,
     /// Session, promises and hand-overs.
     pub rights: RightsRules,
+    /// How long claims are remembered.
+    pub retention: ChangingTime,
+    /// The session time in force.
+    pub session_time: ChangingTime,
     /// When the store last answered a call; the time before it was sent.
     pub store_contact: Option<Instant>,
-    /// The session time in force.
-    pub times: SessionTimes,
 }
 
 impl Core {
@@ -145,7 +150,7 @@
         let instance = InstanceId::new(&self.me.host, &boot);
         self.me.instance = instance.clone();
         self.me.boot = boot;
-        let session = Session::new(self.times.holder(now), now);
+        let session = Session::new(self.session_time.shorter(now), now);
         let stale_after = self.document.limits.stale_after;
         self.rights = RightsRules::new(instance, session, stale_after);
     }
@@ -169,7 +174,8 @@
         let limits = &document.limits;
         let session = Session::new(limits.session_time, clock::now());
         let rights = RightsRules::new(me.instance.clone(), session, limits.stale_after);
-        let times = SessionTimes::new(limits.session_time);
+        let retention = ChangingTime::new(limits.claim_retention);
+        let session_time = ChangingTime::new(limits.session_time);
         let core = Core {
             assignment: None,
             assignments: Adoption::default(),
@@ -177,11 +183,13 @@
             document,
             drain: DrainState::Serving,
             hosts: Directory::default(),
+            leaving_written: false,
             load: Percent(0),
             me,
             rights,
+            retention,
+            session_time,
             store_contact: None,
-            times,
         };
         Self {
             core: Mutex::new(core),
--- a/components/daemon/src/control/gossip.rs
+++ b/components/daemon/src/control/gossip.rs
@@ -96,8 +96,10 @@
         let (changed, behind) = {
             let mut core = self.gate.core();
             let me = core.me.instance.clone();
-            let others = hosts.into_iter().filter(|host| host.instance != me);
-            let changed = others.fold(false, |changed, host| core.hosts.hear(host) || changed);
+            let mut changed = false;
+            for host in hosts.into_iter().filter(|host| host.instance != me) {
+                changed |= core.hosts.hear(host);
+            }
             (changed, core.versions().behind(sender.versions))
         };
         self.gate.hosts_changed();
@@ -209,9 +211,7 @@
             let involved = |holding: &Holding| {
                 [Some(holding.instance.clone()), holding.from.clone()].into_iter().flatten()
             };
-            let strange = |id: &InstanceId| {
-                core.hosts.get(id).is_none() && *id != core.me.instance
-            };
+            let strange = |id: &InstanceId| core.hosts.get(id).is_none() && *id != core.me.instance;
             let all = assignment.holdings.values().flat_map(involved);
             all.chain(assignment.assigner_ids().cloned()).filter(strange).collect()
         };
--- /dev/null
+++ b/components/daemon/src/control/handing.rs
@@ -0,0 +1,115 @@
+//! Hand-overs of leaves between live holders.
+
+use {
+    crate::{
+        clock,
+        control::{
+            calls::{self, PeerCall},
+            gate::Gate,
+        },
+        holder::{Holders, holding_of, leaf::Start},
+        peer::client::Peers,
+    },
+    std::net::SocketAddr,
+    wigeonramp_control::handover::ReleaseAsk,
+    wigeonramp_proto::peer::{ReleaseReply, ReleaseRequest},
+    wigeonramp_serving::upstream::UpstreamState,
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::Span,
+};
+
+/// Most releases asked for at the same time.
+const ASKS: usize = 64;
+/// Pause before a leaf with work in flight is asked for again.
+const RETRY: Span = Span::millis(20);
+/// Pause before an old holder that did not answer is asked again.
+const UNREACHED: Span = Span::millis(250);
+/// Wait for an assignment with hand-overs.
+const IDLE: Span = Span::secs(1);
+
+struct Ask {
+    address: SocketAddr,
+    ask: ReleaseAsk,
+}
+
+/// Asks old holders to release the leaves that move to this host.
+pub fn run(gate: &Gate, holders: &Holders<Gate>, peers: &Peers) {
+    while !gate.is_stopped() {
+        let pause = round(gate, holders, peers);
+        gate.wakers().release.wait(pause);
+    }
+}
+
+fn round(gate: &Gate, holders: &Holders<Gate>, peers: &Peers) -> Span {
+    let (waiting, reachable, version) = {
+        let core = gate.core();
+        let Some(assignment) = &core.assignment else { return IDLE };
+        let waiting = core.rights.releases_to_ask(assignment);
+        let address = |ask: &ReleaseAsk| {
+            let address = core.hosts.get(&ask.from)?.peer_address;
+            Some(Ask { address, ask: ask.clone() })
+        };
+        let reachable: Vec<_> = waiting.iter().take(ASKS).filter_map(address).collect();
+        (waiting.len(), reachable, assignment.version)
+    };
+    if waiting == 0 {
+        return IDLE;
+    }
+    let me = gate.instance();
+    let requests = reachable.iter().map(|Ask { address, ask }| PeerCall {
+        address: *address,
+        request: ReleaseRequest {
+            leaf: ask.leaf.as_str().to_owned(),
+            epoch: ask.epoch.get(),
+            instance: me.as_str().to_owned(),
+            assignment_version: version.0,
+            from: ask.from.as_str().to_owned(),
+        },
+    });
+    let began = clock::now();
+    let (mut released, mut answers) = (0, 0);
+    calls::all(
+        peers,
+        requests.collect(),
+        |mut client, request| async move { client.release(request).await },
+        |i, reply| match reply {
+            Ok(reply) => {
+                answers += 1;
+                gate.peer_answered(began);
+                if reply.released {
+                    released += 1;
+                    take(gate, holders, &reachable[i].ask, &reply);
+                }
+            }
+            Err(status) => {
+                let ask = &reachable[i].ask;
+                log::debug!("{} does not release {}: {}", ask.from, ask.leaf, status.message());
+            }
+        },
+    );
+    if released > 0 {
+        gate.wakers().renew.wake();
+    }
+    if answers > 0 { RETRY } else { UNREACHED }
+}
+
+fn take(gate: &Gate, holders: &Holders<Gate>, ask: &ReleaseAsk, reply: &ReleaseReply) {
+    let state = serde_json::from_slice::<UpstreamState>(&reply.state);
+    let (start, how) = match state {
+        Ok(state) => (Start::HandedOver(state), "handed_over"),
+        Err(err) => {
+            if !reply.state.is_empty() {
+                log::warn!("state of {} cannot be read, it starts cold: {err}", ask.leaf);
+            }
+            (Start::Cold, "cold")
+        }
+    };
+    let document = gate.document();
+    // A leaf that is no longer declared is settled without being held.
+    if let Some(holding) = holding_of(&document, &ask.leaf, ask.epoch) {
+        holders.hold(holding, start);
+    }
+    gate.core().rights.incoming.released(&ask.leaf, ask.epoch);
+    let entry = Entry::now(EventKind::LeafAcquired).leaf(&ask.leaf).epoch(ask.epoch);
+    gate.record(entry.field("start", how).field("from", &ask.from));
+}
--- /dev/null
+++ b/components/daemon/src/control/news.rs
@@ -0,0 +1,60 @@
+//! The data path's part of heartbeats.
+
+use {
+    crate::{
+        clock,
+        control::{gate::Gate, gossip::LeafNews},
+        entry::board::LeafBoard,
+        holder::Holders,
+        suspects::Suspects,
+        view::Views,
+    },
+    std::sync::Arc,
+    wigeonramp_proto::peer::{LeafReport, Suspect},
+    wigeonramp_serving::quarantine::SharedSuspect,
+    wigeonramp_units::{Fingerprint, Span},
+};
+
+/// Conditions of leaves and suspected requests of this host.
+pub struct HostNews {
+    /// What is known of all leaves.
+    pub board: Arc<LeafBoard>,
+    /// Held leaves.
+    pub holders: Arc<Holders<Gate>>,
+    /// Requests that may crash leaves.
+    pub suspects: Arc<Suspects>,
+    /// The data path's view.
+    pub views: Arc<Views>,
+}
+
+impl LeafNews for HostNews {
+    fn reports(&self) -> Vec<LeafReport> {
+        self.holders.reports()
+    }
+
+    fn suspects(&self) -> Vec<Suspect> {
+        let shared = self.suspects.share(clock::now()).into_iter();
+        let message = |suspect: SharedSuspect| Suspect {
+            fingerprint: suspect.fingerprint.0,
+            leaves: suspect.leaves.iter().map(ToString::to_string).collect(),
+            expires_in_ms: suspect.expires_in.as_millis(),
+            cleared: suspect.cleared,
+        };
+        shared.map(message).collect()
+    }
+
+    fn heard(&self, reports: Vec<LeafReport>, suspects: Vec<Suspect>) {
+        let cluster = self.views.load();
+        reports.iter().for_each(|report| self.board.report(&cluster, report));
+        let shared = suspects.into_iter().map(|suspect| SharedSuspect {
+            fingerprint: Fingerprint(suspect.fingerprint),
+            leaves: suspect.leaves.iter().filter_map(|leaf| leaf.parse().ok()).collect(),
+            expires_in: Span::millis(suspect.expires_in_ms),
+            cleared: suspect.cleared,
+        });
+        let shared: Vec<_> = shared.collect();
+        if !shared.is_empty() {
+            self.suspects.merge(&shared, clock::now());
+        }
+    }
+}
--- /dev/null
+++ b/components/daemon/src/control/peer_side.rs
@@ -0,0 +1,133 @@
+//! Answers of the control side to other hosts. Runs on the runtime's threads, so nothing here waits.
+
+use {
+    crate::{
+        clock,
+        control::{
+            assigning::AssignDesk,
+            gate::Gate,
+            gossip::{Gossip, LeafNews},
+        },
+        holder::{Holders, Released},
+        peer::server::PeerControl,
+    },
+    std::sync::Arc,
+    wigeonramp_control::{
+        assignment::AssignmentVersion,
+        handover::Release,
+        promise::{PromiseAnswer, PromiseAsk, PromiseRefusal},
+    },
+    wigeonramp_proto::peer::{
+        DocumentKind, FetchDocumentReply, FetchDocumentRequest, Heartbeat, PromiseReply,
+        PromiseRequest, ReleaseReply, ReleaseRequest,
+    },
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::{Epoch, InstanceId, LeafId, ParseError, Span},
+};
+
+/// The control side as peers call it.
+pub struct PeerSide<N> {
+    desk: Arc<AssignDesk>,
+    gate: Arc<Gate>,
+    gossip: Arc<Gossip<N>>,
+    holders: Arc<Holders<Gate>>,
+}
+
+impl<N: LeafNews> PeerSide<N> {
+    /// Answers from the given parts.
+    pub fn new(
+        gate: Arc<Gate>,
+        desk: Arc<AssignDesk>,
+        gossip: Arc<Gossip<N>>,
+        holders: Arc<Holders<Gate>>,
+    ) -> Self {
+        Self { desk, gate, gossip, holders }
+    }
+
+    fn try_release(&self, request: &ReleaseRequest) -> Result<ReleaseReply, ParseError> {
+        let leaf: LeafId = request.leaf.parse()?;
+        let (from, next): (InstanceId, InstanceId) =
+            (request.from.parse()?, request.instance.parse()?);
+        let epoch = Epoch(request.epoch);
+        // Sending stops before the leaf's work in flight is looked at.
+        let stopped = {
+            let mut core = self.gate.core();
+            if core.me.instance != from {
+                return Ok(ReleaseReply::default());
+            }
+            let assignment = core.assignment.clone();
+            let holding = assignment.as_ref().and_then(|a| a.holdings.get(&leaf));
+            let own = holding.filter(|h| h.instance == from).map(|holding| holding.epoch);
+            core.rights.outgoing.ask(&leaf, epoch, own, 1)
+        };
+        if stopped == Release::OlderEpoch {
+            return Ok(ReleaseReply::default());
+        }
+        let state = match self.holders.release(&leaf) {
+            Released::InFlight => return Ok(ReleaseReply::default()),
+            Released::NotHeld => Vec::new(),
+            Released::State(state) => serde_json::to_vec(&state).unwrap_or_default(),
+        };
+        let entry = Entry::now(EventKind::LeafReleased).leaf(&leaf).epoch(epoch);
+        self.gate.record(entry.field("to", next));
+        Ok(ReleaseReply { released: true, state })
+    }
+
+    fn try_promise(&self, request: &PromiseRequest) -> Result<PromiseAnswer, ParseError> {
+        let ask = PromiseAsk {
+            asker: request.instance.parse()?,
+            assigner: request.assigner.parse()?,
+            known: AssignmentVersion(request.assignment_version),
+            term: Span::millis(request.term_ms),
+        };
+        Ok(self.desk.promise(&self.gate, &ask))
+    }
+}
+
+impl<N: LeafNews> PeerControl for PeerSide<N> {
+    fn heartbeat(&self, from: Heartbeat) -> Heartbeat {
+        self.gossip.take(from, clock::now());
+        self.gossip.heartbeat()
+    }
+
+    fn fetch(&self, request: FetchDocumentRequest) -> FetchDocumentReply {
+        let (document, assignment) = {
+            let core = self.gate.core();
+            (Arc::clone(&core.document), core.assignment.clone())
+        };
+        let body = |version: u64, text: serde_json::Result<Vec<u8>>| FetchDocumentReply {
+            version,
+            // A document has only text keys and plain values, so it always serializes.
+            body: text.unwrap_or_default(),
+        };
+        match (request.kind(), assignment) {
+            (DocumentKind::Config, _) if document.version.get() > request.above => {
+                body(document.version.get(), serde_json::to_vec(&*document))
+            }
+            (DocumentKind::Assignment, Some(known)) if known.version.0 > request.above => {
+                body(known.version.0, serde_json::to_vec(&*known))
+            }
+            _ => FetchDocumentReply::default(),
+        }
+    }
+
+    fn release(&self, request: ReleaseRequest) -> ReleaseReply {
+        self.try_release(&request).unwrap_or_else(|err| {
+            log::warn!("release refused: {err}");
+            ReleaseReply::default()
+        })
+    }
+
+    fn promise(&self, request: PromiseRequest) -> PromiseReply {
+        let answer = self.try_promise(&request).unwrap_or_else(|err| {
+            log::warn!("promise refused: {err}");
+            PromiseAnswer::Refused(PromiseRefusal::NotAssigner)
+        });
+        let assignment_version = self.gate.core().versions().assignment.0;
+        let (granted, reason) = match answer {
+            PromiseAnswer::Granted => (true, String::new()),
+            PromiseAnswer::Refused(refusal) => (false, format!("{refusal:?}")),
+        };
+        PromiseReply { granted, reason, assignment_version }
+    }
+}
--- a/components/daemon/src/control/renewal.rs
+++ b/components/daemon/src/control/renewal.rs
@@ -46,15 +46,7 @@
     /// Nothing has been written yet.
     pub fn new(gate: Arc<Gate>, platform: Arc<Platform<S>>) -> Self {
         let backoff = Backoff::default();
-        Self {
-            backoff,
-            failed: false,
-            gate,
-            platform,
-            revision: None,
-            valid: false,
-            written: None,
-        }
+        Self { backoff, failed: false, gate, platform, revision: None, valid: false, written: None }
     }
 
     /// Renews until the host stops, and deletes the session in the end.
@@ -74,7 +66,7 @@
         self.failed = !self.renew();
         self.note_validity();
         if self.failed {
-            let third = self.gate.core().times.holder(clock::now()) / 3;
+            let third = self.gate.core().session_time.shorter(clock::now()) / 3;
             return self.backoff.failed(&mut rand::rng()).min(third);
         }
         self.backoff.succeeded();
@@ -103,7 +95,7 @@
         let (renewal, record) = {
             let mut core = self.gate.core();
             let now = clock::now();
-            let time = core.times.holder(now);
+            let time = core.session_time.shorter(now);
             core.rights.session.set_time(time);
             let renewal = core.rights.session.renewing(now, &mut rand::rng());
             (renewal, record(&core, renewal))
@@ -133,6 +125,7 @@
 
     fn note_written(&mut self, record: &SessionRecord) {
         self.written = Some(Written { leaving: record.leaving, settled: record.settled });
+        self.gate.core().leaving_written = record.leaving;
         self.gate.wakers().stop.wake();
     }
 
--- /dev/null
+++ b/components/daemon/src/control/stopping.rs
@@ -0,0 +1,82 @@
+//! Graceful stop: unlisted, leaves handed over, requests finished, session deleted.
+
+use {
+    crate::{clock, control::gate::Gate},
+    wigeonramp_control::{
+        assignment::Holding,
+        drain::{Drain, DrainFacts, DrainSettings, DrainState},
+        session::takeover_time,
+    },
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::Span,
+};
+
+/// Time between two looks at what still holds up the stop.
+const LOOK: Span = Span::millis(20);
+/// Wait for the session write and for hand-overs, in takeover times.
+const PATIENCE_TAKEOVERS: u64 = 3;
+
+/// Goes through the states of a stop up to `Stopped`. `in_flight` counts requests of callers and
+/// work at leaves; `leaving_written` tells whether the session says leaving.
+pub fn drain(gate: &Gate, in_flight: impl Fn() -> usize, mut entered: impl FnMut(DrainState)) {
+    let now = clock::now();
+    let mut drain = Drain::new(settings(gate), now);
+    drain.begin(now);
+    let mut state = DrainState::Serving;
+    loop {
+        if drain.state() != state {
+            state = drain.state();
+            enter(gate, state);
+            entered(state);
+        }
+        if state == DrainState::Stopped {
+            return;
+        }
+        gate.wakers().stop.wait(LOOK);
+        drain.step(facts(gate, in_flight()), clock::now());
+    }
+}
+
+fn settings(gate: &Gate) -> DrainSettings {
+    let core = gate.core();
+    let document = &core.document;
+    let deadlines = document.collections.values().map(|collection| collection.max_deadline);
+    DrainSettings {
+        entry_lifetime: document.limits.entry_lifetime,
+        max_deadline: deadlines.max().unwrap_or_default(),
+        // Until then a host that has not heard of the stop may name this one to callers.
+        stale_after: core.silent_after(),
+        patience: takeover_time(core.session_time.longer(clock::now())) * PATIENCE_TAKEOVERS,
+    }
+}
+
+fn enter(gate: &Gate, state: DrainState) {
+    gate.core().drain = state;
+    log::info!("stop: {}", name(state));
+    gate.record(Entry::now(EventKind::HostDrain).field("state", name(state)));
+    let wakers = gate.wakers();
+    [&wakers.renew, &wakers.gossip, &wakers.apply].iter().for_each(|waker| waker.wake());
+}
+
+fn facts(gate: &Gate, in_flight: usize) -> DrainFacts {
+    let core = gate.core();
+    let me = &core.me.instance;
+    let mine = |holding: &&Holding| holding.instance == *me || holding.from.as_ref() == Some(me);
+    let holdings = core.assignment.iter().flat_map(|assignment| assignment.holdings.values());
+    DrainFacts {
+        leaving_written: core.leaving_written,
+        held: holdings.filter(mine).count(),
+        in_flight,
+    }
+}
+
+/// A state's name in status and timeline.
+pub fn name(state: DrainState) -> &'static str {
+    match state {
+        DrainState::Serving => "serving",
+        DrainState::Unlisted => "unlisted",
+        DrainState::HandingOver => "handing_over",
+        DrainState::Finishing => "finishing",
+        DrainState::Stopped => "stopped",
+    }
+}
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -40,8 +40,6 @@
 
 /// The parts of the host that holding uses.
 pub struct HolderParts<R> {
-    /// This start of the host.
-    pub instance: InstanceId,
     /// Timeline and metrics.
     pub observer: Arc<Observer>,
     /// What may be sent.
@@ -76,22 +74,21 @@
         Ok(Self { leaves, parts, side })
     }
 
-    /// Takes the leaves that `view` assigns to this instance, and gives up all others.
+    /// Takes the leaves that `view` assigns to `me`, and gives up all others.
     ///
     /// A leaf that another holder still has to release is not taken; `hold` takes it once it is
     /// released. `start` says how a leaf begins that nobody handed over.
-    pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) {
-        let mine = |leaf: &LeafId| {
-            let holder = view.holders.get(leaf)?;
-            (holder.instance == self.parts.instance).then_some(holder)
-        };
+    pub fn adopt(&self, me: &InstanceId, view: &ClusterView, start: impl Fn(&LeafId) -> Start) {
         for leaf in self.ids() {
-            if mine(&leaf).is_none() {
-                self.end(&leaf);
+            match view.holders.get(&leaf) {
+                Some(holder) if holder.instance == *me => (),
+                // The next holder asks for the state.
+                Some(holder) if holder.releasing.as_ref() == Some(me) => self.leave(&leaf),
+                _ => self.end(&leaf),
             }
         }
         for (leaf, holder) in &view.holders {
-            if holder.instance != self.parts.instance {
+            if holder.instance != *me {
                 continue;
             }
             let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
@@ -136,6 +133,12 @@
         }
     }
 
+    fn leave(&self, leaf: &LeafId) {
+        if let Some(held) = self.get(leaf) {
+            held.leave();
+        }
+    }
+
     /// Stops sending to a leaf; gives its state once nothing is in flight.
     pub fn release(&self, leaf: &LeafId) -> Released {
         let Some(held) = self.get(leaf) else { return Released::NotHeld };
--- a/components/daemon/src/lib.rs
+++ b/components/daemon/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod host;
 pub mod http_server;
 pub mod observe;
+pub mod operator;
 pub mod peer;
 pub mod reply;
 pub mod suspects;
--- /dev/null
+++ b/components/daemon/src/operator/confirm.rs
@@ -0,0 +1,171 @@
+//! Confirms plans.
+
+use {
+    crate::{
+        clock,
+        control::{directory::KnownHost, gate::Core, platform::CallKind, watching::CONFIG_KEY},
+        http_server::json_response,
+        operator::{OperatorApi, nothing_declared},
+    },
+    bytes::Bytes,
+    http::{Response, StatusCode},
+    http_body_util::Full,
+    rand::rng,
+    std::{collections::BTreeSet, thread},
+    wigeonramp_config::{
+        Document,
+        api::{ConfirmAnswer, ConfirmRequest, PlanAnswer},
+    },
+    wigeonramp_control::{
+        adoption::Source,
+        backoff::Backoff,
+        plan::{Capacity, Confirm, ConfirmOutcome, ConfirmStep, Cost, Plan, Refusal},
+        write::{ReadResult, WriteResult},
+    },
+    wigeonramp_store::ObjectStore,
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::{ConfigVersion, InstanceId, Instant, OpId, Revision, Span},
+};
+
+/// Longest wait for the write and for hosts to report the version. The tool waits 10 s.
+const PATIENCE: Span = Span::secs(6);
+
+impl<S: ObjectStore> OperatorApi<S> {
+    /// Confirms a plan and waits, within a bound, for the live hosts to report its version.
+    pub(super) fn confirm(&self, request: ConfirmRequest) -> Response<Full<Bytes>> {
+        let answer = self.confirmed(request.plan);
+        json_response(StatusCode::OK, &answer)
+    }
+
+    fn confirmed(&self, plan: PlanAnswer) -> ConfirmAnswer {
+        let id = plan.id.clone();
+        if let Err(problem) = plan.target.check() {
+            return self.refused(&id, format!("target.{problem}"));
+        }
+        let deadline = clock::now() + PATIENCE;
+        let Some(current) = self.current() else {
+            let reason = "the configuration in force cannot be read from the store; not written";
+            return self.refused(&id, reason.to_owned());
+        };
+        let expected = live_hosts(&self.gate.core());
+        let (mut confirm, mut step) = Confirm::start(rules(plan), &current, expected);
+        let mut backoff = Backoff::default();
+        let outcome = loop {
+            step = match step {
+                ConfirmStep::Done(outcome) => break outcome,
+                ConfirmStep::AwaitHosts => self.await_hosts(&mut confirm, deadline),
+                _ if clock::now() >= deadline => break confirm.give_up(),
+                ConfirmStep::Write(revision) => self.write(&mut confirm, revision),
+                ConfirmStep::Read => {
+                    thread::sleep(backoff.failed(&mut rng()).to_duration());
+                    self.read_back(&mut confirm)
+                }
+            };
+        };
+        self.answer(&id, outcome)
+    }
+
+    fn write(&self, confirm: &mut Confirm, revision: Revision) -> ConfirmStep {
+        // Revision 0 stands for "nothing was ever written".
+        let replaces = (revision != Revision(0)).then_some(revision);
+        let result = self.platform.write(CallKind::Plan, CONFIG_KEY, confirm.target(), replaces);
+        if matches!(result, WriteResult::Written(_)) {
+            self.gate.offer_document(confirm.target().clone(), Source::List);
+        }
+        confirm.written(result)
+    }
+
+    fn read_back(&self, confirm: &mut Confirm) -> ConfirmStep {
+        let result = match self.platform.read::<Document>(CallKind::Plan, CONFIG_KEY) {
+            ReadResult::Missing => ReadResult::Found(nothing_declared()),
+            result => result,
+        };
+        if let ReadResult::Found(found) = &result
+            && found.revision != Revision(0)
+        {
+            self.gate.offer_document(found.value.clone(), Source::List);
+        }
+        confirm.read(result)
+    }
+
+    fn await_hosts(&self, confirm: &mut Confirm, deadline: Instant) -> ConfirmStep {
+        let wanted = confirm.target().version;
+        let mut all = |core: &Core| {
+            reported(core, wanted).find_map(|(host, version)| {
+                let step = confirm.reported(&host, version);
+                matches!(step, ConfirmStep::Done(_)).then_some(step)
+            })
+        };
+        let done = self.gate.wait_for(deadline, &mut all);
+        done.unwrap_or_else(|| ConfirmStep::Done(confirm.give_up()))
+    }
+
+    fn answer(&self, id: &OpId, outcome: ConfirmOutcome) -> ConfirmAnswer {
+        match outcome {
+            ConfirmOutcome::InForce { version, hosts, missing } => {
+                let entry = Entry::now(EventKind::PlanInForce).config_version(version);
+                let entry = entry.field("plan", id).field("hosts", hosts.len());
+                self.gate.record(entry.field("pending", missing.len()));
+                let names = |ids: Vec<InstanceId>| ids.iter().map(InstanceId::host).collect();
+                ConfirmAnswer::InForce { version, hosts: names(hosts), pending: names(missing) }
+            }
+            ConfirmOutcome::Refused(refusal) => self.refused(id, text(&refusal)),
+            ConfirmOutcome::NotKnownYet { .. } => {
+                let reason = "the store has not said whether the write took effect".to_owned();
+                let entry = Entry::now(EventKind::PlanNotKnown).field("plan", id);
+                self.gate.record(entry);
+                let host = self.gate.core().me.operator_address;
+                let command = format!("wigeonramp status --plan plan-{id}.json --host {host}");
+                ConfirmAnswer::NotKnownYet { reason, command }
+            }
+        }
+    }
+
+    fn refused(&self, id: &OpId, reason: String) -> ConfirmAnswer {
+        let entry = Entry::now(EventKind::PlanRefused).field("plan", id);
+        self.gate.record(entry.field("reason", &reason));
+        let version = self.gate.document().version;
+        let current = (version > ConfigVersion(0)).then_some(version);
+        ConfirmAnswer::Refused { reason, current }
+    }
+}
+
+fn text(refusal: &Refusal) -> String {
+    match refusal {
+        Refusal::Plan(err) => err.to_string(),
+        Refusal::LostRace(op) => format!("operation {op} changed the configuration first"),
+        Refusal::NoDocument => "there is no configuration in the store any more".to_owned(),
+        Refusal::StoreUnavailable => "the store did not take the write".to_owned(),
+    }
+}
+
+/// Changes and cost came back from an operator's hands; nothing is decided by them.
+fn rules(plan: PlanAnswer) -> Plan {
+    let capacity = Capacity::of(&plan.target);
+    let cost = Cost { leaves_moved: 0, before: capacity.clone(), after: capacity };
+    Plan {
+        id: plan.id,
+        base: plan.base_version,
+        base_digest: plan.base_digest,
+        target: plan.target,
+        changes: Vec::new(),
+        cost,
+        allow_coverage_loss: plan.allow_coverage_loss,
+    }
+}
+
+fn live_hosts(core: &Core) -> BTreeSet<InstanceId> {
+    let others = core.hosts.fresh(core.silent_after(), clock::now());
+    let staying = others.filter(|host| !host.leaving).map(|host| host.instance.clone());
+    staying.chain([core.me.instance.clone()]).collect()
+}
+
+fn reported(
+    core: &Core,
+    wanted: ConfigVersion,
+) -> impl Iterator<Item = (InstanceId, ConfigVersion)> {
+    let version = |host: &KnownHost| (host.instance.clone(), host.versions.config);
+    let others = core.hosts.fresh(core.silent_after(), clock::now()).map(version);
+    let own = (core.me.instance.clone(), core.document.version);
+    others.chain([own]).filter(move |(_, version)| *version >= wanted)
+}
--- /dev/null
+++ b/components/daemon/src/operator/plan.rs
@@ -0,0 +1,77 @@
+//! Makes plans.
+
+use {
+    crate::{
+        control::gate::Core,
+        http_server::json_response,
+        operator::{Answer, OperatorApi, Rejection},
+    },
+    http::StatusCode,
+    indexmap::IndexMap,
+    wigeonramp_config::{
+        Document,
+        api::{PlanAnswer, PlanCost, PlanRequest},
+        diff,
+    },
+    wigeonramp_control::plan::Plan,
+    wigeonramp_store::ObjectStore,
+    wigeonramp_telemetry::timeline::{Entry, EventKind},
+    wigeonramp_units::{InstanceId, LeafId, ZoneId},
+};
+
+impl<S: ObjectStore> OperatorApi<S> {
+    /// The plan of an intent; changes nothing.
+    pub(super) fn plan(&self, request: PlanRequest) -> Answer {
+        let PlanRequest { intent, allow_coverage_loss } = request;
+        let Some(base) = self.current() else {
+            let reason = "the configuration in force cannot be read from the store";
+            return Err(Rejection::NotReady(reason.to_owned()));
+        };
+        let (base, id) = (base.value, self.new_op());
+        let target =
+            base.after(&intent, id.clone()).map_err(|err| Rejection::Bad(err.to_string()))?;
+        let holders = holder_zones(&self.gate.core());
+        let plan = Plan::new(id, &base, target, &holders, allow_coverage_loss);
+        plan.check(&base).map_err(|err| Rejection::Refused(err.to_string()))?;
+        let entry = Entry::now(EventKind::PlanMade).config_version(plan.base);
+        self.gate.record(entry.field("plan", &plan.id).field("intent", &intent));
+        Ok(json_response(StatusCode::OK, &answer(&base, plan)))
+    }
+}
+
+fn answer(base: &Document, plan: Plan) -> PlanAnswer {
+    let cost = PlanCost {
+        leaves_moved: u32::try_from(plan.cost.leaves_moved).unwrap_or(u32::MAX),
+        leaves_cold: leaves_cold(base, &plan.target),
+        capacity_before: plan.cost.before.slots,
+        capacity_after: plan.cost.after.slots,
+        at_risk: plan.target.coverage_risks(),
+    };
+    PlanAnswer {
+        id: plan.id,
+        base_version: plan.base,
+        base_digest: plan.base_digest,
+        changes: diff(base, &plan.target),
+        target: plan.target,
+        cost,
+        allow_coverage_loss: plan.allow_coverage_loss,
+    }
+}
+
+/// Leaves that take work after the change and took none before.
+fn leaves_cold(base: &Document, target: &Document) -> u32 {
+    let starts = |leaf: &&LeafId| target.takes_work(leaf) && !base.takes_work(leaf);
+    u32::try_from(target.leaves.keys().filter(starts).count()).unwrap_or(u32::MAX)
+}
+
+/// Zone of the holder of each leaf, as far as it is known.
+fn holder_zones(core: &Core) -> IndexMap<LeafId, ZoneId> {
+    let zone = |id: &InstanceId| {
+        if *id == core.me.instance {
+            return Some(core.me.zone.clone());
+        }
+        core.hosts.get(id).map(|host| host.zone.clone())
+    };
+    let holdings = core.assignment.iter().flat_map(|assignment| &assignment.holdings);
+    holdings.filter_map(|(leaf, h)| Some((leaf.clone(), zone(&h.instance)?))).collect()
+}
