--- a/components/daemon/src/control/applying.rs
+++ b/components/daemon/src/control/applying.rs
@@ -3,10 +3,13 @@
 use {
     crate::{
         clock,
-        control::gate::{Core, Gate},
-        holder::{Holders, leaf::Start},
-        suspects::Suspects,
-        view::{ClusterView, Holder, Views},
+        control::{
+            gate::{Core, Gate},
+            host_control::HostControl,
+        },
+        data_path::DataPath,
+        holder::leaf::Start,
+        view::{ClusterView, Holder},
     },
     indexmap::IndexMap,
     std::sync::Arc,
@@ -17,29 +20,28 @@
 
 /// Time after which the view is built again without a change, for hosts that have gone silent.
 const REFRESH: Span = Span::millis(500);
+/// Time after which a leaf with a changed declaration and work in flight is tried again.
+const RETRY: Span = Span::millis(20);
 
 /// The parts that a new view is applied to.
 pub struct Applier {
+    /// What serves callers and holds leaves.
+    pub data: Arc<DataPath<HostControl>>,
     /// Knowledge and rights.
     pub gate: Arc<Gate>,
-    /// Held leaves.
-    pub holders: Arc<Holders<Gate>>,
-    /// Requests that may crash leaves.
-    pub suspects: Arc<Suspects>,
-    /// The data path's view.
-    pub views: Arc<Views>,
 }
 
 impl Applier {
     /// Applies changes until the host stops.
     pub fn run(&self) {
         while !self.gate.is_stopped() {
-            self.apply();
-            self.gate.wakers().apply.wait(REFRESH);
+            let pause = if self.apply() { REFRESH } else { RETRY };
+            self.gate.wakers().apply.wait(pause);
         }
     }
 
-    fn apply(&self) {
+    /// Whether all leaves are held as the assignment says.
+    fn apply(&self) -> bool {
         let now = clock::now();
         let (me, assignment, view) = {
             let mut core = self.gate.core();
@@ -47,17 +49,16 @@
             (core.me.instance.clone(), core.assignment.clone(), view(&core))
         };
         let quarantine = view.document.limits.quarantine;
-        if self.views.load().document.limits.quarantine != quarantine {
-            self.suspects.set_time(quarantine, now);
+        if self.data.entry().view().document.limits.quarantine != quarantine {
+            self.data.suspects().set_time(quarantine, now);
         }
-        self.views.store(view);
-        let view = self.views.load();
-        let Some(assignment) = assignment else { return };
-        self.holders.adopt(&me, &view, |leaf| self.start(&assignment, leaf));
+        self.data.set_instance(me);
+        self.data.adopt(view, |leaf| self.start(assignment.as_deref(), leaf))
     }
 
-    fn start(&self, assignment: &Assignment, leaf: &LeafId) -> Start {
-        let Some(holding) = assignment.holdings.get(leaf) else { return Start::Cold };
+    fn start(&self, assignment: Option<&Assignment>, leaf: &LeafId) -> Start {
+        let holding = assignment.and_then(|assignment| assignment.holdings.get(leaf));
+        let Some(holding) = holding else { return Start::Cold };
         let how = if holding.taken_over { "taken_over" } else { "cold" };
         let entry = Entry::now(EventKind::LeafAcquired).leaf(leaf).epoch(holding.epoch);
         self.gate.record(entry.field("start", how));
--- a/components/daemon/src/control/gate.rs
+++ b/components/daemon/src/control/gate.rs
@@ -6,14 +6,15 @@
 
 use {
     crate::{
-        caller::handler::{EntryAddresses, EntryChoice},
+        caller::handler::EntryChoice,
         clock,
         control::{
             changing::ChangingTime,
             directory::{Directory, KnownHost},
             waker::Wakers,
         },
-        view::{ClusterView, HolderRights, HostView},
+        observe::Observer,
+        view::{ClusterView, HostView},
     },
     parking_lot::{Condvar, Mutex, MutexGuard},
     std::{
@@ -161,15 +162,14 @@
     core: Mutex<Core>,
     /// Signalled when hosts or versions change.
     heard: Condvar,
-    metrics: Arc<Metrics>,
+    observer: Arc<Observer>,
     stopped: AtomicBool,
-    timeline: Arc<Timeline>,
     wakers: Wakers,
 }
 
 impl Gate {
     /// A host that knows nothing and has no session.
-    pub fn new(me: Identity, timeline: Arc<Timeline>, metrics: Arc<Metrics>) -> Self {
+    pub fn new(me: Identity, observer: Arc<Observer>) -> Self {
         let document = ClusterView::empty().document;
         let limits = &document.limits;
         let session = Session::new(limits.session_time, clock::now());
@@ -194,9 +194,8 @@
         Self {
             core: Mutex::new(core),
             heard: Condvar::new(),
-            metrics,
+            observer,
             stopped: AtomicBool::new(false),
-            timeline,
             wakers: Wakers::default(),
         }
     }
@@ -267,17 +266,17 @@
 
     /// The metrics of the process.
     pub fn metrics(&self) -> &Metrics {
-        &self.metrics
+        self.observer.metrics()
     }
 
     /// The timeline of the process.
     pub fn timeline(&self) -> &Timeline {
-        &self.timeline
+        self.observer.timeline()
     }
 
     /// Records an event.
     pub fn record(&self, entry: Entry) {
-        self.timeline.record(entry);
+        self.timeline().record(entry);
     }
 
     /// Ends all control threads.
@@ -290,10 +289,9 @@
     pub fn is_stopped(&self) -> bool {
         self.stopped.load(Ordering::Acquire)
     }
-}
 
-impl HolderRights for Gate {
-    fn rights(&self, leaf: &LeafId, now: Instant) -> Rights {
+    /// What may be sent to `leaf` at `now`.
+    pub fn rights(&self, leaf: &LeafId, now: Instant) -> Rights {
         let core = self.core();
         let Some(assignment) = &core.assignment else { return Rights::None };
         match core.rights.rights(leaf, assignment, &core.document, now) {
@@ -303,13 +301,8 @@
         }
     }
 
-    fn deadline_cap(&self, now: Instant) -> Instant {
-        self.core().rights.deadline_cap(now)
-    }
-}
-
-impl EntryAddresses for Gate {
-    fn entry_addresses(&self, caller: &CallerId) -> EntryChoice {
+    /// Hosts for `caller`, in order of preference.
+    pub fn entry_addresses(&self, caller: &CallerId) -> EntryChoice {
         let now = clock::now();
         let view = {
             let core = self.core();
--- a/components/daemon/src/control/handing.rs
+++ b/components/daemon/src/control/handing.rs
@@ -6,6 +6,7 @@
         control::{
             calls::{self, PeerCall},
             gate::Gate,
+            host_control::HostControl,
         },
         holder::{Holders, holding_of, leaf::Start},
         peer::client::Peers,
@@ -33,14 +34,14 @@
 }
 
 /// Asks old holders to release the leaves that move to this host.
-pub fn run(gate: &Gate, holders: &Holders<Gate>, peers: &Peers) {
+pub fn run(gate: &Gate, holders: &Holders<HostControl>, peers: &Peers) {
     while !gate.is_stopped() {
         let pause = round(gate, holders, peers);
         gate.wakers().release.wait(pause);
     }
 }
 
-fn round(gate: &Gate, holders: &Holders<Gate>, peers: &Peers) -> Span {
+fn round(gate: &Gate, holders: &Holders<HostControl>, peers: &Peers) -> Span {
     let (waiting, reachable, version) = {
         let core = gate.core();
         let Some(assignment) = &core.assignment else { return IDLE };
@@ -93,7 +94,7 @@
     if answers > 0 { RETRY } else { UNREACHED }
 }
 
-fn take(gate: &Gate, holders: &Holders<Gate>, ask: &ReleaseAsk, reply: &ReleaseReply) {
+fn take(gate: &Gate, holders: &Holders<HostControl>, ask: &ReleaseAsk, reply: &ReleaseReply) {
     let state = serde_json::from_slice::<UpstreamState>(&reply.state);
     let (start, how) = match state {
         Ok(state) => (Start::HandedOver(state), "handed_over"),
--- /dev/null
+++ b/components/daemon/src/control/host_control.rs
@@ -0,0 +1,87 @@
+//! The control side as the data path calls it.
+
+use {
+    crate::{
+        caller::handler::{EntryAddresses, EntryChoice},
+        control::{claiming::ClaimDesk, gate::Gate, news::HostNews, peer_side::PeerSide},
+        entry::{
+            QueryRequest,
+            claims::{Claim, ClaimedOutcome, RunOnce},
+        },
+        peer::server::PeerControl,
+        view::HolderRights,
+    },
+    std::sync::{Arc, OnceLock},
+    wigeonramp_proto::peer::{
+        FetchDocumentReply, FetchDocumentRequest, Heartbeat, PromiseReply, PromiseRequest,
+        ReleaseReply, ReleaseRequest,
+    },
+    wigeonramp_serving::upstream::Rights,
+    wigeonramp_units::{CallerId, Instant, LeafId},
+};
+
+/// Rights, claims, entry addresses and answers to peers of one host.
+pub struct HostControl {
+    claims: Arc<ClaimDesk>,
+    gate: Arc<Gate>,
+    // The answers to peers need the data path, which is built on this value.
+    peer_side: OnceLock<PeerSide<HostNews>>,
+}
+
+impl HostControl {
+    /// Peers get empty answers until `serve_peers`.
+    pub fn new(gate: Arc<Gate>, claims: Arc<ClaimDesk>) -> Self {
+        Self { claims, gate, peer_side: OnceLock::new() }
+    }
+
+    /// Answers peers from now on.
+    pub fn serve_peers(&self, peer_side: PeerSide<HostNews>) {
+        if self.peer_side.set(peer_side).is_err() {
+            log::error!("peers were served already");
+        }
+    }
+}
+
+impl HolderRights for HostControl {
+    fn rights(&self, leaf: &LeafId, now: Instant) -> Rights {
+        self.gate.rights(leaf, now)
+    }
+
+    fn deadline_cap(&self, now: Instant) -> Instant {
+        self.gate.core().rights.deadline_cap(now)
+    }
+}
+
+impl EntryAddresses for HostControl {
+    fn entry_addresses(&self, caller: &CallerId) -> EntryChoice {
+        self.gate.entry_addresses(caller)
+    }
+}
+
+impl RunOnce for HostControl {
+    fn claim(&self, query: &QueryRequest) -> Claim {
+        self.claims.claim(query)
+    }
+
+    fn record(&self, query: &QueryRequest, outcome: &ClaimedOutcome) {
+        self.claims.record(query, outcome);
+    }
+}
+
+impl PeerControl for HostControl {
+    fn heartbeat(&self, from: Heartbeat) -> Heartbeat {
+        self.peer_side.get().map(|side| side.heartbeat(from)).unwrap_or_default()
+    }
+
+    fn fetch(&self, request: FetchDocumentRequest) -> FetchDocumentReply {
+        self.peer_side.get().map(|side| side.fetch(request)).unwrap_or_default()
+    }
+
+    fn release(&self, request: ReleaseRequest) -> ReleaseReply {
+        self.peer_side.get().map(|side| side.release(request)).unwrap_or_default()
+    }
+
+    fn promise(&self, request: PromiseRequest) -> PromiseReply {
+        self.peer_side.get().map(|side| side.promise(request)).unwrap_or_default()
+    }
+}
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -16,6 +16,7 @@
 pub mod gate;
 pub mod gossip;
 pub mod handing;
+pub mod host_control;
 pub mod news;
 pub mod peer_side;
 pub mod platform;
--- a/components/daemon/src/control/news.rs
+++ b/components/daemon/src/control/news.rs
@@ -3,11 +3,10 @@
 use {
     crate::{
         clock,
-        control::{gate::Gate, gossip::LeafNews},
-        entry::board::LeafBoard,
+        control::{gossip::LeafNews, host_control::HostControl},
+        entry::{Entry, board::LeafBoard},
         holder::Holders,
         suspects::Suspects,
-        view::Views,
     },
     std::sync::Arc,
     wigeonramp_proto::peer::{LeafReport, Suspect},
@@ -19,12 +18,12 @@
 pub struct HostNews {
     /// What is known of all leaves.
     pub board: Arc<LeafBoard>,
+    /// Knows the data path's view.
+    pub entry: Arc<Entry<HostControl, HostControl>>,
     /// Held leaves.
-    pub holders: Arc<Holders<Gate>>,
+    pub holders: Arc<Holders<HostControl>>,
     /// Requests that may crash leaves.
     pub suspects: Arc<Suspects>,
-    /// The data path's view.
-    pub views: Arc<Views>,
 }
 
 impl LeafNews for HostNews {
@@ -39,18 +38,20 @@
             leaves: suspect.leaves.iter().map(ToString::to_string).collect(),
             expires_in_ms: suspect.expires_in.as_millis(),
             cleared: suspect.cleared,
+            proven: suspect.proven,
         };
         shared.map(message).collect()
     }
 
     fn heard(&self, reports: Vec<LeafReport>, suspects: Vec<Suspect>) {
-        let cluster = self.views.load();
+        let cluster = self.entry.view();
         reports.iter().for_each(|report| self.board.report(&cluster, report));
         let shared = suspects.into_iter().map(|suspect| SharedSuspect {
             fingerprint: Fingerprint(suspect.fingerprint),
             leaves: suspect.leaves.iter().filter_map(|leaf| leaf.parse().ok()).collect(),
             expires_in: Span::millis(suspect.expires_in_ms),
             cleared: suspect.cleared,
+            proven: suspect.proven,
         });
         let shared: Vec<_> = shared.collect();
         if !shared.is_empty() {
--- a/components/daemon/src/control/peer_side.rs
+++ b/components/daemon/src/control/peer_side.rs
@@ -7,6 +7,7 @@
             assigning::AssignDesk,
             gate::Gate,
             gossip::{Gossip, LeafNews},
+            host_control::HostControl,
         },
         holder::{Holders, Released},
         peer::server::PeerControl,
@@ -30,7 +31,7 @@
     desk: Arc<AssignDesk>,
     gate: Arc<Gate>,
     gossip: Arc<Gossip<N>>,
-    holders: Arc<Holders<Gate>>,
+    holders: Arc<Holders<HostControl>>,
 }
 
 impl<N: LeafNews> PeerSide<N> {
@@ -39,7 +40,7 @@
         gate: Arc<Gate>,
         desk: Arc<AssignDesk>,
         gossip: Arc<Gossip<N>>,
-        holders: Arc<Holders<Gate>>,
+        holders: Arc<Holders<HostControl>>,
     ) -> Self {
         Self { desk, gate, gossip, holders }
     }
--- a/components/daemon/src/control/threads.rs
+++ b/components/daemon/src/control/threads.rs
@@ -66,7 +66,7 @@
     ) -> IoResult<Self> {
         let ControlParts { applier, claims, desk, fetcher, gate, gossip, peers, platform, seeds } =
             parts;
-        let holders = Arc::clone(&applier.holders);
+        let holders = Arc::clone(applier.data.holders());
         let renewer = Renewer::new(Arc::clone(&gate), Arc::clone(&platform));
         let session = spawn("session", move || renewer.run())?;
         let mut others = Vec::new();
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -20,7 +20,7 @@
         suspects::Suspects,
         view::{ClusterView, HolderRights},
     },
-    parking_lot::RwLock,
+    parking_lot::{Mutex, RwLock},
     std::{
         collections::HashMap,
         io::Result as IoResult,
@@ -40,6 +40,8 @@
 
 /// The parts of the host that holding uses.
 pub struct HolderParts<R> {
+    /// This start of the host.
+    pub instance: InstanceId,
     /// Timeline and metrics.
     pub observer: Arc<Observer>,
     /// What may be sent.
@@ -50,6 +52,7 @@
 
 /// All leaves that this host holds.
 pub struct Holders<R> {
+    instance: Mutex<InstanceId>,
     leaves: Arc<LeafMap<R>>,
     parts: HolderParts<R>,
     side: SideChannel,
@@ -71,44 +74,76 @@
     pub fn new(parts: HolderParts<R>) -> IoResult<Self> {
         let leaves = Arc::new(RwLock::new(HashMap::new()));
         let side = SideChannel::start(SideLeaves(Arc::downgrade(&leaves)))?;
-        Ok(Self { leaves, parts, side })
+        let instance = Mutex::new(parts.instance.clone());
+        Ok(Self { instance, leaves, parts, side })
     }
 
-    /// Takes the leaves that `view` assigns to `me`, and gives up all others.
+    /// Goes on under another instance; the leaves of the old one end with the next view.
+    pub fn set_instance(&self, instance: InstanceId) {
+        *self.instance.lock() = instance;
+    }
+
+    fn leave(&self, leaf: &LeafId) {
+        if let Some(held) = self.get(leaf) {
+            held.leave();
+        }
+    }
+
+    /// Takes the leaves that `view` assigns to this instance, and gives up all others.
     ///
     /// A leaf that another holder still has to release is not taken; `hold` takes it once it is
-    /// released. `start` says how a leaf begins that nobody handed over.
-    pub fn adopt(&self, me: &InstanceId, view: &ClusterView, start: impl Fn(&LeafId) -> Start) {
+    /// released. `start` says how a leaf begins that nobody handed over. Returns false while a
+    /// leaf whose declaration changed still has work in flight; call again soon.
+    pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) -> bool {
+        let mut settled = true;
+        let me = self.instance.lock().clone();
         for leaf in self.ids() {
             match view.holders.get(&leaf) {
-                Some(holder) if holder.instance == *me => (),
-                // The next holder asks for the state.
-                Some(holder) if holder.releasing.as_ref() == Some(me) => self.leave(&leaf),
+                Some(holder) if holder.instance == me => (),
+                // The next holder asks for the leaf's state.
+                Some(holder) if holder.releasing.as_ref() == Some(&me) => self.leave(&leaf),
                 _ => self.end(&leaf),
             }
         }
         for (leaf, holder) in &view.holders {
-            if holder.instance != *me {
+            if holder.instance != me {
                 continue;
             }
             let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
-            if self.update(&holding, view.document.takes_work(leaf)) || holder.releasing.is_some() {
-                continue;
+            match self.update(&holding, view.document.takes_work(leaf)) {
+                Update::Done => (),
+                Update::Waits => settled = false,
+                Update::NotHeld if holder.releasing.is_some() => (),
+                Update::NotHeld => self.hold(holding, start(leaf)),
             }
-            self.hold(holding, start(leaf));
         }
+        settled
     }
 
-    /// Brings a leaf that is held already up to date; false if it is not held like this.
-    fn update(&self, holding: &Holding, takes_work: bool) -> bool {
-        let Some(leaf) = self.get(&holding.leaf) else { return false };
+    /// Brings a leaf that is held already up to date.
+    fn update(&self, holding: &Holding, takes_work: bool) -> Update {
+        let Some(leaf) = self.get(&holding.leaf) else { return Update::NotHeld };
         let held = leaf.holding();
-        if held != holding {
+        if held.epoch != holding.epoch || held.address != holding.address {
             self.end(&holding.leaf);
-            return false;
+            return Update::NotHeld;
+        }
+        if held != holding {
+            // The new limits count all work at the leaf, so nothing of the old holding may run.
+            let Some(state) = leaf.release() else { return Update::Waits };
+            self.hold(holding.clone(), Start::HandedOver(state));
+        }
+        if let Some(leaf) = self.get(&holding.leaf) {
+            leaf.set_takes_work(takes_work);
+        }
+        Update::Done
+    }
+
+    /// Stops sending to all leaves.
+    pub fn end_all(&self) {
+        for leaf in self.ids() {
+            self.end(&leaf);
         }
-        leaf.set_takes_work(takes_work);
-        true
     }
 
     /// Starts to hold a leaf.
@@ -133,12 +168,6 @@
         }
     }
 
-    fn leave(&self, leaf: &LeafId) {
-        if let Some(held) = self.get(leaf) {
-            held.leave();
-        }
-    }
-
     /// Stops sending to a leaf; gives its state once nothing is in flight.
     pub fn release(&self, leaf: &LeafId) -> Released {
         let Some(held) = self.get(leaf) else { return Released::NotHeld };
@@ -180,6 +209,16 @@
     }
 }
 
+/// What became of a leaf that may be held already.
+enum Update {
+    /// It is held as declared.
+    Done,
+    /// It is not held, or was held in another epoch or at another address.
+    NotHeld,
+    /// Work under the old declaration is still in flight.
+    Waits,
+}
+
 /// What holding `leaf` consists of; `None` if the document does not declare it.
 pub fn holding_of(document: &Document, leaf: &LeafId, epoch: Epoch) -> Option<Holding> {
     let declared = document.leaves.get(leaf)?;
--- a/components/daemon/src/host.rs
+++ b/components/daemon/src/host.rs
@@ -1,8 +1,7 @@
-//! One host: all its parts, started and stopped together.
+//! One host: its control side and its data path, started and stopped together.
 
 use {
     crate::{
-        caller::handler::CallerApi,
         clock,
         control::{
             applying::Applier,
@@ -11,6 +10,7 @@
             fetching::Fetcher,
             gate::{Gate, Identity},
             gossip::Gossip,
+            host_control::HostControl,
             news::HostNews,
             peer_side::PeerSide,
             platform::Platform,
@@ -18,13 +18,10 @@
             stopping,
             threads::{ControlParts, ControlThreads},
         },
-        entry::{Entry, EntryParts},
-        holder::{HolderParts, Holders},
+        data_path::DataPath,
         http_server::{HttpLimits, HttpServer},
         observe::Observer,
         operator::OperatorApi,
-        peer::{client::Peers, server::PeerListener},
-        suspects::Suspects,
         view::Views,
     },
     serde::Serialize,
@@ -34,34 +31,26 @@
         sync::Arc,
         time::Duration,
     },
-    tokio::runtime::{Builder, Runtime},
     wigeonramp_config::HostSettings,
     wigeonramp_control::drain::DrainState,
     wigeonramp_store::ObjectStore,
     wigeonramp_telemetry::{
         metrics::Metrics,
-        timeline::{Entry as Event, EventKind, Timeline},
+        timeline::{Entry, EventKind, Timeline},
     },
     wigeonramp_units::{InstanceId, Span},
 };
 
-/// Threads of the tokio runtime; they only move bytes.
-const RUNTIME_THREADS: usize = 2;
-/// Connections of callers.
-const MAX_CONNECTIONS: usize = 4096;
 /// Connections of operators.
 const OPERATOR_CONNECTIONS: usize = 64;
 /// Threads for operators; a confirmation takes one for some seconds.
 const OPERATOR_WORKERS: usize = 8;
-/// Requests that wait for a worker, for each worker.
-const QUEUE_PER_WORKER: usize = 4;
-/// Workers above the limit of queries, so that a refusal and an urgent query never wait for one
-/// that runs.
-const REFUSING_WORKERS: usize = 4;
+/// Requests of operators that wait for a worker.
+const OPERATOR_QUEUE: usize = 32;
+/// Time for an operator to send its head, its body, or to take an answer.
+const SLOW_CLIENT: Duration = Duration::from_secs(5);
 /// Events that the timeline keeps.
 const RING: usize = 65_536;
-/// Time for a caller to send its head, its body, or to take an answer.
-const SLOW_CLIENT: Duration = Duration::from_secs(5);
 /// Longest wait for running requests at the end of a stop.
 const STOP_PATIENCE: Duration = Duration::from_secs(30);
 /// Longest wait at the end of a stop for outcomes of claims to be written.
@@ -69,7 +58,7 @@
 
 /// The addresses that a host has bound.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
-pub struct BoundAddresses {
+pub struct HostAddresses {
     /// Where callers connect.
     pub caller: SocketAddr,
     /// Where operators connect.
@@ -78,136 +67,53 @@
     pub peer: SocketAddr,
 }
 
-type HostEntry = Entry<ClaimDesk, Gate>;
-type Api = CallerApi<Gate, ClaimDesk, Gate>;
-
 /// A running host.
 pub struct Host<S: ObjectStore> {
-    addresses: BoundAddresses,
-    caller: HttpServer<Api>,
+    addresses: HostAddresses,
     claims: Arc<ClaimDesk>,
     control: ControlThreads,
-    entry: Arc<HostEntry>,
+    data: Arc<DataPath<HostControl>>,
     gate: Arc<Gate>,
-    holders: Arc<Holders<Gate>>,
     instance: InstanceId,
     operator: HttpServer<OperatorApi<S>>,
-    peer: PeerListener,
-    runtime: Runtime,
 }
 
 impl<S: ObjectStore> Host<S> {
     /// Binds all addresses and starts all parts.
     pub fn start(settings: &HostSettings, store: S) -> IoResult<Self> {
-        let runtime = Builder::new_multi_thread()
-            .worker_threads(RUNTIME_THREADS)
-            .thread_name("net")
-            .enable_all()
-            .build()?;
         let me = identity(settings);
-        let instance = me.instance.clone();
-        let (host, zone, boot) = (me.host.clone(), me.zone.clone(), me.boot.clone());
-        let timeline = Arc::new(Timeline::new(host, zone, boot, RING));
-        let metrics = Arc::new(Metrics::new());
-        let observer = Arc::new(Observer::new(Arc::clone(&timeline), Arc::clone(&metrics)));
-        let gate = Arc::new(Gate::new(me, timeline, metrics));
-        let views = Arc::new(Views::new());
-        let suspects = Arc::new(Suspects::default());
-        let holders = Arc::new(Holders::new(HolderParts {
-            observer: Arc::clone(&observer),
-            rights: Arc::clone(&gate),
-            suspects: Arc::clone(&suspects),
-        })?);
-        let peers = Arc::new(Peers::new(runtime.handle().clone()));
+        let (boot, instance) = (me.boot.clone(), me.instance.clone());
+        let timeline = Timeline::new(me.host.clone(), me.zone.clone(), boot.clone(), RING);
+        let observer = Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())));
+        let gate = Arc::new(Gate::new(me, Arc::clone(&observer)));
         let claims = Arc::new(ClaimDesk::new(Arc::clone(&gate)));
-        let entry = Arc::new(Entry::new(EntryParts {
-            claims: Arc::clone(&claims),
-            holders: Arc::clone(&holders),
-            instance: instance.clone(),
-            observer,
-            peers: Arc::clone(&peers),
-            query_limit: settings.caller_workers,
-            suspects: Arc::clone(&suspects),
-            views: Arc::clone(&views),
-            zone: settings.zone.clone(),
-        }));
-        let news = Arc::new(HostNews {
-            board: Arc::clone(entry.board()),
-            holders: Arc::clone(&holders),
-            suspects: Arc::clone(&suspects),
-            views: Arc::clone(&views),
-        });
-        let session_time = gate.core().session_time.longer(clock::now());
-        let desk = Arc::new(AssignDesk::new(instance.clone(), session_time));
-        let fetcher = Fetcher::new();
-        let gossip = Arc::new(Gossip::new(Arc::clone(&gate), news, fetcher.clone()));
+        let control = Arc::new(HostControl::new(Arc::clone(&gate), Arc::clone(&claims)));
+        let views = Arc::new(Views::new());
+        let start = DataPath::start(settings, &boot, Arc::clone(&control), views, observer);
+        let data = Arc::new(start?);
         let platform = Arc::new(Platform::new(store, Arc::clone(&gate)));
-        let peer_side = Arc::new(PeerSide::new(
-            Arc::clone(&gate),
-            Arc::clone(&desk),
-            Arc::clone(&gossip),
-            Arc::clone(&holders),
-        ));
-        let peer = PeerListener::start(
-            runtime.handle(),
-            settings.peer_listen,
-            peer_side,
-            Arc::clone(&holders),
-        )
-        .map_err(|err| named(settings.peer_listen, &err))?;
-        let api = CallerApi::new(Arc::clone(&entry), Arc::clone(&gate));
-        let limits = caller_limits(settings.caller_workers as usize);
-        let caller = HttpServer::start(runtime.handle(), settings.caller_listen, &limits, api)
-            .map_err(|err| named(settings.caller_listen, &err))?;
-        let api = OperatorApi::new(Arc::clone(&gate), Arc::clone(&holders), Arc::clone(&platform));
-        let limits = operator_limits();
-        let operator = HttpServer::start(runtime.handle(), settings.operator_listen, &limits, api)
-            .map_err(|err| named(settings.operator_listen, &err))?;
-        let addresses = BoundAddresses {
-            caller: caller.address(),
+        let operator = serve_operators(settings, &data, &gate, &platform)?;
+        let addresses = HostAddresses {
+            caller: data.addresses().caller,
             operator: operator.address(),
-            peer: peer.address(),
+            peer: data.addresses().peer,
         };
         gate.set_addresses(addresses.caller, addresses.peer, addresses.operator);
-        gate.record(Event::now(EventKind::HostStarted).field("instance", &instance));
-        let load = {
-            let entry = Arc::clone(&entry);
-            move || entry.load()
-        };
-        let parts = ControlParts {
-            applier: Applier {
-                gate: Arc::clone(&gate),
-                holders: Arc::clone(&holders),
-                suspects,
-                views,
-            },
-            claims: Arc::clone(&claims),
-            desk,
-            fetcher,
-            gate: Arc::clone(&gate),
-            gossip,
-            peers,
-            platform,
-            seeds: settings.seeds.clone(),
-        };
-        let control = ControlThreads::start(parts, load)?;
-        Ok(Self {
-            addresses,
-            caller,
-            claims,
-            control,
-            entry,
-            gate,
-            holders,
-            instance,
-            operator,
-            peer,
-            runtime,
-        })
+        gate.record(Entry::now(EventKind::HostStarted).field("instance", &instance));
+        let parts = control_parts(settings, &data, &gate, &claims, &platform);
+        control.serve_peers(PeerSide::new(
+            Arc::clone(&gate),
+            Arc::clone(&parts.desk),
+            Arc::clone(&parts.gossip),
+            Arc::clone(data.holders()),
+        ));
+        let entry = Arc::clone(data.entry());
+        let control = ControlThreads::start(parts, move || entry.load())?;
+        Ok(Self { addresses, claims, control, data, gate, instance, operator })
     }
 
     /// The bound addresses.
-    pub fn addresses(&self) -> BoundAddresses {
+    pub fn addresses(&self) -> HostAddresses {
         self.addresses
     }
 
@@ -221,44 +127,46 @@
         &self.gate
     }
 
-    /// What runs the queries of callers.
-    pub fn entry(&self) -> &Arc<HostEntry> {
-        &self.entry
+    /// What serves callers and holds leaves.
+    pub fn data(&self) -> &DataPath<HostControl> {
+        &self.data
     }
 
-    /// Stops without cutting off a request.
+    /// Stops without cutting off a request: unlisted, leaves handed over, requests finished, and
+    /// the session deleted last.
     pub fn stop(self) {
+        let Self { claims, control, data, gate, operator, .. } = self;
         stopping::drain(
-            &self.gate,
-            || self.in_flight(),
+            &gate,
+            || in_flight(&data),
             |state| {
                 if state == DrainState::Finishing {
-                    self.caller.send_away();
+                    data.send_away();
                 }
             },
         );
-        if !self.caller.stop(STOP_PATIENCE) {
-            log::error!("requests of callers still run; their connections are cut");
+        if !data.finish(STOP_PATIENCE) {
+            log::error!("requests were still running after {STOP_PATIENCE:?}; they are cut off");
         }
-        if !self.claims.flush(RECORD_PATIENCE) {
+        if !claims.flush(RECORD_PATIENCE) {
             log::warn!("outcomes of claims were not written; repetitions are answered as unknown");
         }
-        if !self.peer.stop(STOP_PATIENCE) {
-            log::error!("calls of other hosts still run; their connections are cut");
+        operator.stop(STOP_PATIENCE);
+        gate.record(Entry::now(EventKind::HostStopped));
+        control.stop();
+        match Arc::into_inner(data) {
+            Some(data) => drop(data.stop(STOP_PATIENCE)),
+            None => log::error!("a control thread still uses the data path"),
         }
-        self.operator.stop(STOP_PATIENCE);
-        self.gate.record(Event::now(EventKind::HostStopped));
-        self.control.stop();
-        self.runtime.shutdown_background();
     }
+}
 
-    /// Requests of callers and work at leaves.
-    fn in_flight(&self) -> usize {
-        let reports = self.holders.reports();
-        let at_leaves: usize =
-            reports.iter().map(|report| (report.in_flight + report.queued) as usize).sum();
-        self.caller.running() + at_leaves
-    }
+/// Requests of callers and work at leaves.
+fn in_flight(data: &DataPath<HostControl>) -> usize {
+    let reports = data.holders().reports();
+    let at_leaves: usize =
+        reports.iter().map(|report| (report.in_flight + report.queued) as usize).sum();
+    data.running() + at_leaves
 }
 
 fn identity(settings: &HostSettings) -> Identity {
@@ -274,25 +182,49 @@
     }
 }
 
-fn caller_limits(queries: usize) -> HttpLimits {
-    let workers = queries + REFUSING_WORKERS;
-    HttpLimits {
-        connections: MAX_CONNECTIONS,
-        queue: workers * QUEUE_PER_WORKER,
-        slow_client: SLOW_CLIENT,
-        workers,
+fn control_parts<S: ObjectStore>(
+    settings: &HostSettings,
+    data: &Arc<DataPath<HostControl>>,
+    gate: &Arc<Gate>,
+    claims: &Arc<ClaimDesk>,
+    platform: &Arc<Platform<S>>,
+) -> ControlParts<HostNews, S> {
+    let fetcher = Fetcher::new();
+    let news = HostNews {
+        board: Arc::clone(data.entry().board()),
+        holders: Arc::clone(data.holders()),
+        suspects: Arc::clone(data.suspects()),
+        entry: Arc::clone(data.entry()),
+    };
+    let session_time = gate.core().session_time.longer(clock::now());
+    ControlParts {
+        applier: Applier { data: Arc::clone(data), gate: Arc::clone(gate) },
+        claims: Arc::clone(claims),
+        desk: Arc::new(AssignDesk::new(gate.instance(), session_time)),
+        gossip: Arc::new(Gossip::new(Arc::clone(gate), Arc::new(news), fetcher.clone())),
+        fetcher,
+        gate: Arc::clone(gate),
+        peers: Arc::clone(data.peers()),
+        platform: Arc::clone(platform),
+        seeds: settings.seeds.clone(),
     }
 }
 
-fn operator_limits() -> HttpLimits {
-    HttpLimits {
+fn serve_operators<S: ObjectStore>(
+    settings: &HostSettings,
+    data: &DataPath<HostControl>,
+    gate: &Arc<Gate>,
+    platform: &Arc<Platform<S>>,
+) -> IoResult<HttpServer<OperatorApi<S>>> {
+    let limits = HttpLimits {
         connections: OPERATOR_CONNECTIONS,
-        queue: OPERATOR_WORKERS * QUEUE_PER_WORKER,
+        queue: OPERATOR_QUEUE,
         slow_client: SLOW_CLIENT,
         workers: OPERATOR_WORKERS,
-    }
-}
-
-fn named(address: SocketAddr, err: &IoError) -> IoError {
-    IoError::new(err.kind(), format!("{address}: {err}"))
+    };
+    let holders = Arc::clone(data.holders());
+    let api = OperatorApi::new(Arc::clone(gate), holders, Arc::clone(platform));
+    let address = settings.operator_listen;
+    HttpServer::start(data.runtime().handle(), address, &limits, api)
+        .map_err(|err| IoError::new(err.kind(), format!("{address}: {err}")))
 }
--- a/components/daemon/src/operator/mod.rs
+++ b/components/daemon/src/operator/mod.rs
@@ -10,6 +10,7 @@
         control::{
             assigning::new_op,
             gate::Gate,
+            host_control::HostControl,
             platform::{CallKind, Platform},
             watching::CONFIG_KEY,
         },
@@ -79,13 +80,17 @@
 /// The operator API of a host.
 pub struct OperatorApi<S> {
     gate: Arc<Gate>,
-    holders: Arc<Holders<Gate>>,
+    holders: Arc<Holders<HostControl>>,
     platform: Arc<Platform<S>>,
 }
 
 impl<S: ObjectStore> OperatorApi<S> {
     /// An API over the given parts.
-    pub fn new(gate: Arc<Gate>, holders: Arc<Holders<Gate>>, platform: Arc<Platform<S>>) -> Self {
+    pub fn new(
+        gate: Arc<Gate>,
+        holders: Arc<Holders<HostControl>>,
+        platform: Arc<Platform<S>>,
+    ) -> Self {
         Self { gate, holders, platform }
     }
 
--- a/components/telemetry/src/timeline.rs
+++ b/components/telemetry/src/timeline.rs
@@ -33,7 +33,7 @@
     HostDrain,
     /// The process stopped.
     HostStopped,
-    /// A configuration version was adopted.
+    /// A configuration version was adopted; field `op` names the operation that wrote it.
     ConfigAdopted,
     /// Another body of the adopted version was seen, of the configuration or the assignment.
     VersionConflict,
