--- a/components/config/tests/documents.rs
+++ b/components/config/tests/documents.rs
@@ -180,6 +180,7 @@
         changes: diff(&base, &target),
         target,
         cost: Default::default(),
+        allow_coverage_loss: false,
     };
     let text = serde_json::to_string(&plan).unwrap();
     let read: PlanAnswer = serde_json::from_str(&text).unwrap();
--- a/components/daemon/src/data_path.rs
+++ b/components/daemon/src/data_path.rs
@@ -23,7 +23,6 @@
     },
     tokio::runtime::{Builder, Runtime},
     wigeonramp_config::HostSettings,
-    wigeonramp_telemetry::{metrics::Metrics, timeline::Timeline},
     wigeonramp_units::{BootId, InstanceId, LeafId},
 };
 
@@ -38,8 +37,6 @@
 const REFUSING_WORKERS: usize = 4;
 /// Time for a caller to send its head, its body, or to take an answer.
 const SLOW_CLIENT: Duration = Duration::from_secs(5);
-/// Events that the timeline keeps.
-const RING: usize = 65_536;
 
 /// What the data path asks of the control side.
 pub trait Control: EntryAddresses + HolderRights + PeerControl + RunOnce {}
@@ -76,6 +73,7 @@
         boot: &BootId,
         control: Arc<C>,
         views: Arc<Views>,
+        observer: Arc<Observer>,
     ) -> IoResult<Self> {
         let runtime = Builder::new_multi_thread()
             .worker_threads(RUNTIME_THREADS)
@@ -83,9 +81,6 @@
             .enable_all()
             .build()?;
         let instance = InstanceId::new(&settings.host, boot);
-        let (host, zone) = (settings.host.clone(), settings.zone.clone());
-        let timeline = Timeline::new(host, zone.clone(), boot.clone(), RING);
-        let observer = Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())));
         let suspects = Arc::new(Suspects::default());
         let peers = Arc::new(Peers::new(runtime.handle().clone()));
         let holders = Arc::new(Holders::new(HolderParts {
@@ -103,7 +98,7 @@
             query_limit: settings.caller_workers,
             suspects: Arc::clone(&suspects),
             views: Arc::clone(&views),
-            zone,
+            zone: settings.zone.clone(),
         }));
         let peer = PeerListener::start(
             runtime.handle(),
@@ -200,16 +195,27 @@
         self.caller.send_away();
     }
 
+    /// Goes on under another instance; the leaves of the old one end with the next view.
+    pub fn set_instance(&self, instance: InstanceId) {
+        self.holders.set_instance(instance);
+    }
+
     /// Stops accepting and waits for running requests, first of callers and then of peers.
     ///
     /// Returns whether all ended within `patience` each.
-    pub fn stop(self, patience: Duration) -> bool {
+    pub fn finish(&self, patience: Duration) -> bool {
         let callers = self.caller.stop(patience);
         let peers = self.peer.stop(patience);
         self.holders.end_all();
-        self.runtime.shutdown_background();
         callers && peers
     }
+
+    /// Finishes all requests and ends the runtime; see `finish`.
+    pub fn stop(self, patience: Duration) -> bool {
+        let finished = self.finish(patience);
+        self.runtime.shutdown_background();
+        finished
+    }
 }
 
 fn at(address: SocketAddr, err: &IoError) -> IoError {
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -20,7 +20,7 @@
         suspects::Suspects,
         view::{ClusterView, HolderRights},
     },
-    parking_lot::RwLock,
+    parking_lot::{Mutex, RwLock},
     std::{
         collections::HashMap,
         io::Result as IoResult,
@@ -52,6 +52,7 @@
 
 /// All leaves that this host holds.
 pub struct Holders<R> {
+    instance: Mutex<InstanceId>,
     leaves: Arc<LeafMap<R>>,
     parts: HolderParts<R>,
     side: SideChannel,
@@ -73,7 +74,19 @@
     pub fn new(parts: HolderParts<R>) -> IoResult<Self> {
         let leaves = Arc::new(RwLock::new(HashMap::new()));
         let side = SideChannel::start(SideLeaves(Arc::downgrade(&leaves)))?;
-        Ok(Self { leaves, parts, side })
+        let instance = Mutex::new(parts.instance.clone());
+        Ok(Self { instance, leaves, parts, side })
+    }
+
+    /// Goes on under another instance; the leaves of the old one end with the next view.
+    pub fn set_instance(&self, instance: InstanceId) {
+        *self.instance.lock() = instance;
+    }
+
+    fn leave(&self, leaf: &LeafId) {
+        if let Some(held) = self.get(leaf) {
+            held.leave();
+        }
     }
 
     /// Takes the leaves that `view` assigns to this instance, and gives up all others.
@@ -83,17 +96,17 @@
     /// leaf whose declaration changed still has work in flight; call again soon.
     pub fn adopt(&self, view: &ClusterView, start: impl Fn(&LeafId) -> Start) -> bool {
         let mut settled = true;
-        let mine = |leaf: &LeafId| {
-            let holder = view.holders.get(leaf)?;
-            (holder.instance == self.parts.instance).then_some(holder)
-        };
+        let me = self.instance.lock().clone();
         for leaf in self.ids() {
-            if mine(&leaf).is_none() {
-                self.end(&leaf);
+            match view.holders.get(&leaf) {
+                Some(holder) if holder.instance == me => (),
+                // The next holder asks for the leaf's state.
+                Some(holder) if holder.releasing.as_ref() == Some(&me) => self.leave(&leaf),
+                _ => self.end(&leaf),
             }
         }
         for (leaf, holder) in &view.holders {
-            if holder.instance != self.parts.instance {
+            if holder.instance != me {
                 continue;
             }
             let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
--- a/components/daemon/src/host.rs
+++ b/components/daemon/src/host.rs
@@ -3,107 +3,228 @@
 use {
     crate::{
         clock,
-        control::simple::{ROUND, SessionBody, SimpleControl},
-        data_path::{BoundAddresses, DataPath},
-        holder::leaf::Start,
+        control::{
+            applying::Applier,
+            assigning::AssignDesk,
+            claiming::ClaimDesk,
+            fetching::Fetcher,
+            gate::{Gate, Identity},
+            gossip::Gossip,
+            host_control::HostControl,
+            news::HostNews,
+            peer_side::PeerSide,
+            platform::Platform,
+            renewal::new_boot,
+            stopping,
+            threads::{ControlParts, ControlThreads},
+        },
+        data_path::DataPath,
+        http_server::{HttpLimits, HttpServer},
+        observe::Observer,
+        operator::OperatorApi,
         view::Views,
     },
-    crossbeam::channel::{Receiver, RecvTimeoutError, Sender, bounded},
-    rand::RngExt,
+    serde::Serialize,
     std::{
-        io::Result as IoResult,
+        io::{Error as IoError, Result as IoResult},
+        net::SocketAddr,
         sync::Arc,
-        thread::{self, JoinHandle},
         time::Duration,
     },
     wigeonramp_config::HostSettings,
+    wigeonramp_control::drain::DrainState,
     wigeonramp_store::ObjectStore,
-    wigeonramp_units::{BootId, InstanceId},
+    wigeonramp_telemetry::{
+        metrics::Metrics,
+        timeline::{Entry, EventKind, Timeline},
+    },
+    wigeonramp_units::{InstanceId, Span},
 };
 
+/// Connections of operators.
+const OPERATOR_CONNECTIONS: usize = 64;
+/// Threads for operators; a confirmation takes one for some seconds.
+const OPERATOR_WORKERS: usize = 8;
+/// Requests of operators that wait for a worker.
+const OPERATOR_QUEUE: usize = 32;
+/// Time for an operator to send its head, its body, or to take an answer.
+const SLOW_CLIENT: Duration = Duration::from_secs(5);
+/// Events that the timeline keeps.
+const RING: usize = 65_536;
 /// Longest wait for running requests at the end of a stop.
 const STOP_PATIENCE: Duration = Duration::from_secs(30);
+/// Longest wait at the end of a stop for outcomes of claims to be written.
+const RECORD_PATIENCE: Span = Span::secs(5);
+
+/// The addresses that a host has bound.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize)]
+pub struct HostAddresses {
+    /// Where callers connect.
+    pub caller: SocketAddr,
+    /// Where operators connect.
+    pub operator: SocketAddr,
+    /// Where peers connect.
+    pub peer: SocketAddr,
+}
 
 /// A running host.
 pub struct Host<S: ObjectStore> {
-    control: Arc<SimpleControl<S>>,
-    data: Arc<DataPath<SimpleControl<S>>>,
-    rounds: JoinHandle<()>,
-    stop: Sender<()>,
+    addresses: HostAddresses,
+    claims: Arc<ClaimDesk>,
+    control: ControlThreads,
+    data: Arc<DataPath<HostControl>>,
+    gate: Arc<Gate>,
+    instance: InstanceId,
+    operator: HttpServer<OperatorApi<S>>,
 }
 
 impl<S: ObjectStore> Host<S> {
     /// Binds all addresses and starts all parts.
     pub fn start(settings: &HostSettings, store: S) -> IoResult<Self> {
-        let boot = new_boot();
+        let me = identity(settings);
+        let (boot, instance) = (me.boot.clone(), me.instance.clone());
+        let timeline = Timeline::new(me.host.clone(), me.zone.clone(), boot.clone(), RING);
+        let observer = Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())));
+        let gate = Arc::new(Gate::new(me, Arc::clone(&observer)));
+        let claims = Arc::new(ClaimDesk::new(Arc::clone(&gate)));
+        let control = Arc::new(HostControl::new(Arc::clone(&gate), Arc::clone(&claims)));
         let views = Arc::new(Views::new());
-        let session = SessionBody {
-            caller_address: settings.caller_listen,
-            counter: 0,
-            host: settings.host.clone(),
-            instance: InstanceId::new(&settings.host, &boot),
-            peer_address: settings.peer_listen,
-            zone: settings.zone.clone(),
+        let start = DataPath::start(settings, &boot, Arc::clone(&control), views, observer);
+        let data = Arc::new(start?);
+        let platform = Arc::new(Platform::new(store, Arc::clone(&gate)));
+        let operator = serve_operators(settings, &data, &gate, &platform)?;
+        let addresses = HostAddresses {
+            caller: data.addresses().caller,
+            operator: operator.address(),
+            peer: data.addresses().peer,
         };
-        let control = Arc::new(SimpleControl::new(store, session, Arc::clone(&views)));
-        let data = Arc::new(DataPath::start(settings, &boot, Arc::clone(&control), views)?);
-        let addresses = data.addresses();
-        control.set_addresses(addresses.caller, addresses.peer);
-        let (stop, stopped) = bounded(0);
-        let rounds = {
-            let control = Arc::clone(&control);
-            let data = Arc::clone(&data);
-            let name = "control".to_owned();
-            thread::Builder::new()
-                .name(name)
-                .spawn(move || run_rounds(&control, &data, &stopped))?
-        };
-        Ok(Self { control, data, rounds, stop })
+        gate.set_addresses(addresses.caller, addresses.peer, addresses.operator);
+        gate.record(Entry::now(EventKind::HostStarted).field("instance", &instance));
+        let parts = control_parts(settings, &data, &gate, &claims, &platform);
+        control.serve_peers(PeerSide::new(
+            Arc::clone(&gate),
+            Arc::clone(&parts.desk),
+            Arc::clone(&parts.gossip),
+            Arc::clone(data.holders()),
+        ));
+        let entry = Arc::clone(data.entry());
+        let control = ControlThreads::start(parts, move || entry.load())?;
+        Ok(Self { addresses, claims, control, data, gate, instance, operator })
     }
 
     /// The bound addresses.
-    pub fn addresses(&self) -> BoundAddresses {
-        self.data.addresses()
+    pub fn addresses(&self) -> HostAddresses {
+        self.addresses
     }
 
-    /// This start of the host.
+    /// The instance that this host started as; an ended session makes it go on as another one.
     pub fn instance(&self) -> &InstanceId {
-        self.data.instance()
+        &self.instance
     }
 
-    /// Stops without cutting off a request.
+    /// Knowledge and rights of this host.
+    pub fn gate(&self) -> &Arc<Gate> {
+        &self.gate
+    }
+
+    /// What serves callers and holds leaves.
+    pub fn data(&self) -> &DataPath<HostControl> {
+        &self.data
+    }
+
+    /// Stops without cutting off a request: unlisted, leaves handed over, requests finished, and
+    /// the session deleted last.
     pub fn stop(self) {
-        let Self { control, data, rounds, stop } = self;
-        drop(stop);
-        let _ = rounds.join();
-        control.end();
-        if let Some(data) = Arc::into_inner(data)
-            && !data.stop(STOP_PATIENCE)
-        {
-            log::warn!("requests were still running after {STOP_PATIENCE:?}");
+        let Self { claims, control, data, gate, operator, .. } = self;
+        stopping::drain(
+            &gate,
+            || in_flight(&data),
+            |state| {
+                if state == DrainState::Finishing {
+                    data.send_away();
+                }
+            },
+        );
+        if !data.finish(STOP_PATIENCE) {
+            log::error!("requests were still running after {STOP_PATIENCE:?}; they are cut off");
+        }
+        if !claims.flush(RECORD_PATIENCE) {
+            log::warn!("outcomes of claims were not written; repetitions are answered as unknown");
+        }
+        operator.stop(STOP_PATIENCE);
+        gate.record(Entry::now(EventKind::HostStopped));
+        control.stop();
+        match Arc::into_inner(data) {
+            Some(data) => drop(data.stop(STOP_PATIENCE)),
+            None => log::error!("a control thread still uses the data path"),
         }
     }
 }
 
-fn run_rounds<S: ObjectStore>(
-    control: &SimpleControl<S>,
-    data: &DataPath<SimpleControl<S>>,
-    stopped: &Receiver<()>,
-) {
-    loop {
-        let begun = clock::now();
-        match control.round() {
-            Ok(view) => drop(data.adopt(view, |_| Start::Cold)),
-            Err(err) => log::warn!("{err}"),
-        }
-        let pause = clock::until(begun + ROUND).to_duration();
-        if stopped.recv_timeout(pause) != Err(RecvTimeoutError::Timeout) {
-            return;
-        }
+/// Requests of callers and work at leaves.
+fn in_flight(data: &DataPath<HostControl>) -> usize {
+    let reports = data.holders().reports();
+    let at_leaves: usize =
+        reports.iter().map(|report| (report.in_flight + report.queued) as usize).sum();
+    data.running() + at_leaves
+}
+
+fn identity(settings: &HostSettings) -> Identity {
+    let boot = new_boot();
+    Identity {
+        instance: InstanceId::new(&settings.host, &boot),
+        boot,
+        caller_address: settings.caller_listen,
+        host: settings.host.clone(),
+        operator_address: settings.operator_listen,
+        peer_address: settings.peer_listen,
+        zone: settings.zone.clone(),
+    }
+}
+
+fn control_parts<S: ObjectStore>(
+    settings: &HostSettings,
+    data: &Arc<DataPath<HostControl>>,
+    gate: &Arc<Gate>,
+    claims: &Arc<ClaimDesk>,
+    platform: &Arc<Platform<S>>,
+) -> ControlParts<HostNews, S> {
+    let fetcher = Fetcher::new();
+    let news = HostNews {
+        board: Arc::clone(data.entry().board()),
+        holders: Arc::clone(data.holders()),
+        suspects: Arc::clone(data.suspects()),
+        entry: Arc::clone(data.entry()),
+    };
+    let session_time = gate.core().session_time.longer(clock::now());
+    ControlParts {
+        applier: Applier { data: Arc::clone(data), gate: Arc::clone(gate) },
+        claims: Arc::clone(claims),
+        desk: Arc::new(AssignDesk::new(gate.instance(), session_time)),
+        gossip: Arc::new(Gossip::new(Arc::clone(gate), Arc::new(news), fetcher.clone())),
+        fetcher,
+        gate: Arc::clone(gate),
+        peers: Arc::clone(data.peers()),
+        platform: Arc::clone(platform),
+        seeds: settings.seeds.clone(),
     }
 }
 
-fn new_boot() -> BootId {
-    let text = format!("{}-{:08x}", clock::unix_now(), rand::rng().random::<u32>());
-    text.parse().expect("digits and a dash make a valid id")
+fn serve_operators<S: ObjectStore>(
+    settings: &HostSettings,
+    data: &DataPath<HostControl>,
+    gate: &Arc<Gate>,
+    platform: &Arc<Platform<S>>,
+) -> IoResult<HttpServer<OperatorApi<S>>> {
+    let limits = HttpLimits {
+        connections: OPERATOR_CONNECTIONS,
+        queue: OPERATOR_QUEUE,
+        slow_client: SLOW_CLIENT,
+        workers: OPERATOR_WORKERS,
+    };
+    let holders = Arc::clone(data.holders());
+    let api = OperatorApi::new(Arc::clone(gate), holders, Arc::clone(platform));
+    let address = settings.operator_listen;
+    HttpServer::start(data.runtime().handle(), address, &limits, api)
+        .map_err(|err| IoError::new(err.kind(), format!("{address}: {err}")))
 }
--- a/components/daemon/tests/data_path/support.rs
+++ b/components/daemon/tests/data_path/support.rs
@@ -24,6 +24,7 @@
             claims::{Claim, ClaimedOutcome, RunOnce},
         },
         holder::leaf::Start,
+        observe::Observer,
         peer::server::PeerControl,
         view::{ClusterView, Holder, HolderRights, HostView, Views},
     },
@@ -36,10 +37,15 @@
         self, LeafFault, LeafSelector, LeafSettings, Leaves, LeavesOptions, RowSource, Rows,
         ServiceTime,
     },
-    wigeonramp_telemetry::timeline::{EventKind, TimelineFilter},
-    wigeonramp_units::{Epoch, Instant, LeafId, Percent, SnapshotId, Span},
+    wigeonramp_telemetry::{
+        metrics::Metrics,
+        timeline::{EventKind, Timeline, TimelineFilter},
+    },
+    wigeonramp_units::{CallerId, Epoch, Instant, LeafId, Percent, SnapshotId, Span},
 };
 
+/// Events that the timeline of a host keeps.
+const RING: usize = 4096;
 pub const SNAPSHOT: SnapshotId = SnapshotId(7);
 /// Longer than any query of these tests may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
@@ -61,7 +67,7 @@
 }
 
 impl EntryAddresses for FixedControl {
-    fn entry_addresses(&self) -> EntryChoice {
+    fn entry_addresses(&self, _: &CallerId) -> EntryChoice {
         EntryChoice { addresses: Vec::new(), lifetime: Span::secs(5) }
     }
 }
@@ -177,6 +183,13 @@
     }
 }
 
+fn observer(n: usize) -> Arc<Observer> {
+    let host = settings(n);
+    let boot = format!("b{n}").parse().expect("a boot id");
+    let timeline = Timeline::new(host.host, host.zone, boot, RING);
+    Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())))
+}
+
 impl Cluster {
     pub fn start(shape: &Shape) -> Self {
         let mut document: Document =
@@ -197,8 +210,9 @@
                 let control = Arc::new(FixedControl::default());
                 let boot = format!("b{n}").parse().expect("a boot id");
                 let views = Arc::new(Views::new());
-                let data = DataPath::start(&settings(n), &boot, Arc::clone(&control), views)
-                    .expect("the host starts");
+                let data =
+                    DataPath::start(&settings(n), &boot, Arc::clone(&control), views, observer(n))
+                        .expect("the host starts");
                 Host { control, data }
             })
             .collect();
--- a/src/bin/wigeonrampd.rs
+++ b/src/bin/wigeonrampd.rs
@@ -14,7 +14,7 @@
         process::ExitCode,
     },
     wigeonramp_config::{HostSettings, LogLevel},
-    wigeonramp_daemon::{data_path::BoundAddresses, host::Host},
+    wigeonramp_daemon::host::{Host, HostAddresses},
     wigeonramp_store::{HttpStore, HttpStoreTimes},
     wigeonramp_telemetry::logging::{self, LogOutput},
     wigeonramp_units::InstanceId,
@@ -37,7 +37,7 @@
 struct Ready<'a> {
     instance: &'a InstanceId,
     #[serde(flatten)]
-    addresses: BoundAddresses,
+    addresses: HostAddresses,
 }
 
 fn main() -> ExitCode {
--- a/tests/tool/operator.rs
+++ b/tests/tool/operator.rs
@@ -36,6 +36,7 @@
             at_risk: target.coverage_risks(),
         },
         target,
+        allow_coverage_loss: false,
     }
 }
 
