Test the control side with hosts and stand-ins in one process

Covers confirmation on all hosts, racing operators, lost answers, a zone taken out, a graceful stop under load and requests that must run once.

--- /dev/null
+++ b/components/daemon/tests/control/claims.rs
@@ -0,0 +1,121 @@
+//! Guards against a request that must not run twice but does, and against a "not run" that is not
+//! true.
+
+use {
+    crate::support::{Fleet, query, wait_for},
+    serde_json::json,
+    std::{
+        collections::BTreeMap,
+        thread,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+    wigeonramp_config::caller_api::QueryOutcome,
+    wigeonramp_standin::platform::{OutageMode, PlatformFault},
+};
+
+fn request(id: &str, shard: usize) -> serde_json::Value {
+    json!({
+        "request_id": id, "collections": ["quotes"], "shard": format!("s{shard}"),
+        "idempotent": false, "body": id, "timeout_ms": 900,
+    })
+}
+
+fn new_id(n: usize) -> String {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock after 1970");
+    format!("{}-{n}", since.as_millis())
+}
+
+/// Runs by request id, summed over all leaves.
+fn runs(fleet: &Fleet) -> BTreeMap<String, u32> {
+    let mut runs = BTreeMap::new();
+    for counters in fleet.counters("") {
+        for (id, n) in counters.runs {
+            *runs.entry(id.to_string()).or_default() += n;
+        }
+    }
+    runs
+}
+
+#[test]
+fn a_repeated_request_runs_once_whatever_host_gets_it() {
+    let fleet = Fleet::start(3, 3);
+    let id = new_id(0);
+    let first = query(fleet.hosts[0].addresses().caller, &request(&id, 0)).expect("an answer");
+    assert_eq!(first.outcome, QueryOutcome::Done, "{first:?}");
+    assert_eq!(first.collections[0].coverage.covered, 1);
+    for host in &fleet.hosts {
+        // The outcome is recorded shortly after the first answer.
+        wait_for("the recorded outcome is reported", || {
+            let again = query(host.addresses().caller, &request(&id, 0)).expect("an answer");
+            assert!(!matches!(again.outcome, QueryOutcome::RefusedNotRun { .. }), "{again:?}");
+            again.outcome == QueryOutcome::Done
+        });
+    }
+    assert_eq!(runs(&fleet).get(&id), Some(&1));
+}
+
+#[test]
+fn with_lost_answers_no_request_runs_twice_and_not_run_is_true() {
+    let fleet = Fleet::start(3, 3);
+    let callers: Vec<_> = fleet.hosts.iter().map(|host| host.addresses().caller).collect();
+    let senders: Vec<_> = (0..6)
+        .map(|sender| {
+            let callers = callers.clone();
+            thread::spawn(move || {
+                let mut outcomes = Vec::new();
+                for n in 0..8 {
+                    let id = new_id(sender * 1000 + n);
+                    // The caller sends each request to two hosts, as if the first answer was lost.
+                    for host in [sender, sender + 1] {
+                        let address = callers[host % callers.len()];
+                        let answer = query(address, &request(&id, n % 3)).expect("an answer");
+                        outcomes.push((id.clone(), answer.outcome));
+                    }
+                }
+                outcomes
+            })
+        })
+        .collect();
+    while !senders.iter().all(|sender| sender.is_finished()) {
+        fleet.platform.fault(&PlatformFault::LostAnswers { writes: 3 });
+        let lost = fleet.platform.counters().lost;
+        wait_for("answers are lost", || {
+            fleet.platform.counters().lost >= lost + 3
+                || senders.iter().all(|sender| sender.is_finished())
+        });
+    }
+    fleet.platform.fault(&PlatformFault::Clear {});
+    let outcomes: Vec<_> =
+        senders.into_iter().flat_map(|sender| sender.join().expect("it ends")).collect();
+    let runs = runs(&fleet);
+    let mut by_id: BTreeMap<String, Vec<QueryOutcome>> = BTreeMap::new();
+    for (id, outcome) in outcomes {
+        by_id.entry(id).or_default().push(outcome);
+    }
+    let not_run = |outcome: &QueryOutcome| matches!(outcome, QueryOutcome::RefusedNotRun { .. });
+    for (id, outcomes) in &by_id {
+        assert!(runs.get(id).is_none_or(|n| *n == 1), "{id} ran {:?} times", runs.get(id));
+        if outcomes.iter().all(not_run) {
+            assert_eq!(runs.get(id), None, "{id} was said not to have run");
+        }
+    }
+    let done = by_id.values().flatten().filter(|outcome| **outcome == QueryOutcome::Done).count();
+    println!("{done} of {} answers are done", by_id.len() * 2);
+    assert!(done > 0);
+}
+
+#[test]
+fn without_the_store_nothing_runs() {
+    let fleet = Fleet::start(3, 3);
+    fleet.platform.fault(&PlatformFault::Outage { mode: OutageMode::Hang });
+    let id = new_id(0);
+    let answer = query(fleet.hosts[0].addresses().caller, &request(&id, 0)).expect("an answer");
+    assert!(matches!(answer.outcome, QueryOutcome::RefusedNotRun { .. }), "{answer:?}");
+    assert_eq!(runs(&fleet).get(&id), None);
+    fleet.platform.fault(&PlatformFault::Clear {});
+    wait_for("the request runs once the store is back", || {
+        let answer = query(fleet.hosts[0].addresses().caller, &request(&id, 0));
+        answer.is_some_and(|answer| answer.outcome == QueryOutcome::Done)
+    });
+    assert_eq!(runs(&fleet).get(&id), Some(&1));
+}
--- /dev/null
+++ b/components/daemon/tests/control/main.rs
@@ -0,0 +1,7 @@
+//! The control side: hosts in this process with stand-ins of the platform and of leaves.
+
+mod claims;
+mod configuration;
+mod stop;
+mod support;
+mod zones;
--- /dev/null
+++ b/components/daemon/tests/control/support.rs
@@ -0,0 +1,315 @@
+//! A fleet of hosts, a platform and leaves in this process, and operators and callers of them.
+
+use {
+    serde::{Serialize, de::DeserializeOwned},
+    serde_json::{Value, json},
+    std::{
+        net::SocketAddr,
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread::{self, JoinHandle},
+        time::{Duration, Instant},
+    },
+    ureq::{Agent, http::StatusCode},
+    wigeonramp_config::{
+        Document, HostSettings, LogSettings,
+        api::{
+            CONFIRM_PATH, ConfirmAnswer, ConfirmRequest, Intent, PLAN_PATH, PlanAnswer,
+            PlanRequest, STATUS_PATH, StatusAnswer,
+        },
+        caller_api::{QueryAnswer, QueryOutcome},
+        token_sha256,
+    },
+    wigeonramp_daemon::host::Host,
+    wigeonramp_standin::{
+        leaves::{self, LeafCounters, Leaves, LeavesOptions},
+        platform::{self, Platform, PlatformOptions},
+    },
+    wigeonramp_store::{HttpStore, HttpStoreTimes},
+    wigeonramp_units::Span,
+};
+
+/// Longer than anything in these tests may take.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+const CALLER: &str = "c1";
+const TOKEN: &str = "t1";
+const ZONES: usize = 3;
+/// Pause between two looks at a state that is waited for.
+const LOOK: Duration = Duration::from_millis(10);
+
+/// A host of the tests.
+pub type TestHost = Host<HttpStore>;
+
+/// Hosts with everything around them.
+pub struct Fleet {
+    pub hosts: Vec<TestHost>,
+    pub leaves: Leaves,
+    pub platform: Platform,
+    declared: Document,
+}
+
+fn declared(shards: usize) -> Document {
+    let mut maps = serde_json::Map::new();
+    let mut leaves = serde_json::Map::new();
+    for n in 0..shards {
+        let replica = |letter: &str| format!("s{n}-{letter}");
+        maps.insert(format!("s{n}"), json!([replica("a"), replica("b")]));
+        for (letter, zone) in [("a", n % ZONES), ("b", (n + 1) % ZONES)] {
+            let leaf = json!({"address": "127.0.0.1:0", "zone": format!("z{}", zone + 1),
+                "collection": "quotes", "state": "in"});
+            leaves.insert(replica(letter), leaf);
+        }
+    }
+    let zone = json!({"region": "r", "state": "in"});
+    let caller = json!({"member": "m1", "priority": "urgent", "token_sha256": token_sha256(TOKEN)});
+    let document = json!({
+        "version": 0, "op": "none",
+        "zones": {"z1": zone, "z2": zone, "z3": zone},
+        "members": {"m1": {}},
+        "callers": {CALLER: caller},
+        "collections": {"quotes": {
+            "prefer": "coverage", "soft_deadline": "500ms", "max_deadline": "1s",
+            "hedge": true, "canary": false,
+            "leaf_limits": {"slots": 2, "connections": 20, "connect_cost": "1ms",
+                "cold_in_flight": 1, "cold_per_second": 100},
+            "maps": [{"version": 1, "from_snapshot": 7, "shards": maps}],
+        }},
+        "leaves": leaves,
+        "limits": {"entry_lifetime": "500ms", "session_time": "1s", "stale_after": "1s"},
+    });
+    serde_json::from_value(document).expect("the document is well formed")
+}
+
+fn settings(n: usize, platform: SocketAddr) -> HostSettings {
+    let any = SocketAddr::from(([127, 0, 0, 1], 0));
+    HostSettings {
+        host: format!("h{n}").parse().expect("a host id"),
+        zone: format!("z{}", n % ZONES + 1).parse().expect("a zone id"),
+        caller_listen: any,
+        peer_listen: any,
+        operator_listen: any,
+        platform: format!("http://{platform}"),
+        seeds: Vec::new(),
+        caller_workers: 16,
+        log: LogSettings::default(),
+    }
+}
+
+impl Fleet {
+    /// Hosts on an empty platform.
+    pub fn undeclared(hosts: usize, shards: usize) -> Self {
+        let mut declared = declared(shards);
+        let options = LeavesOptions { any_port: true, ..LeavesOptions::default() };
+        let leaves = leaves::start(&declared, &options).expect("the leaves start");
+        for (id, leaf) in &mut declared.leaves {
+            leaf.address = leaves.address(id).expect("every leaf was started");
+        }
+        let platform = platform::start(&PlatformOptions::default()).expect("the platform starts");
+        let times = HttpStoreTimes { connect: Span::millis(250), call: Span::millis(500) };
+        let hosts = (0..hosts).map(|n| {
+            let store = HttpStore::new(platform.address(), times);
+            Host::start(&settings(n, platform.address()), store).expect("the host starts")
+        });
+        Self { hosts: hosts.collect(), leaves, platform, declared }
+    }
+
+    /// Hosts whose first declaration is in force, and that hold all leaves.
+    pub fn start(hosts: usize, shards: usize) -> Self {
+        let fleet = Self::undeclared(hosts, shards);
+        fleet.all_know_each_other();
+        let answer = fleet.confirm(0, fleet.plan(0, fleet.declaration()).expect("a plan"));
+        assert!(matches!(answer, ConfirmAnswer::InForce { .. }), "{answer:?}");
+        let all = fleet.declared.leaves.len();
+        wait_for("all leaves are held and all hosts are served", || {
+            let held: usize = (0..hosts).map(|n| fleet.status(n).leaves.len()).sum();
+            let served = |n| fleet.query(n, &json!("start")).is_some_and(|a| covered(&a) == shards);
+            held == all && (0..hosts).all(served)
+        });
+        fleet
+    }
+
+    pub fn declaration(&self) -> Intent {
+        Intent::Declare { document: Box::new(self.declared.clone()) }
+    }
+
+    pub fn all_know_each_other(&self) {
+        wait_for("every host knows all hosts", || {
+            (0..self.hosts.len()).all(|n| self.status(n).hosts.len() == self.hosts.len())
+        });
+    }
+
+    pub fn status(&self, host: usize) -> StatusAnswer {
+        get(self.hosts[host].addresses().operator, STATUS_PATH)
+    }
+
+    /// The plan, or the status and reason of the refusal.
+    pub fn plan(&self, host: usize, intent: Intent) -> Result<PlanAnswer, (StatusCode, String)> {
+        self.plan_with(host, intent, false)
+    }
+
+    pub fn plan_with(
+        &self,
+        host: usize,
+        intent: Intent,
+        allow_coverage_loss: bool,
+    ) -> Result<PlanAnswer, (StatusCode, String)> {
+        let request = PlanRequest { intent, allow_coverage_loss };
+        let (status, text) = post(self.hosts[host].addresses().operator, PLAN_PATH, &request);
+        if status != StatusCode::OK {
+            return Err((status, text));
+        }
+        Ok(serde_json::from_str(&text).expect("a plan"))
+    }
+
+    pub fn confirm(&self, host: usize, plan: PlanAnswer) -> ConfirmAnswer {
+        confirm_at(self.hosts[host].addresses().operator, plan)
+    }
+
+    /// Plans and confirms.
+    pub fn change(&self, host: usize, intent: Intent) -> ConfirmAnswer {
+        self.confirm(host, self.plan(host, intent).expect("a plan"))
+    }
+
+    /// A query to one host; `None` if it did not answer.
+    pub fn query(&self, host: usize, body: &Value) -> Option<QueryAnswer> {
+        query(
+            self.hosts[host].addresses().caller,
+            &json!({
+                "collections": ["quotes"], "body": body,
+            }),
+        )
+    }
+
+    /// Counters of all leaves whose id starts with `prefix`.
+    pub fn counters(&self, prefix: &str) -> Vec<LeafCounters> {
+        self.leaves.counters(prefix).into_iter().map(|leaf| leaf.counters).collect()
+    }
+}
+
+/// Confirms a plan at one host.
+pub fn confirm_at(operator: SocketAddr, plan: PlanAnswer) -> ConfirmAnswer {
+    let (status, text) = post(operator, CONFIRM_PATH, &ConfirmRequest { plan });
+    assert_eq!(status, StatusCode::OK, "{text}");
+    serde_json::from_str(&text).expect("an answer to a confirmation")
+}
+
+/// Sends a query; `None` if no answer came.
+pub fn query(caller: SocketAddr, request: &Value) -> Option<QueryAnswer> {
+    let sent = agent()
+        .post(format!("http://{caller}/v1/query"))
+        .header("authorization", format!("Bearer {TOKEN}"))
+        .header("x-caller", CALLER)
+        .send(request.to_string());
+    let text = sent.ok()?.body_mut().read_to_string().ok()?;
+    serde_json::from_str(&text).ok()
+}
+
+pub fn covered(answer: &QueryAnswer) -> usize {
+    answer.collections.first().map_or(0, |collection| collection.coverage.covered as usize)
+}
+
+/// Waits until `done`; fails after `PATIENCE`. Returns the time it took.
+pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) -> Duration {
+    let begun = Instant::now();
+    while !done() {
+        assert!(begun.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}");
+        thread::sleep(LOOK);
+    }
+    begun.elapsed()
+}
+
+fn agent() -> Agent {
+    Agent::config_builder()
+        .http_status_as_error(false)
+        .timeout_global(Some(PATIENCE))
+        .build()
+        .into()
+}
+
+pub fn get<T: DeserializeOwned>(address: SocketAddr, path: &str) -> T {
+    let mut answer = agent().get(format!("http://{address}{path}")).call().expect("an answer");
+    answer.body_mut().read_json().expect("a JSON body")
+}
+
+fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> (StatusCode, String) {
+    let body = serde_json::to_string(body).expect("JSON");
+    let mut answer = agent().post(format!("http://{address}{path}")).send(body).expect("an answer");
+    (answer.status(), answer.body_mut().read_to_string().expect("text"))
+}
+
+/// Callers that ask for the addresses to use, keep them for their lifetime, and send queries.
+pub struct Load {
+    pub cut: Arc<AtomicU64>,
+    pub done: Arc<AtomicU64>,
+    stop: Arc<AtomicBool>,
+    threads: Vec<JoinHandle<()>>,
+}
+
+impl Load {
+    /// Starts `threads` callers that first ask one of `hosts`.
+    pub fn start(threads: usize, hosts: Vec<SocketAddr>) -> Self {
+        let (cut, done, stop) = Default::default();
+        let mut load = Self { cut, done, stop, threads: Vec::new() };
+        for n in 0..threads {
+            let (cut, done) = (Arc::clone(&load.cut), Arc::clone(&load.done));
+            let (stop, hosts) = (Arc::clone(&load.stop), hosts.clone());
+            load.threads.push(thread::spawn(move || call(n, &hosts, &cut, &done, &stop)));
+        }
+        load
+    }
+
+    /// Waits until `n` more queries are done.
+    pub fn more(&self, n: u64) {
+        let before = self.done.load(Ordering::Relaxed);
+        wait_for("queries go on", || self.done.load(Ordering::Relaxed) >= before + n);
+    }
+
+    /// Ends all callers; returns the queries that got no answer.
+    pub fn stop(self) -> u64 {
+        self.stop.store(true, Ordering::Relaxed);
+        self.threads.into_iter().for_each(|thread| thread.join().expect("a caller ends"));
+        self.cut.load(Ordering::Relaxed)
+    }
+}
+
+fn call(n: usize, hosts: &[SocketAddr], cut: &AtomicU64, done: &AtomicU64, stop: &AtomicBool) {
+    let (mut addresses, mut until) = (Vec::new(), Instant::now());
+    let mut count = n;
+    while !stop.load(Ordering::Relaxed) {
+        if Instant::now() >= until {
+            (addresses, until) = entry(hosts);
+            if addresses.is_empty() {
+                continue;
+            }
+        }
+        count += 1;
+        let request = json!({"collections": ["quotes"], "body": count % 16});
+        match query(addresses[0], &request).map(|answer| answer.outcome) {
+            Some(QueryOutcome::Done) => drop(done.fetch_add(1, Ordering::Relaxed)),
+            // A refusal is a whole answer; only lost answers count as cut.
+            Some(_) => (),
+            None => drop(cut.fetch_add(1, Ordering::Relaxed)),
+        }
+    }
+}
+
+/// Addresses to use and until when; the time starts before the question is sent.
+fn entry(hosts: &[SocketAddr]) -> (Vec<SocketAddr>, Instant) {
+    let asked = Instant::now();
+    for host in hosts {
+        let answer = agent()
+            .get(format!("http://{host}/v1/entry"))
+            .header("authorization", format!("Bearer {TOKEN}"))
+            .header("x-caller", CALLER)
+            .call();
+        let Ok(mut answer) = answer else { continue };
+        let Ok(body) = answer.body_mut().read_json::<Value>() else { continue };
+        let Some(addresses) = body["addresses"].as_array() else { continue };
+        let addresses = addresses.iter().filter_map(|a| a.as_str()?.parse().ok()).collect();
+        let lifetime = body["lifetime_ms"].as_u64().unwrap_or_default();
+        return (addresses, asked + Duration::from_millis(lifetime));
+    }
+    (Vec::new(), asked)
+}
--- a/tests/tool/operator.rs
+++ b/tests/tool/operator.rs
@@ -82,9 +82,16 @@
         let kept = fs::read_to_string(scratch.0.join(file)).unwrap();
         assert_eq!(serde_json::from_str::<PlanAnswer>(&kept).unwrap(), plan(), "{file}");
     }
+    let allow = "--allow-coverage-loss";
+    scratch.run(&["zone", "out", &at, allow, "--out=loss.json", "gulf-a"], &[host.address]);
     let requests = host.requests();
-    assert_eq!(requests[0], r#"POST /v1/plan {"intent":{"kind":"zone_out","zone":"gulf-a"}}"#);
+    let body = |allowed: bool| {
+        let intent = r#"{"kind":"zone_out","zone":"gulf-a"}"#;
+        format!(r#"POST /v1/plan {{"intent":{intent},"allow_coverage_loss":{allowed}}}"#)
+    };
+    assert_eq!(requests[0], body(false));
     assert!(requests[3].contains(r#""kind":"declare""#));
+    assert_eq!(requests[4], body(true));
 }
 
 #[test]
