--- a/components/daemon/tests/data_path/support.rs
+++ b/components/daemon/tests/data_path/support.rs
@@ -101,6 +101,8 @@
 pub struct Shape {
     pub canary: bool,
     pub cold_per_second: u32,
+    /// Answers that end a leaf's cold state.
+    pub cold_requests: u32,
     pub hosts: usize,
     pub service: Span,
     pub shards: u32,
@@ -112,6 +114,7 @@
         Self {
             canary: false,
             cold_per_second: 50,
+            cold_requests: LeafSettings::default().cold_requests,
             hosts: 2,
             service: Span::millis(1),
             shards: 4,
@@ -185,7 +188,11 @@
         let options = LeavesOptions {
             any_port: true,
             start_warm: shape.start_warm,
-            settings: LeafSettings { service, ..LeafSettings::default() },
+            settings: LeafSettings {
+                cold_requests: shape.cold_requests,
+                service,
+                ..LeafSettings::default()
+            },
             ..LeavesOptions::default()
         };
         let leaves = leaves::start(&document, &options).expect("the leaves start");
@@ -278,14 +285,20 @@
         Answer { status: response.status(), text }
     }
 
-    /// Asks until the answer covers everything, so that all leaves have a connection.
+    /// Asks until the answer covers everything and every leaf has answered: each then has a
+    /// connection, and an earlier answer that a fault can repeat.
     pub fn warm_up(&self) {
         let begun = std::time::Instant::now();
         for host in 0..self.hosts.len() {
             while covered(&self.ask(host, &json!("warm-up"))) < self.shards() {
-                assert!(begun.elapsed() < PATIENCE, "the leaves never all answered");
+                assert!(begun.elapsed() < PATIENCE, "the answer never covered everything");
             }
         }
+        let answered = || self.leaves.counters("").iter().all(|leaf| leaf.counters.answered > 0);
+        while !answered() {
+            self.ask(0, &json!("warm-up"));
+            assert!(begun.elapsed() < PATIENCE, "the leaves never all answered");
+        }
     }
 
     pub fn shards(&self) -> u32 {
--- /dev/null
+++ b/components/daemon/tests/libraries/peer.rs
@@ -0,0 +1,60 @@
+//! Calls to peers that fall silent or are not there.
+
+use {
+    crossbeam::channel::unbounded,
+    std::{
+        net::{SocketAddr, TcpListener},
+        time::{Duration, Instant as StdInstant},
+    },
+    tokio::runtime::Runtime,
+    wigeonramp_daemon::{
+        clock,
+        peer::client::{EntryEvent, Lost, Peers},
+    },
+    wigeonramp_proto::peer::{LeafWork, RunLeavesRequest},
+    wigeonramp_units::{AttemptId, Span},
+};
+
+const PATIENCE: Duration = Duration::from_secs(10);
+
+fn run(address: SocketAddr, within: Span) -> Lost {
+    let runtime = Runtime::new().expect("a runtime");
+    let peers = Peers::new(runtime.handle().clone());
+    let work = vec![LeafWork { attempt: 5, ..LeafWork::default() }];
+    let request = RunLeavesRequest { work, ..RunLeavesRequest::default() };
+    let (events, lost) = unbounded();
+    peers.run_leaves(address, request, clock::now() + within, events);
+    match lost.recv_timeout(PATIENCE).expect("the call ends") {
+        EntryEvent::Lost(lost) => lost,
+        EntryEvent::Reply(reply) => panic!("nobody replied: {reply:?}"),
+    }
+}
+
+/// Guards against a query that waits to its deadline for a peer whose host has stopped answering.
+#[test]
+fn a_silent_peer_is_given_up_long_before_the_deadline() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let begun = StdInstant::now();
+    let lost = run(silent.local_addr().expect("an address"), Span::secs(60));
+    assert_eq!(lost.attempts, [AttemptId(5)]);
+    assert!(lost.maybe_sent);
+    assert!(begun.elapsed() < PATIENCE);
+}
+
+/// Guards against a call that outlives its query where pings are still answered or not yet due.
+#[test]
+fn a_call_ends_at_the_deadline() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let lost = run(silent.local_addr().expect("an address"), Span::millis(50));
+    assert!(lost.maybe_sent && lost.reason.contains("in time"), "{lost:?}");
+}
+
+/// Guards against "may have run" where no byte can have been sent.
+#[test]
+fn a_peer_that_is_not_there_got_nothing() {
+    let listener = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let address = listener.local_addr().expect("an address");
+    drop(listener);
+    let lost = run(address, Span::secs(5));
+    assert!(!lost.maybe_sent, "{lost:?}");
+}
