--- /dev/null
+++ b/tests/fleet/claims.rs
@@ -0,0 +1,88 @@
+//! Guards against a request that must not run twice but does, when hosts are killed while it runs
+//! and its caller sends it again elsewhere.
+
+use {
+    crate::support::{Fleet, HostProcess, query},
+    rustix::process::Signal,
+    serde_json::json,
+    std::{
+        collections::BTreeMap,
+        net::SocketAddr,
+        sync::{Arc, Mutex},
+        thread,
+        time::{SystemTime, UNIX_EPOCH},
+    },
+    wigeonramp_config::caller_api::QueryOutcome,
+    wigeonramp_standin::platform::PlatformFault,
+};
+
+const SENDERS: usize = 6;
+const REQUESTS: usize = 12;
+
+#[test]
+fn with_kills_and_lost_answers_no_request_runs_twice() {
+    let mut fleet = Fleet::start(4, 3);
+    let callers: Vec<_> = fleet.hosts.iter().map(|host| host.ready.caller).collect();
+    let callers = Arc::new(Mutex::new(callers));
+    let senders: Vec<_> = (0..SENDERS)
+        .map(|sender| {
+            let callers = Arc::clone(&callers);
+            thread::spawn(move || send(sender, &callers))
+        })
+        .collect();
+    for round in 0..2 {
+        fleet.platform.fault(&PlatformFault::LostAnswers { writes: 2 });
+        let mut killed = fleet.hosts.remove(0);
+        killed.signal(Signal::KILL);
+        killed.ended();
+        let fresh = HostProcess::start(10 + round, fleet.platform.address(), &[]);
+        callers.lock().expect("no sender failed")[round] = fresh.ready.caller;
+        fleet.hosts.push(fresh);
+        fleet.wait_for_service(&fleet.hosts);
+    }
+    let outcomes: Vec<_> =
+        senders.into_iter().flat_map(|sender| sender.join().expect("it ends")).collect();
+    let mut runs: BTreeMap<String, u32> = BTreeMap::new();
+    for counters in fleet.counters() {
+        for (id, n) in counters.runs {
+            *runs.entry(id.to_string()).or_default() += n;
+        }
+    }
+    let not_run = |outcome: &Option<QueryOutcome>| {
+        matches!(outcome, Some(QueryOutcome::RefusedNotRun { .. }))
+    };
+    let mut done = 0;
+    for (id, answers) in &outcomes {
+        let n = runs.get(id).copied().unwrap_or_default();
+        assert!(n <= 1, "{id} ran {n} times: {answers:?}");
+        assert!(n == 0 || !answers.iter().all(not_run), "{id} ran, and all say it has not");
+        done += usize::from(answers.contains(&Some(QueryOutcome::Done)));
+    }
+    println!("{done} of {} requests are done", outcomes.len());
+    assert!(done > 0);
+}
+
+/// Sends each request to two hosts; an answer that does not come is `None`.
+fn send(
+    sender: usize,
+    callers: &Mutex<Vec<SocketAddr>>,
+) -> Vec<(String, Vec<Option<QueryOutcome>>)> {
+    let mut sent = Vec::new();
+    for n in 0..REQUESTS {
+        let since = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock after 1970");
+        let id = format!("{}-s{sender}n{n}", since.as_millis());
+        let request = json!({
+            "request_id": id, "collections": ["quotes"], "shard": format!("s{}", n % 3),
+            "idempotent": false, "body": id, "timeout_ms": 900,
+        });
+        let answers = [sender, sender + n + 1].map(|host| {
+            let address = {
+                let callers = callers.lock().expect("no sender failed");
+                callers[host % callers.len()]
+            };
+            query(address, &request).map(|answer| answer.outcome)
+        });
+        sent.push((id, answers.to_vec()));
+    }
+    sent
+}
--- /dev/null
+++ b/tests/fleet/stop.rs
@@ -0,0 +1,66 @@
+//! Guards against a stop by SIGTERM that cuts off requests, ends early at a second signal, or leaves
+//! its session behind.
+
+use {
+    crate::support::{Fleet, entry, query, wait_for},
+    rustix::process::Signal,
+    serde_json::json,
+    std::{
+        sync::{
+            Arc,
+            atomic::{AtomicBool, AtomicU64, Ordering},
+        },
+        thread,
+        time::Instant,
+    },
+    wigeonramp_store::ObjectStore,
+};
+
+#[test]
+fn sigterm_under_load_cuts_no_request() {
+    let mut fleet = Fleet::start(3, 6);
+    let callers: Vec<_> = fleet.hosts.iter().map(|host| host.ready.caller).collect();
+    let (done, lost) = (Arc::new(AtomicU64::new(0)), Arc::new(AtomicU64::new(0)));
+    let stop = Arc::new(AtomicBool::new(false));
+    let senders: Vec<_> = (0..6_usize)
+        .map(|n| {
+            let (done, lost, stop) = (Arc::clone(&done), Arc::clone(&lost), Arc::clone(&stop));
+            let callers = callers.clone();
+            thread::spawn(move || {
+                while !stop.load(Ordering::Relaxed) {
+                    let asked = Instant::now();
+                    let found = callers.iter().cycle().skip(n).take(3).find_map(|c| entry(*c));
+                    let Some((addresses, lifetime)) = found else { continue };
+                    let Some(address) = addresses.get(n % addresses.len().max(1)) else { continue };
+                    while asked.elapsed() < lifetime && !stop.load(Ordering::Relaxed) {
+                        match query(*address, &json!({"collections": ["quotes"], "body": n})) {
+                            Some(_) => done.fetch_add(1, Ordering::Relaxed),
+                            None => lost.fetch_add(1, Ordering::Relaxed),
+                        };
+                    }
+                }
+            })
+        })
+        .collect();
+    let more = |n: u64| {
+        let before = done.load(Ordering::Relaxed);
+        wait_for("queries go on", || done.load(Ordering::Relaxed) >= before + n);
+    };
+    more(100);
+    let mut stopped = fleet.hosts.remove(0);
+    let begun = Instant::now();
+    stopped.signal(Signal::TERM);
+    wait_for("the stop begins", || stopped.status().state != "serving");
+    stopped.signal(Signal::TERM);
+    let status = stopped.ended();
+    println!("stopped {:?} after SIGTERM", begun.elapsed());
+    more(100);
+    stop.store(true, Ordering::Relaxed);
+    senders.into_iter().for_each(|sender| sender.join().expect("it ends"));
+    assert_eq!(status.code(), Some(0));
+    assert_eq!(lost.load(Ordering::Relaxed), 0, "queries without an answer");
+    let sessions = fleet.platform.content().list("session/").expect("the platform is up");
+    let own = format!("session/{}", stopped.ready.instance);
+    assert!(sessions.iter().all(|session| session.key != own));
+    fleet.wait_for_service(&fleet.hosts);
+}
