--- a/components/daemon/src/control/adopt.rs
+++ b/components/daemon/src/control/adopt.rs
@@ -72,6 +72,7 @@
             let entry = Entry::now(EventKind::ZoneState).config_version(version);
             self.record(entry.field("zone", id).field("state", state));
         }
+        self.wakers().renew.wake();
         self.wake_after_adoption();
     }
 
--- a/components/daemon/src/control/doubt.rs
+++ b/components/daemon/src/control/doubt.rs
@@ -42,9 +42,14 @@
         if let Some(round) = round {
             ask(gate, desk, peers, round);
         }
-        let holds = gate.core().rights.promises.is_valid(clock::now());
-        if holds != held {
-            held = holds;
+        let (holds, doubt) = {
+            let (core, now) = (gate.core(), clock::now());
+            (core.rights.promises.is_valid(now), core.rights.in_doubt(now))
+        };
+        // Promises that end while the session is valid are not needed any more.
+        let told = holds != held && (holds || doubt);
+        held = holds;
+        if told {
             log::info!("promises of all assigners hold: {held}");
             gate.record(Entry::now(EventKind::PromiseRound).field("all_promised", held));
         }
--- a/components/daemon/src/control/renewal.rs
+++ b/components/daemon/src/control/renewal.rs
@@ -31,6 +31,8 @@
     gate: Arc<Gate>,
     platform: Arc<Platform<S>>,
     revision: Option<Revision>,
+    /// Session time at the last renewal.
+    session_time: Span,
     valid: bool,
     written: Option<Written>,
 }
@@ -46,7 +48,16 @@
     /// Nothing has been written yet.
     pub fn new(gate: Arc<Gate>, platform: Arc<Platform<S>>) -> Self {
         let backoff = Backoff::default();
-        Self { backoff, failed: false, gate, platform, revision: None, valid: false, written: None }
+        Self {
+            backoff,
+            failed: false,
+            gate,
+            platform,
+            revision: None,
+            session_time: Span::ZERO,
+            valid: false,
+            written: None,
+        }
     }
 
     /// Renews until the host stops, and deletes the session in the end.
@@ -76,8 +87,12 @@
     fn is_due(&self) -> bool {
         let core = self.gate.core();
         let wanted = Written { leaving: core.leaving(), settled: settled(&core) };
+        let now = clock::now();
+        // The next renewal was planned under a longer session time and would come too late.
+        let shortened = core.session_time.shorter(now) < self.session_time;
         self.failed
-            || core.rights.session.due() <= clock::now()
+            || shortened
+            || core.rights.session.due() <= now
             || self.written.is_some_and(|w| w != wanted)
     }
 
@@ -95,8 +110,8 @@
         let (renewal, record) = {
             let mut core = self.gate.core();
             let now = clock::now();
-            let time = core.session_time.shorter(now);
-            core.rights.session.set_time(time);
+            self.session_time = core.session_time.shorter(now);
+            core.rights.session.set_time(self.session_time);
             let renewal = core.rights.session.renewing(now, &mut rand::rng());
             (renewal, record(&core, renewal))
         };
