--- a/components/daemon/src/control/adopt.rs
+++ b/components/daemon/src/control/adopt.rs
@@ -64,6 +64,10 @@
         self.metrics().config_version.set(version.get() as i64);
         let entry = Entry::now(EventKind::ConfigAdopted).config_version(version);
         self.record(entry.field("source", name(source)).field("op", &document.op));
+        let own_zone = self.core().me.zone.clone();
+        if !document.zones.contains_key(&own_zone) {
+            log::warn!("zone {own_zone} of this host is not declared; it is given no leaves");
+        }
         for (id, zone) in &document.zones {
             if before.zones.get(id).is_some_and(|old| old.state == zone.state) {
                 continue;
--- a/components/daemon/src/control/applying.rs
+++ b/components/daemon/src/control/applying.rs
@@ -9,13 +9,13 @@
         },
         data_path::DataPath,
         holder::leaf::Start,
-        view::{ClusterView, Holder},
+        view::{ClusterView, Holder, HostView},
     },
-    indexmap::IndexMap,
-    std::sync::Arc,
+    std::{collections::HashMap, net::SocketAddr, sync::Arc},
+    wigeonramp_config::Document,
     wigeonramp_control::assignment::{Assignment, Holding},
     wigeonramp_telemetry::timeline::{Entry, EventKind},
-    wigeonramp_units::{InstanceId, LeafId, Span},
+    wigeonramp_units::{InstanceId, Instant, LeafId, Span},
 };
 
 /// Time after which the view is built again without a change, for hosts that have gone silent.
@@ -43,11 +43,12 @@
     /// Whether all leaves are held as the assignment says.
     fn apply(&self) -> bool {
         let now = clock::now();
-        let (me, assignment, view) = {
+        let known = {
             let mut core = self.gate.core();
             prune(&mut core);
-            (core.me.instance.clone(), core.assignment.clone(), view(&core))
+            Known::of(&core, now)
         };
+        let (me, assignment, view) = (known.me.clone(), known.assignment.clone(), known.view());
         let quarantine = view.document.limits.quarantine;
         if self.data.entry().view().document.limits.quarantine != quarantine {
             self.data.suspects().set_time(quarantine, now);
@@ -69,30 +70,43 @@
     }
 }
 
-fn view(core: &Core) -> ClusterView {
-    let address = |id: &InstanceId| {
-        if *id == core.me.instance {
-            return Some(core.me.peer_address);
+/// What a view is built of. Taken in one piece, so that the build does not hold up senders.
+struct Known {
+    addresses: HashMap<InstanceId, SocketAddr>,
+    assignment: Option<Arc<Assignment>>,
+    document: Arc<Document>,
+    hosts: Vec<HostView>,
+    me: InstanceId,
+}
+
+impl Known {
+    fn of(core: &Core, now: Instant) -> Self {
+        let own = (core.me.instance.clone(), core.me.peer_address);
+        let others = core.hosts.all().map(|host| (host.instance.clone(), host.peer_address));
+        Self {
+            addresses: others.chain([own]).collect(),
+            assignment: core.assignment.clone(),
+            document: Arc::clone(&core.document),
+            hosts: core.host_views(now),
+            me: core.me.instance.clone(),
         }
-        core.hosts.get(id).map(|host| host.peer_address)
-    };
-    let holder = |(leaf, holding): (&LeafId, &Holding)| {
-        let holder = Holder {
-            address: address(&holding.instance)?,
-            epoch: holding.epoch,
-            instance: holding.instance.clone(),
-            releasing: holding.from.clone(),
+    }
+
+    fn view(self) -> ClusterView {
+        let Self { addresses, assignment, document, hosts, .. } = self;
+        let holder = |(leaf, holding): (&LeafId, &Holding)| {
+            let holder = Holder {
+                address: *addresses.get(&holding.instance)?,
+                epoch: holding.epoch,
+                instance: holding.instance.clone(),
+                releasing: holding.from.clone(),
+            };
+            Some((leaf.clone(), holder))
         };
-        Some((leaf.clone(), holder))
-    };
-    let holders: IndexMap<_, _> = core
-        .assignment
-        .iter()
-        .flat_map(|assignment| &assignment.holdings)
-        .filter_map(holder)
-        .collect();
-    let hosts = core.host_views(clock::now());
-    ClusterView { document: Arc::clone(&core.document), holders, hosts }
+        let holdings = assignment.iter().flat_map(|assignment| &assignment.holdings);
+        let holders = holdings.filter_map(holder).collect();
+        ClusterView { document, holders, hosts }
+    }
 }
 
 /// Forgets instances that are long silent and hold nothing.
--- a/components/daemon/src/control/directory.rs
+++ b/components/daemon/src/control/directory.rs
@@ -188,6 +188,11 @@
         self.hosts.get(instance)
     }
 
+    /// All known instances.
+    pub fn all(&self) -> impl Iterator<Item = &KnownHost> {
+        self.hosts.values()
+    }
+
     /// Instances heard within `age`.
     pub fn fresh(&self, age: Span, now: Instant) -> impl Iterator<Item = &KnownHost> {
         self.hosts.values().filter(move |host| now.since(host.heard) < age)
--- a/components/daemon/src/control/doubt.rs
+++ b/components/daemon/src/control/doubt.rs
@@ -31,7 +31,7 @@
 
 /// Asks for promises whenever the session is about to expire or has expired.
 pub fn run(gate: &Gate, desk: &AssignDesk, peers: &Peers) {
-    let mut held = false;
+    let (mut held, mut stale) = (false, true);
     while !gate.is_stopped() {
         let (round, time) = {
             let mut core = gate.core();
@@ -46,6 +46,7 @@
             let (core, now) = (gate.core(), clock::now());
             (core.rights.promises.is_valid(now), core.rights.in_doubt(now))
         };
+        note_freshness(gate, &mut stale);
         // Promises that end while the session is valid are not needed any more.
         let told = holds != held && (holds || doubt);
         held = holds;
@@ -57,6 +58,17 @@
     }
 }
 
+/// Notes when contact with store and peers is lost and found again.
+fn note_freshness(gate: &Gate, stale: &mut bool) {
+    let now = gate.core().rights.is_stale(clock::now());
+    if now == *stale {
+        return;
+    }
+    *stale = now;
+    log::info!("neither store nor peers answer, nothing is sent: {now}");
+    gate.record(Entry::now(if now { EventKind::ConfigStale } else { EventKind::ConfigFresh }));
+}
+
 fn is_due(core: &Core, time: Span, now: Instant) -> bool {
     let rights = &core.rights;
     if rights.session.has_ended() || rights.session.last_renewal().is_none() {
--- a/components/daemon/src/control/gossip.rs
+++ b/components/daemon/src/control/gossip.rs
@@ -15,7 +15,6 @@
     rand::RngExt,
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
     wigeonramp_control::{
-        assignment::Holding,
         heartbeat::{PEERS_PER_ROUND, next_peers},
         session::SessionRecord,
         write::ReadResult,
@@ -208,12 +207,11 @@
         let unknown: BTreeSet<InstanceId> = {
             let core = self.gate.core();
             let Some(assignment) = &core.assignment else { return };
-            let involved = |holding: &Holding| {
-                [Some(holding.instance.clone()), holding.from.clone()].into_iter().flatten()
-            };
-            let strange = |id: &InstanceId| core.hosts.get(id).is_none() && *id != core.me.instance;
-            let all = assignment.holdings.values().flat_map(involved);
-            all.chain(assignment.assigner_ids().cloned()).filter(strange).collect()
+            let holdings = assignment.holdings.values();
+            let involved = holdings.flat_map(|h| [Some(&h.instance), h.from.as_ref()]).flatten();
+            let strange =
+                |id: &&InstanceId| core.hosts.get(id).is_none() && **id != core.me.instance;
+            involved.chain(assignment.assigner_ids()).filter(strange).cloned().collect()
         };
         for id in unknown.iter().take(LOOKUPS) {
             let key = SessionRecord::key(id);
--- a/components/daemon/src/control/platform.rs
+++ b/components/daemon/src/control/platform.rs
@@ -159,7 +159,8 @@
         let took = clock::now().since(sent).to_duration().as_secs_f64();
         metrics.store_seconds.get_or_create(&labels).observe(took);
         match &result {
-            Ok(_) => {
+            // A refusal is an answer.
+            Ok(_) | Err(StoreError::Refused { .. }) => {
                 self.gate.store_answered(sent);
                 self.set_available(true, "answered");
             }
--- a/components/daemon/tests/control/configuration.rs
+++ b/components/daemon/tests/control/configuration.rs
@@ -5,10 +5,12 @@
     crate::support::{Fleet, confirm_at, wait_for},
     std::{thread, time::Instant},
     wigeonramp_config::{
-        Presence,
+        Document, Presence,
         api::{ConfirmAnswer, Intent},
     },
     wigeonramp_standin::platform::{OutageMode, PlatformFault},
+    wigeonramp_store::{Fetched, HttpStore, HttpStoreTimes, ObjectStore, Precondition, Put},
+    wigeonramp_telemetry::timeline::{EventKind, TimelineFilter},
     wigeonramp_units::{ConfigVersion, ZoneId},
 };
 
@@ -100,6 +102,43 @@
     assert!(matches!(answer, ConfirmAnswer::InForce { .. }), "{answer:?}");
 }
 
+#[test]
+fn broken_and_older_documents_in_the_store_are_never_adopted() {
+    let fleet = Fleet::start(3, 3);
+    let store = HttpStore::new(fleet.platform.address(), HttpStoreTimes::default());
+    let write = |version: u64, broken: bool| {
+        let mut document = Document::clone(&fleet.hosts[0].gate().document());
+        document.version = ConfigVersion(version);
+        if broken {
+            document.zones.clear();
+        }
+        let body = serde_json::to_string(&document).expect("JSON");
+        let Ok(Fetched::Found(now)) = store.get("config/current") else { panic!("no document") };
+        let put = store.put("config/current", &body, Precondition::Revision(now.revision));
+        assert!(matches!(put, Ok(Put::Written(_))), "{put:?}");
+    };
+    for (version, broken) in [(2, true), (3, false), (1, false), (4, false)] {
+        let watches = fleet.platform.counters().watch;
+        write(version, broken);
+        // The hosts begin another watch once they have dealt with the document.
+        wait_for("all hosts have seen the document", || {
+            fleet.platform.counters().watch >= watches + 3
+        });
+        if !broken && version > 1 {
+            wait_for("all hosts adopt the version", || {
+                (0..3).all(|n| fleet.status(n).config_version == Some(ConfigVersion(version)))
+            });
+        }
+    }
+    let kind = Some(EventKind::ConfigAdopted);
+    let filter = TimelineFilter { kind, ..TimelineFilter::default() };
+    for host in &fleet.hosts {
+        let adopted = host.gate().timeline().read(&filter);
+        let versions: Vec<_> = adopted.iter().filter_map(|event| event.config_version).collect();
+        assert_eq!(versions, [1, 3, 4].map(ConfigVersion));
+    }
+}
+
 #[test]
 fn a_plan_that_uncovers_a_shard_needs_permission() {
     let fleet = Fleet::start(3, 3);
--- a/components/daemon/tests/control/zones.rs
+++ b/components/daemon/tests/control/zones.rs
@@ -27,9 +27,9 @@
     assert!(matches!(answer, ConfirmAnswer::InForce { .. }), "{answer:?}");
     // Leaves of z1: replica a of shards 0 and 3, replica b of shards 2 and 5.
     let leaves = ["s0-a", "s3-a", "s2-b", "s5-b"];
-    wait_for("hosts of the zone hold nothing", || {
-        fleet.status(0).leaves.is_empty() && unix_ms() > taken + 2 * BOUND.as_millis() as u64
-    });
+    wait_for("hosts of the zone hold nothing", || fleet.status(0).leaves.is_empty());
+    println!("leaves handed over {} ms after the confirmation was sent", unix_ms() - taken);
+    wait_for("twice the bound has passed", || unix_ms() > taken + 2 * BOUND.as_millis() as u64);
     load.more(50);
     let lost = load.stop();
     for leaf in leaves {
