--- a/components/daemon/src/caller/handler.rs
+++ b/components/daemon/src/caller/handler.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         caller::check::{self, Rejection},
-        entry::{Entry, answer::Reply, claims::RunOnce},
+        entry::{Entry, answer::Reply, claims::RunOnce, request::Identity},
         http_server::{Handler, HttpRequest, ServerRefusal, json_response},
         view::HolderRights,
     },
@@ -28,8 +28,8 @@
 
 /// Which hosts a caller should use; answered by the control side.
 pub trait EntryAddresses: Send + Sync + 'static {
-    /// Addresses in order of preference and how long they may be used.
-    fn entry_addresses(&self) -> EntryChoice;
+    /// Addresses for a caller in order of preference and how long they may be used.
+    fn entry_addresses(&self, caller: &Identity) -> EntryChoice;
 }
 
 /// Hosts for a caller.
@@ -65,8 +65,8 @@
 
     fn entry_addresses(&self, request: &HttpRequest) -> Result<Response<Full<Bytes>>, Rejection> {
         let view = self.entry.view();
-        check::authenticate(&view.document, &request.headers)?;
-        let choice = self.addresses.entry_addresses();
+        let identity = check::authenticate(&view.document, &request.headers)?;
+        let choice = self.addresses.entry_addresses(&identity);
         if choice.addresses.is_empty() {
             return Ok(busy("no host takes callers at the moment"));
         }
--- a/components/daemon/src/control/simple.rs
+++ b/components/daemon/src/control/simple.rs
@@ -10,6 +10,7 @@
         entry::{
             QueryRequest,
             claims::{Claim, ClaimedOutcome, RunOnce},
+            request::Identity,
         },
         peer::server::PeerControl,
         view::{ClusterView, Holder, HolderRights, HostView, Views},
@@ -195,7 +196,7 @@
 }
 
 impl<S: ObjectStore> EntryAddresses for SimpleControl<S> {
-    fn entry_addresses(&self) -> EntryChoice {
+    fn entry_addresses(&self, _caller: &Identity) -> EntryChoice {
         let view = self.views.load();
         let addresses = view.hosts.iter().map(|host| host.caller_address).collect();
         EntryChoice { addresses, lifetime: view.document.limits.entry_lifetime }
--- a/components/daemon/src/entry/answer.rs
+++ b/components/daemon/src/entry/answer.rs
@@ -13,6 +13,9 @@
     wigeonramp_units::{CollectionId, Span},
 };
 
+/// Missing shards that the timeline names for one query.
+const MISSING_SHOWN: usize = 16;
+
 /// An answer, and when a refused caller should ask again.
 #[derive(Clone, Debug)]
 pub struct Reply {
@@ -121,9 +124,15 @@
     let (covered, total) = coverage.fold((0, 0), |(covered, total), coverage| {
         (covered + coverage.covered, total + coverage.total)
     });
+    let missing = answer.collections.iter().flat_map(|collection| &collection.coverage.missing);
+    let missing: Vec<String> = missing
+        .take(MISSING_SHOWN)
+        .map(|missing| format!("{}={}", missing.shard, missing.reason))
+        .collect();
     observer.query_finished(&QueryRef {
         config: cluster.document.version,
         covered,
+        missing: &missing.join(" "),
         outcome: &outcome,
         request: &answer.request_id,
         took,
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -97,18 +97,21 @@
                 continue;
             }
             let Some(holding) = holding_of(&view.document, leaf, holder.epoch) else { continue };
-            match self.update(&holding, view.document.takes_work(leaf)) {
+            match self.update(&holding) {
                 Update::Done => (),
                 Update::Waits => settled = false,
                 Update::NotHeld if holder.releasing.is_some() => (),
                 Update::NotHeld => self.hold(holding, start(leaf)),
             }
+            if let Some(held) = self.get(leaf) {
+                held.set_takes_work(view.document.takes_work(leaf));
+            }
         }
         settled
     }
 
     /// Brings a leaf that is held already up to date.
-    fn update(&self, holding: &Holding, takes_work: bool) -> Update {
+    fn update(&self, holding: &Holding) -> Update {
         let Some(leaf) = self.get(&holding.leaf) else { return Update::NotHeld };
         let held = leaf.holding();
         if held.epoch != holding.epoch || held.address != holding.address {
@@ -120,9 +123,6 @@
             let Some(state) = leaf.release() else { return Update::Waits };
             self.hold(holding.clone(), Start::HandedOver(state));
         }
-        if let Some(leaf) = self.get(&holding.leaf) {
-            leaf.set_takes_work(takes_work);
-        }
         Update::Done
     }
 
--- a/components/daemon/src/holder/worker.rs
+++ b/components/daemon/src/holder/worker.rs
@@ -14,6 +14,8 @@
     parking_lot::MutexGuard,
     std::{
         io::{Error as IoError, Result as IoResult},
+        panic::{AssertUnwindSafe, catch_unwind},
+        process::abort,
         sync::Arc,
         thread,
         time::{Duration, Instant as StdInstant},
@@ -33,11 +35,19 @@
     for n in 0..slots + SPARE_WORKERS {
         let leaf = Arc::clone(leaf);
         let name = format!("{}-{n}", leaf.holding().leaf);
-        thread::Builder::new().name(name).spawn(move || work(&leaf))?;
+        thread::Builder::new().name(name).spawn(move || work_or_abort(&leaf))?;
     }
     Ok(())
 }
 
+/// A panic here breaks the account of what is at the leaf, so the process must not send on.
+fn work_or_abort<R: HolderRights>(leaf: &HeldLeaf<R>) {
+    if catch_unwind(AssertUnwindSafe(|| work(leaf))).is_err() {
+        log::error!("leaf {}: a worker panicked, the process ends", leaf.holding().leaf);
+        abort();
+    }
+}
+
 fn work<R: HolderRights>(leaf: &HeldLeaf<R>) {
     let mut state = leaf.state.lock();
     loop {
--- a/components/daemon/src/observe.rs
+++ b/components/daemon/src/observe.rs
@@ -49,6 +49,8 @@
     pub covered: u32,
     /// `done`, `refused_not_run` or `unknown`, with its reason.
     pub outcome: &'a str,
+    /// The first shards without rows, each with the reason; empty when none is missing.
+    pub missing: &'a str,
     /// The request.
     pub request: &'a RequestId,
     /// Time from arrival to answer.
@@ -213,7 +215,11 @@
         let entry = Entry::now(EventKind::QueryFinished).request(query.request);
         let entry = entry.config_version(query.config).field("outcome", query.outcome);
         let entry = entry.field("covered", query.covered).field("total", query.total);
-        self.timeline.record(entry.field("took_us", query.took.0));
+        let entry = entry.field("took_us", query.took.0);
+        self.timeline.record(match query.missing {
+            "" => entry,
+            missing => entry.field("missing", missing),
+        });
     }
 
     /// Counts one collection of an answered query.
--- a/components/daemon/tests/data_path/faults.rs
+++ b/components/daemon/tests/data_path/faults.rs
@@ -45,7 +45,8 @@
     assert_truthful(&answer, "m1", &body, 4);
     assert_eq!(covered(&answer), 3, "{answer:?}");
     assert_eq!(answer.collections[0].coverage.missing[0].shard.as_str(), "s0");
-    assert!(cluster.events(EventKind::AttemptFinished) > 0, "the timeline names no failure");
+    let finished = cluster.last_event(1, EventKind::QueryFinished);
+    assert!(finished.contains("missing=s0="), "the timeline names no reason: {finished}");
 }
 
 /// Guards against a query that waits for a connection that has gone silent, and against blaming
--- a/components/daemon/tests/data_path/support.rs
+++ b/components/daemon/tests/data_path/support.rs
@@ -22,6 +22,7 @@
         entry::{
             QueryRequest,
             claims::{Claim, ClaimedOutcome, RunOnce},
+            request::Identity,
         },
         holder::leaf::Start,
         peer::server::PeerControl,
@@ -61,7 +62,7 @@
 }
 
 impl EntryAddresses for FixedControl {
-    fn entry_addresses(&self) -> EntryChoice {
+    fn entry_addresses(&self, _: &Identity) -> EntryChoice {
         EntryChoice { addresses: Vec::new(), lifetime: Span::secs(5) }
     }
 }
@@ -262,6 +263,13 @@
         self.hosts.iter().map(|host| host.data.observer().timeline().read(&filter).len()).sum()
     }
 
+    /// Text of a host's last event of one kind.
+    pub fn last_event(&self, host: usize, kind: EventKind) -> String {
+        let filter = TimelineFilter { kind: Some(kind), ..TimelineFilter::default() };
+        let events = self.hosts[host].data.observer().timeline().read(&filter);
+        events.last().map(ToString::to_string).unwrap_or_default()
+    }
+
     pub fn ask(&self, host: usize, body: &Value) -> QueryAnswer {
         let request = json!({"collections": ["quotes"], "body": body});
         let answer = self.post(host, &Login::FIRST, request.to_string());
--- a/tests/end_to_end.rs
+++ b/tests/end_to_end.rs
@@ -126,9 +126,10 @@
         .expect("the answer is JSON")
 }
 
-/// Guards against a host that answers only for the leaves that it holds itself.
+/// Guards against a host that answers only for the leaves that it holds itself, and against
+/// leaves that are lost with their holder.
 #[test]
-fn a_query_to_any_host_covers_all_shards() {
+fn a_query_to_any_host_covers_all_shards_also_after_a_kill() {
     let platform = standin(&["platform", "--listen", "127.0.0.1:0"]);
     let mut document = document();
     let path = scratch("document.json", &document.to_string());
@@ -146,16 +147,21 @@
     store
         .put("config/current", &document.to_string(), Precondition::Create)
         .expect("the platform is up");
-    let hosts: Vec<Process> = (0..3).map(|n| host(n, platform.address("platform"))).collect();
-    for host in &hosts {
-        let begun = Instant::now();
-        let coverage = loop {
-            let answer = query(host.address("caller"));
-            let coverage = answer["collections"][0]["coverage"].clone();
-            if coverage["covered"] == json!(SHARDS) || begun.elapsed() > PATIENCE {
-                break coverage;
-            }
-        };
-        assert_eq!(coverage, json!({"covered": SHARDS, "total": SHARDS, "missing": []}));
-    }
+    let mut hosts: Vec<Process> = (0..3).map(|n| host(n, platform.address("platform"))).collect();
+    hosts.iter().for_each(assert_full_coverage);
+    // Its leaves move to the others; until then replicas at other hosts are used where there are.
+    hosts.remove(0);
+    hosts.iter().for_each(assert_full_coverage);
+}
+
+fn assert_full_coverage(host: &Process) {
+    let begun = Instant::now();
+    let coverage = loop {
+        let answer = query(host.address("caller"));
+        let coverage = answer["collections"][0]["coverage"].clone();
+        if coverage["covered"] == json!(SHARDS) || begun.elapsed() > PATIENCE {
+            break coverage;
+        }
+    };
+    assert_eq!(coverage, json!({"covered": SHARDS, "total": SHARDS, "missing": []}));
 }
