--- a/components/daemon/src/control/doubt.rs
+++ b/components/daemon/src/control/doubt.rs
@@ -18,12 +18,6 @@
 
 /// Looks at the session in one session time.
 const LOOKS: u64 = 16;
-/// A round begins when less than one part in this many of the session time is left, so that the
-/// promises are there when the session expires. A renewal is due when two thirds are left.
-const LATE_PART: u64 = 2;
-/// Rounds in one session time while they succeed.
-const ROUNDS: u64 = 3;
-
 struct Round {
     asks: Vec<PromiseAsk>,
     began: Instant,
@@ -37,7 +31,8 @@
             let mut core = gate.core();
             let now = clock::now();
             let time = core.session_time.shorter(now);
-            (is_due(&core, time, now).then(|| begin(&mut core, time, now)).flatten(), time)
+            let wanted = core.rights.wants_promises(now);
+            (wanted.then(|| begin(&mut core, time, now)).flatten(), time)
         };
         if let Some(round) = round {
             ask(gate, desk, peers, round);
@@ -69,17 +64,6 @@
     gate.record(Entry::now(if now { EventKind::ConfigStale } else { EventKind::ConfigFresh }));
 }
 
-fn is_due(core: &Core, time: Span, now: Instant) -> bool {
-    let rights = &core.rights;
-    if rights.session.has_ended() || rights.session.last_renewal().is_none() {
-        return false;
-    }
-    let left = |until: Option<Instant>| until.map_or(Span::ZERO, |until| until.since(now));
-    let session_late = left(rights.session.valid_until()) < time / LATE_PART;
-    let promises_late = left(rights.promises.valid_until()) < time - time / ROUNDS;
-    session_late && promises_late
-}
-
 fn begin(core: &mut Core, time: Span, now: Instant) -> Option<Round> {
     let assignment = core.assignment.clone()?;
     if assignment.load_of(&core.me.instance) == 0 {
