--- a/components/daemon/src/control/directory.rs
+++ b/components/daemon/src/control/directory.rs
@@ -13,10 +13,8 @@
     wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Span, ZoneId},
 };
 
-/// Hosts up to which each heartbeat names all.
-const SMALL_FLEET: usize = 24;
-/// Hosts named in a heartbeat of a larger fleet. With 570 hosts and 12 heartbeats a second in and
-/// out, 4 reports of about 130 bytes are 6 KB/s of the 12 KB/s that control may use.
+/// Hosts named in a heartbeat. With 12 heartbeats a second in and out, 4 reports of about 130 bytes
+/// are 6 KB/s of the 12 KB/s that control may use.
 const REPORTS: usize = 4;
 /// Age from which a report is not passed on, so that ended instances are forgotten everywhere.
 const REPORT_AGE: Span = Span::secs(30);
@@ -198,14 +196,12 @@
         self.hosts.values().filter(move |host| now.since(host.heard) < age)
     }
 
-    /// Hosts to name in a heartbeat: all of a small fleet, some of a large one.
+    /// Some hosts to name in a heartbeat.
     pub fn reports(&self, now: Instant, rng: &mut impl Rng) -> Vec<HostReport> {
         let mut fresh: Vec<_> = self.fresh(REPORT_AGE, now).collect();
-        if fresh.len() > SMALL_FLEET {
-            let some = (0..REPORTS).map(|_| fresh.swap_remove(rng.random_range(0..fresh.len())));
-            fresh = some.collect();
-        }
-        fresh.into_iter().map(|host| host.report(now)).collect()
+        let count = REPORTS.min(fresh.len());
+        let some = (0..count).map(|_| fresh.swap_remove(rng.random_range(0..fresh.len())));
+        some.map(|host| host.report(now)).collect()
     }
 
     /// Forgets instances that have long been silent and that `keep` does not name.
--- a/components/daemon/src/control/gate.rs
+++ b/components/daemon/src/control/gate.rs
@@ -159,6 +159,7 @@
 
 /// The shared state of all control threads.
 pub struct Gate {
+    ask_behind: AtomicBool,
     core: Mutex<Core>,
     /// Signalled when hosts or versions change.
     heard: Condvar,
@@ -192,6 +193,7 @@
             store_contact: None,
         };
         Self {
+            ask_behind: AtomicBool::new(false),
             core: Mutex::new(core),
             heard: Condvar::new(),
             observer,
@@ -240,6 +242,17 @@
         self.heard.notify_all();
     }
 
+    /// Sends heartbeats soon to all hosts that are not known to have the adopted configuration.
+    pub fn ask_behind(&self) {
+        self.ask_behind.store(true, Ordering::Release);
+        self.wakers.gossip.wake();
+    }
+
+    /// Whether `ask_behind` was called since the last look.
+    pub fn take_ask_behind(&self) -> bool {
+        self.ask_behind.swap(false, Ordering::AcqRel)
+    }
+
     /// Waits until `done` gives a value, at most until `deadline`.
     pub fn wait_for<T>(
         &self,
--- a/components/daemon/src/control/gossip.rs
+++ b/components/daemon/src/control/gossip.rs
@@ -46,6 +46,17 @@
     fn heard(&self, reports: Vec<LeafReport>, suspects: Vec<Suspect>);
 }
 
+/// Who gets the heartbeats of a round.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Audience {
+    /// Everybody who is known.
+    All,
+    /// Everybody who is not known to have the adopted configuration.
+    Behind,
+    /// A few at random.
+    Random,
+}
+
 /// Builds and takes heartbeats.
 pub struct Gossip<N> {
     fetcher: Fetcher,
@@ -129,9 +140,13 @@
             }
             let leaving = self.gate.core().leaving();
             // All peers hear of a stop at once, so that they name this host to no caller.
-            let everybody = leaving && !left;
+            let audience = match (leaving && !left, self.gate.take_ask_behind()) {
+                (true, _) => Audience::All,
+                (false, true) => Audience::Behind,
+                (false, false) => Audience::Random,
+            };
             left = leaving;
-            self.round(peers, seeds, everybody);
+            self.round(peers, seeds, audience);
             self.look_up_holders(platform);
             let percent = rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
             std::thread::sleep(SHORTEST_PAUSE.to_duration());
@@ -139,8 +154,8 @@
         }
     }
 
-    fn round(&self, peers: &Peers, seeds: &[SocketAddr], everybody: bool) {
-        let addresses = self.choose(seeds, everybody);
+    fn round(&self, peers: &Peers, seeds: &[SocketAddr], audience: Audience) {
+        let addresses = self.choose(seeds, audience);
         let heartbeat = self.heartbeat();
         let bytes = prost_len(&heartbeat);
         let calls = addresses
@@ -164,14 +179,16 @@
         );
     }
 
-    /// Random peers; the seeds as well while nobody is known.
-    fn choose(&self, seeds: &[SocketAddr], everybody: bool) -> Vec<SocketAddr> {
+    /// The peers of one round; the seeds as well while few are known.
+    fn choose(&self, seeds: &[SocketAddr], audience: Audience) -> Vec<SocketAddr> {
         let now = clock::now();
         let core = self.gate.core();
         let me = core.me.peer_address;
         let fresh: Vec<_> = core.hosts.fresh(core.silent_after(), now).collect();
-        if everybody {
-            return fresh.iter().map(|host| host.peer_address).collect();
+        let version = core.document.version;
+        let told = |host: &&&KnownHost| audience == Audience::All || host.versions.config < version;
+        if audience != Audience::Random {
+            return fresh.iter().filter(told).map(|host| host.peer_address).collect();
         }
         let ids: Vec<InstanceId> = fresh.iter().map(|host| host.instance.clone()).collect();
         let chosen = next_peers(&ids, &mut rand::rng());
--- a/components/daemon/src/operator/confirm.rs
+++ b/components/daemon/src/operator/confirm.rs
@@ -30,6 +30,9 @@
 /// Longest wait for the write and for hosts to report the version. The tool waits 10 s.
 const PATIENCE: Span = Span::secs(6);
 
+/// Time after which hosts that have not reported the version are asked again.
+const ASK_AGAIN: Span = Span::millis(100);
+
 impl<S: ObjectStore> OperatorApi<S> {
     /// Confirms a plan and waits, within a bound, for the live hosts to report its version.
     pub(super) fn confirm(&self, request: ConfirmRequest) -> Response<Full<Bytes>> {
@@ -96,8 +99,14 @@
                 matches!(step, ConfirmStep::Done(_)).then_some(step)
             })
         };
-        let done = self.gate.wait_for(deadline, &mut all);
-        done.unwrap_or_else(|| ConfirmStep::Done(confirm.give_up()))
+        while clock::now() < deadline {
+            self.gate.ask_behind();
+            let look = deadline.min(clock::now() + ASK_AGAIN);
+            if let Some(done) = self.gate.wait_for(look, &mut all) {
+                return done;
+            }
+        }
+        ConfirmStep::Done(confirm.give_up())
     }
 
     fn answer(&self, id: &OpId, outcome: ConfirmOutcome) -> ConfirmAnswer {
