Keep store calls out of the heartbeat thread; test an outage in which calls hang

A hanging store would have made heartbeats later than stale_after, and a holder would have stopped sending.

--- a/components/daemon/src/control/gossip.rs
+++ b/components/daemon/src/control/gossip.rs
@@ -8,19 +8,13 @@
             directory::KnownHost,
             fetching::{Fetcher, Wanted},
             gate::Gate,
-            platform::{CallKind, Platform},
         },
         peer::client::Peers,
     },
     rand::RngExt,
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
-    wigeonramp_control::{
-        heartbeat::{PEERS_PER_ROUND, next_peers},
-        session::SessionRecord,
-        write::ReadResult,
-    },
+    wigeonramp_control::heartbeat::{PEERS_PER_ROUND, next_peers},
     wigeonramp_proto::peer::{Heartbeat, LeafReport, Suspect},
-    wigeonramp_store::ObjectStore,
     wigeonramp_telemetry::metrics::DirectionLabels,
     wigeonramp_units::{InstanceId, Instant, Percent, Span},
 };
@@ -31,8 +25,6 @@
 const JITTER_PERCENT: u64 = 10;
 /// Shortest time between two rounds that a change of versions asks for.
 const SHORTEST_PAUSE: Span = Span::millis(10);
-/// Reads of unknown holders' sessions in one round.
-const LOOKUPS: usize = 5;
 
 /// The data path's part of heartbeats.
 pub trait LeafNews: Send + Sync + 'static {
@@ -123,21 +115,11 @@
     }
 
     /// Sends heartbeats until the host stops. `load` gives the share of request workers in use.
-    pub fn run<S: ObjectStore>(
-        &self,
-        peers: &Peers,
-        platform: &Platform<S>,
-        seeds: &[SocketAddr],
-        load: impl Fn() -> Percent,
-    ) {
+    pub fn run(&self, peers: &Peers, seeds: &[SocketAddr], load: impl Fn() -> Percent) {
         let mut rng = rand::rng();
-        let mut listed = false;
         let mut left = false;
         while !self.gate.is_stopped() {
             self.gate.core().load = load();
-            if !listed {
-                listed = self.learn_hosts(platform);
-            }
             let leaving = self.gate.core().leaving();
             // All peers hear of a stop at once, so that they name this host to no caller.
             let audience = match (leaving && !left, self.gate.take_ask_behind()) {
@@ -147,7 +129,6 @@
             };
             left = leaving;
             self.round(peers, seeds, audience);
-            self.look_up_holders(platform);
             let percent = rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
             std::thread::sleep(SHORTEST_PAUSE.to_duration());
             self.gate.wakers().gossip.wait(ROUND.percent(percent));
@@ -200,50 +181,6 @@
         addresses.into_iter().collect()
     }
 
-    /// The first list of hosts: one read of all sessions after the start, never again.
-    fn learn_hosts<S: ObjectStore>(&self, platform: &Platform<S>) -> bool {
-        let Ok(objects) = platform.list(CallKind::Session, "session/") else { return false };
-        let now = clock::now();
-        let records = objects.iter().filter_map(|object| {
-            let record = serde_json::from_str::<SessionRecord>(&object.body);
-            record.inspect_err(|err| log::error!("{} cannot be read: {err}", object.key)).ok()
-        });
-        let records: Vec<_> = records.collect();
-        let mut core = self.gate.core();
-        let me = core.me.instance.clone();
-        for record in records.iter().filter(|record| record.instance != me) {
-            core.hosts.hear(KnownHost::of_session(record, now));
-        }
-        drop(core);
-        self.gate.wakers().apply.wake();
-        true
-    }
-
-    /// Reads the sessions of holders whose address is not known.
-    fn look_up_holders<S: ObjectStore>(&self, platform: &Platform<S>) {
-        let unknown: BTreeSet<InstanceId> = {
-            let core = self.gate.core();
-            let Some(assignment) = &core.assignment else { return };
-            let holdings = assignment.holdings.values();
-            let involved = holdings.flat_map(|h| [Some(&h.instance), h.from.as_ref()]).flatten();
-            let strange =
-                |id: &&InstanceId| core.hosts.get(id).is_none() && **id != core.me.instance;
-            involved.chain(assignment.assigner_ids()).filter(strange).cloned().collect()
-        };
-        for id in unknown.iter().take(LOOKUPS) {
-            let key = SessionRecord::key(id);
-            match platform.read::<SessionRecord>(CallKind::Session, &key) {
-                ReadResult::Found(found) => {
-                    let host = KnownHost::of_session(&found.value, clock::now());
-                    self.gate.core().hosts.hear(host);
-                    self.gate.wakers().apply.wake();
-                }
-                ReadResult::Missing => (),
-                ReadResult::Failed => return,
-            }
-        }
-    }
-
     fn count(&self, direction: &str, bytes: u64) {
         let labels = DirectionLabels { direction: direction.to_owned() };
         self.gate.metrics().heartbeat_bytes.get_or_create(&labels).inc_by(bytes);
--- /dev/null
+++ b/components/daemon/src/control/lookup.rs
@@ -0,0 +1,90 @@
+//! Learns of hosts from the store: all sessions once after the start, and later single sessions of
+//! hosts that the assignment names and no heartbeat has described.
+//!
+//! This has a thread of its own: a store that hangs must not hold up heartbeats, which keep the
+//! host's rights fresh.
+
+use {
+    crate::{
+        clock,
+        control::{
+            directory::KnownHost,
+            gate::Gate,
+            platform::{CallKind, Platform},
+        },
+    },
+    std::{collections::BTreeSet, thread},
+    wigeonramp_control::{backoff::Backoff, session::SessionRecord, write::ReadResult},
+    wigeonramp_store::ObjectStore,
+    wigeonramp_units::{InstanceId, Span},
+};
+
+/// Time between two looks for unknown hosts.
+const ROUND: Span = Span::secs(1);
+/// Sessions read in one round.
+const LOOKUPS: usize = 5;
+
+/// Learns of hosts until this one stops.
+pub fn run(gate: &Gate, platform: &Platform<impl ObjectStore>) {
+    let mut backoff = Backoff::default();
+    let mut listed = false;
+    while !gate.is_stopped() {
+        let answered = if listed {
+            look_up(gate, platform)
+        } else {
+            listed = list(gate, platform);
+            listed
+        };
+        if answered {
+            backoff.succeeded();
+            thread::sleep(ROUND.to_duration());
+        } else {
+            thread::sleep(backoff.failed(&mut rand::rng()).to_duration());
+        }
+    }
+}
+
+/// Reads all sessions; false if the store did not answer.
+fn list(gate: &Gate, platform: &Platform<impl ObjectStore>) -> bool {
+    let Ok(objects) = platform.list(CallKind::Session, "session/") else { return false };
+    let records = objects.iter().filter_map(|object| {
+        let record = serde_json::from_str::<SessionRecord>(&object.body);
+        record.inspect_err(|err| log::error!("{} cannot be read: {err}", object.key)).ok()
+    });
+    let records: Vec<_> = records.collect();
+    records.iter().for_each(|record| hear(gate, record));
+    true
+}
+
+/// Reads the sessions of unknown hosts; false if the store did not answer.
+fn look_up(gate: &Gate, platform: &Platform<impl ObjectStore>) -> bool {
+    for id in unknown(gate).iter().take(LOOKUPS) {
+        match platform.read(CallKind::Session, &SessionRecord::key(id)) {
+            ReadResult::Found(found) => hear(gate, &found.value),
+            ReadResult::Missing => (),
+            ReadResult::Failed => return false,
+        }
+    }
+    true
+}
+
+fn unknown(gate: &Gate) -> BTreeSet<InstanceId> {
+    let core = gate.core();
+    let Some(assignment) = &core.assignment else { return BTreeSet::new() };
+    let holdings = assignment.holdings.values();
+    let involved = holdings.flat_map(|h| [Some(&h.instance), h.from.as_ref()]).flatten();
+    let strange = |id: &&InstanceId| core.hosts.get(id).is_none() && **id != core.me.instance;
+    involved.chain(assignment.assigner_ids()).filter(strange).cloned().collect()
+}
+
+fn hear(gate: &Gate, record: &SessionRecord) {
+    let mut core = gate.core();
+    if record.instance == core.me.instance {
+        return;
+    }
+    let changed = core.hosts.hear(KnownHost::of_session(record, clock::now()));
+    drop(core);
+    if changed {
+        gate.wakers().apply.wake();
+    }
+}
--- a/components/daemon/src/control/mod.rs
+++ b/components/daemon/src/control/mod.rs
@@ -17,6 +17,7 @@
 pub mod gossip;
 pub mod handing;
 pub mod host_control;
+pub mod lookup;
 pub mod news;
 pub mod peer_side;
 pub mod platform;
--- a/components/daemon/src/control/threads.rs
+++ b/components/daemon/src/control/threads.rs
@@ -10,7 +10,7 @@
             fetching::Fetcher,
             gate::Gate,
             gossip::{Gossip, LeafNews},
-            handing,
+            handing, lookup,
             platform::Platform,
             renewal::Renewer,
             watching,
@@ -90,9 +90,10 @@
             spawn("handover", move || handing::run(&gate, &holders, &peers))?
         });
         others.push({
-            let platform = Arc::clone(&platform);
-            spawn("gossip", move || gossip.run(&peers, &platform, &seeds, load))?
+            let (gate, platform) = (Arc::clone(&gate), Arc::clone(&platform));
+            spawn("lookup", move || lookup::run(&gate, &platform))?
         });
+        others.push(spawn("gossip", move || gossip.run(&peers, &seeds, load))?);
         others.push({
             let (gate, platform) = (Arc::clone(&gate), Arc::clone(&platform));
             spawn("clean", move || cleaning::run(&gate, &platform))?
--- a/components/daemon/tests/control/main.rs
+++ b/components/daemon/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod configuration;
+mod parts;
 mod stop;
 mod support;
 mod zones;
--- a/tests/fleet/outage.rs
+++ b/tests/fleet/outage.rs
@@ -8,10 +8,20 @@
 };
 
 #[test]
-fn serving_goes_on_through_an_outage_with_a_kill_and_a_start() {
+fn serving_goes_on_while_the_store_refuses_connections() {
+    serve_through_an_outage(OutageMode::Refuse);
+}
+
+#[test]
+fn serving_goes_on_while_calls_to_the_store_hang() {
+    serve_through_an_outage(OutageMode::Hang);
+}
+
+/// Serves through an outage in which one host is killed and another one starts.
+fn serve_through_an_outage(mode: OutageMode) {
     let mut fleet = Fleet::start(3, 6);
     fleet.warm_up();
-    fleet.platform.fault(&PlatformFault::Outage { mode: OutageMode::Refuse });
+    fleet.platform.fault(&PlatformFault::Outage { mode });
     wait_for("all sessions have expired", || {
         fleet.hosts.iter().all(|host| host.status().session_ms.is_none())
     });
--- a/tests/fleet/support.rs
+++ b/tests/fleet/support.rs
@@ -283,6 +283,11 @@
     answer.body_mut().read_json().expect("a JSON body")
 }
 
+pub fn text_of(address: SocketAddr, path: &str) -> String {
+    let mut answer = agent().get(format!("http://{address}{path}")).call().expect("an answer");
+    answer.body_mut().read_to_string().expect("a text")
+}
+
 fn post<T: DeserializeOwned>(address: SocketAddr, path: &str, body: &impl Serialize) -> T {
     let body = serde_json::to_string(body).expect("JSON");
     let mut answer = agent().post(format!("http://{address}{path}")).send(body).expect("an answer");
--- a/tests/fleet/tool.rs
+++ b/tests/fleet/tool.rs
@@ -1,9 +1,9 @@
 //! Guards against a first declaration that the tool cannot bring into force on an empty platform.
 
 use {
-    crate::support::{HostProcess, get, wait_for},
+    crate::support::{HostProcess, get, text_of, wait_for},
     std::{env, fs, process, process::Command},
-    wigeonramp_config::api::{STATUS_PATH, StatusAnswer},
+    wigeonramp_config::api::{METRICS_PATH, STATUS_PATH, StatusAnswer},
     wigeonramp_standin::platform::{self, PlatformOptions},
 };
 
@@ -41,6 +41,8 @@
     let (code, text) = tool(&["timeline", &host, "--kind=config_adopted"]);
     assert_eq!(code, Some(0), "{text}");
     assert_eq!(text.matches("config_adopted").count(), 3, "{text}");
+    let metrics = text_of(hosts[1].ready.operator, METRICS_PATH);
+    assert!(metrics.contains("wigeonramp_config_version 1\n"), "{metrics}");
     let (code, text) = tool(&["zone", "out", &host, &format!("--out={file}"), "gulf-a"]);
     let _ = fs::remove_file(&plan);
     assert_eq!(code, Some(0), "{text}");
