--- a/components/daemon/tests/control/claims.rs
+++ b/components/daemon/tests/control/claims.rs
@@ -11,6 +11,7 @@
     },
     wigeonramp_config::caller_api::QueryOutcome,
     wigeonramp_standin::platform::{OutageMode, PlatformFault},
+    wigeonramp_store::{Fetched, ObjectStore, Precondition},
 };
 
 fn request(id: &str, shard: usize) -> serde_json::Value {
@@ -119,3 +120,20 @@
     });
     assert_eq!(runs(&fleet).get(&id), Some(&1));
 }
+
+#[test]
+fn an_assigner_deletes_claims_that_no_request_can_refer_to() {
+    let fleet = Fleet::undeclared(3, 3);
+    let minute = 60_000;
+    let now = new_id(0).split('-').next().and_then(|ms| ms.parse::<u64>().ok()).expect("a time");
+    // Retention and margin are 15 min together; a period lasts 1 min.
+    let key = |minutes_ago: u64| format!("claims/{}/0", now / minute - minutes_ago);
+    let store = fleet.platform.content();
+    for minutes_ago in [1000, 18, 13] {
+        store.put(&key(minutes_ago), r#"{"claims":{}}"#, Precondition::Create).expect("it is up");
+    }
+    fleet.bring_up();
+    let exists = |minutes_ago| !matches!(store.get(&key(minutes_ago)), Ok(Fetched::Missing));
+    wait_for("old claims are deleted", || !exists(1000) && !exists(18));
+    assert!(exists(13));
+}
--- a/components/daemon/tests/control/support.rs
+++ b/components/daemon/tests/control/support.rs
@@ -119,16 +119,20 @@
     /// Hosts whose first declaration is in force, and that hold all leaves.
     pub fn start(hosts: usize, shards: usize) -> Self {
         let fleet = Self::undeclared(hosts, shards);
-        fleet.all_know_each_other();
-        let answer = fleet.confirm(0, fleet.plan(0, fleet.declaration()).expect("a plan"));
+        fleet.bring_up();
+        fleet
+    }
+
+    /// Brings the first declaration into force and waits until the hosts serve.
+    pub fn bring_up(&self) {
+        self.all_know_each_other();
+        let answer = self.change(0, self.declaration());
         assert!(matches!(answer, ConfirmAnswer::InForce { .. }), "{answer:?}");
-        let all = fleet.declared.leaves.len();
+        let shards = self.declared.leaves.len() / 2;
         wait_for("all leaves are held and all hosts are served", || {
-            let held = fleet.held();
-            let served = |n| fleet.query(n, &json!("start")).is_some_and(|a| covered(&a) == shards);
-            held == all && (0..hosts).all(served)
+            let served = |n| self.query(n, &json!("start")).is_some_and(|a| covered(&a) == shards);
+            self.held() == 2 * shards && (0..self.hosts.len()).all(served)
         });
-        fleet
     }
 
     pub fn declaration(&self) -> Intent {
