Read this host's own leaves for queries, and let reported loads expire

A leaf whose last report showed a queue was never asked again, so its report never changed. Callers get 503 instead of 401 from a host that has no configuration yet.

--- a/components/daemon/src/caller/handler.rs
+++ b/components/daemon/src/caller/handler.rs
@@ -65,6 +65,9 @@
 
     fn entry_addresses(&self, request: &HttpRequest) -> Result<Response<Full<Bytes>>, Rejection> {
         let view = self.entry.view();
+        if !view.configured() {
+            return Ok(busy("no configuration adopted yet"));
+        }
         let identity = check::authenticate(&view.document, &request.headers)?;
         let choice = self.addresses.entry_addresses(&identity);
         if choice.addresses.is_empty() {
--- a/components/daemon/src/entry/board.rs
+++ b/components/daemon/src/entry/board.rs
@@ -28,6 +28,8 @@
 /// Age at which a view is built again. At 570 hosts a query for every view would cost each host
 /// more than a tenth of a core.
 const VIEW_AGE: Span = Span::millis(10);
+/// Age at which a reported load no longer counts; heartbeats come about once a second.
+const LOAD_AGE: Span = Span::secs(2);
 /// Time between two searches for outliers.
 const COMPARE_INTERVAL: Span = Span::secs(1);
 
@@ -39,6 +41,7 @@
 
 struct Known {
     allowance: u32,
+    at: Instant,
     epoch: Epoch,
     in_flight: u32,
     queued: u32,
@@ -111,7 +114,7 @@
     }
 
     /// Takes in a report of a leaf's holder.
-    pub fn report(&self, cluster: &ClusterView, report: &LeafReport) {
+    pub fn report(&self, cluster: &ClusterView, report: &LeafReport, now: Instant) {
         let Ok(leaf) = report.leaf.parse::<LeafId>() else { return };
         let Some(declared) = cluster.document.leaves.get(&leaf) else { return };
         let text: StrDeserializer<'_, ValueError> = report.state.as_str().into_deserializer();
@@ -121,6 +124,7 @@
         };
         let known = Known {
             allowance: report.allowance,
+            at: now,
             epoch: Epoch(report.epoch),
             in_flight: report.in_flight,
             queued: report.queued,
@@ -231,14 +235,16 @@
         let known = record.known.as_ref();
         let current =
             known.filter(|known| holder.is_some_and(|holder| holder.epoch <= known.epoch));
+        // An old load says nothing, and would keep a leaf from ever being asked again.
+        let loaded = current.filter(|known| now.since(known.at) < LOAD_AGE);
         let snapshots = match known {
             Some(known) if !known.snapshots.is_empty() => known.snapshots.clone(),
             _ => declared_snapshots(&collection.maps, leaf),
         };
         Some(LeafInfo {
             state: current.map_or(State::Cold, |known| known.state),
-            in_flight: current.map_or(0, |known| known.in_flight),
-            queued: current.map_or(0, |known| known.queued),
+            in_flight: loaded.map_or(0, |known| known.in_flight),
+            queued: loaded.map_or(0, |known| known.queued),
             allowance: current.map_or(1, |known| known.allowance),
             p50,
             p95,
--- a/components/daemon/src/entry/drive.rs
+++ b/components/daemon/src/entry/drive.rs
@@ -119,7 +119,7 @@
         match event {
             EntryEvent::Reply(reply) => {
                 if let Some(report) = &reply.report {
-                    self.board.report(self.cluster, report);
+                    self.board.report(self.cluster, report, clock::now());
                 }
                 let attempt = reply.attempt;
                 let result = self.result_of(*reply);
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -45,6 +45,9 @@
 /// Extra sends that a collection may save up.
 const BUDGET_BURST: u32 = 10;
 
+/// Age at which the states of this host's own leaves are read again.
+const LOCAL_REPORT_AGE: Span = Span::millis(10);
+
 /// The parts of the host that queries use.
 pub struct EntryParts<K, R> {
     /// Claims of requests that must not run twice.
@@ -99,6 +102,8 @@
     board: Arc<LeafBoard>,
     budgets: Mutex<HashMap<CollectionId, CollectionBudgets>>,
     parts: EntryParts<K, R>,
+    /// When the leaves of this host were last read, on the monotonic clock.
+    reported: AtomicU64,
 }
 
 impl<K: RunOnce, R: HolderRights> Entry<K, R> {
@@ -112,6 +117,7 @@
             board: Arc::new(LeafBoard::default()),
             budgets: Mutex::new(HashMap::new()),
             parts,
+            reported: AtomicU64::new(0),
         }
     }
 
@@ -244,6 +250,7 @@
         query: &QueryRequest,
         now: Instant,
     ) -> Arc<LeafView> {
+        self.report_local(cluster, now);
         let mut views = query.collections.iter().map(|id| self.board.view(cluster, id, now));
         let first = views.next().unwrap_or_default();
         let Some(second) = views.next() else { return first };
@@ -254,6 +261,21 @@
         Arc::new(LeafView { leaves })
     }
 
+    /// Leaves that this host holds need no heartbeat.
+    fn report_local(&self, cluster: &ClusterView, now: Instant) {
+        let last = self.reported.load(Ordering::Relaxed);
+        if now.since(Instant(last)) < LOCAL_REPORT_AGE {
+            return;
+        }
+        let order = Ordering::Relaxed;
+        if self.reported.compare_exchange(last, now.0, order, order).is_err() {
+            return;
+        }
+        for report in self.parts.holders.reports() {
+            self.board.report(cluster, &report, now);
+        }
+    }
+
     fn admit(
         &self,
         cluster: &ClusterView,
--- a/components/daemon/tests/data_path/faults.rs
+++ b/components/daemon/tests/data_path/faults.rs
@@ -1,13 +1,13 @@
 //! Queries while leaves fail.
 
 use {
-    crate::support::{Cluster, PATIENCE, Shape, assert_truthful, covered},
+    crate::support::{Cluster, PATIENCE, SNAPSHOT, Shape, assert_truthful, covered},
     serde_json::json,
-    std::time::Instant,
+    std::{thread, time::Instant},
     wigeonramp_config::caller_api::QueryOutcome,
     wigeonramp_standin::leaves::LeafFault,
     wigeonramp_telemetry::timeline::EventKind,
-    wigeonramp_units::{Percent, Span},
+    wigeonramp_units::{MapVersion, Percent, Span},
 };
 
 /// Longer than a test runs.
@@ -150,3 +150,58 @@
     assert_truthful(&answer, "m1", &body, 4);
     assert_eq!(covered(&answer), 4, "{answer:?}");
 }
+
+/// Guards against slow leaves that set the latency of every query, and against losers of a hedge
+/// that keep a slot.
+#[test]
+fn slow_leaves_are_hedged_and_the_loser_is_cancelled() {
+    let shape =
+        Shape { cold_per_second: 100, service: Span::millis(20), shards: 2, ..Shape::default() };
+    let cluster = &Cluster::start(&shape);
+    cluster.warm_up();
+    let begun = Instant::now();
+    let all_warm = || {
+        let reports = cluster.hosts.iter().flat_map(|host| host.data.holders().reports());
+        reports.into_iter().all(|report| report.state == "warm")
+    };
+    while !all_warm() {
+        assert!(begun.elapsed() < PATIENCE, "the leaves never warmed up");
+        thread::scope(|scope| {
+            (0..4).for_each(|n| drop(scope.spawn(move || cluster.ask(n % 2, &json!("ramp")))));
+        });
+    }
+    cluster.fault("s", LeafFault::Straggle { percent: Percent(10), factor: 10 });
+    let cancelled =
+        || -> u64 { cluster.leaves.counters("").iter().map(|leaf| leaf.counters.cancelled).sum() };
+    while cancelled() == 0 {
+        assert!(begun.elapsed() < PATIENCE, "no loser was cancelled");
+        let body = json!("hedged");
+        let answer = cluster.ask(0, &body);
+        assert_truthful(&answer, "m1", &body, 2);
+        assert_eq!(covered(&answer), 2, "{answer:?}");
+    }
+    assert!(cluster.events(EventKind::Hedge) > 0);
+}
+
+/// Guards against rows of two snapshots in one answer, and against a snapshot that is asked for
+/// although no leaf has it any more.
+#[test]
+fn a_lost_snapshot_is_replaced_by_the_one_that_leaves_have() {
+    let cluster = Cluster::start(&Shape::default());
+    cluster.warm_up();
+    let snapshot = SNAPSHOT.next();
+    let map_version = MapVersion(1);
+    cluster.fault("s", LeafFault::AddSnapshot { snapshot, map_version, shards: None });
+    cluster.fault("s", LeafFault::DropSnapshot { snapshot: SNAPSHOT });
+    let begun = Instant::now();
+    let body = json!("newer");
+    let answer = loop {
+        let answer = cluster.ask(0, &body);
+        assert_truthful(&answer, "m1", &body, 4);
+        if covered(&answer) == 4 {
+            break answer;
+        }
+        assert!(begun.elapsed() < PATIENCE, "{answer:?}");
+    };
+    assert_eq!(answer.collections[0].snapshot, Some(snapshot));
+}
