--- a/components/daemon/src/control/news.rs
+++ b/components/daemon/src/control/news.rs
@@ -44,8 +44,8 @@
     }
 
     fn heard(&self, reports: Vec<LeafReport>, suspects: Vec<Suspect>) {
-        let cluster = self.entry.view();
-        reports.iter().for_each(|report| self.board.report(&cluster, report));
+        let (cluster, now) = (self.entry.view(), clock::now());
+        reports.iter().for_each(|report| self.board.report(&cluster, report, now));
         let shared = suspects.into_iter().map(|suspect| SharedSuspect {
             fingerprint: Fingerprint(suspect.fingerprint),
             leaves: suspect.leaves.iter().filter_map(|leaf| leaf.parse().ok()).collect(),
@@ -55,7 +55,7 @@
         });
         let shared: Vec<_> = shared.collect();
         if !shared.is_empty() {
-            self.suspects.merge(&shared, clock::now());
+            self.suspects.merge(&shared, now);
         }
     }
 }
