--- /dev/null
+++ b/components/daemon/tests/control/lost_confirm.rs
@@ -0,0 +1,85 @@
+//! Guards against a confirmation whose write may have taken effect and that is reported as refused.
+
+use {
+    crate::support::{confirm_at, declared, get, post, settings, wait_for},
+    std::sync::{
+        Arc,
+        atomic::{AtomicBool, Ordering},
+    },
+    wigeonramp_config::api::{
+        ConfirmAnswer, Intent, PLAN_PATH, PlanAnswer, PlanRequest, STATUS_PATH, StatusAnswer,
+    },
+    wigeonramp_daemon::host::Host,
+    wigeonramp_standin::platform::{self, PlatformOptions},
+    wigeonramp_store::{
+        Change, Fetched, HttpStore, HttpStoreTimes, Object, ObjectStore, PlatformHost,
+        Precondition, Put, StoreError,
+    },
+    wigeonramp_units::{Revision, Span},
+};
+
+const KEY: &str = "config/current";
+
+/// Loses the answer to each write of the configuration, and cannot read it back afterwards.
+struct LosingStore {
+    inner: HttpStore,
+    lost: Arc<AtomicBool>,
+}
+
+impl ObjectStore for LosingStore {
+    fn get(&self, key: &str) -> Result<Fetched, StoreError> {
+        if key == KEY && self.lost.load(Ordering::Acquire) {
+            return Err(StoreError::unavailable(key, "test"));
+        }
+        self.inner.get(key)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
+        self.inner.list(prefix)
+    }
+
+    fn put(&self, key: &str, body: &str, precondition: Precondition) -> Result<Put, StoreError> {
+        let put = self.inner.put(key, body, precondition);
+        if key == KEY {
+            self.lost.store(true, Ordering::Release);
+            return Err(StoreError::unknown(key, "test"));
+        }
+        put
+    }
+
+    fn delete(&self, key: &str, revision: Revision) -> Result<Put, StoreError> {
+        self.inner.delete(key, revision)
+    }
+
+    fn watch(&self, prefix: &str, after: Revision, wait: Span) -> Result<Vec<Change>, StoreError> {
+        self.inner.watch(prefix, after, wait)
+    }
+
+    fn hosts(&self) -> Result<Vec<PlatformHost>, StoreError> {
+        self.inner.hosts()
+    }
+}
+
+#[test]
+fn a_write_of_unknown_fate_is_reported_as_not_known_yet() {
+    let platform = platform::start(&PlatformOptions::default()).expect("the platform starts");
+    let inner = HttpStore::new(platform.address(), HttpStoreTimes::default());
+    let store = LosingStore { inner, lost: Arc::default() };
+    let host = Host::start(&settings(0, platform.address()), store).expect("the host starts");
+    let operator = host.addresses().operator;
+    let mut document = declared(1);
+    for (port, leaf) in (1..).zip(document.leaves.values_mut()) {
+        leaf.address.set_port(port);
+    }
+    let intent = Intent::Declare { document: Box::new(document) };
+    let request = PlanRequest { intent, allow_coverage_loss: false };
+    let (_, text) = post(operator, PLAN_PATH, &request);
+    let plan: PlanAnswer = serde_json::from_str(&text).expect("a plan");
+    let answer = confirm_at(operator, plan.clone());
+    let ConfirmAnswer::NotKnownYet { command, .. } = answer else { panic!("{answer:?}") };
+    assert!(command.contains(&format!("plan-{}.json --host {operator}", plan.id)), "{command}");
+    // What the command reads: the write had taken effect.
+    wait_for("the host learns the outcome", || {
+        get::<StatusAnswer>(operator, STATUS_PATH).config_op.as_ref() == Some(&plan.id)
+    });
+}
--- a/components/daemon/tests/control/main.rs
+++ b/components/daemon/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod configuration;
+mod lost_confirm;
 mod parts;
 mod stop;
 mod support;
--- a/components/daemon/tests/control/support.rs
+++ b/components/daemon/tests/control/support.rs
@@ -51,7 +51,8 @@
     declared: Document,
 }
 
-fn declared(shards: usize) -> Document {
+/// A deployment whose leaves have no addresses yet.
+pub fn declared(shards: usize) -> Document {
     let mut maps = serde_json::Map::new();
     let mut leaves = serde_json::Map::new();
     for n in 0..shards {
@@ -83,7 +84,8 @@
     serde_json::from_value(document).expect("the document is well formed")
 }
 
-fn settings(n: usize, platform: SocketAddr) -> HostSettings {
+/// Settings of one host, on ports of the system's choice.
+pub fn settings(n: usize, platform: SocketAddr) -> HostSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     HostSettings {
         host: format!("h{n}").parse().expect("a host id"),
@@ -244,7 +246,7 @@
     answer.body_mut().read_json().expect("a JSON body")
 }
 
-fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> (StatusCode, String) {
+pub fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> (StatusCode, String) {
     let body = serde_json::to_string(body).expect("JSON");
     let mut answer = agent().post(format!("http://{address}{path}")).send(body).expect("an answer");
     (answer.status(), answer.body_mut().read_to_string().expect("text"))
