--- a/components/serving/tests/query.rs
+++ b/components/serving/tests/query.rs
@@ -180,6 +180,19 @@
     assert_snapshot!(rig.table + &none.table);
 }
 
+/// Guards against many queries that together retry more than the collection's share.
+#[test]
+fn retries_end_with_the_budget_of_the_collection() {
+    let mut rig = Rig::with(2, |_, _, spec| {
+        spec.targets[0].budgets = Arc::new(Budgets::new(Percent(0), Percent(0), 1));
+    });
+    rig.at(5).end(1, AttemptResult::Unknown).end(2, AttemptResult::Unknown).at(9).ok(3);
+    rig.tick(25);
+    let retries = rig.query.counters().retries;
+    let coverage = rig.answer.expect("an answer without a second retry").coverage;
+    assert_eq!((retries, coverage.covered, coverage.total), (1, 1, 2));
+}
+
 #[test]
 fn one_retry_follows_resets_and_it_runs_alone() {
     let mut rig = Rig::with(2, |_, _, _| {});
--- a/components/serving/tests/upstream.rs
+++ b/components/serving/tests/upstream.rs
@@ -8,7 +8,8 @@
     std::fmt::Write,
     wigeonramp_config::Priority,
     wigeonramp_serving::upstream::{
-        Completion, ConnectionId, Health, JobId, JobMeta, Next, Rights, State, Upstream,
+        Completion, ConnectionId, Health, JobId, JobMeta, Next, Offer, Refusal, Rights, State,
+        Upstream,
     },
     wigeonramp_units::{Instant, Slots, Span},
 };
@@ -87,21 +88,26 @@
         self.done(id, answered(boot, 5))
     }
 
-    /// Makes the leaf warm by quick answers, without writing them down. Uses job ids from 1000.
+    /// A leaf that quick answers have made warm.
     fn warm(slots: u32) -> Self {
         let mut rig = Rig::new(slots, 1, 10);
-        let mut id = 1_000;
-        while rig.upstream.state() != State::Warm {
-            rig.now = rig.now + Span::millis(10);
-            id += 1;
-            let _ = rig.upstream.offer(job(id, rig.now + Span::secs(5)), rig.now);
-            rig.drain();
-        }
+        rig.warm_up();
         rig.table.clear();
         rig.start = rig.now.0 / 1_000;
         rig
     }
 
+    /// Makes the leaf warm by quick answers, without writing them down. Uses job ids from 1000.
+    fn warm_up(&mut self) {
+        let mut id = 1_000;
+        while self.upstream.state() != State::Warm {
+            self.now = self.now + Span::millis(10);
+            id += 1;
+            let _ = self.upstream.offer(job(id, self.now + Span::secs(5)), self.now);
+            self.drain();
+        }
+    }
+
     fn drain(&mut self) {
         loop {
             match self.upstream.next(self.now, Rights::Full) {
@@ -164,6 +170,31 @@
     assert_snapshot!(rig.table);
 }
 
+/// Guards against a suspect that runs next to others at a leaf that has recovered and has room.
+#[test]
+fn repetition_of_a_crash_suspect_runs_alone_at_a_leaf_with_room() {
+    let mut rig = Rig::warm(2);
+    rig.offer(job(1, rig.now + Span::secs(2))).pump().done(1, Completion::Reset);
+    rig.warm_up();
+    rig.table.clear();
+    rig.start = rig.now.0 / 1_000;
+    let deadline = rig.now + Span::secs(2);
+    rig.offer(job(1, deadline)).offer(job(2, deadline + Span::millis(1))).pump();
+    rig.at(10).answer(1, "b1").at(20).answer(2, "b1");
+    assert_snapshot!(rig.table);
+}
+
+/// Guards against a hedge at a leaf that has turned cold since the entry host heard of it.
+#[test]
+fn hedge_is_refused_unless_the_leaf_is_warm() {
+    let hedge = |rig: &mut Rig| {
+        let job = JobMeta { hedge: true, ..job(1, rig.now + Span::millis(900)) };
+        rig.upstream.offer(job, rig.now)
+    };
+    assert_eq!(hedge(&mut Rig::new(2, 1, 10)), Offer::Refused(Refusal::Cold));
+    assert_eq!(hedge(&mut Rig::warm(2)), Offer::Queued);
+}
+
 #[test]
 fn silent_connection_is_closed_without_blame_once_the_probe_is_answered() {
     let mut rig = Rig::warm(2);
