--- a/components/config/src/deployment.rs
+++ b/components/config/src/deployment.rs
@@ -100,12 +100,12 @@
 }
 
 impl Deployment {
-    /// Reads and checks the declaration in `path`.
+    /// Reads and checks the declaration in `path`. Fails on the first problem, with file and key.
     pub fn load(path: &Path) -> Result<Deployment, ConfigError> {
         Self::parse(path, &file::read(path)?)
     }
 
-    /// Checks the declaration in `text`, which was read from `path`.
+    /// Checks the declaration in `text`, which was read from `path`. Fails on the first problem.
     pub fn parse(path: &Path, text: &str) -> Result<Deployment, ConfigError> {
         let deployment: Deployment = file::parse(path, text)?;
         deployment.check().map_err(|problem| problem.in_file(path))?;
--- a/components/config/src/document_check.rs
+++ b/components/config/src/document_check.rs
@@ -14,7 +14,7 @@
 const MAX_DOCUMENT: usize = 1_000_000;
 
 impl Document {
-    /// Checks ranges and references between entries; names the first problem.
+    /// Checks ranges and references between entries; fails with the key of the first problem.
     pub fn check(&self) -> Result<(), KeyProblem> {
         rules::check_callers(&self.callers, &self.members)?;
         self.check_leaves()?;
--- a/components/config/src/host.rs
+++ b/components/config/src/host.rs
@@ -94,12 +94,12 @@
 }
 
 impl HostSettings {
-    /// Reads and checks the settings in `path`.
+    /// Reads and checks the settings in `path`. Fails on the first problem, with file and key.
     pub fn load(path: &Path) -> Result<HostSettings, ConfigError> {
         Self::parse(path, &file::read(path)?)
     }
 
-    /// Checks the settings in `text`, which was read from `path`.
+    /// Checks the settings in `text`, which was read from `path`. Fails on the first problem.
     pub fn parse(path: &Path, text: &str) -> Result<HostSettings, ConfigError> {
         let settings: HostSettings = file::parse(path, text)?;
         settings.check().map_err(|problem| problem.in_file(path))?;
--- a/components/config/src/settings.rs
+++ b/components/config/src/settings.rs
@@ -21,7 +21,7 @@
 }
 
 impl SettingsFile {
-    /// Reads and checks `path`, whichever of the two it is.
+    /// Reads and checks `path`, whichever of the two it is. Fails on the first problem.
     pub fn load(path: &Path) -> Result<SettingsFile, ConfigError> {
         let text = file::read(path)?;
         let table: Table = file::parse(path, &text)?;
--- a/components/control/src/plan.rs
+++ b/components/control/src/plan.rs
@@ -187,7 +187,7 @@
         Self { id, base, base_digest, target, changes, cost, allow_coverage_loss }
     }
 
-    /// Whether the plan can be confirmed while `base` is in force.
+    /// Fails with the first reason why the plan cannot be confirmed while `base` is in force.
     pub fn check(&self, base: &Document) -> Result<(), PlanError> {
         let (planned, current) = (self.base, base.version);
         if planned != current {
--- a/components/daemon/src/caller/check.rs
+++ b/components/daemon/src/caller/check.rs
@@ -89,7 +89,8 @@
     }
 }
 
-/// Finds the caller that the headers name and checks its token.
+/// Finds the caller that the headers name. Fails as unauthenticated if caller, token or member is not
+/// declared.
 pub fn authenticate(document: &Document, headers: &HeaderMap) -> Result<Identity, Rejection> {
     let text = |name| headers.get(name).and_then(|value| value.to_str().ok());
     let caller: CallerId = text(CALLER_HEADER)
@@ -112,7 +113,7 @@
     declared.token_sha256.eq_ignore_ascii_case(&text)
 }
 
-/// Reads the body and checks it against the document.
+/// Reads the body. Fails if the form is wrong or the document lacks what it names.
 pub fn query(
     document: &Document,
     identity: Identity,
--- a/components/daemon/src/control/directory.rs
+++ b/components/daemon/src/control/directory.rs
@@ -56,7 +56,7 @@
 }
 
 impl KnownHost {
-    /// The sender of `heartbeat`, heard at `heard`.
+    /// The sender of `heartbeat`, heard at `heard`. Fails like `of_report`.
     pub fn of_heartbeat(heartbeat: &Heartbeat, heard: Instant) -> Result<Self, BadReport> {
         let report = HostReport {
             instance: heartbeat.instance.clone(),
@@ -73,7 +73,7 @@
         Self::of_report(&report, heard)
     }
 
-    /// The host in `report`, which arrived at `now`.
+    /// The host in `report`, which arrived at `now`. Fails if an id or address cannot be read.
     pub fn of_report(report: &HostReport, now: Instant) -> Result<Self, BadReport> {
         let bad = |field, found: &str| BadReport {
             instance: report.instance.clone(),
--- a/components/daemon/src/control/threads.rs
+++ b/components/daemon/src/control/threads.rs
@@ -59,7 +59,8 @@
 }
 
 impl ControlThreads {
-    /// Starts all threads. `load` gives the share of request workers in use.
+    /// Starts all threads. `load` gives the share of request workers in use. Fails if the system
+    /// gives no thread.
     pub fn start<N: LeafNews, S: ObjectStore>(
         parts: ControlParts<N, S>,
         load: impl Fn() -> Percent + Send + 'static,
--- a/components/daemon/src/data_path.rs
+++ b/components/daemon/src/data_path.rs
@@ -67,7 +67,8 @@
 }
 
 impl<C: Control> DataPath<C> {
-    /// Binds the caller's and the peers' address and serves them; holds no leaf yet.
+    /// Binds the caller's and the peers' address and serves them; holds no leaf yet. Fails if an
+    /// address cannot be bound, and names it.
     pub fn start(
         settings: &HostSettings,
         boot: &BootId,
--- a/components/daemon/src/holder/connection.rs
+++ b/components/daemon/src/holder/connection.rs
@@ -126,7 +126,7 @@
 }
 
 impl Connection {
-    /// Opens a connection to `address` within `timeout`.
+    /// Opens a connection to `address`. Fails if it is not open within `timeout`.
     pub fn open(address: SocketAddr, timeout: Duration) -> IoResult<Self> {
         let stream = TcpStream::connect_timeout(&address, timeout)?;
         stream.set_nodelay(true)?;
@@ -158,7 +158,7 @@
         call.call().is_ok_and(|mut answer| answer.body_mut().read_to_vec().is_ok())
     }
 
-    /// Asks the leaf for its health.
+    /// Asks the leaf for its health. Fails if no whole answer comes within `timeout`.
     pub fn health(&self, timeout: Duration) -> Result<Health, CallError> {
         let call = self.agent.get(&self.health).config().timeout_global(Some(timeout)).build();
         let mut answer = call.call()?;
--- a/components/daemon/src/holder/mod.rs
+++ b/components/daemon/src/holder/mod.rs
@@ -70,7 +70,7 @@
 }
 
 impl<R: HolderRights> Holders<R> {
-    /// Holds nothing yet.
+    /// Holds nothing yet. Fails if the system gives no thread.
     pub fn new(parts: HolderParts<R>) -> IoResult<Self> {
         let leaves = Arc::new(RwLock::new(HashMap::new()));
         let side = SideChannel::start(SideLeaves(Arc::downgrade(&leaves)))?;
--- a/components/daemon/src/holder/side.rs
+++ b/components/daemon/src/holder/side.rs
@@ -54,7 +54,7 @@
 }
 
 impl SideChannel {
-    /// Starts the thread; it ends when all clones are dropped.
+    /// Starts the thread; it ends when all clones are dropped. Fails if the system gives none.
     pub fn start(leaves: impl CheckedLeaves) -> IoResult<Self> {
         let (queue, waiting) = bounded(QUEUE);
         thread::Builder::new().name("side".to_owned()).spawn(move || run(&waiting, &leaves))?;
--- a/components/daemon/src/host.rs
+++ b/components/daemon/src/host.rs
@@ -79,7 +79,7 @@
 }
 
 impl<S: ObjectStore> Host<S> {
-    /// Binds all addresses and starts all parts.
+    /// Binds all addresses and starts all parts. Fails if an address cannot be bound.
     pub fn start(settings: &HostSettings, store: S) -> IoResult<Self> {
         let me = identity(settings);
         let (boot, instance) = (me.boot.clone(), me.instance.clone());
--- a/components/daemon/src/http_server.rs
+++ b/components/daemon/src/http_server.rs
@@ -125,7 +125,7 @@
 }
 
 impl<H: Handler> HttpServer<H> {
-    /// Binds `address` and starts to serve.
+    /// Binds `address` and starts to serve. Fails if it cannot be bound.
     pub fn start(
         runtime: &Handle,
         address: SocketAddr,
--- a/components/daemon/src/peer/server.rs
+++ b/components/daemon/src/peer/server.rs
@@ -202,7 +202,7 @@
 }
 
 impl PeerListener {
-    /// Binds `address` and starts to serve.
+    /// Binds `address` and starts to serve. Fails if it cannot be bound.
     pub fn start<C: PeerControl, R: HolderRights>(
         runtime: &Handle,
         address: SocketAddr,
--- a/components/load/src/class.rs
+++ b/components/load/src/class.rs
@@ -67,7 +67,7 @@
 }
 
 impl LoadProfile {
-    /// Reads and checks a profile.
+    /// Reads and checks a profile; fails with the file and what was expected.
     pub fn load(path: &Path) -> Result<Self, LoadError> {
         let profile_err =
             |reason: String| LoadError::Profile { file: path.display().to_string(), reason };
--- a/components/load/src/entry.rs
+++ b/components/load/src/entry.rs
@@ -28,7 +28,7 @@
         Self { seeds, addresses: Vec::new(), expires: Instant::now(), next_seed: first }
     }
 
-    /// The address to use now.
+    /// The address to use now. Fails if no host names one.
     pub fn address(&mut self, agent: &Agent, class: &Class) -> Result<SocketAddr, LoadError> {
         if self.addresses.is_empty() || Instant::now() >= self.expires {
             self.refresh(agent, class)?;
--- a/components/load/src/leaves.rs
+++ b/components/load/src/leaves.rs
@@ -35,7 +35,7 @@
 }
 
 impl LeafCounts {
-    /// Reads and adds up the counters behind all `controls`.
+    /// Reads and adds up the counters behind all `controls`. Fails if one does not answer.
     pub fn read(agent: &Agent, controls: &[SocketAddr]) -> Result<LeafTotals, LoadError> {
         let mut totals = LeafTotals::default();
         for control in controls {
--- a/components/standin/src/leaves/mod.rs
+++ b/components/standin/src/leaves/mod.rs
@@ -102,7 +102,8 @@
     threads: Threads,
 }
 
-/// Starts stand-ins of the leaves in `document`.
+/// Starts stand-ins of the leaves in `document`. Fails if a setting is out of range or an address
+/// cannot be bound.
 pub fn start(document: &Document, options: &LeavesOptions) -> Result<Leaves, StandinError> {
     check_settings(&options.settings)?;
     let threads = Threads::start("leaves", options.workers)?;
@@ -163,12 +164,13 @@
         self.ready.leaves.get(leaf).copied()
     }
 
-    /// Sets or clears a fault; returns once it is in force.
+    /// Sets or clears a fault; returns once it is in force. Fails if no leaf matches or a value is
+    /// out of range.
     pub fn fault(&self, on: LeafSelector, fault: LeafFault) -> Result<(), StandinError> {
         self.threads.block_on(self.fleet.fault(&LeafOrder { on, fault }))
     }
 
-    /// Replaces the settings of some leaves.
+    /// Replaces the settings of some leaves. Fails like `fault`.
     pub fn set(&self, on: LeafSelector, settings: LeafSettings) -> Result<(), StandinError> {
         self.fleet.set(&SettingsOrder { on, settings })
     }
--- a/components/standin/src/platform/mod.rs
+++ b/components/standin/src/platform/mod.rs
@@ -64,7 +64,7 @@
     threads: Threads,
 }
 
-/// Starts a platform stand-in.
+/// Starts a platform stand-in. Fails if an address cannot be bound.
 pub fn start(options: &PlatformOptions) -> Result<Platform, StandinError> {
     let threads = Threads::start("platform", options.workers)?;
     let (api, ready) = threads.block_on(async {
--- a/components/telemetry/src/logging.rs
+++ b/components/telemetry/src/logging.rs
@@ -45,7 +45,7 @@
     Inconsistent(String),
 }
 
-/// Sets the process's logger; possible once in a process.
+/// Sets the process's logger. Fails if there is one already or the file cannot be opened.
 pub fn init(output: &LogOutput) -> Result<(), LoggingError> {
     let appender = Appender::builder().build(APPENDER, appender(output)?);
     let root = Root::builder().appender(APPENDER).build(output.level);
