--- a/components/load/src/class.rs
+++ b/components/load/src/class.rs
@@ -33,6 +33,17 @@
     pub timeout: Span,
     /// Number of different bodies; repetitions skip the canary of the tier.
     pub distinct: u64,
+    /// Whether running a query twice does no harm. Otherwise each query goes to one shard, and is
+    /// sent again once or twice through other hosts.
+    #[serde(default = "idempotent_by_default")]
+    pub idempotent: bool,
+    /// Number of shards, `<collection>/01` and so on, that queries that are not idempotent go to.
+    #[serde(default)]
+    pub shards: u32,
+}
+
+fn idempotent_by_default() -> bool {
+    true
 }
 
 /// Why a load run did not start or could not be evaluated.
@@ -80,6 +91,13 @@
             let reason = format!("class {:?}: expected weight and distinct above 0", class.name);
             return Err(profile_err(reason));
         }
+        let aimless = |c: &&Class| !c.idempotent && (c.shards == 0 || c.collections.len() != 1);
+        if let Some(class) = profile.class.iter().find(aimless) {
+            let name = &class.name;
+            return Err(profile_err(format!(
+                "class {name:?}: expected one collection and shards above 0 if not idempotent"
+            )));
+        }
         Ok(profile)
     }
 }
--- a/components/load/src/entry.rs
+++ b/components/load/src/entry.rs
@@ -4,6 +4,7 @@
     crate::class::{Class, LoadError},
     std::{
         net::SocketAddr,
+        sync::{Arc, Mutex, PoisonError},
         time::{Duration, Instant},
     },
     ureq::Agent,
@@ -12,28 +13,69 @@
     },
 };
 
+/// Longest wait for addresses; a host that was killed with open connections may never answer.
+const ASK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Hosts that can be asked for addresses: the seeds, and every host that an answer named.
+///
+/// Hosts that don't answer are forgotten, so that a run outlives the replacement of all seeds.
+#[derive(Clone, Debug)]
+pub struct KnownHosts(Arc<Mutex<Vec<SocketAddr>>>);
+
+impl KnownHosts {
+    /// Only `seeds` are known.
+    pub fn new(seeds: Vec<SocketAddr>) -> Self {
+        Self(Arc::new(Mutex::new(seeds)))
+    }
+
+    fn all(&self) -> Vec<SocketAddr> {
+        self.0.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn learn(&self, addresses: &[SocketAddr]) {
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        for address in addresses {
+            if !known.contains(address) {
+                known.push(*address);
+            }
+        }
+    }
+
+    /// Forgets a host, unless it is the last one.
+    fn forget(&self, address: SocketAddr) {
+        let mut known = self.0.lock().unwrap_or_else(PoisonError::into_inner);
+        if known.len() > 1 {
+            known.retain(|other| *other != address);
+        }
+    }
+}
+
 /// The addresses that one caller was given, kept for their lifetime.
 #[derive(Clone, Debug)]
 pub struct EntryList {
-    /// Hosts that are asked for addresses.
-    seeds: Vec<SocketAddr>,
+    known: KnownHosts,
     addresses: Vec<SocketAddr>,
     expires: Instant,
     next_seed: usize,
 }
 
 impl EntryList {
-    /// A list that asks `seeds`, beginning with the one at `first`.
-    pub fn new(seeds: Vec<SocketAddr>, first: usize) -> Self {
-        Self { seeds, addresses: Vec::new(), expires: Instant::now(), next_seed: first }
+    /// A list that asks `known` hosts, beginning with the one at `first`.
+    pub fn new(known: KnownHosts, first: usize) -> Self {
+        Self { known, addresses: Vec::new(), expires: Instant::now(), next_seed: first }
     }
 
-    /// The address to use now.
-    pub fn address(&mut self, agent: &Agent, class: &Class) -> Result<SocketAddr, LoadError> {
+    /// The address to use now: the best one, and another one for each further `repeat`.
+    pub fn address(
+        &mut self,
+        agent: &Agent,
+        class: &Class,
+        repeat: usize,
+    ) -> Result<SocketAddr, LoadError> {
         if self.addresses.is_empty() || Instant::now() >= self.expires {
             self.refresh(agent, class)?;
         }
-        Ok(self.addresses[0])
+        Ok(self.addresses[repeat % self.addresses.len()])
     }
 
     /// Drops an address that did not answer; the next one is used.
@@ -43,15 +85,20 @@
 
     fn refresh(&mut self, agent: &Agent, class: &Class) -> Result<(), LoadError> {
         let mut last = LoadError::http(ENTRY_PATH, "no host to ask");
-        for _ in 0..self.seeds.len() {
-            let seed = self.seeds[self.next_seed % self.seeds.len()];
-            match ask(agent, class, seed) {
+        let hosts = self.known.all();
+        for _ in 0..hosts.len() {
+            let host = hosts[self.next_seed % hosts.len()];
+            match ask(agent, class, host) {
                 Ok(answer) => {
+                    self.known.learn(&answer.addresses);
                     self.addresses = answer.addresses;
                     self.expires = Instant::now() + Duration::from_millis(answer.lifetime_ms);
                     return Ok(());
                 }
-                Err(err) => last = err,
+                Err(err) => {
+                    self.known.forget(host);
+                    last = err;
+                }
             }
             self.next_seed += 1;
         }
@@ -63,6 +110,9 @@
     let url = format!("http://{seed}{ENTRY_PATH}");
     let mut res = agent
         .get(&url)
+        .config()
+        .timeout_global(Some(ASK_TIMEOUT))
+        .build()
         .header(CALLER_HEADER, class.caller.as_str())
         .header(TOKEN_HEADER, format!("{TOKEN_SCHEME}{}", class.token))
         .call()
--- a/components/load/src/leaves.rs
+++ b/components/load/src/leaves.rs
@@ -3,8 +3,9 @@
 use {
     crate::class::LoadError,
     serde::{Deserialize, Serialize},
-    std::net::SocketAddr,
+    std::{collections::HashMap, net::SocketAddr},
     ureq::Agent,
+    wigeonramp_units::RequestId,
 };
 
 /// Counters of one leaf that matter to a load run; the stand-in reports more.
@@ -29,6 +30,42 @@
 /// Sums over all leaves.
 pub type LeafTotals = LeafCounts;
 
+/// Runs at all leaves by request id.
+pub type RunsByRequest = HashMap<RequestId, u32>;
+
+/// Reads and adds up the runs behind all `controls`. Fails if a leaf did not keep all of them.
+pub fn read_runs(agent: &Agent, controls: &[SocketAddr]) -> Result<RunsByRequest, LoadError> {
+    let mut totals = RunsByRequest::new();
+    for control in controls {
+        let url = format!("http://{control}/counters?runs=all");
+        let http_err = |err: ureq::Error| LoadError::http(&url, err);
+        let mut res = agent.get(&url).call().map_err(http_err)?;
+        let body = res.body_mut().with_config().limit(MAX_RUNS_BYTES);
+        let rows: Vec<RunsRow> = body.read_json().map_err(http_err)?;
+        if rows.iter().any(|row| row.counters.untracked_runs > 0) {
+            return Err(LoadError::http(&url, "expected leaves that tracked all runs"));
+        }
+        for (id, runs) in rows.into_iter().flat_map(|row| row.counters.runs) {
+            *totals.entry(id).or_default() += runs;
+        }
+    }
+    Ok(totals)
+}
+
+/// Longest list of runs that is read.
+const MAX_RUNS_BYTES: u64 = 256 << 20;
+
+#[derive(Deserialize)]
+struct RunsRow {
+    counters: RunCounts,
+}
+
+#[derive(Deserialize)]
+struct RunCounts {
+    runs: HashMap<RequestId, u32>,
+    untracked_runs: u64,
+}
+
 #[derive(Deserialize)]
 struct LeafRow {
     counters: LeafCounts,
--- a/components/load/src/lib.rs
+++ b/components/load/src/lib.rs
@@ -7,15 +7,17 @@
 mod class;
 mod entry;
 mod leaves;
+mod once;
 mod report;
 mod run;
 mod schedule;
 mod summary;
 
 pub use class::{Class, LoadError, LoadProfile};
-pub use entry::EntryList;
-pub use leaves::{LeafCounts, LeafTotals};
+pub use entry::{EntryList, KnownHosts};
+pub use leaves::{LeafCounts, LeafTotals, RunsByRequest, read_runs};
+pub use once::OnceReport;
 pub use report::{Comparison, Report, Row, table};
 pub use run::{RunPlan, run};
 pub use schedule::{Arrival, Schedule};
-pub use summary::{ClassSummary, Sample, SampleOutcome, Summary};
+pub use summary::{ClassSummary, RequestSend, Sample, SampleOutcome, Summary, Window};
--- a/components/load/src/report.rs
+++ b/components/load/src/report.rs
@@ -3,10 +3,12 @@
 use {
     crate::{
         leaves::LeafTotals,
-        summary::{ClassSummary, Summary},
+        once::OnceReport,
+        summary::{ClassSummary, Summary, Window},
     },
     serde::{Deserialize, Serialize},
     std::fmt::Write,
+    wigeonramp_units::UnixMillis,
 };
 
 /// One setting of a run.
@@ -22,6 +24,15 @@
     pub leaves: LeafTotals,
     /// Runs at leaves beyond the shards in the answers, in hundredths of those shards.
     pub extra_load_percent: f64,
+    /// Wall-clock time of the start of the run.
+    #[serde(default)]
+    pub started: UnixMillis,
+    /// The same by parts of the run; empty unless asked for.
+    #[serde(default)]
+    pub windows: Vec<Window>,
+    /// Requests that must not run twice.
+    #[serde(default)]
+    pub once: Option<OnceReport>,
 }
 
 impl Report {
@@ -30,7 +41,16 @@
         let useful = summary.covered_shards() as f64;
         let extra_load_percent =
             if useful == 0.0 { 0.0 } else { (leaves.run as f64 - useful) * 100.0 / useful };
-        Self { name: name.to_owned(), rate, summary, leaves, extra_load_percent }
+        Self {
+            name: name.to_owned(),
+            rate,
+            summary,
+            leaves,
+            extra_load_percent,
+            started: UnixMillis(0),
+            windows: Vec::new(),
+            once: None,
+        }
     }
 }
 
@@ -110,10 +130,32 @@
             leaves.cold_unannounced
         );
         out.push_str(&line);
+        if let Some(once) = &report.once {
+            write_once(&mut out, &report.name, once);
+        }
     }
     out
 }
 
+fn write_once(out: &mut String, setting: &str, once: &OnceReport) {
+    let line = format!(
+        "{setting:<18} once: requests {} sends {} done {} not run {} unknown {} failed {} ran {} \
+         ran again {} false not run {} + {} false done {}\n",
+        once.requests,
+        once.sends,
+        once.done,
+        once.not_run,
+        once.unknown,
+        once.failed,
+        once.ran,
+        once.ran_again,
+        once.false_not_run_first,
+        once.false_not_run_repeated,
+        once.false_done
+    );
+    out.push_str(&line);
+}
+
 fn write_class(out: &mut String, setting: &str, name: &str, class: &ClassSummary) {
     let ms = |us: u64| us as f64 / 1000.0;
     let line = format!(
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -3,23 +3,24 @@
 use {
     crate::{
         class::Class,
-        entry::EntryList,
+        entry::{EntryList, KnownHosts},
         schedule::{Arrival, Schedule},
-        summary::{Sample, SampleOutcome},
+        summary::{RequestSend, Sample, SampleOutcome},
     },
-    crossbeam::channel::{Receiver, Sender, bounded, unbounded},
+    crossbeam::channel::{Receiver, Sender, unbounded},
+    rand::RngExt,
     serde_json::json,
     std::{
         net::SocketAddr,
         thread::{scope, sleep},
-        time::{Duration, Instant},
+        time::{Duration, Instant, SystemTime, UNIX_EPOCH},
     },
     ureq::Agent,
     wigeonramp_config::caller_api::{
         CALLER_HEADER, QUERY_PATH, QueryAnswer, QueryOutcome, QueryRequest, TOKEN_HEADER,
         TOKEN_SCHEME,
     },
-    wigeonramp_units::Span,
+    wigeonramp_units::{RequestId, Span},
 };
 
 /// Time beyond a query's own timeout after which the sender gives up.
@@ -42,6 +43,11 @@
     pub label: String,
 }
 
+/// Times after which callers of requests that are not idempotent give up their first send and
+/// repeat it, in turn; the first one is shorter than most answers take.
+const GIVE_UP: [Option<Duration>; 3] =
+    [Some(Duration::from_millis(15)), None, Some(Duration::from_millis(60))];
+
 struct Task {
     arrival: Arrival,
     due: Instant,
@@ -50,11 +56,13 @@
 /// Sends all arrivals of `schedule` and waits for the last answer.
 pub fn run(plan: &RunPlan, schedule: &Schedule) -> Vec<Sample> {
     let (task_tx, task_rx) = unbounded::<Task>();
-    let (sample_tx, sample_rx) = bounded(schedule.arrivals.len().max(1));
+    let (sample_tx, sample_rx) = unbounded();
+    let known = KnownHosts::new(plan.seeds.clone());
     scope(|threads| {
         for index in 0..plan.senders {
             let (rx, tx) = (task_rx.clone(), sample_tx.clone());
-            threads.spawn(move || send_all(plan, index, &rx, &tx));
+            let list = EntryList::new(known.clone(), index);
+            threads.spawn(move || send_all(plan, list, &rx, &tx));
         }
         drop((task_rx, sample_tx));
         dispatch(schedule, &task_tx);
@@ -73,64 +81,126 @@
     }
 }
 
-fn send_all(plan: &RunPlan, index: usize, rx: &Receiver<Task>, tx: &Sender<Sample>) {
+fn send_all(plan: &RunPlan, list: EntryList, rx: &Receiver<Task>, tx: &Sender<Sample>) {
     let agent: Agent = Agent::config_builder().http_status_as_error(false).build().new_agent();
-    let list = EntryList::new(plan.seeds.clone(), index);
-    let mut lists = vec![list; plan.classes.len()];
+    let lists = vec![list; plan.classes.len()];
+    let mut sender = QuerySender { plan, agent, lists };
     for task in rx {
-        let class = &plan.classes[task.arrival.class];
-        sleep(plan.client_delay.to_duration());
-        let outcome = send(plan, &agent, class, &mut lists[task.arrival.class], &task);
-        sleep(plan.client_delay.to_duration());
-        let latency = Span::from(task.due.elapsed());
-        let sample = Sample { class: task.arrival.class, latency, outcome };
-        tx.send(sample).expect("the channel holds all samples of the run");
+        for sample in sender.send(&task) {
+            tx.send(sample).expect("the receiver outlives the senders");
+        }
     }
 }
 
-fn send(
+struct QuerySender<'a> {
+    plan: &'a RunPlan,
+    agent: Agent,
+    lists: Vec<EntryList>,
+}
+
+impl QuerySender<'_> {
+    fn send(&mut self, task: &Task) -> Vec<Sample> {
+        if self.plan.classes[task.arrival.class].idempotent {
+            return vec![self.send_once(task, task.due, None, None)];
+        }
+        let mut rng = rand::rng();
+        let id = request_id(rng.random());
+        let repeats = rng.random_range(1..=2);
+        let give_up = GIVE_UP[(task.arrival.body % GIVE_UP.len() as u64) as usize];
+        let mut due = task.due;
+        let mut samples = Vec::new();
+        for repeat in 0..=repeats {
+            let limit = if repeat == 0 { give_up } else { None };
+            let request = RequestSend { id: id.clone(), repeat };
+            samples.push(self.send_once(task, due, Some(request), limit));
+            due = Instant::now();
+        }
+        samples
+    }
+
+    fn send_once(
+        &mut self,
+        task: &Task,
+        due: Instant,
+        request: Option<RequestSend>,
+        give_up: Option<Duration>,
+    ) -> Sample {
+        let delay = self.plan.client_delay.to_duration();
+        sleep(delay);
+        let outcome = self.outcome(task, request.as_ref(), give_up);
+        sleep(delay);
+        let Arrival { at, class, .. } = task.arrival;
+        Sample { class, latency: Span::from(due.elapsed()), outcome, at, request }
+    }
+
+    fn outcome(
+        &mut self,
+        task: &Task,
+        request: Option<&RequestSend>,
+        give_up: Option<Duration>,
+    ) -> SampleOutcome {
+        let class = &self.plan.classes[task.arrival.class];
+        let list = &mut self.lists[task.arrival.class];
+        let repeat = request.map_or(0, |request| request.repeat);
+        let Ok(address) = list.address(&self.agent, class, repeat) else {
+            return SampleOutcome::Failed("no entry address".to_owned());
+        };
+        let req = query(self.plan, class, task, request);
+        let limit = give_up.unwrap_or(class.timeout.to_duration() + GRACE);
+        match post(&self.agent, class, address, &req, limit) {
+            Ok(answer) => outcome(&answer),
+            Err(err) => {
+                if give_up.is_none() || !matches!(err, ureq::Error::Timeout(_)) {
+                    self.lists[task.arrival.class].failed(address);
+                }
+                SampleOutcome::Failed(kind(&err).to_owned())
+            }
+        }
+    }
+}
+
+fn request_id(random: u64) -> RequestId {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    let id = format!("{}-{random:016x}", since.as_millis());
+    id.parse().expect("digits and letters are allowed in request ids")
+}
+
+fn query(
     plan: &RunPlan,
-    agent: &Agent,
     class: &Class,
-    list: &mut EntryList,
     task: &Task,
-) -> SampleOutcome {
-    let address = match list.address(agent, class) {
-        Ok(address) => address,
-        Err(_) => return SampleOutcome::Failed("no entry address".to_owned()),
-    };
-    match post(plan, agent, class, address, task) {
-        Ok(answer) => outcome(&answer),
-        Err(err) => {
-            list.failed(address);
-            SampleOutcome::Failed(kind(&err).to_owned())
-        }
+    request: Option<&RequestSend>,
+) -> QueryRequest {
+    let shard = request.map(|_| {
+        let number = task.arrival.body % u64::from(class.shards.max(1)) + 1;
+        let shard = format!("{}/{number:02}", class.collections[0]);
+        shard.parse().expect("a collection id with a number is a shard id")
+    });
+    QueryRequest {
+        request_id: request.map(|request| request.id.clone()),
+        collections: class.collections.clone(),
+        body: json!({ "search": format!("{} {} {}", plan.label, class.name, task.arrival.body) }),
+        idempotent: class.idempotent,
+        shard,
+        timeout_ms: Some(class.timeout.as_millis()),
     }
 }
 
 fn post(
-    plan: &RunPlan,
     agent: &Agent,
     class: &Class,
     address: SocketAddr,
-    task: &Task,
+    req: &QueryRequest,
+    limit: Duration,
 ) -> Result<QueryAnswer, ureq::Error> {
-    let req = QueryRequest {
-        request_id: None,
-        collections: class.collections.clone(),
-        body: json!({ "search": format!("{} {} {}", plan.label, class.name, task.arrival.body) }),
-        idempotent: true,
-        shard: None,
-        timeout_ms: Some(class.timeout.as_millis()),
-    };
     let mut res = agent
         .post(format!("http://{address}{QUERY_PATH}"))
         .config()
-        .timeout_global(Some(class.timeout.to_duration() + GRACE))
+        .timeout_global(Some(limit))
         .build()
         .header(CALLER_HEADER, class.caller.as_str())
         .header(TOKEN_HEADER, format!("{TOKEN_SCHEME}{}", class.token))
-        .send_json(&req)?;
+        .send_json(req)?;
     res.body_mut().with_config().limit(MAX_ANSWER_BYTES).read_json()
 }
 
--- a/components/load/src/summary.rs
+++ b/components/load/src/summary.rs
@@ -4,7 +4,8 @@
     hdrhistogram::Histogram,
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
-    wigeonramp_units::Span,
+    std::collections::BTreeMap,
+    wigeonramp_units::{RequestId, Span},
 };
 
 /// Longest latency that is told apart, in microseconds.
@@ -29,6 +30,15 @@
     Failed(String),
 }
 
+/// One send of a request that must not run twice.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RequestSend {
+    /// The request id, the same for all sends.
+    pub id: RequestId,
+    /// 0 for the first send.
+    pub repeat: usize,
+}
+
 /// One query of a run.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Sample {
@@ -38,6 +48,34 @@
     pub latency: Span,
     /// How it ended.
     pub outcome: SampleOutcome,
+    /// Time of the scheduled arrival after the start of the run.
+    pub at: Span,
+    /// Absent if the query is idempotent.
+    pub request: Option<RequestSend>,
+}
+
+/// What the queries that arrived in one part of a run measured.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Window {
+    /// Start of the part after the start of the run.
+    pub at: Span,
+    /// What they measured.
+    pub summary: Summary,
+}
+
+impl Window {
+    /// Evaluates `samples` of the classes `names` by windows of `length`.
+    pub fn all(names: &[String], samples: &[Sample], length: Span) -> Vec<Self> {
+        let mut parts: BTreeMap<u64, Vec<Sample>> = BTreeMap::new();
+        for sample in samples {
+            parts.entry(sample.at.0 / length.0.max(1)).or_default().push(sample.clone());
+        }
+        let window = |(index, part): (u64, Vec<Sample>)| Self {
+            at: Span(index * length.0),
+            summary: Summary::new(names, &part),
+        };
+        parts.into_iter().map(window).collect()
+    }
 }
 
 /// What one class measured.
--- a/components/load/tests/measuring.rs
+++ b/components/load/tests/measuring.rs
@@ -4,8 +4,8 @@
 use {
     indexmap::IndexMap,
     wigeonramp_load::{
-        Class, Comparison, LeafCounts, LoadProfile, Report, Sample, SampleOutcome, Schedule,
-        Summary, table,
+        Class, Comparison, LeafCounts, LoadProfile, OnceReport, Report, RequestSend, RunsByRequest,
+        Sample, SampleOutcome, Schedule, Summary, Window, table,
     },
     wigeonramp_units::{PerSecond, Span},
 };
@@ -19,11 +19,14 @@
         weight,
         timeout: Span::secs(1),
         distinct: 3,
+        idempotent: true,
+        shards: 0,
     }
 }
 
 fn sample(class: usize, ms: u64, outcome: SampleOutcome) -> Sample {
-    Sample { class, latency: Span::millis(ms), outcome }
+    let at = Span::millis(ms);
+    Sample { class, latency: Span::millis(ms), outcome, at, request: None }
 }
 
 fn samples(scale: u64) -> Vec<Sample> {
@@ -68,6 +71,11 @@
     let bad = IndexMap::from([
         ("unknown-key", "[[class]]\nname = \"a\"\nwieght = 1\n"),
         ("no-class", "class = []\n"),
+        (
+            "no-shards",
+            "[[class]]\nname = \"a\"\ncaller = \"c\"\ntoken = \"t\"\ncollections = [\"b\"]\n\
+             weight = 1\ntimeout = \"1s\"\ndistinct = 1\nidempotent = false\n",
+        ),
         (
             "zero-weight",
             "[[class]]\nname = \"a\"\ncaller = \"c\"\ntoken = \"t\"\ncollections = []\n\
@@ -84,3 +92,41 @@
     }
     insta::assert_json_snapshot!(messages);
 }
+
+#[test]
+fn windows_hold_the_queries_that_arrived_in_them() {
+    let names = ["quote".to_owned(), "invoice".to_owned()];
+    let windows = Window::all(&names, &samples(1), Span::millis(20));
+    let sent = |w: &Window| w.summary.classes.values().map(|class| class.sent).sum::<u64>();
+    let counts: Vec<_> = windows.iter().map(|w| (w.at, sent(w))).collect();
+    let expected = [(Span::ZERO, 4), (Span::millis(20), 1), (Span::millis(400), 1)];
+    assert_eq!(counts, expected);
+}
+
+/// Guards against a check that overlooks a second run, or a "not run" or "done" that is not true.
+#[test]
+fn false_answers_and_second_runs_are_counted() {
+    let send = |id: &str, repeat, outcome| {
+        let request = Some(RequestSend { id: id.parse().unwrap(), repeat });
+        Sample { request, ..sample(0, 1, outcome) }
+    };
+    let done = || SampleOutcome::Done { covered: 1, total: 1 };
+    let not_run = || SampleOutcome::NotRun("busy".to_owned());
+    let samples = [
+        send("1-a", 0, done()),
+        send("1-a", 1, not_run()),
+        send("1-b", 0, not_run()),
+        send("1-b", 1, SampleOutcome::Unknown("lost".to_owned())),
+        send("1-c", 0, not_run()),
+        send("1-d", 0, done()),
+        send("1-e", 0, SampleOutcome::Failed("timeout".to_owned())),
+        sample(0, 1, done()),
+    ];
+    let runs = [("1-a", 1), ("1-b", 2)];
+    let runs: RunsByRequest = runs.into_iter().map(|(id, n)| (id.parse().unwrap(), n)).collect();
+    let report = OnceReport::new(&samples, &runs);
+    assert!(!report.is_clean());
+    insta::assert_json_snapshot!(report);
+    let clean = OnceReport::new(&samples[4..5], &runs);
+    assert!(clean.is_clean());
+}
--- a/src/bin/wigeonramp-load.rs
+++ b/src/bin/wigeonramp-load.rs
@@ -8,12 +8,13 @@
         net::SocketAddr,
         path::{Path, PathBuf},
         process::ExitCode,
+        time::{SystemTime, UNIX_EPOCH},
     },
     wigeonramp_load::{
-        Comparison, LeafCounts, LeafTotals, LoadError, LoadProfile, Report, RunPlan, Schedule,
-        Summary, run, table,
+        Comparison, LeafCounts, LeafTotals, LoadError, LoadProfile, OnceReport, Report, RunPlan,
+        Sample, Schedule, Summary, Window, read_runs, run, table,
     },
-    wigeonramp_units::{PerSecond, Span},
+    wigeonramp_units::{PerSecond, Span, UnixMillis},
 };
 
 /// Sends a bounded load to a running tier.
@@ -52,6 +53,9 @@
     /// Name of the setting in the report.
     #[bpaf(argument("NAME"), fallback("run".to_owned()))]
     name: String,
+    /// Also report by windows of this length, in the JSON report.
+    #[bpaf(argument("TIME"))]
+    window: Option<Span>,
     /// Also write the report as JSON.
     #[bpaf(argument("FILE"))]
     json: Option<PathBuf>,
@@ -80,9 +84,18 @@
     let profile = LoadProfile::load(&options.profile)?;
     let agent = ureq::Agent::new_with_defaults();
     let before = LeafCounts::read(&agent, &options.leaves)?;
-    let summary = send(options, &profile);
+    let names: Vec<String> = profile.class.iter().map(|class| class.name.clone()).collect();
+    let started = unix_now();
+    let samples = send(options, &profile);
     let leaves: LeafTotals = LeafCounts::read(&agent, &options.leaves)?.since(&before);
-    let report = Report::new(&options.name, options.rate.get(), summary, leaves);
+    let summary = Summary::new(&names, &samples);
+    let mut report = Report::new(&options.name, options.rate.get(), summary, leaves);
+    report.started = started;
+    report.windows = options.window.map_or_else(Vec::new, |w| Window::all(&names, &samples, w));
+    if profile.class.iter().any(|class| !class.idempotent) {
+        let runs = read_runs(&agent, &options.leaves)?;
+        report.once = Some(OnceReport::new(&samples, &runs));
+    }
     if let Some(path) = &options.json {
         write_json(path, &report)?;
     }
@@ -99,7 +112,7 @@
     Ok(())
 }
 
-fn send(options: &Options, profile: &LoadProfile) -> Summary {
+fn send(options: &Options, profile: &LoadProfile) -> Vec<Sample> {
     let plan = RunPlan {
         classes: profile.class.clone(),
         seeds: options.host.clone(),
@@ -108,8 +121,12 @@
         label: options.name.clone(),
     };
     let schedule = Schedule::poisson(&plan.classes, options.rate, options.length, options.seed);
-    let names: Vec<String> = plan.classes.iter().map(|class| class.name.clone()).collect();
-    Summary::new(&names, &run(&plan, &schedule))
+    run(&plan, &schedule)
+}
+
+fn unix_now() -> UnixMillis {
+    let since = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    UnixMillis(u64::try_from(since.as_millis()).unwrap_or(u64::MAX))
 }
 
 fn write_json(path: &Path, report: &Report) -> Result<(), LoadError> {
