Count request ids that ran although every send was answered with "not run"

Callers may read the answers in two ways: each "not run" by itself, or the request id as not run only if all of its sends were answered so. The load tool counts violations of both.

--- a/components/load/src/once.rs
+++ b/components/load/src/once.rs
@@ -6,7 +6,7 @@
         summary::{Sample, SampleOutcome},
     },
     serde::{Deserialize, Serialize},
-    std::collections::HashSet,
+    std::collections::{HashMap, HashSet},
     wigeonramp_units::RequestId,
 };
 
@@ -36,6 +36,8 @@
     pub false_not_run_first: u64,
     /// "Not run" to a repetition of an id that ran; must be 0.
     pub false_not_run_repeated: u64,
+    /// Ids that ran although each of their sends was answered with "not run"; must be 0.
+    pub false_not_run_ids: u64,
     /// "Done" to a send of an id that never ran; must be 0.
     pub false_done: u64,
     /// Some of the violations.
@@ -47,6 +49,7 @@
     pub fn new(samples: &[Sample], runs: &RunsByRequest) -> Self {
         let mut report = Self::default();
         let mut ids: HashSet<&RequestId> = HashSet::new();
+        let mut refused: HashMap<&RequestId, bool> = HashMap::new();
         for sample in samples {
             let Some(request) = &sample.request else { continue };
             let runs = runs.get(&request.id).copied().unwrap_or_default();
@@ -54,7 +57,12 @@
                 report.add_request(&request.id, runs);
             }
             report.add_send(sample, runs);
+            let not_run = matches!(sample.outcome, SampleOutcome::NotRun(_));
+            *refused.entry(&request.id).or_insert(true) &= not_run;
         }
+        let ran = |id: &RequestId| runs.get(id).is_some_and(|n| *n > 0);
+        let lied = refused.into_iter().filter(|(id, refused)| *refused && ran(id));
+        report.false_not_run_ids = lied.count() as u64;
         report
     }
 
--- a/components/load/tests/measuring.rs
+++ b/components/load/tests/measuring.rs
@@ -119,10 +119,11 @@
         send("1-b", 1, SampleOutcome::Unknown("lost".to_owned())),
         send("1-c", 0, not_run()),
         send("1-d", 0, done()),
+        send("1-f", 0, not_run()),
         send("1-e", 0, SampleOutcome::Failed("timeout".to_owned())),
         sample(0, 1, done()),
     ];
-    let runs = [("1-a", 1), ("1-b", 2)];
+    let runs = [("1-a", 1), ("1-b", 2), ("1-f", 1)];
     let runs: RunsByRequest = runs.into_iter().map(|(id, n)| (id.parse().unwrap(), n)).collect();
     let report = OnceReport::new(&samples, &runs);
     assert!(!report.is_clean());
--- a/scripts/drills/lib.sh
+++ b/scripts/drills/lib.sh
@@ -12,7 +12,10 @@
 DIR=$(mktemp -d)
 READY_LOOKS=300
 
+LOAD_PID=
+
 finish() {
+  [ -z "$LOAD_PID" ] || kill -KILL "$LOAD_PID" 2>/dev/null || true
   scripts/cluster stop "$DIR"
   if [ -n "${KEEP:-}" ]; then echo "logs: $DIR" >&2; else rm -rf "$DIR"; fi
 }
@@ -107,6 +110,7 @@
 # Waits for the load and prints its table.
 end_load() {
   wait "$LOAD_PID" || { tail -n 3 "$DIR/load.log" >&2; fail "the load tool failed"; }
+  LOAD_PID=
   cat "$DIR/load.txt"
 }
 
