Hedge after the larger of p95 and twice the median

Cause: a hedge at the p95 spends the whole budget of 5% on ordinary answers, so that stragglers find it used up. Ruled out: refused hedges at the holder (no refusals counted) and too few senders (all queries were sent on time). Conclusion: wait for twice the median as well, and take the percentiles over the collection while a leaf has fewer than 40 answers.

--- a/components/daemon/src/entry/board.rs
+++ b/components/daemon/src/entry/board.rs
@@ -71,6 +71,8 @@
     compared: Instant,
     ejection: Ejection,
     max_ejected: Percent,
+    /// Answers of all leaves, for leaves with too few of their own.
+    pooled: LatencyWindow,
     records: HashMap<LeafId, Record>,
 }
 
@@ -81,6 +83,7 @@
             compared: Instant(0),
             ejection: Ejection::new(max_ejected),
             max_ejected,
+            pooled: LatencyWindow::new(LATENCY_WINDOW),
             records: HashMap::new(),
         }
     }
@@ -150,6 +153,7 @@
     ) {
         let board = self.board(cluster, id);
         let mut board = board.lock();
+        board.pooled.record(latency, now);
         board.records.entry(leaf.clone()).or_default().latency.record(latency, now);
         board.ejection.succeeded(leaf);
     }
@@ -230,7 +234,8 @@
         let holder = cluster.holders.get(leaf);
         let ejected = self.ejection.is_ejected(leaf, now);
         let record = self.records.entry(leaf.clone()).or_default();
-        let Percentiles { p50, p95, .. } = record.latency.percentiles(now);
+        let own = record.latency.percentiles(now);
+        let pooled = self.pooled.percentiles(now);
         // A report of an earlier holding says nothing about the state under the present holder.
         let known = record.known.as_ref();
         let current =
@@ -246,8 +251,8 @@
             in_flight: loaded.map_or(0, |known| known.in_flight),
             queued: loaded.map_or(0, |known| known.queued),
             allowance: current.map_or(1, |known| known.allowance),
-            p50,
-            p95,
+            p50: own.p50,
+            hedge_after: own.or_pooled(pooled).hedge_after(),
             zone: declared.zone.clone(),
             takes_work: holder.is_some() && cluster.document.takes_work(leaf),
             ejected,
--- a/components/serving/src/latency.rs
+++ b/components/serving/src/latency.rs
@@ -7,6 +7,11 @@
 
 /// Samples kept; enough for a p95 with six samples above it.
 const SAMPLES: usize = 128;
+/// Fewer answers than this place the p95 among the two slowest of them, so that one straggler sets it.
+const MIN_OWN_SAMPLES: u32 = 40;
+/// A hedge waits for at least this many medians. At the p95 alone, ordinary answers used up a
+/// budget of 5% before the stragglers came.
+const HEDGE_MEDIANS: u64 = 2;
 /// New samples after which the percentiles are computed again.
 const REFRESH: u32 = 8;
 
@@ -21,6 +26,21 @@
     pub samples: u32,
 }
 
+impl Percentiles {
+    /// These, or those over all leaves of the collection when these rest on too few answers.
+    pub fn or_pooled(self, pooled: Percentiles) -> Percentiles {
+        if self.samples >= MIN_OWN_SAMPLES || self.samples >= pooled.samples {
+            return self;
+        }
+        pooled
+    }
+
+    /// Time after which an answer is late enough for a hedge; zero when unknown.
+    pub fn hedge_after(self) -> Span {
+        self.p95.max(self.p50 * HEDGE_MEDIANS)
+    }
+}
+
 /// The last answers of one leaf.
 #[derive(Clone, Debug)]
 pub struct LatencyWindow {
--- a/components/serving/src/query/attempt.rs
+++ b/components/serving/src/query/attempt.rs
@@ -188,7 +188,7 @@
         }
     }
 
-    /// Sends hedges for the attempts that take longer than their leaf's p95.
+    /// Sends hedges for the attempts that are late for their leaf.
     pub(super) fn run_hedges(&mut self, now: Instant) {
         let due = |attempt: &Attempt| attempt.hedge_at.is_some_and(|at| at <= now);
         let due: Vec<_> =
@@ -222,10 +222,10 @@
     fn hedge_delay(&self, shard: usize, id: AttemptId) -> Option<Span> {
         let own = &self.attempts.get(&id)?.send.leaf;
         let known = |leaf: &LeafId| {
-            self.view.get(leaf).map(|info| info.p95).filter(|p95| *p95 > Span::ZERO)
+            self.view.get(leaf).map(|info| info.hedge_after).filter(|after| *after > Span::ZERO)
         };
         let other = || self.shards[shard].replicas.iter().find_map(known);
-        known(own).or_else(other).map(|p95| p95.max(HEDGE_MIN))
+        known(own).or_else(other).map(|after| after.max(HEDGE_MIN))
     }
 
     /// Hands an attempt to the leaf's holder.
--- a/components/serving/src/query/view.rs
+++ b/components/serving/src/query/view.rs
@@ -29,8 +29,8 @@
     pub allowance: u32,
     /// Median latency as measured at this host; zero when unknown.
     pub p50: Span,
-    /// 95th percentile as measured at this host; zero when unknown.
-    pub p95: Span,
+    /// Time after which an answer is late enough for a hedge; zero when unknown.
+    pub hedge_after: Span,
     /// Its zone.
     pub zone: ZoneId,
     /// Whether it and its zone are in.
--- a/components/serving/tests/common/mod.rs
+++ b/components/serving/tests/common/mod.rs
@@ -104,7 +104,7 @@
         queued: 0,
         allowance: 2,
         p50: Span::millis(5),
-        p95: Span::millis(20),
+        hedge_after: Span::millis(20),
         zone: "z1".parse().expect("zone id"),
         takes_work: true,
         ejected: false,
