--- a/components/daemon/src/control/host_control.rs
+++ b/components/daemon/src/control/host_control.rs
@@ -7,6 +7,7 @@
         entry::{
             QueryRequest,
             claims::{Claim, ClaimedOutcome, RunOnce},
+            request::Identity,
         },
         peer::server::PeerControl,
         view::HolderRights,
@@ -17,7 +18,7 @@
         ReleaseReply, ReleaseRequest,
     },
     wigeonramp_serving::upstream::Rights,
-    wigeonramp_units::{CallerId, Instant, LeafId},
+    wigeonramp_units::{Instant, LeafId},
 };
 
 /// Rights, claims, entry addresses and answers to peers of one host.
@@ -53,8 +54,8 @@
 }
 
 impl EntryAddresses for HostControl {
-    fn entry_addresses(&self, caller: &CallerId) -> EntryChoice {
-        self.gate.entry_addresses(caller)
+    fn entry_addresses(&self, caller: &Identity) -> EntryChoice {
+        self.gate.entry_addresses(&caller.caller)
     }
 }
 
--- a/components/daemon/tests/control/main.rs
+++ b/components/daemon/tests/control/main.rs
@@ -2,6 +2,8 @@
 
 mod claims;
 mod configuration;
+mod lost_confirm;
+mod parts;
 mod stop;
 mod support;
 mod zones;
--- a/components/daemon/tests/control/support.rs
+++ b/components/daemon/tests/control/support.rs
@@ -4,6 +4,7 @@
     serde::{Serialize, de::DeserializeOwned},
     serde_json::{Value, json},
     std::{
+        collections::BTreeSet,
         net::SocketAddr,
         sync::{
             Arc,
@@ -50,7 +51,8 @@
     declared: Document,
 }
 
-fn declared(shards: usize) -> Document {
+/// A deployment whose leaves have no addresses yet.
+pub fn declared(shards: usize) -> Document {
     let mut maps = serde_json::Map::new();
     let mut leaves = serde_json::Map::new();
     for n in 0..shards {
@@ -82,7 +84,8 @@
     serde_json::from_value(document).expect("the document is well formed")
 }
 
-fn settings(n: usize, platform: SocketAddr) -> HostSettings {
+/// Settings of one host, on ports of the system's choice.
+pub fn settings(n: usize, platform: SocketAddr) -> HostSettings {
     let any = SocketAddr::from(([127, 0, 0, 1], 0));
     HostSettings {
         host: format!("h{n}").parse().expect("a host id"),
@@ -118,16 +121,20 @@
     /// Hosts whose first declaration is in force, and that hold all leaves.
     pub fn start(hosts: usize, shards: usize) -> Self {
         let fleet = Self::undeclared(hosts, shards);
-        fleet.all_know_each_other();
-        let answer = fleet.confirm(0, fleet.plan(0, fleet.declaration()).expect("a plan"));
+        fleet.bring_up();
+        fleet
+    }
+
+    /// Brings the first declaration into force and waits until the hosts serve.
+    pub fn bring_up(&self) {
+        self.all_know_each_other();
+        let answer = self.change(0, self.declaration());
         assert!(matches!(answer, ConfirmAnswer::InForce { .. }), "{answer:?}");
-        let all = fleet.declared.leaves.len();
+        let shards = self.declared.leaves.len() / 2;
         wait_for("all leaves are held and all hosts are served", || {
-            let held: usize = (0..hosts).map(|n| fleet.status(n).leaves.len()).sum();
-            let served = |n| fleet.query(n, &json!("start")).is_some_and(|a| covered(&a) == shards);
-            held == all && (0..hosts).all(served)
+            let served = |n| self.query(n, &json!("start")).is_some_and(|a| covered(&a) == shards);
+            self.held() == 2 * shards && (0..self.hosts.len()).all(served)
         });
-        fleet
     }
 
     pub fn declaration(&self) -> Intent {
@@ -144,6 +151,12 @@
         get(self.hosts[host].addresses().operator, STATUS_PATH)
     }
 
+    /// Number of leaves that any host holds.
+    pub fn held(&self) -> usize {
+        let leaves = (0..self.hosts.len()).flat_map(|n| self.status(n).leaves);
+        leaves.map(|leaf| leaf.leaf).collect::<BTreeSet<_>>().len()
+    }
+
     /// The plan, or the status and reason of the refusal.
     pub fn plan(&self, host: usize, intent: Intent) -> Result<PlanAnswer, (StatusCode, String)> {
         self.plan_with(host, intent, false)
@@ -233,7 +246,7 @@
     answer.body_mut().read_json().expect("a JSON body")
 }
 
-fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> (StatusCode, String) {
+pub fn post(address: SocketAddr, path: &str, body: &impl Serialize) -> (StatusCode, String) {
     let body = serde_json::to_string(body).expect("JSON");
     let mut answer = agent().post(format!("http://{address}{path}")).send(body).expect("an answer");
     (answer.status(), answer.body_mut().read_to_string().expect("text"))
