Serve claim objects in turn

Cause: ClaimBook::batch searched for work from the first key each time. Calls for claims are limited to about 10 a second and host, so under load the first objects took all of them and claims in later ones waited until their deadline.

Ruled out: nothing else is changed; two requests that are claimed at the same time still meet in the same object, as neither keys nor the number of objects change.

Conclusion: starvation is gone, the limit on calls remains and is likely the larger part.

--- a/components/control/src/claims.rs
+++ b/components/control/src/claims.rs
@@ -12,6 +12,7 @@
     std::{
         collections::{BTreeMap, BTreeSet},
         mem,
+        ops::Bound,
     },
     wigeonramp_units::{Revision, Span, UnixMillis},
 };
@@ -123,6 +124,9 @@
 pub struct ClaimBook {
     settings: ClaimSettings,
     buckets: BTreeMap<String, Bucket>,
+    // Key of the last call; the search for the next one begins behind it, as calls are few and the
+    // first keys would take them all.
+    called: String,
     used: BTreeMap<ClaimNonce, UnixMillis>,
     withdrawn: BTreeSet<String>,
 }
@@ -130,8 +134,8 @@
 impl ClaimBook {
     /// An empty book.
     pub fn new(settings: ClaimSettings) -> Self {
-        let (buckets, used, withdrawn) = Default::default();
-        Self { settings, buckets, used, withdrawn }
+        let (buckets, called, used, withdrawn) = Default::default();
+        Self { settings, buckets, called, used, withdrawn }
     }
 
     /// Sets how long a request id is known.
@@ -201,10 +205,18 @@
         let settings = self.settings;
         self.buckets.retain(|key, bucket| !bucket.is_idle() || settings.is_recent(key, now));
         self.used.retain(|_, at| now <= *at + settings.retention + settings.retention);
-        let call = self.buckets.iter_mut().find_map(|(key, bucket)| {
-            let call = bucket.call(&settings, &mut decided, now)?;
-            Some(ClaimWrite { key: key.clone(), call })
+        let called = self.called.as_str();
+        let behind = (Bound::Excluded(called), Bound::Unbounded);
+        let up_to = (Bound::Unbounded, Bound::Included(called));
+        let call = [behind, up_to].into_iter().find_map(|range| {
+            self.buckets.range_mut::<str, _>(range).find_map(|(key, bucket)| {
+                let call = bucket.call(&settings, &mut decided, now)?;
+                Some(ClaimWrite { key: key.clone(), call })
+            })
         });
+        if let Some(call) = &call {
+            self.called.clone_from(&call.key);
+        }
         (call, self.settle(decided))
     }
 
--- a/components/control/tests/claims.rs
+++ b/components/control/tests/claims.rs
@@ -220,3 +220,30 @@
     assert!(!deletable(&key, &SETTINGS, UnixMillis(end + 900_000)));
     assert!(deletable(&key, &SETTINGS, UnixMillis(end + 900_001)));
 }
+
+/// Guards against an object whose claims wait for ever because calls always go to a busier one.
+#[test]
+fn a_busy_object_does_not_keep_calls_from_the_others() {
+    let settings = ClaimSettings { buckets: 16, ..SETTINGS };
+    let (mut book, mut store) = (ClaimBook::new(settings), Store::default());
+    let mut nonce = 0;
+    let mut asked = 0;
+    let mut waits = Vec::new();
+    let mut longest = 0;
+    for call in 0..1_000_usize {
+        for _ in 0..3 {
+            asked += 1;
+            nonce += 1;
+            assert!(book.request(claim(asked), ClaimNonce(nonce), NOW).is_none());
+            waits.push((claim(asked), call));
+        }
+        for decision in store.step(&mut book, 3) {
+            assert_eq!(decision.verdict, Verdict::Granted);
+            let at = waits.iter().position(|(claim, _)| *claim == decision.claim);
+            let (_, since) = waits.swap_remove(at.expect("it was asked once"));
+            longest = longest.max(call - since);
+        }
+    }
+    let oldest = waits.iter().map(|(_, since)| 1_000 - since).max().unwrap_or_default();
+    assert!(longest.max(oldest) <= 16, "a claim waited for {} calls", longest.max(oldest));
+}
