--- a/scripts/drills/lib.sh
+++ b/scripts/drills/lib.sh
@@ -64,6 +64,7 @@
 
 # Starts a cluster, declares the deployment and waits until every leaf has a holder.
 start_cluster() { # HOSTS
+  rm -f "$DIR/plan.json"
   scripts/cluster start "$DIR" "$DEPLOYMENT" "$1"
   WIGEONRAMP_HOST=$(address host-1 operator)
   export WIGEONRAMP_HOST
