--- a/components/daemon/src/control/directory.rs
+++ b/components/daemon/src/control/directory.rs
@@ -13,10 +13,8 @@
     wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Span, ZoneId},
 };
 
-/// Hosts up to which each heartbeat names all.
-const SMALL_FLEET: usize = 24;
-/// Hosts named in a heartbeat of a larger fleet. With 570 hosts and 12 heartbeats a second in and
-/// out, 4 reports of about 130 bytes are 6 KB/s of the 12 KB/s that control may use.
+/// Hosts named in a heartbeat. With 12 heartbeats a second in and out, 4 reports of about 130 bytes
+/// are 6 KB/s of the 12 KB/s that control may use.
 const REPORTS: usize = 4;
 /// Age from which a report is not passed on, so that ended instances are forgotten everywhere.
 const REPORT_AGE: Span = Span::secs(30);
@@ -56,7 +54,7 @@
 }
 
 impl KnownHost {
-    /// The sender of `heartbeat`, heard at `heard`.
+    /// The sender of `heartbeat`, heard at `heard`. Fails like `of_report`.
     pub fn of_heartbeat(heartbeat: &Heartbeat, heard: Instant) -> Result<Self, BadReport> {
         let report = HostReport {
             instance: heartbeat.instance.clone(),
@@ -73,7 +71,7 @@
         Self::of_report(&report, heard)
     }
 
-    /// The host in `report`, which arrived at `now`.
+    /// The host in `report`, which arrived at `now`. Fails if an id or address cannot be read.
     pub fn of_report(report: &HostReport, now: Instant) -> Result<Self, BadReport> {
         let bad = |field, found: &str| BadReport {
             instance: report.instance.clone(),
@@ -188,19 +186,22 @@
         self.hosts.get(instance)
     }
 
+    /// All known instances.
+    pub fn all(&self) -> impl Iterator<Item = &KnownHost> {
+        self.hosts.values()
+    }
+
     /// Instances heard within `age`.
     pub fn fresh(&self, age: Span, now: Instant) -> impl Iterator<Item = &KnownHost> {
         self.hosts.values().filter(move |host| now.since(host.heard) < age)
     }
 
-    /// Hosts to name in a heartbeat: all of a small fleet, some of a large one.
+    /// Some hosts to name in a heartbeat.
     pub fn reports(&self, now: Instant, rng: &mut impl Rng) -> Vec<HostReport> {
         let mut fresh: Vec<_> = self.fresh(REPORT_AGE, now).collect();
-        if fresh.len() > SMALL_FLEET {
-            let some = (0..REPORTS).map(|_| fresh.swap_remove(rng.random_range(0..fresh.len())));
-            fresh = some.collect();
-        }
-        fresh.into_iter().map(|host| host.report(now)).collect()
+        let count = REPORTS.min(fresh.len());
+        let some = (0..count).map(|_| fresh.swap_remove(rng.random_range(0..fresh.len())));
+        some.map(|host| host.report(now)).collect()
     }
 
     /// Forgets instances that have long been silent and that `keep` does not name.
--- a/components/daemon/src/control/doubt.rs
+++ b/components/daemon/src/control/doubt.rs
@@ -18,12 +18,6 @@
 
 /// Looks at the session in one session time.
 const LOOKS: u64 = 16;
-/// A round begins when less than one part in this many of the session time is left, so that the
-/// promises are there when the session expires. A renewal is due when two thirds are left.
-const LATE_PART: u64 = 2;
-/// Rounds in one session time while they succeed.
-const ROUNDS: u64 = 3;
-
 struct Round {
     asks: Vec<PromiseAsk>,
     began: Instant,
@@ -31,20 +25,27 @@
 
 /// Asks for promises whenever the session is about to expire or has expired.
 pub fn run(gate: &Gate, desk: &AssignDesk, peers: &Peers) {
-    let mut held = false;
+    let (mut held, mut stale) = (false, true);
     while !gate.is_stopped() {
         let (round, time) = {
             let mut core = gate.core();
             let now = clock::now();
             let time = core.session_time.shorter(now);
-            (is_due(&core, time, now).then(|| begin(&mut core, time, now)).flatten(), time)
+            let wanted = core.rights.wants_promises(now);
+            (wanted.then(|| begin(&mut core, time, now)).flatten(), time)
         };
         if let Some(round) = round {
             ask(gate, desk, peers, round);
         }
-        let holds = gate.core().rights.promises.is_valid(clock::now());
-        if holds != held {
-            held = holds;
+        let (holds, doubt) = {
+            let (core, now) = (gate.core(), clock::now());
+            (core.rights.promises.is_valid(now), core.rights.in_doubt(now))
+        };
+        note_freshness(gate, &mut stale);
+        // Promises that end while the session is valid are not needed any more.
+        let told = holds != held && (holds || doubt);
+        held = holds;
+        if told {
             log::info!("promises of all assigners hold: {held}");
             gate.record(Entry::now(EventKind::PromiseRound).field("all_promised", held));
         }
@@ -52,15 +53,15 @@
     }
 }
 
-fn is_due(core: &Core, time: Span, now: Instant) -> bool {
-    let rights = &core.rights;
-    if rights.session.has_ended() || rights.session.last_renewal().is_none() {
-        return false;
+/// Notes when contact with store and peers is lost and found again.
+fn note_freshness(gate: &Gate, stale: &mut bool) {
+    let now = gate.core().rights.is_stale(clock::now());
+    if now == *stale {
+        return;
     }
-    let left = |until: Option<Instant>| until.map_or(Span::ZERO, |until| until.since(now));
-    let session_late = left(rights.session.valid_until()) < time / LATE_PART;
-    let promises_late = left(rights.promises.valid_until()) < time - time / ROUNDS;
-    session_late && promises_late
+    *stale = now;
+    log::info!("neither store nor peers answer, nothing is sent: {now}");
+    gate.record(Entry::now(if now { EventKind::ConfigStale } else { EventKind::ConfigFresh }));
 }
 
 fn begin(core: &mut Core, time: Span, now: Instant) -> Option<Round> {
--- a/components/daemon/src/control/gossip.rs
+++ b/components/daemon/src/control/gossip.rs
@@ -8,20 +8,13 @@
             directory::KnownHost,
             fetching::{Fetcher, Wanted},
             gate::Gate,
-            platform::{CallKind, Platform},
         },
         peer::client::Peers,
     },
     rand::RngExt,
     std::{collections::BTreeSet, net::SocketAddr, sync::Arc},
-    wigeonramp_control::{
-        assignment::Holding,
-        heartbeat::{PEERS_PER_ROUND, next_peers},
-        session::SessionRecord,
-        write::ReadResult,
-    },
+    wigeonramp_control::heartbeat::{PEERS_PER_ROUND, next_peers},
     wigeonramp_proto::peer::{Heartbeat, LeafReport, Suspect},
-    wigeonramp_store::ObjectStore,
     wigeonramp_telemetry::metrics::DirectionLabels,
     wigeonramp_units::{InstanceId, Instant, Percent, Span},
 };
@@ -32,8 +25,6 @@
 const JITTER_PERCENT: u64 = 10;
 /// Shortest time between two rounds that a change of versions asks for.
 const SHORTEST_PAUSE: Span = Span::millis(10);
-/// Reads of unknown holders' sessions in one round.
-const LOOKUPS: usize = 5;
 
 /// The data path's part of heartbeats.
 pub trait LeafNews: Send + Sync + 'static {
@@ -47,6 +38,17 @@
     fn heard(&self, reports: Vec<LeafReport>, suspects: Vec<Suspect>);
 }
 
+/// Who gets the heartbeats of a round.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Audience {
+    /// Everybody who is known.
+    All,
+    /// Everybody who is not known to have the adopted configuration.
+    Behind,
+    /// A few at random.
+    Random,
+}
+
 /// Builds and takes heartbeats.
 pub struct Gossip<N> {
     fetcher: Fetcher,
@@ -113,35 +115,28 @@
     }
 
     /// Sends heartbeats until the host stops. `load` gives the share of request workers in use.
-    pub fn run<S: ObjectStore>(
-        &self,
-        peers: &Peers,
-        platform: &Platform<S>,
-        seeds: &[SocketAddr],
-        load: impl Fn() -> Percent,
-    ) {
+    pub fn run(&self, peers: &Peers, seeds: &[SocketAddr], load: impl Fn() -> Percent) {
         let mut rng = rand::rng();
-        let mut listed = false;
         let mut left = false;
         while !self.gate.is_stopped() {
             self.gate.core().load = load();
-            if !listed {
-                listed = self.learn_hosts(platform);
-            }
             let leaving = self.gate.core().leaving();
             // All peers hear of a stop at once, so that they name this host to no caller.
-            let everybody = leaving && !left;
+            let audience = match (leaving && !left, self.gate.take_ask_behind()) {
+                (true, _) => Audience::All,
+                (false, true) => Audience::Behind,
+                (false, false) => Audience::Random,
+            };
             left = leaving;
-            self.round(peers, seeds, everybody);
-            self.look_up_holders(platform);
+            self.round(peers, seeds, audience);
             let percent = rng.random_range(100 - JITTER_PERCENT..=100 + JITTER_PERCENT);
             std::thread::sleep(SHORTEST_PAUSE.to_duration());
             self.gate.wakers().gossip.wait(ROUND.percent(percent));
         }
     }
 
-    fn round(&self, peers: &Peers, seeds: &[SocketAddr], everybody: bool) {
-        let addresses = self.choose(seeds, everybody);
+    fn round(&self, peers: &Peers, seeds: &[SocketAddr], audience: Audience) {
+        let addresses = self.choose(seeds, audience);
         let heartbeat = self.heartbeat();
         let bytes = prost_len(&heartbeat);
         let calls = addresses
@@ -165,14 +160,16 @@
         );
     }
 
-    /// Random peers; the seeds as well while nobody is known.
-    fn choose(&self, seeds: &[SocketAddr], everybody: bool) -> Vec<SocketAddr> {
+    /// The peers of one round; the seeds as well while few are known.
+    fn choose(&self, seeds: &[SocketAddr], audience: Audience) -> Vec<SocketAddr> {
         let now = clock::now();
         let core = self.gate.core();
         let me = core.me.peer_address;
         let fresh: Vec<_> = core.hosts.fresh(core.silent_after(), now).collect();
-        if everybody {
-            return fresh.iter().map(|host| host.peer_address).collect();
+        let version = core.document.version;
+        let told = |host: &&&KnownHost| audience == Audience::All || host.versions.config < version;
+        if audience != Audience::Random {
+            return fresh.iter().filter(told).map(|host| host.peer_address).collect();
         }
         let ids: Vec<InstanceId> = fresh.iter().map(|host| host.instance.clone()).collect();
         let chosen = next_peers(&ids, &mut rand::rng());
@@ -184,51 +181,6 @@
         addresses.into_iter().collect()
     }
 
-    /// The first list of hosts: one read of all sessions after the start, never again.
-    fn learn_hosts<S: ObjectStore>(&self, platform: &Platform<S>) -> bool {
-        let Ok(objects) = platform.list(CallKind::Session, "session/") else { return false };
-        let now = clock::now();
-        let records = objects.iter().filter_map(|object| {
-            let record = serde_json::from_str::<SessionRecord>(&object.body);
-            record.inspect_err(|err| log::error!("{} cannot be read: {err}", object.key)).ok()
-        });
-        let records: Vec<_> = records.collect();
-        let mut core = self.gate.core();
-        let me = core.me.instance.clone();
-        for record in records.iter().filter(|record| record.instance != me) {
-            core.hosts.hear(KnownHost::of_session(record, now));
-        }
-        drop(core);
-        self.gate.wakers().apply.wake();
-        true
-    }
-
-    /// Reads the sessions of holders whose address is not known.
-    fn look_up_holders<S: ObjectStore>(&self, platform: &Platform<S>) {
-        let unknown: BTreeSet<InstanceId> = {
-            let core = self.gate.core();
-            let Some(assignment) = &core.assignment else { return };
-            let involved = |holding: &Holding| {
-                [Some(holding.instance.clone()), holding.from.clone()].into_iter().flatten()
-            };
-            let strange = |id: &InstanceId| core.hosts.get(id).is_none() && *id != core.me.instance;
-            let all = assignment.holdings.values().flat_map(involved);
-            all.chain(assignment.assigner_ids().cloned()).filter(strange).collect()
-        };
-        for id in unknown.iter().take(LOOKUPS) {
-            let key = SessionRecord::key(id);
-            match platform.read::<SessionRecord>(CallKind::Session, &key) {
-                ReadResult::Found(found) => {
-                    let host = KnownHost::of_session(&found.value, clock::now());
-                    self.gate.core().hosts.hear(host);
-                    self.gate.wakers().apply.wake();
-                }
-                ReadResult::Missing => (),
-                ReadResult::Failed => return,
-            }
-        }
-    }
-
     fn count(&self, direction: &str, bytes: u64) {
         let labels = DirectionLabels { direction: direction.to_owned() };
         self.gate.metrics().heartbeat_bytes.get_or_create(&labels).inc_by(bytes);
--- a/components/daemon/src/control/threads.rs
+++ b/components/daemon/src/control/threads.rs
@@ -10,7 +10,7 @@
             fetching::Fetcher,
             gate::Gate,
             gossip::{Gossip, LeafNews},
-            handing,
+            handing, lookup,
             platform::Platform,
             renewal::Renewer,
             watching,
@@ -59,7 +59,8 @@
 }
 
 impl ControlThreads {
-    /// Starts all threads. `load` gives the share of request workers in use.
+    /// Starts all threads. `load` gives the share of request workers in use. Fails if the system
+    /// gives no thread.
     pub fn start<N: LeafNews, S: ObjectStore>(
         parts: ControlParts<N, S>,
         load: impl Fn() -> Percent + Send + 'static,
@@ -90,9 +91,10 @@
             spawn("handover", move || handing::run(&gate, &holders, &peers))?
         });
         others.push({
-            let platform = Arc::clone(&platform);
-            spawn("gossip", move || gossip.run(&peers, &platform, &seeds, load))?
+            let (gate, platform) = (Arc::clone(&gate), Arc::clone(&platform));
+            spawn("lookup", move || lookup::run(&gate, &platform))?
         });
+        others.push(spawn("gossip", move || gossip.run(&peers, &seeds, load))?);
         others.push({
             let (gate, platform) = (Arc::clone(&gate), Arc::clone(&platform));
             spawn("clean", move || cleaning::run(&gate, &platform))?
--- a/components/load/src/entry.rs
+++ b/components/load/src/entry.rs
@@ -66,6 +66,7 @@
     }
 
     /// The address to use now: the best one, and another one for each further `repeat`.
+    /// Fails if no host names one.
     pub fn address(
         &mut self,
         agent: &Agent,
