Declare how many answers end a leaf's cold state

The stand-in's leaf is cold for 16 answers or 10 s, so with 20 per second the ramp could step after 10 answers, while the leaf still counted as cold.

LeafLimits gets cold_answers (default 16, 1 to 100,000). After a cold start there is no step of the ramp and no allowance above the cold one before so many timely answers to requests sent since. Later steps are as before. The answer that names a new boot does not count, because its request was sent before the cold start was known. A leaf handed over cold is counted from scratch. An overdue answer from before a cold start, explained afterwards by a probe, no longer brings the old allowance back.

Ruled out: a longer RAMP_STEP, since answers and not time warm a leaf; and handing the count over, since starting again only costs up to 16 answers.

With the gate removed, cold_state_ends_after_the_declared_answers and upstream_keeps_its_limits fail; without the clamp, explained_doubt_does_not_end_the_cold_state fails.

--- a/components/config/src/document.rs
+++ b/components/config/src/document.rs
@@ -147,6 +147,13 @@
     pub cold_in_flight: Slots,
     /// Requests and new connections together that it bears each second just after a cold start.
     pub cold_per_second: PerSecond,
+    /// Whole answers after a cold start that end the cold state.
+    #[serde(default = "default_cold_answers")]
+    pub cold_answers: u32,
+}
+
+fn default_cold_answers() -> u32 {
+    16
 }
 
 /// The shards of a collection and the leaves that hold each of them.
--- a/components/config/src/rules.rs
+++ b/components/config/src/rules.rs
@@ -69,6 +69,7 @@
     in_range(&key("connections"), limits.connections.get().into(), 1, 65_535)?;
     in_range(&key("cold_per_second"), limits.cold_per_second.get().into(), 1, 100_000)?;
     in_range(&key("cold_in_flight"), limits.cold_in_flight.get().into(), 1, 1024)?;
+    in_range(&key("cold_answers"), limits.cold_answers.into(), 1, 100_000)?;
     if limits.connect_cost > Span::secs(10) {
         let problem = format!("{} is out of range", limits.connect_cost);
         return Err(KeyProblem::new(key("connect_cost"), problem, "at most 10s"));
--- a/components/config/tests/bad_settings.rs
+++ b/components/config/tests/bad_settings.rs
@@ -35,7 +35,7 @@
     ("unknown log level", "seeds = [\"127.0.0.1:7101\"]", "[log]\nlevel = \"loud\""),
 ];
 
-const DEPLOYMENT_CASES: [Case; 20] = [
+const DEPLOYMENT_CASES: [Case; 21] = [
     ("unknown key", "canary = true", "canari = true"),
     ("bad unit", "max_deadline = \"2s\"", "max_deadline = \"2 hours\""),
     ("zone without name", "[zones.gulf-a]", "[zones.\"\"]"),
@@ -53,6 +53,7 @@
     ("two leaves on one address", "127.0.0.1:21100", "127.0.0.1:21039"),
     ("ports run out", "127.0.0.1:21300", "127.0.0.1:65530"),
     ("cold_in_flight over slots", "cold_in_flight = 1", "cold_in_flight = 3"),
+    ("cold_answers of zero", "cold_answers = 16", "cold_answers = 0"),
     (
         "soft over max deadline",
         "max_deadline = \"2s\"",
--- a/components/daemon/tests/data_path/cold_start.rs
+++ b/components/daemon/tests/data_path/cold_start.rs
@@ -12,9 +12,6 @@
 const QUERIES: usize = 30;
 
 const COLD_PER_SECOND: u32 = 20;
-/// The declared limits do not say how long a leaf is cold. The ramp takes its first step after half
-/// a second's worth of answers, so the leaves of this test are warm after as many.
-const COLD_REQUESTS: u32 = COLD_PER_SECOND / 2;
 
 fn load(cluster: &Cluster) {
     thread::scope(|scope| {
@@ -43,12 +40,7 @@
 /// first start, and after a crash under load.
 #[test]
 fn cold_leaves_never_get_more_than_they_bear() {
-    let shape = Shape {
-        cold_per_second: COLD_PER_SECOND,
-        cold_requests: COLD_REQUESTS,
-        start_warm: false,
-        ..Shape::default()
-    };
+    let shape = Shape { cold_per_second: COLD_PER_SECOND, start_warm: false, ..Shape::default() };
     let cluster = Cluster::start(&shape);
     load(&cluster);
     assert_no_violation(&cluster);
--- a/components/daemon/tests/data_path/support.rs
+++ b/components/daemon/tests/data_path/support.rs
@@ -108,8 +108,6 @@
 pub struct Shape {
     pub canary: bool,
     pub cold_per_second: u32,
-    /// Answers that end a leaf's cold state.
-    pub cold_requests: u32,
     pub hosts: usize,
     pub service: Span,
     pub shards: u32,
@@ -121,7 +119,6 @@
         Self {
             canary: false,
             cold_per_second: 50,
-            cold_requests: LeafSettings::default().cold_requests,
             hosts: 2,
             service: Span::millis(1),
             shards: 4,
@@ -202,11 +199,7 @@
         let options = LeavesOptions {
             any_port: true,
             start_warm: shape.start_warm,
-            settings: LeafSettings {
-                cold_requests: shape.cold_requests,
-                service,
-                ..LeafSettings::default()
-            },
+            settings: LeafSettings { service, ..LeafSettings::default() },
             ..LeavesOptions::default()
         };
         let leaves = leaves::start(&document, &options).expect("the leaves start");
--- a/components/serving/src/upstream/ramp.rs
+++ b/components/serving/src/upstream/ramp.rs
@@ -19,6 +19,10 @@
     per_second: Option<u32>,
     successes: u32,
     step_started: Instant,
+    /// Sends before this time say nothing about the present cold start.
+    cold_since: Instant,
+    /// Answers that are missing before the cold state ends.
+    cold_left: u32,
     /// Times of sends and connects within the last second.
     recent: VecDeque<Instant>,
     /// Allowance to return to when a silent connection explains the overdue answer.
@@ -31,6 +35,8 @@
     pub(super) fn new(limits: LeafLimits, now: Instant) -> Self {
         let (in_flight, per_second) = cold(&limits);
         Self {
+            cold_since: now,
+            cold_left: limits.cold_answers,
             limits,
             in_flight,
             per_second: Some(per_second),
@@ -47,12 +53,18 @@
     }
 
     pub(super) fn go_cold(&mut self, now: Instant) {
+        self.lower_to_cold();
+        self.before_doubt = None;
+        self.cold_since = now;
+        self.cold_left = self.limits.cold_answers;
+        self.restart_step(now);
+    }
+
+    fn lower_to_cold(&mut self) {
         let (in_flight, per_second) = cold(&self.limits);
         // A halved allowance may be lower; only a success raises it.
         self.in_flight = self.in_flight.min(in_flight);
         self.per_second = Some(self.per_second.map_or(per_second, |rate| rate.min(per_second)));
-        self.before_doubt = None;
-        self.restart_step(now);
     }
 
     pub(super) fn is_warm(&self) -> bool {
@@ -76,6 +88,8 @@
     pub(super) fn restore(&mut self, allowance: Allowance, now: Instant) {
         self.in_flight = allowance.in_flight.get().clamp(1, self.limits.slots.get().max(1));
         self.per_second = allowance.per_second.map(PerSecond::get);
+        // The last holder does not say how many answers a cold leaf has given: count from scratch.
+        self.cold_left = if self.is_cold() { self.limits.cold_answers } else { 0 };
         self.restart_step(now);
     }
 
@@ -107,17 +121,23 @@
         self.recent[self.recent.len() - limit] + SECOND
     }
 
-    /// Counts a timely answer of a leaf that is not busy.
-    pub(super) fn success(&mut self, service: Span, now: Instant) {
+    /// Counts a timely answer of a leaf that is not busy to a request sent at `sent`.
+    pub(super) fn success(&mut self, sent: Instant, service: Span, now: Instant) {
         if let Some((in_flight, per_second)) = self.before_doubt.take() {
             self.in_flight = in_flight;
             self.per_second = per_second;
         }
+        if self.cold_left > 0 {
+            // The allowance before an overdue answer may date from before the cold start.
+            self.lower_to_cold();
+            self.cold_left -= u32::from(sent >= self.cold_since);
+        }
         let Some(rate) = self.per_second else { return };
         self.successes += 1;
         let wanted = (rate / 2).clamp(1, STEP_SUCCESSES);
         let capped = self.capped_until.is_some_and(|until| now < until);
-        if capped || self.successes < wanted || now.since(self.step_started) < RAMP_STEP {
+        let cold = self.cold_left > 0;
+        if cold || capped || self.successes < wanted || now.since(self.step_started) < RAMP_STEP {
             return;
         }
         self.grow(rate, service);
--- a/components/serving/src/upstream/upstream.rs
+++ b/components/serving/src/upstream/upstream.rs
@@ -443,7 +443,7 @@
             self.doubt = None;
             self.ramp.blame();
         } else if same && !busy && self.doubt.is_none() {
-            self.ramp.success(self.service, now);
+            self.ramp.success(run.sent, self.service, now);
         }
     }
 
--- a/components/serving/tests/common/mod.rs
+++ b/components/serving/tests/common/mod.rs
@@ -27,6 +27,7 @@
         connect_cost: Span::millis(6),
         cold_in_flight: Slots(cold),
         cold_per_second: PerSecond(rate),
+        cold_answers: 16,
     }
 }
 
--- a/components/serving/tests/upstream.rs
+++ b/components/serving/tests/upstream.rs
@@ -108,17 +108,38 @@
         }
     }
 
+    /// Serves one request each 200 ms and counts the answers while the leaf is cold.
+    fn answers_until_not_cold(&mut self, boot: &str) -> u32 {
+        let mut answers = 0;
+        while self.upstream.state() == State::Cold {
+            assert!(answers < 100, "the cold state never ended");
+            assert_eq!(self.upstream.report(self.now).allowance.in_flight, Slots(1));
+            self.now = self.now + Span::millis(200);
+            let id = 2_000 + u64::from(answers);
+            let _ = self.upstream.offer(job(id, self.now + Span::secs(5)), self.now);
+            answers += self.serve(boot);
+        }
+        answers
+    }
+
     fn drain(&mut self) {
+        self.serve("b1");
+    }
+
+    /// Answers everything at once; returns the number of answers.
+    fn serve(&mut self, boot: &str) -> u32 {
+        let mut answers = 0;
         loop {
             match self.upstream.next(self.now, Rights::Full) {
                 Next::Send { job, .. } => {
-                    let _ = self.upstream.done(job, answered("b1", 5), self.now);
+                    let _ = self.upstream.done(job, answered(boot, 5), self.now);
+                    answers += 1;
                 }
                 Next::Connect { connection, .. } => {
                     let _ = self.upstream.connected(connection, None, self.now);
                 }
                 Next::Drop(..) => {}
-                Next::Wait(_) => return,
+                Next::Wait(_) => return answers,
             }
         }
     }
@@ -139,6 +160,38 @@
     assert_snapshot!(rig.table);
 }
 
+/// Guards against a ramp that takes its first step while the leaf still counts as cold: with slow
+/// answers one second passes, and half a second's worth of answers has come, before the cold state
+/// ends. A cold start in between counts from scratch.
+#[test]
+fn cold_state_ends_after_the_declared_answers() {
+    let mut rig = Rig::new(4, 1, 10);
+    // The answer that names a new boot does not count: its request was sent before the cold start
+    // was known.
+    assert_eq!(rig.answers_until_not_cold("b1"), 17);
+    assert_eq!(rig.answers_until_not_cold("b1"), 0);
+    rig.offer(job(1, rig.now + Span::secs(5))).pump().done(1, Completion::Rejected);
+    assert_eq!(rig.answers_until_not_cold("b1"), 16);
+    rig.offer(job(1, rig.now + Span::secs(5))).pump().done(1, Completion::Reset);
+    assert_eq!(rig.answers_until_not_cold("b2"), 17);
+}
+
+/// Guards against an overdue answer from before a cold start whose explanation brings the old
+/// allowance back.
+#[test]
+fn explained_doubt_does_not_end_the_cold_state() {
+    let mut rig = Rig::warm(2);
+    rig.offer(job(1, rig.now + Span::millis(300))).pump();
+    rig.at(300).done(1, Completion::TimedOut);
+    // The probe opened at 300 ms is answered only after the leaf has been idle for too long.
+    rig.at(61_000).pump();
+    let probe = Some("b1".parse().expect("boot id"));
+    let _ = rig.upstream.connected(ConnectionId(2), probe, rig.now);
+    rig.offer(job(2, rig.now + Span::secs(1))).pump().answer(2, "b1");
+    let allowance = rig.upstream.report(rig.now).allowance;
+    assert_eq!((allowance.in_flight, rig.upstream.state()), (Slots(1), State::Cold));
+}
+
 #[test]
 fn rate_includes_connects_and_spaces_sends() {
     let mut rig = Rig::new(2, 1, 2);
--- a/components/serving/tests/upstream_props.rs
+++ b/components/serving/tests/upstream_props.rs
@@ -19,6 +19,8 @@
 const SLOTS: u32 = 6;
 const COLD: u32 = 2;
 const RATE: u32 = 8;
+/// As `limits` declares it.
+const COLD_ANSWERS: u32 = 16;
 
 #[derive(Clone, Debug)]
 enum Step {
@@ -117,6 +119,9 @@
     /// Sends and connects since the leaf was last seen not cold.
     spent_cold: Vec<Instant>,
     boot_known: bool,
+    boot: Option<u8>,
+    /// Answers since the last cold start that the events show.
+    answers: u32,
     in_flight: u32,
 }
 
@@ -135,6 +140,8 @@
             opening: None,
             spent_cold: Vec::new(),
             boot_known: false,
+            boot: None,
+            answers: 0,
             in_flight: COLD,
         }
     }
@@ -168,13 +175,19 @@
             Step::Rejoin if self.upstream.state() == State::Gone => {
                 let effects = self.upstream.rejoin(self.now);
                 self.boot_known = false;
+                self.cold_start(None);
                 self.apply(effects);
             }
             Step::Serve(count) => self.serve(count),
             _ => {}
         }
         self.pump();
-        let in_flight = self.upstream.report(self.now).allowance.in_flight.get();
+        let report = self.upstream.report(self.now);
+        if matches!(report.state, State::Ramping | State::Warm) {
+            let answers = self.answers;
+            assert!(answers >= COLD_ANSWERS, "the cold state ended after {answers} answers");
+        }
+        let in_flight = report.allowance.in_flight.get();
         assert!(answered || in_flight <= self.in_flight, "the allowance grew without a success");
         self.in_flight = in_flight;
     }
@@ -212,13 +225,18 @@
         let completion = match how {
             How::Answered { boot: number, busy } => {
                 self.boot_known |= number.is_some();
+                self.answered(number);
                 let latency = Span::millis(4);
                 Completion::Answered { boot: number.map(boot), latency, busy }
             }
-            How::Rejected => Completion::Rejected,
+            How::Rejected => {
+                self.answers = 0;
+                Completion::Rejected
+            }
             How::Leaving => Completion::Leaving,
             How::Reset => {
                 self.boot_known = false;
+                self.cold_start(None);
                 Completion::Reset
             }
             How::TimedOut => Completion::TimedOut,
@@ -228,11 +246,28 @@
         self.apply(effects);
     }
 
+    fn answered(&mut self, boot: Option<u8>) {
+        match boot {
+            None => {}
+            boot if boot == self.boot => self.answers += 1,
+            boot => self.cold_start(boot),
+        }
+    }
+
+    fn cold_start(&mut self, boot: Option<u8>) {
+        self.boot = boot;
+        self.answers = 0;
+    }
+
     fn opened(&mut self, fails: bool, number: Option<u8>) {
         let Some(id) = self.opening.take() else { return };
         let effects = if fails {
+            self.answers = 0;
             self.upstream.connect_failed(id, self.now)
         } else {
+            if number.is_some() && number != self.boot {
+                self.cold_start(number);
+            }
             self.idle.insert(id);
             self.upstream.connected(id, number.map(boot), self.now)
         };
