Answer "unknown" to refused repetitions of requests that must not run twice

Cause: a non-idempotent request that was sent again with the same id and refused before its claim was looked up was answered with "not run", although the first sending may have run. Its caller would conclude that the order never ran.

QueryRequest gets repeated (default false): the caller says that it has sent this id before. Every refusal before the claim is decided is then answered with "unknown", the reason, and that an earlier sending may have run: rejected form or credentials, no configuration, busy workers, quarantine, admission, claim not written. HTTP status and retry time of a rejection stay. A refusal under a granted claim, also one that replaces a claim released as not run, is "not run" as before. Without the flag nothing changes.

Ruled out: looking the claim up before every refusal, which would put store calls on the path that sheds load; remembering ids at each host, since the repetition usually goes to another one. Staleness is refused by the holder, after the claim was granted, so it needs no case of its own.

Before: with the store down a repetition got refused_not_run. The load tool was not run against a cluster.

--- a/components/config/src/caller_api.rs
+++ b/components/config/src/caller_api.rs
@@ -2,7 +2,8 @@
 //!
 //! `GET /v1/entry` answers with `EntryAnswer`. `POST /v1/query` takes `QueryRequest` and answers
 //! with `QueryAnswer`, whatever the HTTP status; a request without valid credentials or of wrong
-//! form gets an `ErrorAnswer` and has not run.
+//! form gets an `ErrorAnswer` and this sending has not run. A readable repetition of a request that is
+//! not idempotent always gets a `QueryAnswer`.
 
 use {
     serde::{Deserialize, Serialize},
@@ -46,6 +47,10 @@
     /// Whether running it twice does no harm.
     #[serde(default = "idempotent_by_default")]
     pub idempotent: bool,
+    /// Whether the caller has sent this id before. A request that is not idempotent and is refused
+    /// before its claim is decided is then answered with "unknown".
+    #[serde(default, skip_serializing_if = "is_false")]
+    pub repeated: bool,
     /// The only shard to ask; required if not idempotent.
     #[serde(default, skip_serializing_if = "Option::is_none")]
     pub shard: Option<ShardId>,
@@ -58,6 +63,11 @@
     true
 }
 
+#[expect(clippy::trivially_copy_pass_by_ref, reason = "serde passes a reference")]
+fn is_false(flag: &bool) -> bool {
+    !flag
+}
+
 /// The answer to a query.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -138,7 +148,7 @@
     pub payload: String,
 }
 
-/// A request that was not accepted; nothing ran and nothing changed.
+/// A request that was not accepted; nothing ran and nothing changed by this sending.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
 pub struct ErrorAnswer {
--- a/components/daemon/src/caller/check.rs
+++ b/components/daemon/src/caller/check.rs
@@ -139,12 +139,20 @@
         collections: body.collections,
         deadline: clock::now() + timeout,
         idempotent: body.idempotent,
+        repeated: body.repeated && !body.idempotent,
         request: body.request_id.unwrap_or_else(new_request_id),
         shard: body.shard,
     };
     Ok(QueryRequest::new(identity, question))
 }
 
+/// The id of a request that must not run twice and that its caller has sent before; `None` also if
+/// the body is not readable.
+pub fn repetition(request: &HttpRequest) -> Option<RequestId> {
+    let body: QueryBody = serde_json::from_slice(&request.body).ok()?;
+    body.request_id.filter(|_| body.repeated && !body.idempotent)
+}
+
 fn check_collections(document: &Document, body: &QueryBody) -> Result<(), Rejection> {
     if body.collections.is_empty() {
         return Err(Rejection::Body("collections: expected at least one".to_owned()));
--- a/components/daemon/src/caller/handler.rs
+++ b/components/daemon/src/caller/handler.rs
@@ -3,13 +3,19 @@
 use {
     crate::{
         caller::check::{self, Rejection},
-        entry::{Entry, answer::Reply, claims::RunOnce, request::Identity},
+        entry::{
+            Entry,
+            answer::{self, Reply},
+            claims::RunOnce,
+            request::Identity,
+        },
         http_server::{Handler, HttpRequest, ServerRefusal, json_response},
         view::HolderRights,
     },
     bytes::Bytes,
     http::{HeaderValue, Method, Response, StatusCode, header},
     http_body_util::Full,
+    serde::Serialize,
     std::{
         net::SocketAddr,
         panic::{AssertUnwindSafe, catch_unwind},
@@ -81,7 +87,8 @@
     fn query(&self, request: &HttpRequest) -> Result<Response<Full<Bytes>>, Rejection> {
         let view = self.entry.view();
         if !view.configured() {
-            return Ok(busy("no configuration adopted yet"));
+            let reason = "no configuration adopted yet";
+            return Ok(busy_repetition(reason, request).unwrap_or_else(|| busy(reason)));
         }
         let identity = check::authenticate(&view.document, &request.headers)?;
         let query = check::query(&view.document, identity, request)?;
@@ -118,9 +125,29 @@
     retry_later(json_response(StatusCode::SERVICE_UNAVAILABLE, &answer), RETRY_AFTER)
 }
 
+/// The answer to a repetition of a request that must not run twice; `None` for any other request.
+fn busy_repetition(reason: &str, request: &HttpRequest) -> Option<Response<Full<Bytes>>> {
+    let answer = answer::unknown_repetition(&check::repetition(request)?, reason);
+    Some(retry_later(json_response(StatusCode::GATEWAY_TIMEOUT, &answer), RETRY_AFTER))
+}
+
+/// Keeps the status, which names the fault; the body tells a repetition that it may have run.
+fn rejected_for(rejection: &Rejection, request: &HttpRequest) -> Response<Full<Bytes>> {
+    let id = (request.uri.path() == QUERY_PATH).then(|| check::repetition(request)).flatten();
+    match id {
+        Some(id) => {
+            rejection_response(rejection, &answer::unknown_repetition(&id, &rejection.to_string()))
+        }
+        None => rejected(rejection),
+    }
+}
+
 fn rejected(rejection: &Rejection) -> Response<Full<Bytes>> {
-    let answer = ErrorAnswer { error: rejection.to_string() };
-    let mut response = json_response(rejection.status(), &answer);
+    rejection_response(rejection, &ErrorAnswer { error: rejection.to_string() })
+}
+
+fn rejection_response(rejection: &Rejection, answer: &impl Serialize) -> Response<Full<Bytes>> {
+    let mut response = json_response(rejection.status(), answer);
     if rejection.status() == StatusCode::UNAUTHORIZED {
         response.headers_mut().insert(header::WWW_AUTHENTICATE, HeaderValue::from_static("Bearer"));
     }
@@ -131,18 +158,25 @@
     fn handle(&self, request: HttpRequest) -> Response<Full<Bytes>> {
         self.dispatch(&request).unwrap_or_else(|rejection| {
             self.entry.observer().refused(None, rejection.kind(), None);
-            rejected(&rejection)
+            rejected_for(&rejection, &request)
         })
     }
 
-    fn refuse(&self, refusal: ServerRefusal) -> Response<Full<Bytes>> {
+    fn refuse(
+        &self,
+        refusal: ServerRefusal,
+        request: Option<&HttpRequest>,
+    ) -> Response<Full<Bytes>> {
         self.entry.observer().refused(None, refusal.as_str(), None);
         match refusal {
             ServerRefusal::BodyTooLarge => {
                 rejected(&Rejection::TooLarge(self.entry.view().document.limits.max_body.get()))
             }
             ServerRefusal::BodyIncomplete => rejected(&Rejection::Incomplete),
-            ServerRefusal::Busy => busy("all workers are taken; not run"),
+            ServerRefusal::Busy => request
+                .filter(|request| request.uri.path() == QUERY_PATH)
+                .and_then(|request| busy_repetition("all workers are taken", request))
+                .unwrap_or_else(|| busy("all workers are taken; not run")),
             ServerRefusal::HandlerFailed => {
                 let answer = ErrorAnswer { error: "internal fault".to_owned() };
                 json_response(StatusCode::INTERNAL_SERVER_ERROR, &answer)
--- a/components/daemon/src/entry/answer.rs
+++ b/components/daemon/src/entry/answer.rs
@@ -10,7 +10,7 @@
         CollectionAnswer, CoverageAnswer, MissingShard, PartAnswer, QueryAnswer, QueryOutcome,
     },
     wigeonramp_serving::query::{Answer, Outcome, Part, Pinned},
-    wigeonramp_units::{CollectionId, Span},
+    wigeonramp_units::{CollectionId, RequestId, Span},
 };
 
 /// Missing shards that the timeline names for one query.
@@ -32,6 +32,15 @@
         Self { answer: without_parts(query, outcome), retry_after }
     }
 
+    /// The request was refused before its claim was decided. This sending did not run, but an earlier
+    /// one may have.
+    pub fn refused_unclaimed(query: &QueryRequest, reason: &str, retry_after: Span) -> Self {
+        if query.repeated {
+            return Self { answer: unknown_repetition(&query.request, reason), retry_after };
+        }
+        Self::refused(query, reason, retry_after)
+    }
+
     /// The request may have run.
     pub fn unknown(query: &QueryRequest, reason: &str) -> Self {
         let outcome = QueryOutcome::Unknown { reason: reason.to_owned() };
@@ -58,6 +67,16 @@
     }
 }
 
+/// The answer to a repetition that was refused before its claim was decided.
+pub fn unknown_repetition(request: &RequestId, reason: &str) -> QueryAnswer {
+    let reason = format!("{reason}; an earlier sending may have run");
+    QueryAnswer {
+        request_id: request.clone(),
+        outcome: QueryOutcome::Unknown { reason },
+        collections: Vec::new(),
+    }
+}
+
 fn without_parts(query: &QueryRequest, outcome: QueryOutcome) -> QueryAnswer {
     QueryAnswer { request_id: query.request.clone(), outcome, collections: Vec::new() }
 }
--- a/components/daemon/src/entry/claims.rs
+++ b/components/daemon/src/entry/claims.rs
@@ -10,7 +10,7 @@
 pub enum Claim {
     /// It may be sent once, by this host, now.
     Granted,
-    /// It was not sent and will not be.
+    /// It was not sent and will not be by this host; nothing is known of earlier sendings.
     NotRun(String),
     /// It was sent before and this is its recorded answer.
     Ran(Box<QueryAnswer>),
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -184,7 +184,7 @@
                 self.parts.claims.record(query, &ClaimedOutcome::of(&reply.answer));
                 reply
             }
-            Claim::NotRun(reason) => Reply::refused(query, &reason, Span::ZERO),
+            Claim::NotRun(reason) => Reply::refused_unclaimed(query, &reason, Span::ZERO),
             Claim::Unknown(reason) => Reply::unknown(query, &reason),
             Claim::Ran(answer) => Reply { answer: *answer, retry_after: Span::ZERO },
         }
@@ -295,7 +295,7 @@
 
     fn refuse(&self, query: &QueryRequest, reason: &str, retry_after: Span) -> Reply {
         self.parts.observer.refused(Some(&query.request), reason, Some(query.priority));
-        Reply::refused(query, reason, retry_after)
+        Reply::refused_unclaimed(query, reason, retry_after)
     }
 }
 
--- a/components/daemon/src/entry/request.rs
+++ b/components/daemon/src/entry/request.rs
@@ -26,6 +26,8 @@
     pub member: MemberId,
     /// The caller's priority.
     pub priority: Priority,
+    /// Whether an earlier sending of this request, which must not run twice, may have run.
+    pub repeated: bool,
     /// The caller's id of the request.
     pub request: RequestId,
     /// The only shard to ask.
@@ -54,6 +56,8 @@
     pub deadline: Instant,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether an earlier sending of this request, which must not run twice, may have run.
+    pub repeated: bool,
     /// The caller's id of the request.
     pub request: RequestId,
     /// The only shard to ask.
@@ -64,7 +68,8 @@
     /// The question as `identity` asks it.
     pub fn new(identity: Identity, question: Question) -> Self {
         let Identity { caller, member, priority } = identity;
-        let Question { body, collections, deadline, idempotent, request, shard } = question;
+        let Question { body, collections, deadline, idempotent, repeated, request, shard } =
+            question;
         let mut text = format!("{member}\n{caller}\n").into_bytes();
         text.extend_from_slice(&body);
         let fingerprint = Fingerprint::of(&text);
@@ -77,6 +82,7 @@
             idempotent,
             member,
             priority,
+            repeated,
             request,
             shard,
         }
--- a/components/daemon/src/http_server.rs
+++ b/components/daemon/src/http_server.rs
@@ -94,8 +94,12 @@
     /// Answers one request on a worker thread.
     fn handle(&self, request: HttpRequest) -> Response<Full<Bytes>>;
 
-    /// Answers a request that no worker saw.
-    fn refuse(&self, refusal: ServerRefusal) -> Response<Full<Bytes>>;
+    /// Answers a request that no worker saw; `request` is there if it arrived whole.
+    fn refuse(
+        &self,
+        refusal: ServerRefusal,
+        request: Option<&HttpRequest>,
+    ) -> Response<Full<Bytes>>;
 
     /// Longest accepted body in bytes.
     fn max_body(&self) -> usize;
@@ -211,7 +215,8 @@
         let Job { reply, request } = job;
         // One failed request must not take the worker away from all others.
         let answer = catch_unwind(AssertUnwindSafe(|| shared.handler.handle(request)));
-        let answer = answer.unwrap_or_else(|_| shared.handler.refuse(ServerRefusal::HandlerFailed));
+        let answer =
+            answer.unwrap_or_else(|_| shared.handler.refuse(ServerRefusal::HandlerFailed, None));
         let _ = reply.send(answer);
     }
 }
@@ -291,7 +296,7 @@
     let mut response = match collect(shared, request).await {
         Ok(request) => run(shared, request).await,
         Err(refusal) => {
-            let mut response = shared.handler.refuse(refusal);
+            let mut response = shared.handler.refuse(refusal, None);
             // The rest of the body is still on its way; the connection cannot be used again.
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             response
@@ -329,13 +334,13 @@
     let (reply, answer) = oneshot::channel();
     match shared.jobs.try_send(Job { reply, request }) {
         Ok(()) => (),
-        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-            return shared.handler.refuse(ServerRefusal::Busy);
+        Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => {
+            return shared.handler.refuse(ServerRefusal::Busy, Some(&job.request));
         }
     }
     match answer.await {
         Ok(response) => response,
-        Err(_) => shared.handler.refuse(ServerRefusal::HandlerFailed),
+        Err(_) => shared.handler.refuse(ServerRefusal::HandlerFailed, None),
     }
 }
 
--- a/components/daemon/src/operator/mod.rs
+++ b/components/daemon/src/operator/mod.rs
@@ -165,7 +165,7 @@
         self.dispatch(&request).unwrap_or_else(|err| rejected(err.status(), err.to_string()))
     }
 
-    fn refuse(&self, refusal: ServerRefusal) -> Response<Full<Bytes>> {
+    fn refuse(&self, refusal: ServerRefusal, _: Option<&HttpRequest>) -> Response<Full<Bytes>> {
         let (status, error) = match refusal {
             ServerRefusal::BodyTooLarge => {
                 (StatusCode::PAYLOAD_TOO_LARGE, format!("body is longer than {MAX_BODY} bytes"))
--- a/components/daemon/tests/control/claims.rs
+++ b/components/daemon/tests/control/claims.rs
@@ -113,6 +113,11 @@
     let answer = query(fleet.hosts[0].addresses().caller, &request(&id, 0)).expect("an answer");
     assert!(matches!(answer.outcome, QueryOutcome::RefusedNotRun { .. }), "{answer:?}");
     assert_eq!(runs(&fleet).get(&id), None);
+    let mut again = request(&id, 0);
+    again["repeated"] = true.into();
+    let answer = query(fleet.hosts[0].addresses().caller, &again).expect("an answer");
+    assert!(matches!(answer.outcome, QueryOutcome::Unknown { .. }), "{answer:?}");
+    assert_eq!(runs(&fleet).get(&id), None);
     fleet.platform.fault(&PlatformFault::Clear {});
     wait_for("the request runs once the store is back", || {
         let answer = query(fleet.hosts[0].addresses().caller, &request(&id, 0));
--- a/components/daemon/tests/data_path/main.rs
+++ b/components/daemon/tests/data_path/main.rs
@@ -3,4 +3,5 @@
 mod callers;
 mod cold_start;
 mod faults;
+mod repeated;
 mod support;
--- a/components/daemon/tests/data_path/support.rs
+++ b/components/daemon/tests/data_path/support.rs
@@ -51,9 +51,10 @@
 /// Longer than any query of these tests may take.
 pub const PATIENCE: Duration = Duration::from_secs(20);
 
-/// Control side that never changes its mind, and grants every claim.
+/// Control side that changes its mind only when told, and grants every claim unless told not to.
 #[derive(Default)]
 pub struct FixedControl {
+    pub claims_fail: AtomicBool,
     pub lost: AtomicBool,
 }
 
@@ -93,6 +94,9 @@
 
 impl RunOnce for FixedControl {
     fn claim(&self, _: &QueryRequest) -> Claim {
+        if self.claims_fail.load(Ordering::Acquire) {
+            return Claim::NotRun("the claim could not be written".to_owned());
+        }
         Claim::Granted
     }
 
@@ -104,8 +108,21 @@
     pub data: DataPath<FixedControl>,
 }
 
+impl Host {
+    fn start(n: usize, caller_workers: u32) -> Self {
+        let control = Arc::new(FixedControl::default());
+        let boot = format!("b{n}").parse().expect("a boot id");
+        let settings = settings(n, caller_workers);
+        let views = Arc::new(Views::new());
+        let data = DataPath::start(&settings, &boot, Arc::clone(&control), views, observer(n))
+            .expect("the host starts");
+        Self { control, data }
+    }
+}
+
 /// What a test changes about the cluster.
 pub struct Shape {
+    pub caller_workers: u32,
     pub canary: bool,
     pub cold_per_second: u32,
     pub hosts: usize,
@@ -117,6 +134,7 @@
 impl Default for Shape {
     fn default() -> Self {
         Self {
+            caller_workers: 16,
             canary: false,
             cold_per_second: 50,
             hosts: 2,
@@ -169,7 +187,7 @@
     })
 }
 
-fn settings(n: usize) -> HostSettings {
+fn settings(n: usize, caller_workers: u32) -> HostSettings {
     let any = "127.0.0.1:0".parse().expect("an address");
     HostSettings {
         host: format!("h{n}").parse().expect("a host id"),
@@ -179,13 +197,13 @@
         operator_listen: any,
         platform: "http://127.0.0.1:1".to_owned(),
         seeds: Vec::new(),
-        caller_workers: 16,
+        caller_workers,
         log: LogSettings::default(),
     }
 }
 
 fn observer(n: usize) -> Arc<Observer> {
-    let host = settings(n);
+    let host = settings(n, 1);
     let boot = format!("b{n}").parse().expect("a boot id");
     let timeline = Timeline::new(host.host, host.zone, boot, RING);
     Arc::new(Observer::new(Arc::new(timeline), Arc::new(Metrics::new())))
@@ -206,22 +224,19 @@
         for (id, leaf) in &mut document.leaves {
             leaf.address = leaves.address(id).expect("every leaf was started");
         }
-        let hosts: Vec<Host> = (0..shape.hosts)
-            .map(|n| {
-                let control = Arc::new(FixedControl::default());
-                let boot = format!("b{n}").parse().expect("a boot id");
-                let views = Arc::new(Views::new());
-                let data =
-                    DataPath::start(&settings(n), &boot, Arc::clone(&control), views, observer(n))
-                        .expect("the host starts");
-                Host { control, data }
-            })
-            .collect();
+        let hosts = (0..shape.hosts).map(|n| Host::start(n, shape.caller_workers)).collect();
         let cluster = Self { document: Arc::new(document), hosts, leaves };
         cluster.adopt();
         cluster
     }
 
+    /// Starts a host that has not adopted a configuration; returns its number.
+    pub fn add_host_without_view(&mut self) -> usize {
+        let n = self.hosts.len();
+        self.hosts.push(Host::start(n, 16));
+        n
+    }
+
     /// Gives every host the same view; the replicas of a shard have different holders.
     fn adopt(&self) {
         let hosts = self.hosts.iter().map(|host| HostView {
--- a/components/daemon/tests/libraries/http.rs
+++ b/components/daemon/tests/libraries/http.rs
@@ -31,7 +31,7 @@
         Response::new(Full::new(request.body))
     }
 
-    fn refuse(&self, refusal: ServerRefusal) -> Response<Full<Bytes>> {
+    fn refuse(&self, refusal: ServerRefusal, _: Option<&HttpRequest>) -> Response<Full<Bytes>> {
         let mut response = Response::new(Full::new(refusal.as_str().into()));
         *response.status_mut() = StatusCode::SERVICE_UNAVAILABLE;
         response
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -181,6 +181,7 @@
         collections: class.collections.clone(),
         body: json!({ "search": format!("{} {} {}", plan.label, class.name, task.arrival.body) }),
         idempotent: class.idempotent,
+        repeated: request.is_some_and(|request| request.repeat > 0),
         shard,
         timeout_ms: Some(class.timeout.as_millis()),
     }
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -111,6 +111,8 @@
     /// Id of the request, <unix ms>-<random>; made up if absent
     #[bpaf(argument("ID"))]
     pub request_id: Option<RequestId>,
+    /// The request with --request-id was sent before; needs --non-idempotent
+    pub repeated: bool,
     /// Caller address of the entry host; asked for at the operator host if absent
     #[bpaf(argument("ADDR"))]
     pub entry: Option<Address>,
--- a/src/cmd/query.rs
+++ b/src/cmd/query.rs
@@ -27,19 +27,34 @@
 /// Finds an entry host, sends the query and prints the answer.
 pub fn run(args: QueryArgs) -> Result<Outcome, Failure> {
     let req = request(&args)?;
-    let addresses = addresses(&args)?;
+    let addresses = addresses(&args).map_err(|failure| match failure {
+        Failure::Failed(reason) => not_run(&req, &reason),
+        other => other,
+    })?;
     let mut unreached = Vec::new();
     for address in addresses {
         match client(&args, address).post::<QueryAnswer>(QUERY_PATH, &req) {
             Ok(answer) => return Ok(answered(&answer)),
             Err(err @ CallError::NotSent { .. }) => unreached.push(err.to_string()),
-            Err(err @ CallError::Refused { .. }) => {
-                return Err(Failure::Failed(format!("not run: {err}")));
-            }
+            Err(err @ CallError::Refused { .. }) => return Err(not_run(&req, &err.to_string())),
             Err(err @ CallError::Lost { .. }) => return Err(lost(&req, &err)),
         }
     }
-    Err(Failure::Failed(format!("not run: {}", unreached.join("; "))))
+    Err(not_run(&req, &unreached.join("; ")))
+}
+
+/// This sending did not run; of a repetition, an earlier one may have.
+fn not_run(req: &QueryRequest, reason: &str) -> Failure {
+    if !req.repeated {
+        return Failure::Failed(format!("not run: {reason}"));
+    }
+    let reason = format!("{reason}; an earlier sending may have run");
+    Failure::NotKnownYet { reason, command: same_id(req) }
+}
+
+fn same_id(req: &QueryRequest) -> String {
+    let id = req.request_id.as_ref().map_or("", RequestId::as_str);
+    format!("the same query with --request-id {id} --repeated; it runs at most once")
 }
 
 fn request(args: &QueryArgs) -> Result<QueryRequest, Failure> {
@@ -58,11 +73,18 @@
     if args.non_idempotent && args.collection.len() != 1 {
         return usage("--non-idempotent: several collections; expected --collection once");
     }
+    if args.repeated && !(args.non_idempotent && args.request_id.is_some()) {
+        return usage(
+            "--repeated: not a repetition that must not run twice; expected --non-idempotent and \
+             --request-id with the id sent before",
+        );
+    }
     Ok(QueryRequest {
         request_id: Some(args.request_id.clone().unwrap_or_else(new_request_id)),
         collections: args.collection.clone(),
         body,
         idempotent: !args.non_idempotent,
+        repeated: args.repeated,
         shard: args.shard.clone(),
         timeout_ms: Some(args.timeout.as_millis()),
     })
@@ -93,7 +115,7 @@
         }
     }
     let problems = if problems.is_empty() { "none is listed".into() } else { problems.join("; ") };
-    Err(Failure::Failed(format!("not run: no entry host answers: {problems}")))
+    Err(Failure::Failed(format!("no entry host answers: {problems}")))
 }
 
 fn client(args: &QueryArgs, address: SocketAddr) -> Client {
@@ -106,11 +128,7 @@
         let command = "send the query again; it is idempotent".to_owned();
         return Failure::NotKnownYet { reason: err.to_string(), command };
     }
-    let id = req.request_id.as_ref().map_or("", RequestId::as_str);
-    Failure::NotKnownYet {
-        reason: err.to_string(),
-        command: format!("the same query with --request-id {id}; it runs at most once"),
-    }
+    Failure::NotKnownYet { reason: err.to_string(), command: same_id(req) }
 }
 
 fn answered(answer: &QueryAnswer) -> Outcome {
--- a/tests/tool/query.rs
+++ b/tests/tool/query.rs
@@ -2,7 +2,7 @@
 //! non-idempotent request under another id.
 
 use {
-    crate::support::{Canned, Host, Scratch},
+    crate::support::{Canned, Closed, Host, Scratch},
     insta::assert_snapshot,
     serde_json::json,
 };
@@ -51,6 +51,32 @@
     assert_snapshot!(table);
 }
 
+/// Guards against "not run" for a repetition whose first sending may have run.
+#[test]
+fn a_refused_repetition_is_not_known_yet() {
+    let scratch = Scratch::new();
+    let unknown = "overload; an earlier sending may have run";
+    let canned = [
+        answer(json!({ "kind": "unknown", "reason": unknown }), false),
+        Canned::Answer(413, r#"{"error":"body is longer than 9 bytes"}"#.to_owned()),
+    ];
+    let order = ["--non-idempotent", "--repeated", "--shard=quote-desk/00"];
+    let mut table = String::new();
+    for canned in canned {
+        let host = Host::start(|_| vec![("/v1/query", canned)]);
+        let entry = format!("--entry={}", host.address);
+        let args = [&QUERY[..], &[&entry], &order].concat();
+        table.push_str(&scratch.run(&args, &[host.address]));
+        assert!(host.requests()[0].contains("\"repeated\":true"), "{:?}", host.requests());
+    }
+    let closed = Closed::new();
+    let entry = format!("--entry={}", closed.address);
+    table.push_str(&scratch.run(&[&QUERY[..], &[&entry], &order].concat(), &[closed.address]));
+    let host = format!("--host={}", closed.address);
+    table.push_str(&scratch.run(&[&QUERY[..], &[&host], &order].concat(), &[closed.address]));
+    assert_snapshot!(table);
+}
+
 #[test]
 fn the_entry_host_is_found_through_any_host() {
     let scratch = Scratch::new();
--- a/tests/tool/usage.rs
+++ b/tests/tool/usage.rs
@@ -43,6 +43,7 @@
     let query = ["query", "--entry=127.0.0.1:1", "--caller=c", "--token=t", "--collection=q"];
     let with = |more: &[&'static str]| [&query, more].concat();
     let non_idempotent = with(&["--body={}", "--non-idempotent"]);
+    let repeated = with(&["--body={}", "--repeated", "--request-id=1-a"]);
     let bad_body = with(&["--body={"]);
     let bad_timeout = with(&["--body={}", "--timeout=5"]);
     let runs: [&[&str]; 17] = [
@@ -67,7 +68,7 @@
     let bad_token =
         ["query", "--entry=127.0.0.1:1", "--caller=c", "--token=a b", "--collection=q", "--body=1"];
     let mut table = runs.map(|args| scratch.run(args, &[])).concat();
-    for args in [non_idempotent, bad_body, bad_timeout, bad_token.to_vec()] {
+    for args in [non_idempotent, repeated, bad_body, bad_timeout, bad_token.to_vec()] {
         table.push_str(&scratch.run(&args, &[]));
     }
     assert_eq!(table.matches("exit 2\n").count(), table.matches("$ wigeonramp").count());
