Cancel idempotent queries whose caller has disconnected

Cause: the query's thread waited for leaves and its deadline only, so leaves went on working for a caller that was gone.

hyper drops the service future when the client closes its connection. The future now holds one end of a channel whose other end travels with the request; the query's loop selects on it, ends the query as at its deadline, which cancels its attempts, and records it as "unknown: the caller disconnected". Requests that must not run twice go on, so that their outcome is recorded. A client that only closes its sending side counts as gone; hyper closed such connections without an answer before, too.

Ruled out: polling a flag, which needs a wake-up for each query; a half-open connection, which hyper supports at the price of not seeing clients leave.

Before: a query whose caller disconnected ran to its end. After: all its attempts end at the leaves, by cancellation or by their closed connection, and none is answered; the order in the same test is answered.

--- a/components/daemon/src/caller/check.rs
+++ b/components/daemon/src/caller/check.rs
@@ -6,6 +6,7 @@
         entry::request::{Identity, QueryRequest, Question},
         http_server::HttpRequest,
     },
+    crossbeam::channel::never,
     http::{HeaderMap, StatusCode},
     rand::RngExt,
     sha2::{Digest as Sha2Digest, Sha256},
@@ -136,6 +137,8 @@
     let leaf_body = serde_json::to_vec(&body.body).expect("a JSON value is always writable");
     let question = Question {
         body: leaf_body.into(),
+        // The outcome of a request that must not run twice is recorded for its repetition.
+        client: if body.idempotent { request.client.clone() } else { never() },
         collections: body.collections,
         deadline: clock::now() + timeout,
         idempotent: body.idempotent,
--- a/components/daemon/src/entry/drive.rs
+++ b/components/daemon/src/entry/drive.rs
@@ -13,7 +13,10 @@
         reply::{Reply, ReplyOutcome},
         view::{ClusterView, HolderRights},
     },
-    crossbeam::channel::{Receiver, RecvTimeoutError, Sender, unbounded},
+    crossbeam::{
+        channel::{Receiver, Sender, unbounded},
+        select,
+    },
     std::{
         collections::{HashMap, HashSet},
         sync::Arc,
@@ -30,6 +33,8 @@
 /// A finished query.
 pub(super) struct Driven {
     pub(super) answer: Answer,
+    /// Whether the query ended because nobody waits for its answer.
+    pub(super) abandoned: bool,
     /// Whether a leaf reset while the query ran there.
     pub(super) reset: bool,
 }
@@ -50,6 +55,7 @@
 
 /// One query on its request thread.
 pub(super) struct Drive<'a, K, R> {
+    abandoned: bool,
     asked: HashSet<Asked>,
     board: &'a LeafBoard,
     cluster: &'a Arc<ClusterView>,
@@ -73,6 +79,7 @@
     ) -> Self {
         let (events, incoming) = unbounded();
         Self {
+            abandoned: false,
             asked: HashSet::new(),
             board,
             cluster,
@@ -94,7 +101,7 @@
         let (mut query, mut actions) = Query::new(spec, document, view, now, &mut rand::rng());
         loop {
             if let Some(answer) = self.apply(actions) {
-                return Driven { answer, reset: self.reset };
+                return Driven { abandoned: self.abandoned, answer, reset: self.reset };
             }
             actions = self.step(&mut query);
         }
@@ -103,11 +110,14 @@
     /// Waits for the next event, and takes in all that are there.
     fn step(&mut self, query: &mut Query) -> Vec<Action> {
         let until = self.wake.unwrap_or(self.query.deadline);
-        let mut actions = match self.incoming.recv_timeout(clock::until(until).to_duration()) {
-            Ok(event) => self.take(query, event),
-            Err(RecvTimeoutError::Timeout | RecvTimeoutError::Disconnected) => {
-                query.on(Event::Tick, clock::now())
-            }
+        let wait = clock::until(until).to_duration();
+        let mut actions = select! {
+            recv(self.incoming) -> event => match event {
+                Ok(event) => self.take(query, event),
+                Err(_) => query.on(Event::Tick, clock::now()),
+            },
+            recv(self.query.client) -> _ => return self.abandon(query),
+            default(wait) => query.on(Event::Tick, clock::now()),
         };
         while let Ok(event) = self.incoming.try_recv() {
             actions.extend(self.take(query, event));
@@ -115,6 +125,12 @@
         actions
     }
 
+    /// Nobody waits for the answer: ends the query as at its deadline, which cancels its attempts.
+    fn abandon(&mut self, query: &mut Query) -> Vec<Action> {
+        self.abandoned = true;
+        query.on(Event::Tick, self.query.deadline)
+    }
+
     fn take(&mut self, query: &mut Query, event: EntryEvent) -> Vec<Action> {
         match event {
             EntryEvent::Reply(reply) => {
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -200,11 +200,14 @@
         let dispatcher = Dispatcher::new(query, cluster, &self.parts);
         let spec = self.spec(query, trust, cluster);
         let drive = Drive::new(query, cluster, &self.board, &self.parts, dispatcher);
-        let Driven { answer, reset } = drive.run(spec, view);
+        let Driven { abandoned, answer, reset } = drive.run(spec, view);
         let now = clock::now();
         if !reset && !answer.parts.is_empty() {
             self.parts.suspects.succeeded(query.fingerprint(), now);
         }
+        if abandoned {
+            return Reply::unknown(query, "the caller disconnected");
+        }
         Reply::of(query, answer)
     }
 
--- a/components/daemon/src/entry/request.rs
+++ b/components/daemon/src/entry/request.rs
@@ -2,6 +2,8 @@
 
 use {
     bytes::Bytes,
+    crossbeam::channel::Receiver,
+    std::convert::Infallible,
     wigeonramp_config::Priority,
     wigeonramp_units::{
         CallerId, CollectionId, Fingerprint, Instant, MemberId, RequestId, ShardId,
@@ -15,6 +17,8 @@
     pub body: Bytes,
     /// The authenticated caller.
     pub caller: CallerId,
+    /// Disconnected when nobody waits for the answer; never for a request that must not run twice.
+    pub client: Receiver<Infallible>,
     /// What is queried, each once.
     pub collections: Vec<CollectionId>,
     /// End of the query on this host's clock.
@@ -50,6 +54,8 @@
 pub struct Question {
     /// What the leaves get.
     pub body: Bytes,
+    /// Disconnected when nobody waits for the answer; never for a request that must not run twice.
+    pub client: Receiver<Infallible>,
     /// What is queried, each once.
     pub collections: Vec<CollectionId>,
     /// End of the query on this host's clock.
@@ -68,7 +74,7 @@
     /// The question as `identity` asks it.
     pub fn new(identity: Identity, question: Question) -> Self {
         let Identity { caller, member, priority } = identity;
-        let Question { body, collections, deadline, idempotent, repeated, request, shard } =
+        let Question { body, client, collections, deadline, idempotent, repeated, request, shard } =
             question;
         let mut text = format!("{member}\n{caller}\n").into_bytes();
         text.extend_from_slice(&body);
@@ -76,6 +82,7 @@
         Self {
             body,
             caller,
+            client,
             collections,
             deadline,
             fingerprint,
--- a/components/daemon/src/http_server.rs
+++ b/components/daemon/src/http_server.rs
@@ -5,8 +5,11 @@
 
 use {
     bytes::Bytes,
-    crossbeam::channel::{Receiver, Sender, TrySendError, bounded},
-    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header},
+    crossbeam::channel::{Receiver, Sender, TrySendError, bounded, never},
+    http::{
+        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+        request::Parts as HttpParts,
+    },
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::{
@@ -56,6 +59,8 @@
 pub struct HttpRequest {
     /// The body.
     pub body: Bytes,
+    /// Disconnected once the client has gone away or has its answer.
+    pub client: Receiver<Infallible>,
     /// The headers.
     pub headers: HeaderMap,
     /// The method.
@@ -327,11 +332,15 @@
         Ok(Err(err)) if err.is::<LengthLimitError>() => return Err(ServerRefusal::BodyTooLarge),
         Ok(Err(_)) | Err(_) => return Err(ServerRefusal::BodyIncomplete),
     };
-    Ok(HttpRequest { body, headers: parts.headers, method: parts.method, uri: parts.uri })
+    let HttpParts { headers, method, uri, .. } = parts;
+    Ok(HttpRequest { body, client: never(), headers, method, uri })
 }
 
-async fn run<H: Handler>(shared: &Shared<H>, request: HttpRequest) -> Response<Full<Bytes>> {
+async fn run<H: Handler>(shared: &Shared<H>, mut request: HttpRequest) -> Response<Full<Bytes>> {
     let (reply, answer) = oneshot::channel();
+    // hyper drops this future, and the sender with it, when the client closes its connection.
+    let (_present, client) = bounded(0);
+    request.client = client;
     match shared.jobs.try_send(Job { reply, request }) {
         Ok(()) => (),
         Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => {
--- a/components/daemon/tests/data_path/callers.rs
+++ b/components/daemon/tests/data_path/callers.rs
@@ -1,10 +1,16 @@
 //! What callers get for requests that must not run, and what they may see.
 
 use {
-    crate::support::{Cluster, Login, Shape, assert_truthful},
+    crate::support::{Cluster, Login, PATIENCE, Shape, assert_truthful},
     serde_json::{Value, json},
-    wigeonramp_config::caller_api::{ErrorAnswer, QueryAnswer, QueryOutcome},
-    wigeonramp_units::RequestId,
+    std::{
+        io::Write,
+        net::{Shutdown, TcpStream},
+        time::Instant,
+    },
+    wigeonramp_config::caller_api::{ErrorAnswer, QUERY_PATH, QueryAnswer, QueryOutcome},
+    wigeonramp_standin::leaves::LeafCounters,
+    wigeonramp_units::{RequestId, Span},
 };
 
 struct Case {
@@ -99,3 +105,55 @@
     let runs: u32 = leaves.iter().filter_map(|leaf| leaf.counters.runs.get(&id)).sum();
     assert_eq!(runs, 1);
 }
+
+/// Sends a request and returns its connection, without reading the answer.
+fn send(cluster: &Cluster, body: &Value) -> TcpStream {
+    let address = cluster.hosts[0].data.addresses().caller;
+    let mut stream = TcpStream::connect(address).expect("the host accepts");
+    let (body, Login { caller, token }) = (body.to_string(), Login::FIRST);
+    let head = format!(
+        "POST {QUERY_PATH} HTTP/1.1\r\nhost: h\r\nx-caller: {caller}\r\n\
+         authorization: Bearer {token}\r\ncontent-length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(format!("{head}{body}").as_bytes()).expect("the host reads");
+    stream
+}
+
+fn wait_for(what: &str, holds: impl Fn() -> bool) {
+    let begun = Instant::now();
+    while !holds() {
+        assert!(begun.elapsed() < PATIENCE, "{what}");
+    }
+}
+
+/// Guards against leaves that work for a caller who has gone away, at holders on this and on other
+/// hosts, and against a request that must not run twice and is broken off without an outcome.
+#[test]
+fn a_query_whose_caller_disconnects_is_cancelled_if_idempotent() {
+    let cluster = Cluster::start(&Shape { service: Span::millis(2_000), ..Shape::default() });
+    let sum = |of: fn(&LeafCounters) -> u64| -> u64 {
+        cluster.leaves.counters("").iter().map(|leaf| of(&leaf.counters)).sum()
+    };
+    // A leaf that is not warm yet has no connection for cancellations: the attempt's own is closed.
+    let ended = || sum(|leaf| leaf.cancelled + leaf.abandoned);
+    for how in [Shutdown::Both, Shutdown::Write] {
+        cluster.leaves.reset_counters();
+        let stream = send(&cluster, &json!({"collections": ["quotes"], "body": "search"}));
+        wait_for("every shard is asked", || sum(|leaf| leaf.arrived) >= 4);
+        stream.shutdown(how).expect("the connection is open");
+        wait_for("all attempts are ended", || ended() >= 4 && sum(|leaf| leaf.in_flight) == 0);
+        assert_eq!(ended(), sum(|leaf| leaf.arrived), "{how:?}");
+        assert_eq!(sum(|leaf| leaf.answered), 0, "{how:?}");
+        wait_for("the worker is free", || cluster.hosts[0].data.running() == 0);
+    }
+
+    cluster.leaves.reset_counters();
+    let order = json!({"collections": ["quotes"], "body": "order", "idempotent": false,
+        "shard": "s2", "request_id": "1-order"});
+    let stream = send(&cluster, &order);
+    wait_for("the order arrives", || sum(|leaf| leaf.arrived) == 1);
+    drop(stream);
+    wait_for("the order runs", || sum(|leaf| leaf.answered) == 1);
+    assert_eq!(ended(), 0);
+}
--- a/components/daemon/tests/data_path/repeated.rs
+++ b/components/daemon/tests/data_path/repeated.rs
@@ -99,6 +99,7 @@
     assert_refusal("all workers are taken", |body| {
         let request = HttpRequest {
             body: body.to_string().into(),
+            client: crossbeam::channel::never(),
             headers: http::HeaderMap::new(),
             method: http::Method::POST,
             uri: QUERY_PATH.parse().expect("a path"),
