Send the time left for leaves in microseconds

Cause: RunLeavesRequest carried timeout_ms, so the last millisecond of a deadline was cut off: with less than 1 ms left the holder got 0 and refused work that it could still do.

Ruled out: rounding up, which lets the holder work past the deadline; sending both fields, since there is no release whose hosts would have to be understood. Hosts before and after this change don't run each other's work: each reads a time left of 0 and refuses before a byte is sent.

Before: with the time truncated as it was, the_time_left_is_sent_in_microseconds fails.

--- a/components/daemon/src/entry/dispatch.rs
+++ b/components/daemon/src/entry/dispatch.rs
@@ -132,7 +132,7 @@
             entry: self.parts.instance.as_str().to_owned(),
             urgent: query.priority == Priority::Urgent,
             idempotent: query.idempotent,
-            timeout_ms: clock::until(group.deadline).as_millis(),
+            timeout_us: clock::until(group.deadline).0,
             snapshot: group.snapshot.get(),
             map_version: group.map_version.get(),
             fingerprint: query.fingerprint().0,
--- a/components/daemon/src/peer/server.rs
+++ b/components/daemon/src/peer/server.rs
@@ -107,7 +107,7 @@
                 attempt: AttemptId(work.attempt),
                 body: self.body.clone(),
                 collection: self.collection.clone(),
-                deadline: now + Span::millis(message.timeout_ms),
+                deadline: now + Span(message.timeout_us),
                 entry: self.entry.clone(),
                 leaf: work.leaf.parse()?,
                 map_version: MapVersion(message.map_version),
--- a/components/daemon/tests/data_path/main.rs
+++ b/components/daemon/tests/data_path/main.rs
@@ -3,5 +3,6 @@
 mod callers;
 mod cold_start;
 mod faults;
+mod peer_timeout;
 mod repeated;
 mod support;
