--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -184,7 +184,7 @@
                 self.parts.claims.record(query, &ClaimedOutcome::of(&reply.answer));
                 reply
             }
-            Claim::NotRun(reason) => Reply::refused(query, &reason, Span::ZERO),
+            Claim::NotRun(reason) => Reply::refused_unclaimed(query, &reason, Span::ZERO),
             Claim::Unknown(reason) => Reply::unknown(query, &reason),
             Claim::Ran(answer) => Reply { answer: *answer, retry_after: Span::ZERO },
         }
@@ -200,11 +200,14 @@
         let dispatcher = Dispatcher::new(query, cluster, &self.parts);
         let spec = self.spec(query, trust, cluster);
         let drive = Drive::new(query, cluster, &self.board, &self.parts, dispatcher);
-        let Driven { answer, reset } = drive.run(spec, view);
+        let Driven { abandoned, answer, reset } = drive.run(spec, view);
         let now = clock::now();
         if !reset && !answer.parts.is_empty() {
             self.parts.suspects.succeeded(query.fingerprint(), now);
         }
+        if abandoned {
+            return Reply::unknown(query, "the caller disconnected");
+        }
         Reply::of(query, answer)
     }
 
@@ -295,7 +298,7 @@
 
     fn refuse(&self, query: &QueryRequest, reason: &str, retry_after: Span) -> Reply {
         self.parts.observer.refused(Some(&query.request), reason, Some(query.priority));
-        Reply::refused(query, reason, retry_after)
+        Reply::refused_unclaimed(query, reason, retry_after)
     }
 }
 
--- a/components/daemon/src/entry/request.rs
+++ b/components/daemon/src/entry/request.rs
@@ -2,6 +2,8 @@
 
 use {
     bytes::Bytes,
+    crossbeam::channel::Receiver,
+    std::convert::Infallible,
     wigeonramp_config::Priority,
     wigeonramp_units::{
         CallerId, CollectionId, Fingerprint, Instant, MemberId, RequestId, ShardId,
@@ -15,6 +17,8 @@
     pub body: Bytes,
     /// The authenticated caller.
     pub caller: CallerId,
+    /// Disconnected when nobody waits for the answer; never for a request that must not run twice.
+    pub client: Receiver<Infallible>,
     /// What is queried, each once.
     pub collections: Vec<CollectionId>,
     /// End of the query on this host's clock.
@@ -26,6 +30,8 @@
     pub member: MemberId,
     /// The caller's priority.
     pub priority: Priority,
+    /// Whether an earlier sending of this request, which must not run twice, may have run.
+    pub repeated: bool,
     /// The caller's id of the request.
     pub request: RequestId,
     /// The only shard to ask.
@@ -48,12 +54,16 @@
 pub struct Question {
     /// What the leaves get.
     pub body: Bytes,
+    /// Disconnected when nobody waits for the answer; never for a request that must not run twice.
+    pub client: Receiver<Infallible>,
     /// What is queried, each once.
     pub collections: Vec<CollectionId>,
     /// End of the query on this host's clock.
     pub deadline: Instant,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether an earlier sending of this request, which must not run twice, may have run.
+    pub repeated: bool,
     /// The caller's id of the request.
     pub request: RequestId,
     /// The only shard to ask.
@@ -64,19 +74,22 @@
     /// The question as `identity` asks it.
     pub fn new(identity: Identity, question: Question) -> Self {
         let Identity { caller, member, priority } = identity;
-        let Question { body, collections, deadline, idempotent, request, shard } = question;
+        let Question { body, client, collections, deadline, idempotent, repeated, request, shard } =
+            question;
         let mut text = format!("{member}\n{caller}\n").into_bytes();
         text.extend_from_slice(&body);
         let fingerprint = Fingerprint::of(&text);
         Self {
             body,
             caller,
+            client,
             collections,
             deadline,
             fingerprint,
             idempotent,
             member,
             priority,
+            repeated,
             request,
             shard,
         }
--- a/components/daemon/src/http_server.rs
+++ b/components/daemon/src/http_server.rs
@@ -5,8 +5,11 @@
 
 use {
     bytes::Bytes,
-    crossbeam::channel::{Receiver, Sender, TrySendError, bounded},
-    http::{HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header},
+    crossbeam::channel::{Receiver, Sender, TrySendError, bounded, never},
+    http::{
+        HeaderMap, HeaderValue, Method, Request, Response, StatusCode, Uri, header,
+        request::Parts as HttpParts,
+    },
     http_body_util::{BodyExt, Full, LengthLimitError, Limited},
     hyper::{body::Incoming, server::conn::http1, service::service_fn},
     hyper_util::{
@@ -56,6 +59,8 @@
 pub struct HttpRequest {
     /// The body.
     pub body: Bytes,
+    /// Disconnected once the client has gone away or has its answer.
+    pub client: Receiver<Infallible>,
     /// The headers.
     pub headers: HeaderMap,
     /// The method.
@@ -94,8 +99,12 @@
     /// Answers one request on a worker thread.
     fn handle(&self, request: HttpRequest) -> Response<Full<Bytes>>;
 
-    /// Answers a request that no worker saw.
-    fn refuse(&self, refusal: ServerRefusal) -> Response<Full<Bytes>>;
+    /// Answers a request that no worker saw; `request` is there if it arrived whole.
+    fn refuse(
+        &self,
+        refusal: ServerRefusal,
+        request: Option<&HttpRequest>,
+    ) -> Response<Full<Bytes>>;
 
     /// Longest accepted body in bytes.
     fn max_body(&self) -> usize;
@@ -211,7 +220,8 @@
         let Job { reply, request } = job;
         // One failed request must not take the worker away from all others.
         let answer = catch_unwind(AssertUnwindSafe(|| shared.handler.handle(request)));
-        let answer = answer.unwrap_or_else(|_| shared.handler.refuse(ServerRefusal::HandlerFailed));
+        let answer =
+            answer.unwrap_or_else(|_| shared.handler.refuse(ServerRefusal::HandlerFailed, None));
         let _ = reply.send(answer);
     }
 }
@@ -291,7 +301,7 @@
     let mut response = match collect(shared, request).await {
         Ok(request) => run(shared, request).await,
         Err(refusal) => {
-            let mut response = shared.handler.refuse(refusal);
+            let mut response = shared.handler.refuse(refusal, None);
             // The rest of the body is still on its way; the connection cannot be used again.
             response.headers_mut().insert(header::CONNECTION, HeaderValue::from_static("close"));
             response
@@ -322,20 +332,24 @@
         Ok(Err(err)) if err.is::<LengthLimitError>() => return Err(ServerRefusal::BodyTooLarge),
         Ok(Err(_)) | Err(_) => return Err(ServerRefusal::BodyIncomplete),
     };
-    Ok(HttpRequest { body, headers: parts.headers, method: parts.method, uri: parts.uri })
+    let HttpParts { headers, method, uri, .. } = parts;
+    Ok(HttpRequest { body, client: never(), headers, method, uri })
 }
 
-async fn run<H: Handler>(shared: &Shared<H>, request: HttpRequest) -> Response<Full<Bytes>> {
+async fn run<H: Handler>(shared: &Shared<H>, mut request: HttpRequest) -> Response<Full<Bytes>> {
     let (reply, answer) = oneshot::channel();
+    // hyper drops this future, and the sender with it, when the client closes its connection.
+    let (_present, client) = bounded(0);
+    request.client = client;
     match shared.jobs.try_send(Job { reply, request }) {
         Ok(()) => (),
-        Err(TrySendError::Full(_) | TrySendError::Disconnected(_)) => {
-            return shared.handler.refuse(ServerRefusal::Busy);
+        Err(TrySendError::Full(job) | TrySendError::Disconnected(job)) => {
+            return shared.handler.refuse(ServerRefusal::Busy, Some(&job.request));
         }
     }
     match answer.await {
         Ok(response) => response,
-        Err(_) => shared.handler.refuse(ServerRefusal::HandlerFailed),
+        Err(_) => shared.handler.refuse(ServerRefusal::HandlerFailed, None),
     }
 }
 
