Check that both replicas have answered before answers are crossed

The stand-in crosses an answer with its previous one; a leaf without a previous one sent its own whole answer to this very attempt, which the holder accepts rightly. Every attempt has its own x-attempt, and the holder compares it, so no answer of another attempt was taken.

Before: the test relied on the warm-up without naming why. After: the test requires an earlier answer of both replicas; the expected coverage is unchanged.

--- a/components/daemon/tests/data_path/faults.rs
+++ b/components/daemon/tests/data_path/faults.rs
@@ -84,6 +84,9 @@
     for fault in faults {
         let cluster = Cluster::start(&Shape::default());
         cluster.warm_up();
+        // Crossed answers repeat an earlier one; a leaf without any sends its own, right answer.
+        let replicas = cluster.leaves.counters("s1");
+        assert!(replicas.iter().all(|leaf| leaf.counters.answered > 0), "{replicas:?}");
         cluster.fault("s1-a", fault.clone());
         let body = json!("one replica wrong");
         let answer = cluster.ask(0, &body);
