Count every query under the collections that it names

Cause: wigeonramp_queries_total was counted from the answer's collections, which refused and unknown answers lack; queries refused at admission were not counted at all. Before: only outcome="done". After: done, refused_not_run and unknown.

--- a/components/daemon/src/entry/answer.rs
+++ b/components/daemon/src/entry/answer.rs
@@ -111,14 +111,24 @@
     }
 }
 
+/// Counts a query under the collections that it names; an answer without rows has none.
+pub fn count(observer: &Observer, query: &QueryRequest, outcome: &QueryOutcome) {
+    let outcome = match outcome {
+        QueryOutcome::Done => "done",
+        QueryOutcome::RefusedNotRun { .. } => "refused_not_run",
+        QueryOutcome::Unknown { .. } => "unknown",
+    };
+    for collection in &query.collections {
+        observer.query_counted(collection, outcome);
+    }
+}
+
 /// Records an answered query.
 pub fn observe(observer: &Observer, cluster: &ClusterView, answer: &QueryAnswer, took: Span) {
-    let (name, outcome) = match &answer.outcome {
-        QueryOutcome::Done => ("done", "done".to_owned()),
-        QueryOutcome::RefusedNotRun { reason } => {
-            ("refused_not_run", format!("refused_not_run: {reason}"))
-        }
-        QueryOutcome::Unknown { reason } => ("unknown", format!("unknown: {reason}")),
+    let outcome = match &answer.outcome {
+        QueryOutcome::Done => "done".to_owned(),
+        QueryOutcome::RefusedNotRun { reason } => format!("refused_not_run: {reason}"),
+        QueryOutcome::Unknown { reason } => format!("unknown: {reason}"),
     };
     let coverage = answer.collections.iter().map(|collection| &collection.coverage);
     let (covered, total) = coverage.fold((0, 0), |(covered, total), coverage| {
@@ -142,7 +152,6 @@
         observer.coverage(&CoverageRef {
             collection: &collection.collection,
             covered: collection.coverage.covered,
-            outcome: name,
             took,
             total: collection.coverage.total,
         });
--- a/components/daemon/src/entry/mod.rs
+++ b/components/daemon/src/entry/mod.rs
@@ -143,6 +143,13 @@
 
     /// Runs `query` to its answer.
     pub fn run(&self, query: &QueryRequest) -> Reply {
+        let reply = self.run_admitted(query);
+        answer::count(&self.parts.observer, query, &reply.answer.outcome);
+        reply
+    }
+
+    /// Runs `query` unless it is quarantined or not admitted.
+    fn run_admitted(&self, query: &QueryRequest) -> Reply {
         let begun = clock::now();
         let cluster = self.parts.views.load();
         let Some(trust) = self.parts.suspects.trust(query.fingerprint(), begun) else {
--- a/components/daemon/src/observe.rs
+++ b/components/daemon/src/observe.rs
@@ -66,8 +66,6 @@
     pub collection: &'a CollectionId,
     /// Shards in the answer.
     pub covered: u32,
-    /// Outcome of the query.
-    pub outcome: &'a str,
     /// Time from arrival to answer.
     pub took: Span,
     /// Shards asked for.
@@ -222,13 +220,15 @@
         });
     }
 
-    /// Counts one collection of an answered query.
-    pub fn coverage(&self, coverage: &CoverageRef<'_>) {
-        let labels = QueryLabels {
-            collection: coverage.collection.to_string(),
-            outcome: coverage.outcome.to_owned(),
-        };
+    /// Counts a query under one of its collections, whatever its outcome.
+    pub fn query_counted(&self, collection: &CollectionId, outcome: &str) {
+        let labels =
+            QueryLabels { collection: collection.to_string(), outcome: outcome.to_owned() };
         self.metrics.queries.get_or_create(&labels).inc();
+    }
+
+    /// Records what an answer contains of one collection.
+    pub fn coverage(&self, coverage: &CoverageRef<'_>) {
         let labels = collection_labels(coverage.collection);
         self.metrics.query_seconds.get_or_create(&labels).observe(seconds(coverage.took));
         self.metrics.shards_covered.get_or_create(&labels).inc_by(coverage.covered.into());
--- a/components/daemon/tests/data_path/faults.rs
+++ b/components/daemon/tests/data_path/faults.rs
@@ -1,12 +1,15 @@
 //! Queries while leaves fail.
 
 use {
-    crate::support::{Cluster, PATIENCE, SNAPSHOT, Shape, assert_truthful, covered},
+    crate::support::{Cluster, Login, PATIENCE, SNAPSHOT, Shape, assert_truthful, covered},
     serde_json::json,
-    std::{thread, time::Instant},
+    std::{
+        thread,
+        time::{Instant, SystemTime, UNIX_EPOCH},
+    },
     wigeonramp_config::caller_api::QueryOutcome,
     wigeonramp_standin::leaves::LeafFault,
-    wigeonramp_telemetry::timeline::EventKind,
+    wigeonramp_telemetry::{metrics::QueryLabels, timeline::EventKind},
     wigeonramp_units::{MapVersion, Percent, Span},
 };
 
@@ -208,3 +211,34 @@
     };
     assert_eq!(answer.collections[0].snapshot, Some(snapshot));
 }
+
+/// Guards against refused and unknown queries that no counter shows.
+#[test]
+fn queries_are_counted_by_collection_whatever_their_outcome() {
+    let cluster = Cluster::start(&Shape { hosts: 1, ..Shape::default() });
+    cluster.warm_up();
+    let host = &cluster.hosts[0];
+    let counted = |outcome: &str| {
+        let labels = QueryLabels { collection: "quotes".to_owned(), outcome: outcome.to_owned() };
+        host.data.observer().metrics().queries.get_or_create(&labels).get()
+    };
+    let done = counted("done");
+    cluster.ask(0, &json!("harmless"));
+    assert_eq!(counted("done"), done + 1);
+
+    let down = Span::millis(1);
+    cluster.fault("s0", LeafFault::CrashOn { text: "poison".to_owned(), down });
+    let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).expect("a clock").as_millis();
+    let request = json!({"collections": ["quotes"], "body": "poison", "shard": "s0",
+        "idempotent": false, "request_id": format!("{unix_ms}-a")});
+    let answer = cluster.post(0, &Login::FIRST, request.to_string());
+    assert_eq!(counted("unknown"), 1, "{}", answer.text);
+
+    host.control.lost.store(true, std::sync::atomic::Ordering::Release);
+    let answer = cluster.ask(0, &json!("without rights"));
+    assert_eq!(counted("refused_not_run"), 1, "{answer:?}");
+    let late = json!({"collections": ["quotes"], "body": "late", "timeout_ms": 0});
+    let answer = cluster.post(0, &Login::FIRST, late.to_string());
+    assert_eq!(counted("refused_not_run"), 2, "{}", answer.text);
+    assert_eq!(counted("done"), done + 1);
+}
