Name the confirmed file in the command that settles a confirm

Cause: the host knows only the default file name, and the aggregate named an option that does not exist.

--- a/components/control/src/confirm.rs
+++ b/components/control/src/confirm.rs
@@ -38,10 +38,7 @@
     /// Nothing changed.
     Refused(Refusal),
     /// Whether the write took effect is open.
-    NotKnownYet {
-        /// Command that finds out.
-        command: String,
-    },
+    NotKnownYet,
 }
 
 /// Why a confirmation changed nothing.
@@ -134,7 +131,7 @@
         }
         // A later version says nothing about whether this plan was the one before it.
         if version > target && self.doubt {
-            return self.done(self.not_known());
+            return self.done(ConfirmOutcome::NotKnownYet);
         }
         self.refuse(Refusal::LostRace(found.value.op.clone()))
     }
@@ -163,7 +160,7 @@
         let outcome = match &self.phase {
             Phase::Done(outcome) => outcome.clone(),
             Phase::Written => self.outcome(),
-            Phase::Writing => self.not_known(),
+            Phase::Writing => ConfirmOutcome::NotKnownYet,
         };
         self.phase = Phase::Done(outcome.clone());
         outcome
@@ -185,12 +182,6 @@
         }
     }
 
-    fn not_known(&self) -> ConfirmOutcome {
-        ConfirmOutcome::NotKnownYet {
-            command: format!("wigeonramp status --operation {}", self.plan.id),
-        }
-    }
-
     fn refuse(&mut self, refusal: Refusal) -> ConfirmStep {
         self.done(ConfirmOutcome::Refused(refusal))
     }
--- a/components/control/tests/configuration.rs
+++ b/components/control/tests/configuration.rs
@@ -134,7 +134,7 @@
             match confirm.give_up() {
                 ConfirmOutcome::InForce { .. } => prop_assert_eq!(&store.value.op, &plan.id),
                 ConfirmOutcome::Refused(_) => prop_assert_ne!(&store.value.op, &plan.id),
-                ConfirmOutcome::NotKnownYet { .. } => {}
+                ConfirmOutcome::NotKnownYet => {}
             }
         }
         prop_assert!(store.revision.0 <= 2, "two operators won");
--- a/components/daemon/src/operator/confirm.rs
+++ b/components/daemon/src/operator/confirm.rs
@@ -119,7 +119,7 @@
                 ConfirmAnswer::InForce { version, hosts: names(hosts), pending: names(missing) }
             }
             ConfirmOutcome::Refused(refusal) => self.refused(id, text(&refusal)),
-            ConfirmOutcome::NotKnownYet { .. } => {
+            ConfirmOutcome::NotKnownYet => {
                 let reason = "the store has not said whether the write took effect".to_owned();
                 let entry = Entry::now(EventKind::PlanNotKnown).field("plan", id);
                 self.gate.record(entry);
--- a/src/cmd/confirm.rs
+++ b/src/cmd/confirm.rs
@@ -18,19 +18,24 @@
     let answer: Result<ConfirmAnswer, CallError> =
         Client::operator(target.host.0).post(CONFIRM_PATH, &ConfirmRequest { plan });
     match answer {
+        // The host names the default file; the plan may stand in another one.
+        Ok(ConfirmAnswer::NotKnownYet { reason, .. }) => {
+            let command = find_out(target, file);
+            Ok(outcome(&ConfirmAnswer::NotKnownYet { reason, command }))
+        }
         Ok(answer) => Ok(outcome(&answer)),
-        Err(err @ CallError::Lost { .. }) => Err(Failure::NotKnownYet {
-            reason: err.to_string(),
-            command: format!(
-                "wigeonramp status --plan {} --host {}",
-                file.display(),
-                target.host.0
-            ),
-        }),
+        Err(err @ CallError::Lost { .. }) => {
+            Err(Failure::NotKnownYet { reason: err.to_string(), command: find_out(target, file) })
+        }
         Err(err) => Err(Failure::Failed(format!("nothing changed: {err}"))),
     }
 }
 
+/// The command that tells whether the plan in `file` is in force.
+pub fn find_out(target: Target, file: &Path) -> String {
+    format!("wigeonramp status --plan {} --host {}", file.display(), target.host.0)
+}
+
 /// Text and exit code of a result.
 pub fn outcome(answer: &ConfirmAnswer) -> Outcome {
     Outcome::new(status(answer), describe(answer), answer)
--- a/src/cmd/status.rs
+++ b/src/cmd/status.rs
@@ -18,6 +18,9 @@
     wigeonramp_units::ConfigVersion,
 };
 
+/// A confirm is conditional on the plan's base version and names its operation.
+const SAFE_TO_REPEAT: &str = "confirming the same file again is safe and settles it";
+
 /// Prints the status, or what became of the plan in `plan_file`.
 pub fn run(target: Target, plan_file: Option<&Path>) -> Result<Outcome, Failure> {
     let plan = plan_file.map(plan::read).transpose()?;
@@ -25,7 +28,7 @@
     let (Some(plan), Some(file)) = (plan, plan_file) else {
         return Ok(Outcome::new(Status::Done, describe(&status), &status));
     };
-    let again = format!("wigeonramp status --plan {} --host {}", file.display(), target.host.0);
+    let again = confirm::find_out(target, file);
     let events = format!(
         "wigeonramp timeline --config-version {} --host {}",
         plan.target.version, target.host.0
@@ -55,7 +58,8 @@
     };
     match found.cmp(&wanted) {
         Ordering::Less => {
-            let reason = format!("host {host} has version {found}, before {wanted}");
+            let reason =
+                format!("host {host} has version {found}, before {wanted}; {SAFE_TO_REPEAT}");
             ConfirmAnswer::NotKnownYet { reason, command: again }
         }
         Ordering::Greater => {
--- a/tests/tool/operator.rs
+++ b/tests/tool/operator.rs
@@ -126,7 +126,7 @@
     };
     let unknown = ConfirmAnswer::NotKnownYet {
         reason: "the store does not answer".to_owned(),
-        command: "wigeonramp status --plan plan.json".to_owned(),
+        command: "wigeonramp status --plan plan-op-1.json".to_owned(),
     };
     let canned = [
         answer(&in_force),
