--- a/components/control/src/claim.rs
+++ b/components/control/src/claim.rs
@@ -10,8 +10,8 @@
 
 /// Time after the retention at which a claim object is deleted, for clocks that differ.
 const DELETION_MARGIN: Span = Span::secs(300);
-/// How far a request id may lie in the future, for clocks that differ.
-const FUTURE_MARGIN: Span = Span::secs(60);
+/// How far a request id may lie ahead of a host's clock. Clocks are assumed to be within 200 ms.
+pub const MAX_CLOCK_LEAD: Span = Span::secs(5);
 const PREFIX: &str = "claims/";
 /// Commas, quotes and brackets around one entry of the JSON body.
 const ENTRY_FRAME: usize = 4;
@@ -118,7 +118,7 @@
     pub(crate) fn key(&self, claim: &ClaimId, now: UnixMillis) -> Result<String, Verdict> {
         let bad = Verdict::NotRun(NotRun::BadRequestId);
         let at = claim.requested_at().ok_or_else(|| bad.clone())?;
-        if at > now + FUTURE_MARGIN {
+        if at > now + MAX_CLOCK_LEAD {
             return Err(bad);
         }
         if self.is_expired(claim, now) {
--- a/components/control/src/claims.rs
+++ b/components/control/src/claims.rs
@@ -4,7 +4,7 @@
 //! it last read and writes under that revision; a conflict reloads the body and merges again.
 
 pub use crate::claim::{
-    Claim, ClaimBody, ClaimId, ClaimNonce, ClaimSettings, ClaimState, deletable,
+    Claim, ClaimBody, ClaimId, ClaimNonce, ClaimSettings, ClaimState, MAX_CLOCK_LEAD, deletable,
 };
 
 use {
--- a/components/daemon/src/caller/check.rs
+++ b/components/daemon/src/caller/check.rs
@@ -14,12 +14,10 @@
         Caller, Document,
         caller_api::{CALLER_HEADER, QueryRequest as QueryBody, TOKEN_HEADER, TOKEN_SCHEME},
     },
+    wigeonramp_control::claims::MAX_CLOCK_LEAD,
     wigeonramp_units::{CallerId, CollectionId, RequestId, Span},
 };
 
-/// Longest time between a request's own timestamp and this host's clock; NTP keeps clocks closer.
-const MAX_CLOCK_LEAD: Span = Span::secs(5);
-
 /// Why a request was not accepted. Nothing ran.
 #[derive(Clone, Debug, Eq, Error, PartialEq)]
 pub enum Rejection {
