Keep platform calls and connections between hosts within budget at 570 hosts

Three quantities grew with the fleet: - Pings on idle connections. Heartbeats to random peers connect each host with all others in time. Connections that were not used for 5 s are now given up. - Reads by outsiders. The holders that the assignment names now count as well.

--- a/components/daemon/src/control/claiming.rs
+++ b/components/daemon/src/control/claiming.rs
@@ -123,8 +123,7 @@
     /// Shortest time between two claim writes of this host.
     fn interval(&self) -> Span {
         let core = self.gate.core();
-        let hosts = core.hosts.fresh(core.silent_after(), clock::now()).count() + 1;
-        let hosts = u32::try_from(hosts).unwrap_or(u32::MAX);
+        let hosts = u32::try_from(core.host_count(clock::now())).unwrap_or(u32::MAX);
         CallBudget::new(hosts, core.document.limits.session_time).claim_interval(hosts)
     }
 
--- a/components/daemon/src/control/directory.rs
+++ b/components/daemon/src/control/directory.rs
@@ -196,12 +196,26 @@
         self.hosts.values().filter(move |host| now.since(host.heard) < age)
     }
 
-    /// Some hosts to name in a heartbeat.
-    pub fn reports(&self, now: Instant, rng: &mut impl Rng) -> Vec<HostReport> {
-        let mut fresh: Vec<_> = self.fresh(REPORT_AGE, now).collect();
-        let count = REPORTS.min(fresh.len());
-        let some = (0..count).map(|_| fresh.swap_remove(rng.random_range(0..fresh.len())));
-        some.map(|host| host.report(now)).collect()
+    /// Some hosts to name in a heartbeat; one of those that `is_assigner` names is among them.
+    ///
+    /// With 570 hosts a random choice alone leaves a fifth of them without fresh news of any
+    /// assigner, and each of these then reads the assignment and sessions from the platform.
+    pub fn reports(
+        &self,
+        now: Instant,
+        rng: &mut impl Rng,
+        is_assigner: impl Fn(&InstanceId) -> bool,
+    ) -> Vec<HostReport> {
+        let (mut assigners, mut others): (Vec<_>, Vec<_>) =
+            self.fresh(REPORT_AGE, now).partition(|host| is_assigner(&host.instance));
+        let mut chosen = Vec::with_capacity(REPORTS);
+        chosen.extend(take_random(&mut assigners, rng));
+        others.append(&mut assigners);
+        while chosen.len() < REPORTS {
+            let Some(host) = take_random(&mut others, rng) else { break };
+            chosen.push(host);
+        }
+        chosen.into_iter().map(|host| host.report(now)).collect()
     }
 
     /// Forgets instances that have long been silent and that `keep` does not name.
@@ -209,3 +223,8 @@
         self.hosts.retain(|id, host| now.since(host.heard) < FORGET_AGE || keep(id));
     }
 }
+
+fn take_random<'a>(hosts: &mut Vec<&'a KnownHost>, rng: &mut impl Rng) -> Option<&'a KnownHost> {
+    let last = hosts.len().checked_sub(1)?;
+    Some(hosts.swap_remove(rng.random_range(0..=last)))
+}
--- a/components/daemon/src/control/gate.rs
+++ b/components/daemon/src/control/gate.rs
@@ -18,6 +18,7 @@
     },
     parking_lot::{Condvar, Mutex, MutexGuard},
     std::{
+        collections::BTreeSet,
         net::SocketAddr,
         sync::{
             Arc,
@@ -107,7 +108,20 @@
 
     /// Whether this host is a named assigner.
     pub fn is_assigner(&self) -> bool {
-        self.assignment.as_ref().is_some_and(|assignment| assignment.names(&self.me.instance))
+        self.names_assigner(&self.me.instance)
+    }
+
+    /// Whether `instance` is a named assigner.
+    pub fn names_assigner(&self, instance: &InstanceId) -> bool {
+        self.assignment.as_ref().is_some_and(|assignment| assignment.names(instance))
+    }
+
+    /// Hosts that share the platform: those heard of late, or those that hold leaves if these are
+    /// more. With 570 hosts and 3 heartbeats a second, fewer than a third are heard in time.
+    pub fn host_count(&self, now: Instant) -> usize {
+        let heard = self.hosts.fresh(self.silent_after(), now).count() + 1;
+        let holdings = self.assignment.iter().flat_map(|assignment| assignment.holdings.values());
+        heard.max(holdings.map(|holding| &holding.instance).collect::<BTreeSet<_>>().len())
     }
 
     /// This host as others know it.
--- a/components/daemon/src/control/gossip.rs
+++ b/components/daemon/src/control/gossip.rs
@@ -81,7 +81,7 @@
             address: own.address,
             entry_address: own.entry_address,
             operator_address: own.operator_address,
-            hosts: core.hosts.reports(now, &mut rand::rng()),
+            hosts: core.hosts.reports(now, &mut rand::rng(), |id| core.names_assigner(id)),
         }
     }
 
--- a/components/daemon/src/data_path.rs
+++ b/components/daemon/src/data_path.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         caller::handler::{CallerApi, EntryAddresses},
+        clock,
         entry::{Entry, EntryParts, claims::RunOnce},
         holder::{HolderParts, Holders, leaf::Start},
         http_server::{HttpLimits, HttpServer},
@@ -144,7 +145,7 @@
     pub fn adopt(&self, view: ClusterView, start: impl Fn(&LeafId) -> Start) -> bool {
         self.views.store(view);
         let view = self.views.load();
-        self.peers.retain(|address| {
+        self.peers.retain(clock::now(), |address| {
             view.hosts.iter().any(|host| host.peer_address == address)
                 || view.holders.values().any(|holder| holder.address == address)
         });
--- a/components/daemon/src/peer/client.rs
+++ b/components/daemon/src/peer/client.rs
@@ -16,7 +16,7 @@
     wigeonramp_proto::peer::{
         CancelAttemptsRequest, LeafReply, RunLeavesRequest, peer_client::PeerClient,
     },
-    wigeonramp_units::{AttemptId, Instant},
+    wigeonramp_units::{AttemptId, Instant, Span},
 };
 
 /// Longest wait for a connection to a peer.
@@ -25,6 +25,10 @@
 const PING_INTERVAL: Duration = Duration::from_millis(500);
 /// Longest wait for the answer to a ping; a silent peer is given up after both together.
 const PING_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time without calls after which a connection is given up. Pings keep running on idle connections,
+/// and heartbeats to random peers would in time connect each host with all others: 22 connections
+/// at rest cost 2.8 KB/s, so 1,138 of them with 570 hosts would cost 140 KB/s.
+const IDLE_TIME: Span = Span::secs(5);
 /// How much longer than the query's deadline a holder may take to report that it passed.
 const REPORT_GRACE: Duration = Duration::from_millis(50);
 /// Longest message in bytes; an answer of a leaf is at most 8 MiB.
@@ -53,10 +57,16 @@
 /// Connections to all peers.
 #[derive(Debug)]
 pub struct Peers {
-    channels: Mutex<HashMap<SocketAddr, Channel>>,
+    channels: Mutex<HashMap<SocketAddr, Used>>,
     runtime: Handle,
 }
 
+#[derive(Debug)]
+struct Used {
+    at: Instant,
+    channel: Channel,
+}
+
 impl Peers {
     /// Calls run on `runtime`.
     pub fn new(runtime: Handle) -> Self {
@@ -67,16 +77,32 @@
     pub fn client(&self, address: SocketAddr) -> PeerClient<Channel> {
         let channel = {
             let mut channels = self.channels.lock();
-            channels.entry(address).or_insert_with(|| self.open(address)).clone()
+            let now = clock::now();
+            let open = || Used { at: now, channel: self.open(address) };
+            let used = channels.entry(address).or_insert_with(open);
+            used.at = now;
+            used.channel.clone()
         };
         PeerClient::new(channel)
             .max_decoding_message_size(MAX_MESSAGE)
             .max_encoding_message_size(MAX_MESSAGE)
     }
 
-    /// Forgets connections to hosts that `keep` does not name.
-    pub fn retain(&self, keep: impl Fn(SocketAddr) -> bool) {
-        self.channels.lock().retain(|address, _| keep(*address));
+    /// Forgets idle connections, and those to hosts that `keep` does not name. Calls that run on
+    /// them are not cut off.
+    pub fn retain(&self, now: Instant, keep: impl Fn(SocketAddr) -> bool) {
+        let is_used = |used: &Used| now.since(used.at) < IDLE_TIME;
+        self.channels.lock().retain(|address, used| is_used(used) && keep(*address));
+    }
+
+    /// Connections that are kept for further calls.
+    pub fn len(&self) -> usize {
+        self.channels.lock().len()
+    }
+
+    /// Whether no connection is kept.
+    pub fn is_empty(&self) -> bool {
+        self.channels.lock().is_empty()
     }
 
     /// The runtime that the calls run on.
--- a/components/daemon/tests/control/parts.rs
+++ b/components/daemon/tests/control/parts.rs
@@ -2,12 +2,23 @@
 //! change spreads, and against old reports that hide a stop or a newer version of a host.
 
 use {
-    wigeonramp_control::{assignment::AssignmentVersion, heartbeat::Versions},
-    wigeonramp_daemon::control::{
-        changing::ChangingTime,
-        directory::{Directory, KnownHost},
+    rand::SeedableRng,
+    rand_chacha::ChaCha8Rng,
+    std::{collections::BTreeSet, sync::Arc},
+    wigeonramp_control::{
+        assignment::{Assignment, AssignmentVersion, Holding},
+        heartbeat::Versions,
     },
-    wigeonramp_units::{ConfigVersion, InstanceId, Instant, Percent, Span},
+    wigeonramp_daemon::{
+        control::{
+            changing::ChangingTime,
+            directory::{Directory, KnownHost},
+            gate::{Gate, Identity},
+        },
+        observe::Observer,
+    },
+    wigeonramp_telemetry::{metrics::Metrics, timeline::Timeline},
+    wigeonramp_units::{BootId, ConfigVersion, Epoch, InstanceId, Instant, LeafId, Percent, Span},
 };
 
 #[test]
@@ -69,3 +80,78 @@
     assert_eq!(directory.fresh(second, Instant(200) + second).count(), 0);
     assert_eq!(directory.fresh(second, Instant(199) + second).count(), 1);
 }
+
+/// Guards against a large fleet in which many hosts hear of no assigner and read the assignment
+/// and sessions from the platform instead.
+#[test]
+fn each_heartbeat_names_an_assigner_among_many_hosts() {
+    let mut directory = Directory::default();
+    for n in 0..570 {
+        let instance = format!("h{n}@b1").parse().expect("an instance");
+        directory.hear(KnownHost { instance, ..host(1, false, 0) });
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    let is_assigner = |id: &InstanceId| ["h7@b1", "h300@b1"].contains(&id.as_str());
+    for _ in 0..100 {
+        let reports = directory.reports(Instant(0), &mut rng, is_assigner);
+        let names: BTreeSet<_> = reports.iter().map(|report| &report.instance).collect();
+        assert_eq!((reports.len(), names.len()), (4, 4), "4 different hosts");
+        assert!(names.contains(&"h7@b1".to_owned()) || names.contains(&"h300@b1".to_owned()));
+    }
+}
+
+#[test]
+fn heartbeats_name_all_hosts_of_a_small_fleet_whoever_assigns() {
+    let mut directory = Directory::default();
+    for n in 0..3 {
+        let instance = format!("h{n}@b1").parse().expect("an instance");
+        directory.hear(KnownHost { instance, ..host(1, false, 0) });
+    }
+    let mut rng = ChaCha8Rng::seed_from_u64(1);
+    for assigners in [0, 1, 3] {
+        let is_assigner =
+            |id: &InstanceId| (0..assigners).any(|n| id.as_str() == format!("h{n}@b1"));
+        assert_eq!(directory.reports(Instant(0), &mut rng, is_assigner).len(), 3);
+    }
+}
+
+/// Guards against claim writes above the platform's rate when most hosts are not heard of in time:
+/// the share of each host then counts the holders that the assignment names.
+#[test]
+fn hosts_that_are_not_heard_still_count_for_the_share_of_claim_writes() {
+    let known = host(1, false, 0);
+    let boot: BootId = "b1".parse().expect("a boot id");
+    let me = Identity {
+        boot: boot.clone(),
+        caller_address: known.caller_address,
+        host: known.instance.host(),
+        instance: known.instance,
+        operator_address: known.operator_address,
+        peer_address: known.peer_address,
+        zone: known.zone.clone(),
+    };
+    let timeline = Timeline::new(me.host.clone(), known.zone, boot, 16);
+    let observer = Observer::new(Arc::new(timeline), Arc::new(Metrics::new()));
+    let gate = Gate::new(me, Arc::new(observer));
+    let mut core = gate.core();
+    assert_eq!(core.host_count(Instant(0)), 1);
+    let holding = |n: usize| {
+        let leaf: LeafId = format!("c/{n:02}/a").parse().expect("a leaf");
+        let holding = Holding {
+            instance: format!("h{}@b1", n % 5).parse().expect("an instance"),
+            epoch: Epoch(1),
+            from: None,
+            taken_over: false,
+            since_version: AssignmentVersion(1),
+        };
+        (leaf, holding)
+    };
+    core.assignment = Some(Arc::new(Assignment {
+        version: AssignmentVersion(1),
+        op: "op-1".parse().expect("an operation id"),
+        assigners: Vec::new(),
+        disputed: Vec::new(),
+        holdings: (0..20).map(holding).collect(),
+    }));
+    assert_eq!(core.host_count(Instant(0)), 5);
+}
--- a/components/daemon/tests/libraries/peer.rs
+++ b/components/daemon/tests/libraries/peer.rs
@@ -58,3 +58,26 @@
     let lost = run(address, Span::secs(5));
     assert!(!lost.maybe_sent, "{lost:?}");
 }
+
+/// Guards against connections that stay open for good to all hosts that were ever called, and
+/// against calls that are cut off when their connection is given up.
+#[test]
+fn an_idle_connection_is_given_up_and_a_call_on_it_runs_on() {
+    let silent = TcpListener::bind("127.0.0.1:0").expect("a free port");
+    let runtime = Runtime::new().expect("a runtime");
+    let peers = Peers::new(runtime.handle().clone());
+    let work = vec![LeafWork { attempt: 5, ..LeafWork::default() }];
+    let request = RunLeavesRequest { work, ..RunLeavesRequest::default() };
+    let (events, lost) = unbounded();
+    let begun = clock::now();
+    let address = silent.local_addr().expect("an address");
+    peers.run_leaves(address, request, begun + Span::millis(300), events);
+    peers.retain(begun + Span::secs(4), |_| true);
+    assert_eq!(peers.len(), 1, "used less than 5 s ago");
+    peers.retain(begun + Span::secs(6), |_| true);
+    assert!(peers.is_empty());
+    match lost.recv_timeout(PATIENCE).expect("the call ends") {
+        EntryEvent::Lost(lost) => assert!(lost.reason.contains("in time"), "{lost:?}"),
+        EntryEvent::Reply(reply) => panic!("nobody replied: {reply:?}"),
+    }
+}
