--- a/components/daemon/src/view.rs
+++ b/components/daemon/src/view.rs
@@ -7,10 +7,10 @@
     indexmap::IndexMap,
     parking_lot::RwLock,
     std::{net::SocketAddr, sync::Arc},
-    wigeonramp_config::{Document, Limits},
+    wigeonramp_config::Document,
     wigeonramp_serving::upstream::Rights,
     wigeonramp_units::{
-        ByteSize, ConfigVersion, Epoch, HostId, InstanceId, Instant, LeafId, Percent, Span, ZoneId,
+        ConfigVersion, Epoch, HostId, InstanceId, Instant, LeafId, Percent, ZoneId,
     },
 };
 
@@ -60,7 +60,7 @@
 impl ClusterView {
     /// A view without configuration, holders and hosts.
     pub fn empty() -> Self {
-        Self { document: Arc::new(empty_document()), holders: IndexMap::new(), hosts: Vec::new() }
+        Self { document: Arc::new(Document::empty()), holders: IndexMap::new(), hosts: Vec::new() }
     }
 
     /// Whether a configuration has been adopted.
@@ -69,31 +69,6 @@
     }
 }
 
-/// The document that stands for "none adopted yet"; knows no caller.
-fn empty_document() -> Document {
-    Document {
-        version: ConfigVersion(0),
-        op: "none".parse().expect("the text is a valid operation id"),
-        zones: IndexMap::new(),
-        members: IndexMap::new(),
-        callers: IndexMap::new(),
-        collections: IndexMap::new(),
-        leaves: IndexMap::new(),
-        limits: Limits {
-            entry_lifetime: Span::secs(5),
-            max_body: ByteSize(64 * 1024),
-            hedge_budget: Percent(5),
-            retry_budget: Percent(10),
-            ordinary_floor: Percent(10),
-            max_ejected: Percent(30),
-            claim_retention: Span::secs(600),
-            quarantine: Span::secs(600),
-            session_time: Span::secs(4),
-            stale_after: Span::secs(2),
-        },
-    }
-}
-
 /// The current view, replaced as a whole.
 #[derive(Debug)]
 pub struct Views {
--- a/components/load/src/class.rs
+++ b/components/load/src/class.rs
@@ -37,7 +37,7 @@
     /// sent again once or twice through other hosts.
     #[serde(default = "idempotent_by_default")]
     pub idempotent: bool,
-    /// Number of shards, `<collection>/01` and so on, that queries that are not idempotent go to.
+    /// Number of shards, `<collection>/00` and so on, that queries that are not idempotent go to.
     #[serde(default)]
     pub shards: u32,
 }
--- a/components/load/src/run.rs
+++ b/components/load/src/run.rs
@@ -172,7 +172,7 @@
     request: Option<&RequestSend>,
 ) -> QueryRequest {
     let shard = request.map(|_| {
-        let number = task.arrival.body % u64::from(class.shards.max(1)) + 1;
+        let number = task.arrival.body % u64::from(class.shards.max(1));
         let shard = format!("{}/{number:02}", class.collections[0]);
         shard.parse().expect("a collection id with a number is a shard id")
     });
