--- a/components/control/tests/claims.rs
+++ b/components/control/tests/claims.rs
@@ -247,3 +247,21 @@
     let oldest = waits.iter().map(|(_, since)| 1_000 - since).max().unwrap_or_default();
     assert!(longest.max(oldest) <= 16, "a claim waited for {} calls", longest.max(oldest));
 }
+
+/// Guards against a write that conflicts and then waits behind the other objects: the other hosts
+/// write its object meanwhile, so that it conflicts again.
+#[test]
+fn a_conflicting_write_is_repeated_before_other_objects() {
+    let mut book = ClaimBook::new(ClaimSettings::new(Span::secs(600)));
+    for n in 0..40 {
+        assert!(book.request(claim(n), ClaimNonce(n), NOW).is_none());
+    }
+    let first = book.batch(NOW).0.expect("claims wait");
+    let other = Stored { revision: Revision(9), value: ClaimBody::default() };
+    book.written(&first.key, WriteResult::Conflict(Some(other)), NOW);
+    let again = book.batch(NOW).0.expect("the write is repeated");
+    assert_eq!(again.key, first.key);
+    assert!(matches!(again.call, ClaimCall::Write { replaces: Some(Revision(9)), .. }));
+    let next = book.batch(NOW).0.expect("other claims wait");
+    assert_ne!(next.key, first.key);
+}
--- a/components/serving/tests/small.rs
+++ b/components/serving/tests/small.rs
@@ -182,3 +182,22 @@
     let forgotten = known.is_known(Fingerprint(4), ms(2));
     assert_eq!((before, after, kept, forgotten), (true, false, 2, false));
 }
+
+/// Guards against hedges that spend their budget on ordinary answers, and against a single
+/// straggler that sets the delay of a leaf with few answers.
+#[test]
+fn hedges_wait_for_two_medians_and_for_enough_answers() {
+    let mut few = LatencyWindow::new(Span::secs(60));
+    let mut pooled = LatencyWindow::new(Span::secs(60));
+    for i in 0..8 {
+        few.record(Span::millis(if i == 0 { 80 } else { 8 }), ms(i));
+    }
+    for i in 0..100 {
+        pooled.record(Span::millis(if i % 50 == 0 { 80 } else { 8 }), ms(i));
+    }
+    let (few, pooled) = (few.percentiles(ms(100)), pooled.percentiles(ms(100)));
+    assert_eq!(few.hedge_after(), Span::millis(80));
+    assert_eq!(pooled.hedge_after(), Span::millis(16));
+    assert_eq!(few.or_pooled(pooled), pooled);
+    assert_eq!(pooled.or_pooled(few), pooled);
+}
