--- /dev/null
+++ b/components/edge/src/callers.rs
@@ -0,0 +1,344 @@
+//! Connections of callers, and of whoever asks the host itself.
+
+use {
+    crate::{
+        body::{BodyError, BodyReader},
+        node::{Node, Purpose, Source},
+        sock::{self, OutBuf, ReadEnd},
+    },
+    mio::{Interest, net::TcpStream},
+    serde_json::json,
+    std::{
+        io::ErrorKind,
+        net::{Ipv4Addr, Shutdown},
+    },
+    wigeonramp_platform::{
+        entry::{self, Question},
+        http::{self, CONTINUE, HeadError, RequestHead},
+    },
+    wigeonramp_routing::{
+        entry::{LIFETIME_S, choose},
+        relay::{Cause, Reply},
+    },
+    wigeonramp_units::{Instant, Span},
+};
+
+/// Bytes kept of what a caller sends ahead of the answer to its request.
+const MAX_AHEAD: usize = 64 * 1024;
+/// Time for which the end of a caller's bytes is awaited after a last answer, so that closing does
+/// not destroy that answer on its way.
+const LINGER: Span = Span::secs(1);
+
+/// Where a connection is in its course.
+#[derive(Debug)]
+pub(crate) enum Phase {
+    /// Between requests.
+    Idle,
+    /// Reading a head.
+    Head,
+    /// Reading a body.
+    Body(Box<RequestHead>, BodyReader),
+    /// A request is under way.
+    Waiting(usize),
+    /// The last answer is on its way.
+    Lingering,
+}
+
+/// One connection.
+#[derive(Debug)]
+pub(crate) struct CallerConn {
+    sock: TcpStream,
+    purpose: Purpose,
+    inbuf: Vec<u8>,
+    out: OutBuf,
+    pub phase: Phase,
+    pub since: Instant,
+    /// Tells connections with the same index apart.
+    pub serial: u64,
+    pub served: u32,
+    closed: bool,
+}
+
+impl Node {
+    pub(crate) fn accept(&mut self, index: usize) {
+        loop {
+            let Some((listener, purpose)) = self.listeners.get(index) else { return };
+            let purpose = *purpose;
+            match listener.accept() {
+                Ok((sock, _)) => self.add_caller(sock, purpose),
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return,
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(err) => {
+                    let fields = json!({ "error": err.to_string() });
+                    self.journal.line("accept_failed", fields, self.now);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn add_caller(&mut self, mut sock: TcpStream, purpose: Purpose) {
+        // Without the option answers wait for acknowledgements; the connection still works.
+        let _ = sock.set_nodelay(true);
+        self.serial += 1;
+        let entry = self.callers.vacant_entry();
+        let token = Source::Caller(entry.key()).token();
+        if self.poll.registry().register(&mut sock, token, Interest::READABLE).is_err() {
+            return;
+        }
+        entry.insert(CallerConn {
+            sock,
+            purpose,
+            inbuf: Vec::new(),
+            out: OutBuf::default(),
+            phase: Phase::Idle,
+            since: self.now,
+            serial: self.serial,
+            served: 0,
+            closed: false,
+        });
+    }
+
+    pub(crate) fn on_caller(&mut self, key: usize, writable: bool) {
+        if !self.callers.contains(key) {
+            return;
+        }
+        if writable && !self.flush_caller(key) {
+            return;
+        }
+        self.read_caller(key);
+    }
+
+    fn read_caller(&mut self, key: usize) {
+        let limits = self.adoption.limits();
+        let Some(conn) = self.callers.get_mut(key) else { return };
+        let limit = match conn.phase {
+            Phase::Waiting(_) => MAX_AHEAD,
+            _ => limits.head_bytes + limits.body_bytes + MAX_AHEAD,
+        };
+        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
+        if end != ReadEnd::Drained {
+            conn.closed = true;
+        }
+        match conn.phase {
+            Phase::Lingering => {
+                conn.inbuf.clear();
+                if end != ReadEnd::Drained && conn.out.is_empty() {
+                    self.drop_caller(key);
+                }
+            }
+            _ if end != ReadEnd::Drained => self.drop_caller(key),
+            _ => self.advance_caller(key),
+        }
+    }
+
+    /// Reads requests from the bytes that are in, one at a time.
+    fn advance_caller(&mut self, key: usize) {
+        let limits = self.adoption.limits();
+        loop {
+            let now = self.now;
+            let Some(conn) = self.callers.get_mut(key) else { return };
+            match &mut conn.phase {
+                Phase::Idle if conn.inbuf.is_empty() => return,
+                Phase::Idle => {
+                    conn.phase = Phase::Head;
+                    conn.since = now;
+                }
+                Phase::Head => match http::request_head(&conn.inbuf, limits.head_bytes) {
+                    Ok(None) => return,
+                    Ok(Some(head)) => {
+                        if !self.begin_body(key, head, limits.body_bytes as u64) {
+                            return;
+                        }
+                    }
+                    Err(HeadError::TooLong) => return self.refuse_caller(key, Cause::HeadTooLong),
+                    Err(HeadError::Malformed(_)) => {
+                        return self.refuse_caller(key, Cause::Malformed);
+                    }
+                },
+                Phase::Body(_, reader) => {
+                    match reader.push(&conn.inbuf) {
+                        Ok(used) => {
+                            conn.inbuf.drain(..used);
+                        }
+                        Err(BodyError::TooLong) => {
+                            return self.refuse_caller(key, Cause::BodyTooLong);
+                        }
+                        Err(BodyError::Malformed) => {
+                            return self.refuse_caller(key, Cause::Malformed);
+                        }
+                    }
+                    if !reader.is_done() {
+                        return;
+                    }
+                    self.take_request(key);
+                }
+                Phase::Waiting(_) | Phase::Lingering => return,
+            }
+        }
+    }
+
+    fn begin_body(&mut self, key: usize, head: RequestHead, max: u64) -> bool {
+        let Some(conn) = self.callers.get_mut(key) else { return false };
+        conn.inbuf.drain(..head.length);
+        let reader = match BodyReader::new(head.framing, max) {
+            Ok(reader) => reader,
+            Err(_) => {
+                self.refuse_caller(key, Cause::BodyTooLong);
+                return false;
+            }
+        };
+        let awaits = head.awaits_continue && !reader.is_done() && conn.inbuf.is_empty();
+        conn.phase = Phase::Body(Box::new(head), reader);
+        if awaits {
+            conn.out.push(CONTINUE.to_vec());
+            return self.flush_caller(key);
+        }
+        true
+    }
+
+    fn take_request(&mut self, key: usize) {
+        let Some(conn) = self.callers.get_mut(key) else { return };
+        let Phase::Body(head, reader) = std::mem::replace(&mut conn.phase, Phase::Idle) else {
+            return;
+        };
+        match conn.purpose {
+            Purpose::Requests => self.begin_request(key, *head, reader.into_body()),
+            Purpose::Questions => self.answer_question(key, &head),
+            Purpose::Metrics => {
+                let text = self.metrics_text();
+                let bytes = http::own_answer(200, Some("text/plain"), text.as_bytes(), true);
+                self.send_caller(key, bytes, true);
+            }
+        }
+    }
+
+    fn answer_question(&mut self, key: usize, head: &RequestHead) {
+        let close = !head.keep_alive;
+        let bytes = match entry::question(&head.target) {
+            Some(Question::Readiness) => {
+                let status = if self.is_ready() { 200 } else { 503 };
+                http::own_answer(status, None, b"", close)
+            }
+            Some(Question::Resolve { zone }) => self.resolve(&zone, close),
+            None => http::own_answer(404, None, b"", close),
+        };
+        self.send_caller(key, bytes, close);
+    }
+
+    fn resolve(&mut self, zone: &str, close: bool) -> Vec<u8> {
+        let hosts: Vec<Ipv4Addr> = match self.adoption.current() {
+            Some(catalog) => choose(&self.members, catalog, &self.traffic.leaves, zone, self.now),
+            None => Vec::new(),
+        };
+        if hosts.is_empty() {
+            return http::own_answer(503, None, b"", close);
+        }
+        let body = entry::addresses(&hosts, self.settings.callers.port(), LIFETIME_S);
+        http::own_answer(200, Some("application/json"), &body, close)
+    }
+
+    /// Ends the connection with an answer to a request that cannot be read.
+    fn refuse_caller(&mut self, key: usize, cause: Cause) {
+        let reply = Reply::Refused { cause, retry_after: Span::ZERO };
+        self.metrics.replied(None, http::reply_status(&reply), cause.name());
+        self.journal.line("unreadable_request", json!({ "cause": cause.name() }), self.now);
+        let bytes = http::reply(&reply, false, true);
+        self.send_caller(key, bytes, true);
+    }
+
+    /// Writes an answer; with `last`, the connection ends after it.
+    pub(crate) fn send_caller(&mut self, key: usize, bytes: Vec<u8>, last: bool) {
+        let now = self.now;
+        let Some(conn) = self.callers.get_mut(key) else { return };
+        conn.out.push(bytes);
+        conn.served += 1;
+        conn.since = now;
+        conn.phase = if last { Phase::Lingering } else { Phase::Idle };
+        if conn.inbuf.is_empty() {
+            conn.inbuf = Vec::new();
+        }
+        self.flush_caller(key);
+    }
+
+    /// Goes on with what a caller sent while its request was under way.
+    pub(crate) fn resume_caller(&mut self, key: usize) {
+        if self.callers.get(key).is_some_and(|conn| !conn.inbuf.is_empty()) {
+            self.read_caller(key);
+        }
+    }
+
+    /// Writes what waits; false when the connection is gone.
+    fn flush_caller(&mut self, key: usize) -> bool {
+        let Some(conn) = self.callers.get_mut(key) else { return false };
+        if conn.out.flush(&mut conn.sock).is_err() {
+            self.drop_caller(key);
+            return false;
+        }
+        if !conn.out.is_empty() {
+            let both = Interest::READABLE | Interest::WRITABLE;
+            let token = Source::Caller(key).token();
+            if self.poll.registry().reregister(&mut conn.sock, token, both).is_err() {
+                self.drop_caller(key);
+                return false;
+            }
+            return true;
+        }
+        if matches!(conn.phase, Phase::Lingering) {
+            // The other side may have closed already.
+            let _ = conn.sock.shutdown(Shutdown::Write);
+            if conn.closed {
+                self.drop_caller(key);
+                return false;
+            }
+        }
+        true
+    }
+
+    fn drop_caller(&mut self, key: usize) {
+        let Some(mut conn) = self.callers.try_remove(key) else { return };
+        // A closed socket leaves the queue by itself.
+        let _ = self.poll.registry().deregister(&mut conn.sock);
+        if let Phase::Waiting(request) = conn.phase {
+            self.caller_left(request);
+        }
+    }
+
+    pub(crate) fn sweep_callers(&mut self) {
+        let limits = self.adoption.limits();
+        let now = self.now;
+        let mut slow = Vec::new();
+        let mut over = Vec::new();
+        for (key, conn) in &self.callers {
+            let age = now.since(conn.since);
+            match conn.phase {
+                Phase::Idle if age > limits.idle_time => over.push(key),
+                Phase::Head | Phase::Body(..) if age > limits.head_time => slow.push(key),
+                Phase::Lingering if age > LINGER && conn.out.is_empty() => over.push(key),
+                Phase::Lingering if age > limits.idle_time => over.push(key),
+                _ => {}
+            }
+        }
+        for key in slow {
+            self.refuse_caller(key, Cause::HeadTooSlow);
+        }
+        for key in over {
+            self.drop_caller(key);
+        }
+    }
+
+    /// Ends all connections between requests.
+    pub(crate) fn close_idle_callers(&mut self) {
+        let idle =
+            |(key, conn): (usize, &CallerConn)| matches!(conn.phase, Phase::Idle).then_some(key);
+        let idle: Vec<usize> = self.callers.iter().filter_map(idle).collect();
+        for key in idle {
+            let now = self.now;
+            if let Some(conn) = self.callers.get_mut(key) {
+                conn.phase = Phase::Lingering;
+                conn.since = now;
+            }
+            self.flush_caller(key);
+        }
+    }
+}
--- /dev/null
+++ b/components/edge/src/gossip.rs
@@ -0,0 +1,174 @@
+//! Datagrams between the hosts.
+
+use {
+    crate::node::{Node, Source},
+    mio::{Interest, Poll, net::UdpSocket},
+    prost::Message,
+    rand::RngExt,
+    serde_json::json,
+    std::{
+        io::{ErrorKind, Result},
+        net::{Ipv4Addr, SocketAddr},
+    },
+    wigeonramp_platform::settings::NodeSettings,
+    wigeonramp_routing::members::MemberInfo,
+    wigeonramp_units::{Fingerprint, Instant, Span},
+};
+
+use crate::sock;
+
+/// Time between beats.
+const BEAT_EVERY: Span = Span::millis(700);
+/// Living hosts that a beat goes to.
+const PARTNERS: usize = 2;
+/// Hosts that a beat tells of; keeps a datagram below the usual packet size.
+const MAX_NEWS: usize = 40;
+/// Refused requests that a beat tells of.
+const MAX_REFUSED: usize = 16;
+/// Longest datagram in bytes.
+const MAX_DATAGRAM: usize = 8 * 1024;
+/// Part of a cold leaf's declared rate that all hosts together use; hosts with different views of
+/// each other stay below the rate.
+pub(crate) const COLD_PART: f64 = 0.5;
+
+/// One host, as told to another.
+#[derive(Clone, PartialEq, prost::Message)]
+struct MemberMessage {
+    #[prost(fixed32, tag = "1")]
+    ip: u32,
+    #[prost(string, tag = "2")]
+    zone: String,
+    #[prost(uint64, tag = "3")]
+    incarnation: u64,
+    #[prost(uint64, tag = "4")]
+    beat: u64,
+    #[prost(bool, tag = "5")]
+    ready: bool,
+    #[prost(bool, tag = "6")]
+    leaving: bool,
+    /// Requests in ten seconds.
+    #[prost(uint32, tag = "7")]
+    rate: u32,
+}
+
+/// A beat.
+#[derive(Clone, PartialEq, prost::Message)]
+struct BeatMessage {
+    /// The sender first.
+    #[prost(message, repeated, tag = "1")]
+    members: Vec<MemberMessage>,
+    #[prost(fixed64, repeated, tag = "2")]
+    refused: Vec<u64>,
+}
+
+impl From<&MemberInfo> for MemberMessage {
+    fn from(info: &MemberInfo) -> Self {
+        Self {
+            ip: info.ip.to_bits(),
+            zone: info.zone.to_string(),
+            incarnation: info.incarnation,
+            beat: info.beat,
+            ready: info.ready,
+            leaving: info.leaving,
+            rate: (info.rate * 10.0) as u32,
+        }
+    }
+}
+
+impl MemberMessage {
+    /// None when the zone is not a name.
+    fn info(&self) -> Option<MemberInfo> {
+        Some(MemberInfo {
+            ip: Ipv4Addr::from_bits(self.ip),
+            zone: self.zone.parse().ok()?,
+            incarnation: self.incarnation,
+            beat: self.beat,
+            ready: self.ready,
+            leaving: self.leaving,
+            rate: f64::from(self.rate) / 10.0,
+        })
+    }
+}
+
+/// The host's side of the datagrams.
+#[derive(Debug)]
+pub(crate) struct Gossip {
+    sock: UdpSocket,
+    port: u16,
+    next: Instant,
+}
+
+impl Gossip {
+    pub fn open(settings: &NodeSettings, poll: &Poll, now: Instant) -> Result<Self> {
+        let address = SocketAddr::from((settings.ip, settings.peer_port));
+        let mut sock = sock::datagrams(address)?;
+        poll.registry().register(&mut sock, Source::Peers.token(), Interest::READABLE)?;
+        Ok(Self { sock, port: settings.peer_port, next: now })
+    }
+
+    /// When the next beat is due.
+    pub fn next_at(&self) -> Instant {
+        self.next
+    }
+}
+
+impl Node {
+    pub(crate) fn drive_gossip(&mut self) {
+        if self.now < self.gossip.next {
+            return;
+        }
+        let jitter = Span(self.rng.random_range(0..BEAT_EVERY.0 / 4));
+        self.gossip.next = self.now + BEAT_EVERY + jitter;
+        let partners = self.members.partners(PARTNERS, self.now, &mut self.rng);
+        self.send_beat(&partners);
+    }
+
+    /// Tells these hosts what this one knows.
+    pub(crate) fn send_beat(&mut self, to: &[Ipv4Addr]) {
+        self.members.beat();
+        let news = self.members.news(MAX_NEWS);
+        let own = std::iter::once(MemberMessage::from(self.members.own()));
+        let beat = BeatMessage {
+            members: own.chain(news.iter().map(MemberMessage::from)).collect(),
+            refused: self.poison.refused(MAX_REFUSED, self.now).iter().map(|f| f.0).collect(),
+        };
+        let bytes = beat.encode_to_vec();
+        for ip in to {
+            // A datagram that cannot be sent is like one that is lost.
+            let _ = self.gossip.sock.send_to(&bytes, (*ip, self.gossip.port).into());
+        }
+    }
+
+    pub(crate) fn on_datagrams(&mut self) {
+        let mut buf = [0; MAX_DATAGRAM];
+        loop {
+            match self.gossip.sock.recv_from(&mut buf) {
+                Ok((length, from)) => self.on_beat(&buf[..length], from),
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return,
+                // An earlier datagram of ours met a closed port.
+                Err(_) => {}
+            }
+        }
+    }
+
+    fn on_beat(&mut self, bytes: &[u8], from: SocketAddr) {
+        let beat = match BeatMessage::decode(bytes) {
+            Ok(beat) => beat,
+            Err(err) => {
+                let fields = json!({ "from": from, "error": err.to_string() });
+                self.journal.line("datagram_unreadable", fields, self.now);
+                return;
+            }
+        };
+        for info in beat.members.iter().filter_map(MemberMessage::info) {
+            let (ip, ready, leaving) = (info.ip, info.ready, info.leaving);
+            if self.members.told(info, self.now) {
+                let fields = json!({ "ip": ip, "ready": ready, "leaving": leaving });
+                self.journal.line("member", fields, self.now);
+            }
+        }
+        for print in beat.refused {
+            self.poison.told(Fingerprint(print), self.now);
+        }
+    }
+}
--- /dev/null
+++ b/components/edge/src/metrics.rs
@@ -0,0 +1,161 @@
+//! Counters and latency histograms of the host.
+
+use {
+    crate::node::Node,
+    prometheus_client::{
+        encoding::{EncodeLabelSet, text::encode},
+        metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
+        registry::Registry,
+    },
+    std::collections::{HashSet, VecDeque},
+    wigeonramp_units::{Instant, Span},
+};
+
+/// Port on which the metrics are served.
+pub(crate) const PORT: u16 = 9_464;
+/// Routes with labels of their own; further ones share one.
+const MAX_ROUTES: usize = 64;
+/// Label of routes beyond those.
+const OTHER_ROUTES: &str = "other";
+/// Seconds over which the rate of requests is taken.
+const RATE_SECONDS: u64 = 8;
+/// Upper bounds of the latency buckets, in seconds.
+const BUCKETS: [f64; 10] = [0.01, 0.03, 0.06, 0.1, 0.15, 0.25, 0.6, 1.5, 3.0, 6.0];
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReplyLabels {
+    route: String,
+    status: u16,
+    cause: &'static str,
+}
+
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RouteLabels {
+    route: String,
+}
+
+/// All metrics of a host.
+pub(crate) struct Metrics {
+    registry: Registry,
+    replies: Family<ReplyLabels, Counter>,
+    latency: Family<RouteLabels, Histogram>,
+    sends: Counter,
+    connects: Counter,
+    store_calls: Counter,
+    store_failures: Counter,
+    config_version: Gauge,
+    leaves: Gauge,
+    hosts: Gauge,
+    routes: HashSet<String>,
+    seconds: VecDeque<(u64, u32)>,
+}
+
+impl Metrics {
+    pub fn new() -> Self {
+        let mut registry = Registry::with_prefix("wigeonramp");
+        let latency =
+            Family::<RouteLabels, Histogram>::new_with_constructor(|| Histogram::new(BUCKETS));
+        let this = Self {
+            replies: Family::default(),
+            latency,
+            sends: Counter::default(),
+            connects: Counter::default(),
+            store_calls: Counter::default(),
+            store_failures: Counter::default(),
+            config_version: Gauge::default(),
+            leaves: Gauge::default(),
+            hosts: Gauge::default(),
+            routes: HashSet::new(),
+            seconds: VecDeque::new(),
+            registry: Registry::default(),
+        };
+        registry.register("replies", "Replies by route, status and cause", this.replies.clone());
+        registry.register("reply_seconds", "Time to the reply", this.latency.clone());
+        registry.register("sends", "Requests sent to leaves", this.sends.clone());
+        registry.register("connects", "Connections opened to leaves", this.connects.clone());
+        registry.register("store_calls", "Calls to the store", this.store_calls.clone());
+        registry.register(
+            "store_failures",
+            "Failed calls to the store",
+            this.store_failures.clone(),
+        );
+        registry.register(
+            "config_version",
+            "Version of the configuration in force",
+            this.config_version.clone(),
+        );
+        registry.register("leaves", "Registered leaves", this.leaves.clone());
+        registry.register("hosts", "Known hosts", this.hosts.clone());
+        Self { registry, ..this }
+    }
+
+    fn route_label(&mut self, route: &str) -> String {
+        if !self.routes.contains(route) {
+            if self.routes.len() >= MAX_ROUTES {
+                return OTHER_ROUTES.to_owned();
+            }
+            self.routes.insert(route.to_owned());
+        }
+        route.to_owned()
+    }
+
+    /// A request has arrived.
+    pub fn took_request(&mut self, now: Instant) {
+        let second = now.0 / 1_000_000;
+        match self.seconds.back_mut() {
+            Some((last, count)) if *last == second => *count += 1,
+            _ => self.seconds.push_back((second, 1)),
+        }
+    }
+
+    /// Requests a second, lately.
+    pub fn request_rate(&mut self, now: Instant) -> f64 {
+        let second = now.0 / 1_000_000;
+        while self.seconds.front().is_some_and(|(at, _)| at + RATE_SECONDS < second) {
+            self.seconds.pop_front();
+        }
+        let count: u32 = self.seconds.iter().map(|(_, count)| count).sum();
+        f64::from(count) / RATE_SECONDS as f64
+    }
+
+    pub fn replied(&mut self, route: Option<&str>, status: u16, cause: &'static str) {
+        let route = self.route_label(route.unwrap_or("none"));
+        self.replies.get_or_create(&ReplyLabels { route, status, cause }).inc();
+    }
+
+    pub fn took(&mut self, route: &str, time: Span) {
+        let route = self.route_label(route);
+        self.latency.get_or_create(&RouteLabels { route }).observe(time.0 as f64 / 1e6);
+    }
+
+    pub fn sent(&self) {
+        self.sends.inc();
+    }
+
+    pub fn connected(&self) {
+        self.connects.inc();
+    }
+
+    pub fn called_store(&self) {
+        self.store_calls.inc();
+    }
+
+    pub fn store_failed(&self) {
+        self.store_failures.inc();
+    }
+}
+
+impl Node {
+    /// All metrics as text.
+    pub(crate) fn metrics_text(&mut self) -> String {
+        let version = self.adoption.version().map_or(0, |version| version.0);
+        self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
+        self.metrics.leaves.set(self.traffic.leaves.len() as i64);
+        self.metrics.hosts.set(self.members.known() as i64);
+        let mut text = String::new();
+        match encode(&mut text, &self.metrics.registry) {
+            Ok(()) => text,
+            Err(err) => format!("# metrics cannot be encoded: {err}\n"),
+        }
+    }
+}
--- /dev/null
+++ b/components/edge/src/upstreams.rs
@@ -0,0 +1,527 @@
+//! Connections to leaves.
+//!
+//! A connection carries one request at a time. Whatever arrives on a connection without a request,
+//! or behind a whole answer, ends it. An answer to another request is read and dropped; the
+//! connection is not used again after it.
+
+use {
+    crate::{
+        body::BodyReader,
+        node::{Node, Source},
+        requests::Ended,
+        sock::{self, OutBuf, ReadEnd},
+    },
+    indexmap::IndexMap,
+    mio::{Interest, net::TcpStream},
+    serde_json::json,
+    slab::Slab,
+    std::collections::HashMap,
+    wigeonramp_platform::http::{self, AnswerHead},
+    wigeonramp_routing::{
+        catalog::Repeat,
+        exchange::{Send, TryEnd, TryRef},
+        leaf::SendEnd,
+        leaves::LeafKey,
+        relay::LeafAnswer,
+    },
+    wigeonramp_units::{Fingerprint, Instant, Span},
+};
+
+/// Time to open a connection.
+const CONNECT_TIME: Span = Span::millis(300);
+/// Time for an answer on top of what the leaf was given; the leaf itself stops at that.
+const ANSWER_SLACK: Span = Span::millis(100);
+/// Idle connections are not used this long before the leaf closes them.
+const IDLE_MARGIN: Span = Span::millis(500);
+/// Idle time for which a connection is used when the leaf does not say when it closes it.
+const IDLE_TIME: Span = Span::secs(20);
+/// A request that must not run twice uses a connection that was idle for less than this, or a new
+/// one: a connection that the leaf has dropped loses the request.
+const IDLE_AT_MOST_ONCE: Span = Span::millis(800);
+/// A connection whose answer is overdue for this long casts doubt on the others to that leaf that
+/// have carried nothing since.
+const SILENT_AFTER: Span = Span::millis(400);
+/// Longest answer of a leaf in bytes.
+const MAX_ANSWER: u64 = 8 * 1024 * 1024;
+/// Longest head of an answer in bytes.
+const MAX_ANSWER_HEAD: usize = 64 * 1024;
+/// Part of a leaf's connections that all hosts together use.
+const CONNECTIONS_PART: f64 = 0.8;
+/// Connections to a leaf that a host may always open: one to use and one for a second request.
+const MIN_CONNECTIONS: usize = 2;
+/// Connections to a leaf without a declared bound.
+const DEFAULT_CONNECTIONS: u32 = 50;
+/// A broken connection and other signs of the leaf's crash lie this close together.
+const CRASH_WINDOW: Span = Span::millis(1_500);
+
+/// The request that a connection carries.
+#[derive(Debug)]
+struct Work {
+    key: usize,
+    serial: u64,
+    at: TryRef,
+    id: Option<String>,
+    sent: Instant,
+    give_up: Instant,
+    no_body: bool,
+    keep_headers: bool,
+    fingerprint: Fingerprint,
+}
+
+#[derive(Debug)]
+pub(crate) struct LeafConn {
+    sock: TcpStream,
+    leaf: LeafKey,
+    connected: bool,
+    opened: Instant,
+    heard: Instant,
+    idle_since: Instant,
+    idle_time: Span,
+    out: OutBuf,
+    inbuf: Vec<u8>,
+    work: Option<Work>,
+    answer: Option<(AnswerHead, BodyReader)>,
+    /// The answer being read belongs to another request.
+    foreign: bool,
+    /// The connection is not used again.
+    last: bool,
+}
+
+/// All connections to leaves.
+#[derive(Debug, Default)]
+pub(crate) struct Upstreams {
+    conns: Slab<LeafConn>,
+    idle: HashMap<LeafKey, Vec<usize>>,
+    open: IndexMap<LeafKey, usize>,
+    suspects: Vec<(Fingerprint, LeafKey, Instant)>,
+    closed: Vec<(LeafKey, Instant)>,
+}
+
+impl Node {
+    /// Sends one part of a request; a failure is reported as an ended send.
+    pub(crate) fn send_to_leaf(&mut self, key: usize, send: &Send) {
+        let Some(req) = self.requests.get(key) else { return };
+        let serial = req.serial;
+        let route = req.exchange.route();
+        let at_most_once = route.repeat == Repeat::AtMostOnce;
+        let is_single = req.exchange.coverage().1 == 1;
+        let conn = self
+            .traffic
+            .leaves
+            .get(send.leaf)
+            .map(|leaf| (leaf.entry.id.clone(), leaf.entry.address, leaf.entry.service.clone()))
+            .and_then(|(id, address, service)| {
+                let conn = match self.take_idle(send.leaf, at_most_once) {
+                    Some(conn) => conn,
+                    None => self.open_conn(send.leaf, address, &service)?,
+                };
+                Some((conn, id))
+            });
+        let Some((conn_key, id)) = conn else {
+            let end = TryEnd::Unsent;
+            self.ended.push_back(Ended { key, serial, at: send.at, end });
+            return;
+        };
+        let (Some(req), Some(conn)) =
+            (self.requests.get(key), self.upstreams.conns.get_mut(conn_key))
+        else {
+            return;
+        };
+        conn.out.push(http::leaf_request(&req.head, &req.body, id.as_str(), send.left));
+        conn.work = Some(Work {
+            key,
+            serial,
+            at: send.at,
+            id: req.head.id.clone(),
+            sent: self.now,
+            give_up: self.now + send.left + ANSWER_SLACK,
+            no_body: req.head.is_head,
+            keep_headers: is_single,
+            fingerprint: req.fingerprint,
+        });
+        self.metrics.sent();
+        if conn.connected && conn.out.flush(&mut conn.sock).is_err() {
+            self.fail_conn(conn_key, true);
+        }
+    }
+
+    fn take_idle(&mut self, leaf: LeafKey, at_most_once: bool) -> Option<usize> {
+        let now = self.now;
+        loop {
+            let key = self.upstreams.idle.get_mut(&leaf)?.pop()?;
+            let conn = self.upstreams.conns.get(key)?;
+            let idle = now.since(conn.idle_since);
+            if idle >= conn.idle_time {
+                self.close_conn(key);
+                continue;
+            }
+            if at_most_once && idle >= IDLE_AT_MOST_ONCE {
+                // The most recently used one comes first, so the others are older still.
+                self.upstreams.idle.entry(leaf).or_default().push(key);
+                return None;
+            }
+            return Some(key);
+        }
+    }
+
+    fn connection_bound(&self, service: &wigeonramp_units::ServiceId) -> usize {
+        let catalog = self.adoption.current();
+        let spec = catalog.and_then(|catalog| catalog.services.get(service));
+        let declared = spec.map_or(DEFAULT_CONNECTIONS, |spec| spec.connections);
+        let hosts = self.members.active(self.now).max(1);
+        let own = f64::from(declared) * CONNECTIONS_PART / hosts as f64;
+        (own as usize).max(MIN_CONNECTIONS)
+    }
+
+    fn open_conn(
+        &mut self,
+        leaf: LeafKey,
+        address: std::net::SocketAddr,
+        service: &wigeonramp_units::ServiceId,
+    ) -> Option<usize> {
+        let open = self.upstreams.open.get(&leaf).copied().unwrap_or(0);
+        if open >= self.connection_bound(service) {
+            return None;
+        }
+        let mut sock = match sock::connect(address) {
+            Ok(sock) => sock,
+            Err(err) => {
+                let fields = json!({ "address": address, "error": err.to_string() });
+                self.journal.line("connect_failed", fields, self.now);
+                return None;
+            }
+        };
+        let entry = self.upstreams.conns.vacant_entry();
+        let token = Source::Leaf(entry.key()).token();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        self.poll.registry().register(&mut sock, token, both).ok()?;
+        let key = entry.key();
+        entry.insert(LeafConn {
+            sock,
+            leaf,
+            connected: false,
+            opened: self.now,
+            heard: self.now,
+            idle_since: self.now,
+            idle_time: IDLE_TIME,
+            out: OutBuf::default(),
+            inbuf: Vec::new(),
+            work: None,
+            answer: None,
+            foreign: false,
+            last: false,
+        });
+        *self.upstreams.open.entry(leaf).or_default() += 1;
+        self.metrics.connected();
+        Some(key)
+    }
+
+    pub(crate) fn on_leaf(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        if !conn.connected {
+            match conn.sock.peer_addr() {
+                Ok(_) => conn.connected = true,
+                Err(_) => match conn.sock.take_error() {
+                    Ok(None) => return,
+                    Ok(Some(_)) | Err(_) => return self.fail_conn(key, true),
+                },
+            }
+        }
+        if conn.out.flush(&mut conn.sock).is_err() {
+            return self.fail_conn(key, true);
+        }
+        let limit = MAX_ANSWER as usize;
+        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
+        if !conn.inbuf.is_empty() {
+            conn.heard = self.now;
+        }
+        if self.read_answer(key) && end != ReadEnd::Drained {
+            self.on_leaf_closed(key, end);
+        }
+    }
+
+    fn on_leaf_closed(&mut self, key: usize, end: ReadEnd) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let whole =
+            end == ReadEnd::Closed && conn.answer.as_mut().is_some_and(|(_, reader)| reader.end());
+        if whole && !conn.foreign {
+            conn.last = true;
+            self.complete(key);
+            return;
+        }
+        self.fail_conn(key, end == ReadEnd::Broken);
+    }
+
+    /// Reads answers from the bytes that are in; false when the connection is gone.
+    fn read_answer(&mut self, key: usize) -> bool {
+        loop {
+            let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
+            let Some(work) = &conn.work else {
+                if conn.inbuf.is_empty() {
+                    return true;
+                }
+                self.close_conn(key);
+                return false;
+            };
+            if conn.answer.is_none() {
+                match http::answer_head(&conn.inbuf, work.keep_headers, work.no_body) {
+                    Ok(None) if conn.inbuf.len() <= MAX_ANSWER_HEAD => return true,
+                    Ok(Some(head)) if head.status == 101 => {
+                        self.fail_conn(key, false);
+                        return false;
+                    }
+                    Ok(Some(head)) if head.status < 200 => {
+                        conn.inbuf.drain(..head.length);
+                        continue;
+                    }
+                    Ok(Some(head)) => {
+                        conn.inbuf.drain(..head.length);
+                        conn.foreign = head.id.is_some() && head.id != work.id;
+                        conn.last |= conn.foreign || head.close || !conn.out.is_empty();
+                        match BodyReader::new(head.framing, MAX_ANSWER) {
+                            Ok(reader) => conn.answer = Some((head, reader)),
+                            Err(_) => {
+                                self.fail_conn(key, false);
+                                return false;
+                            }
+                        }
+                    }
+                    _ => {
+                        self.fail_conn(key, false);
+                        return false;
+                    }
+                }
+            }
+            let Some((_, reader)) = &mut conn.answer else { return true };
+            match reader.push(&conn.inbuf) {
+                Ok(used) => {
+                    conn.inbuf.drain(..used);
+                }
+                Err(_) => {
+                    self.fail_conn(key, false);
+                    return false;
+                }
+            }
+            if !reader.is_done() {
+                return true;
+            }
+            if !conn.foreign {
+                return self.complete(key);
+            }
+            conn.answer = None;
+            conn.foreign = false;
+        }
+    }
+
+    /// A whole answer is in; false when the connection is gone.
+    fn complete(&mut self, key: usize) -> bool {
+        let now = self.now;
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
+        let (Some(work), Some((head, reader))) = (conn.work.take(), conn.answer.take()) else {
+            return true;
+        };
+        let leaf = conn.leaf;
+        conn.idle_since = now;
+        if let Some(time) = head.idle_time {
+            conn.idle_time = (time - IDLE_MARGIN).max(time.percent(50)).min(IDLE_TIME);
+        }
+        let reusable = !conn.last && conn.inbuf.is_empty();
+        if conn.inbuf.capacity() > sock::READ_BYTES {
+            conn.inbuf = Vec::new();
+        }
+        let end = self.judge(leaf, head, reader);
+        self.ended.push_back(Ended { key: work.key, serial: work.serial, at: work.at, end });
+        if reusable && self.traffic.leaves.get(leaf).is_some() {
+            self.upstreams.idle.entry(leaf).or_default().push(key);
+            return true;
+        }
+        self.close_conn(key);
+        false
+    }
+
+    fn judge(&mut self, leaf: LeafKey, head: AnswerHead, reader: BodyReader) -> TryEnd {
+        if head.status == 421 {
+            // Another leaf has this address now.
+            if let Some(leaf) = self.traffic.leaves.get_mut(leaf) {
+                leaf.misdirected = true;
+                let fields = json!({ "leaf": leaf.entry.id, "address": leaf.entry.address });
+                self.journal.line("leaf_address_reused", fields, self.now);
+            }
+            return TryEnd::NotRun;
+        }
+        if head.not_run {
+            return TryEnd::NotRun;
+        }
+        if head.encoded || (head.status < 300 && head.stamp.is_none()) {
+            return TryEnd::Lost;
+        }
+        let body = reader.into_body();
+        TryEnd::Answer(LeafAnswer {
+            status: head.status,
+            stamp: head.stamp,
+            headers: head.headers,
+            body,
+        })
+    }
+
+    /// The connection is of no use any more; a request on it has failed.
+    fn fail_conn(&mut self, key: usize, broken: bool) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let leaf = conn.leaf;
+        let unsent = !conn.connected || (conn.out.is_untouched() && !conn.out.is_empty());
+        let refused = !conn.connected && broken;
+        let unanswered = conn.answer.is_none() && conn.inbuf.is_empty();
+        let work = conn.work.take();
+        self.close_conn(key);
+        match work {
+            Some(work) => {
+                let end = if unsent { TryEnd::Unsent } else { TryEnd::Lost };
+                if !unsent && unanswered {
+                    self.suspect(work.fingerprint, leaf);
+                } else if refused {
+                    self.crash_sign(leaf);
+                }
+                let (key, serial, at) = (work.key, work.serial, work.at);
+                self.ended.push_back(Ended { key, serial, at, end });
+            }
+            None => self.crash_sign(leaf),
+        }
+    }
+
+    /// A request's connection broke before any answer. Together with another sign of the leaf's
+    /// crash this makes the request a suspect.
+    fn suspect(&mut self, fingerprint: Fingerprint, leaf: LeafKey) {
+        let now = self.now;
+        let recent = |at: &Instant| now.since(*at) < CRASH_WINDOW;
+        self.upstreams.closed.retain(|(_, at)| recent(at));
+        self.upstreams.suspects.retain(|(_, _, at)| recent(at));
+        if self.upstreams.closed.iter().any(|(closed, _)| *closed == leaf) {
+            self.blame(fingerprint, leaf);
+            return;
+        }
+        self.upstreams.suspects.push((fingerprint, leaf, now));
+    }
+
+    /// An idle connection to the leaf ended, or the leaf refuses connections.
+    fn crash_sign(&mut self, leaf: LeafKey) {
+        let now = self.now;
+        let recent = |at: &Instant| now.since(*at) < CRASH_WINDOW;
+        self.upstreams.closed.retain(|(_, at)| recent(at));
+        self.upstreams.closed.push((leaf, now));
+        let suspects = std::mem::take(&mut self.upstreams.suspects);
+        let (here, others) = suspects.into_iter().partition(|(_, suspect, _)| *suspect == leaf);
+        self.upstreams.suspects = others;
+        let here: Vec<(Fingerprint, LeafKey, Instant)> = here;
+        for (fingerprint, leaf, at) in here {
+            if recent(&at) {
+                self.blame(fingerprint, leaf);
+            }
+        }
+    }
+
+    fn blame(&mut self, fingerprint: Fingerprint, leaf: LeafKey) {
+        self.poison.broke(fingerprint, self.now);
+        let id = self.traffic.leaves.get(leaf).map(|leaf| leaf.entry.id.clone());
+        let refused = self.poison.refuses(fingerprint, self.now);
+        let fields = json!({ "fingerprint": fingerprint, "leaf": id, "refused": refused });
+        self.journal.line("request_suspected", fields, self.now);
+    }
+
+    fn close_conn(&mut self, key: usize) {
+        let Some(mut conn) = self.upstreams.conns.try_remove(key) else { return };
+        // A closed socket leaves the queue by itself.
+        let _ = self.poll.registry().deregister(&mut conn.sock);
+        if let Some(idle) = self.upstreams.idle.get_mut(&conn.leaf) {
+            idle.retain(|known| *known != key);
+        }
+        if let Some(open) = self.upstreams.open.get_mut(&conn.leaf) {
+            *open = open.saturating_sub(1);
+            if *open == 0 {
+                self.upstreams.open.swap_remove(&conn.leaf);
+            }
+        }
+    }
+
+    /// Ends the connections to a leaf that carry nothing.
+    pub(crate) fn close_idle_to(&mut self, leaf: LeafKey) {
+        for key in self.upstreams.idle.remove(&leaf).unwrap_or_default() {
+            self.close_conn(key);
+        }
+    }
+
+    /// Ends the sends of a request whose caller has left.
+    pub(crate) fn cancel_sends(&mut self, request: usize, serial: u64) {
+        let of = |conn: &LeafConn| {
+            conn.work.as_ref().is_some_and(|work| work.key == request && work.serial == serial)
+        };
+        let keys: Vec<usize> =
+            self.upstreams.conns.iter().filter(|(_, c)| of(c)).map(|(key, _)| key).collect();
+        for key in keys {
+            self.abandon_conn(key, SendEnd::Abandoned);
+        }
+    }
+
+    fn abandon_conn(&mut self, key: usize, end: SendEnd) {
+        let work = self.upstreams.conns.get_mut(key).and_then(|conn| conn.work.take());
+        self.close_conn(key);
+        if let Some(work) = work {
+            self.abandon(work.key, work.serial, work.at, end);
+        }
+    }
+
+    pub(crate) fn sweep_upstreams(&mut self) {
+        let now = self.now;
+        let mut unopened = Vec::new();
+        let mut silent = Vec::new();
+        let mut over = Vec::new();
+        let mut doubtful = Vec::new();
+        for (key, conn) in &self.upstreams.conns {
+            match &conn.work {
+                _ if !conn.connected && now.since(conn.opened) > CONNECT_TIME => unopened.push(key),
+                Some(work) if now > work.give_up => silent.push(key),
+                Some(work) if now.since(work.sent.max(conn.heard)) > SILENT_AFTER => {
+                    doubtful.push((conn.leaf, work.sent));
+                }
+                None if now.since(conn.idle_since) >= conn.idle_time => over.push(key),
+                _ => {}
+            }
+        }
+        for key in unopened {
+            self.fail_conn(key, false);
+        }
+        for key in silent {
+            self.give_up_conn(key);
+        }
+        for key in over {
+            self.close_conn(key);
+        }
+        for (leaf, sent) in doubtful {
+            self.close_unheard(leaf, sent);
+        }
+    }
+
+    /// No answer came in time.
+    fn give_up_conn(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let Some(work) = conn.work.take() else { return };
+        let open = self.requests.get(work.key).filter(|req| req.serial == work.serial);
+        let open = open.is_some_and(|req| !req.is_replied());
+        self.close_conn(key);
+        if open {
+            let end = TryEnd::Lost;
+            self.ended.push_back(Ended { key: work.key, serial: work.serial, at: work.at, end });
+        } else {
+            self.abandon(work.key, work.serial, work.at, SendEnd::Silent);
+        }
+    }
+
+    /// Ends idle connections to a leaf on which nothing arrived since `sent`.
+    fn close_unheard(&mut self, leaf: LeafKey, sent: Instant) {
+        let idle = self.upstreams.idle.get(&leaf).cloned().unwrap_or_default();
+        for key in idle {
+            if self.upstreams.conns.get(key).is_some_and(|conn| conn.heard < sent) {
+                self.close_conn(key);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/components/routing/src/entry.rs
@@ -0,0 +1,80 @@
+//! Which hosts callers are told to use.
+//!
+//! A gathered request is sent to a leaf of every shard, so most of its bytes stay inside a zone
+//! only when the host is in a zone that has leaves of nearly all shards. Hosts in such zones are
+//! named first, a few for each zone: they see enough requests to know the leaves, and need few
+//! connections.
+
+use {
+    crate::{
+        catalog::{Catalog, Target},
+        leaves::Leaves,
+        members::{MemberInfo, Members},
+    },
+    indexmap::{IndexMap, IndexSet},
+    std::net::Ipv4Addr,
+    wigeonramp_units::{Instant, ServiceId, ZoneId},
+    xxhash_rust::xxh3::xxh3_64,
+};
+
+/// Time for which callers keep an answer, in seconds. Short, so that a lost host is left soon.
+pub const LIFETIME_S: u32 = 2;
+/// Most addresses in an answer.
+const MAX_ADDRESSES: usize = 64;
+/// Hosts named in each zone.
+const PER_ZONE: usize = 4;
+/// A zone is near the shards when it has leaves of this share of the shards of the best zone.
+const NEAR_SHARE: f64 = 0.8;
+
+/// The hosts to name to a caller in `zone`.
+pub fn choose(
+    members: &Members,
+    catalog: &Catalog,
+    leaves: &Leaves,
+    zone: &str,
+    now: Instant,
+) -> Vec<Ipv4Addr> {
+    let near = near_zones(catalog, leaves);
+    let mut by_zone: IndexMap<&ZoneId, Vec<&MemberInfo>> = IndexMap::new();
+    for member in members.serving(now) {
+        by_zone.entry(&member.zone).or_default().push(member);
+    }
+    for hosts in by_zone.values_mut() {
+        // The same order on every host, so that all name the same few.
+        hosts.sort_by_key(|host| xxh3_64(&host.ip.octets()));
+        hosts.truncate(PER_ZONE);
+    }
+    let is_near = |name: &ZoneId| near.is_empty() || near.contains(name);
+    let chosen: Vec<&Vec<&MemberInfo>> = {
+        let own = by_zone.iter().filter(|(name, _)| name.as_str() == zone && is_near(name));
+        let own: Vec<_> = own.map(|(_, hosts)| hosts).collect();
+        if !own.is_empty() {
+            own
+        } else {
+            let near: Vec<_> =
+                by_zone.iter().filter(|(name, _)| is_near(name)).map(|(_, hosts)| hosts).collect();
+            if near.is_empty() { by_zone.values().collect() } else { near }
+        }
+    };
+    chosen.into_iter().flatten().map(|host| host.ip).take(MAX_ADDRESSES).collect()
+}
+
+/// Zones with leaves of nearly all shards; empty when no route gathers.
+fn near_zones(catalog: &Catalog, leaves: &Leaves) -> IndexSet<ZoneId> {
+    let mut shards: IndexSet<&ServiceId> = IndexSet::new();
+    for route in &catalog.routes {
+        if let Target::Gather { shards: named, .. } = &route.target {
+            shards.extend(named);
+        }
+    }
+    let mut counts: IndexMap<ZoneId, usize> = IndexMap::new();
+    for shard in shards {
+        let zones: IndexSet<&ZoneId> = leaves.zones_of(shard).collect();
+        for zone in zones {
+            *counts.entry(zone.clone()).or_default() += 1;
+        }
+    }
+    let most = counts.values().copied().max().unwrap_or(0) as f64;
+    counts.retain(|_, count| *count as f64 >= most * NEAR_SHARE);
+    counts.into_keys().collect()
+}
--- /dev/null
+++ b/components/routing/src/exchange.rs
@@ -0,0 +1,561 @@
+//! The course of one caller's request.
+//!
+//! A request has one part for each shard of its route, or a single part. Each part is sent to one
+//! leaf; a second one is asked when the answer is late or the first send fails, as far as the
+//! route's attempts and the budget for second sends allow. A request that must not run twice is
+//! sent again only when it is certain that no leaf has run it.
+
+use {
+    crate::{
+        catalog::{Repeat, Route, Target},
+        extra::{ExtraBound, ExtraBudget},
+        leaf::SendEnd,
+        leaves::{LeafKey, Leaves, Seek},
+        merge::greatest,
+        pace::Pace,
+        relay::{Cause, LeafAnswer, Reply},
+    },
+    indexmap::IndexMap,
+    rand::{Rng, RngExt, rngs::SmallRng},
+    std::sync::Arc,
+    wigeonramp_units::{Instant, ServiceId, Span},
+};
+
+/// Sends of one part, beyond the route's attempts, that are known not to have run.
+const SPARE_TRIES: usize = 2;
+/// Time kept for the answer's way to the caller when a request is given up at the caller's deadline.
+const DEADLINE_MARGIN: Span = Span::millis(5);
+/// When to come back after a refusal because no leaf is there.
+const RETRY_NO_LEAF: Span = Span::millis(500);
+/// When to come back after a refusal because leaves are full.
+const RETRY_BUSY: Span = Span::millis(100);
+
+/// What all requests of a host share.
+#[derive(Debug)]
+pub struct Traffic {
+    /// The leaves.
+    pub leaves: Leaves,
+    /// Bound of second sends.
+    pub bound: ExtraBound,
+    /// This host's share of all hosts' traffic.
+    pub share: f64,
+    /// This host's share of what cold leaves bear.
+    pub cold_share: f64,
+    /// Declared rate of a cold leaf, by service.
+    pub cold_rates: IndexMap<ServiceId, f64>,
+    /// Source of randomness.
+    pub rng: SmallRng,
+    budgets: IndexMap<ServiceId, ExtraBudget>,
+    paces: IndexMap<String, Pace>,
+}
+
+impl Traffic {
+    /// No traffic yet.
+    pub fn new(leaves: Leaves, bound: ExtraBound, rng: SmallRng) -> Self {
+        Self {
+            leaves,
+            bound,
+            share: 0.0,
+            cold_share: 0.0,
+            cold_rates: IndexMap::new(),
+            rng,
+            budgets: IndexMap::new(),
+            paces: IndexMap::new(),
+        }
+    }
+
+    fn pace(&mut self, route: &Route) -> &mut Pace {
+        if !self.paces.contains_key(&route.name) {
+            self.paces.insert(route.name.clone(), Pace::new(route.target_latency));
+        }
+        &mut self.paces[&route.name]
+    }
+
+    fn choose(
+        &mut self,
+        service: &ServiceId,
+        except: &[LeafKey],
+        usual: Span,
+        now: Instant,
+    ) -> Option<LeafKey> {
+        let rate = self.cold_rates.get(service).filter(|rate| **rate > 0.0);
+        let cold_per_second = rate.map(|rate| rate * self.cold_share);
+        let seek = Seek { service, except, usual, cold_per_second };
+        self.leaves.choose(&seek, now, &mut self.rng)
+    }
+
+    /// Forgets budgets and paces of services and routes that are no longer configured.
+    pub fn keep(&mut self, service: impl Fn(&ServiceId) -> bool, route: impl Fn(&str) -> bool) {
+        self.budgets.retain(|known, _| service(known));
+        self.paces.retain(|known, _| route(known));
+    }
+}
+
+/// Times of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// When it arrived.
+    pub arrived: Instant,
+    /// When its caller stops waiting.
+    pub deadline: Instant,
+    /// Part of the target latency that passes outside this host.
+    pub outside: Span,
+}
+
+/// One send of one part.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct TryRef {
+    /// Index of the part.
+    pub part: usize,
+    /// Index of the send within the part.
+    pub no: usize,
+}
+
+/// A send that is to be made now.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Send {
+    /// Which one.
+    pub at: TryRef,
+    /// The leaf.
+    pub leaf: LeafKey,
+    /// Time that the leaf has.
+    pub left: Span,
+}
+
+/// How a send ended.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum TryEnd {
+    /// A whole answer of the leaf; not one that says that the request did not run.
+    Answer(LeafAnswer),
+    /// The leaf said that it did not run the request.
+    NotRun,
+    /// No byte reached the leaf.
+    Unsent,
+    /// The connection broke or the answer made no sense; the request may have run.
+    Lost,
+}
+
+#[derive(Clone, Debug)]
+struct Try {
+    leaf: LeafKey,
+    sent: Instant,
+    pending: bool,
+    reached: bool,
+    may_have_run: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Part {
+    service: ServiceId,
+    tries: Vec<Try>,
+    answer: Option<LeafAnswer>,
+    failure: Option<LeafAnswer>,
+    dead: bool,
+}
+
+impl Part {
+    fn new(service: ServiceId) -> Self {
+        Self { service, tries: Vec::new(), answer: None, failure: None, dead: false }
+    }
+
+    fn is_open(&self) -> bool {
+        self.answer.is_none() && !self.dead
+    }
+
+    fn pending(&self) -> usize {
+        self.tries.iter().filter(|t| t.pending).count()
+    }
+
+    fn runs(&self) -> usize {
+        self.tries.iter().filter(|t| t.may_have_run).count()
+    }
+}
+
+/// A request under way.
+#[derive(Clone, Debug)]
+pub struct Exchange {
+    route: Arc<Route>,
+    parts: Vec<Part>,
+    usual: Span,
+    late_at: Instant,
+    reply_at: Instant,
+    give_up_at: Instant,
+    asked_late: bool,
+    answered: usize,
+}
+
+impl Exchange {
+    /// Starts a request; the reply is there at once when it cannot be sent anywhere.
+    pub fn begin(
+        route: Arc<Route>,
+        times: Times,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) -> (Self, Option<Reply>) {
+        let services = pick_services(&route.target, &mut cx.rng);
+        let pace = cx.pace(&route);
+        let (usual, late) = (pace.usual(now), pace.late_after(now));
+        let latest = times.deadline - DEADLINE_MARGIN;
+        let mut this = Self {
+            parts: services.into_iter().map(Part::new).collect(),
+            usual,
+            late_at: now + late,
+            reply_at: times.arrived + (route.target_latency - times.outside),
+            give_up_at: (times.arrived + route.timeout).min(latest),
+            asked_late: false,
+            answered: 0,
+            route,
+        };
+        if let Some(reply) = this.refuse_hopeless(cx) {
+            return (this, Some(reply));
+        }
+        let bound = cx.bound;
+        for part in 0..this.parts.len() {
+            let service = this.parts[part].service.clone();
+            cx.budgets.entry(service).or_default().first(&bound, now);
+            if !this.send(part, cx, now, sends) {
+                this.parts[part].dead = true;
+            }
+        }
+        let reply = this.conclude(now);
+        (this, reply)
+    }
+
+    /// The route.
+    pub fn route(&self) -> &Arc<Route> {
+        &self.route
+    }
+
+    /// Parts that are in, and all parts.
+    pub fn coverage(&self) -> (usize, usize) {
+        (self.answered, self.parts.len())
+    }
+
+    /// Shards without an answer, with the number of sends to each.
+    pub fn missing(&self) -> impl Iterator<Item = (&ServiceId, usize)> {
+        let open = self.parts.iter().filter(|part| part.answer.is_none());
+        open.map(|part| (&part.service, part.tries.len()))
+    }
+
+    /// When `on_time` is to be called next.
+    pub fn next_time(&self, now: Instant) -> Instant {
+        let late = (!self.asked_late).then_some(self.late_at);
+        let reply = Some(self.reply_at).filter(|at| self.is_gather() && *at > now);
+        late.into_iter().chain(reply).fold(self.give_up_at, Instant::min)
+    }
+
+    /// A send has ended.
+    pub fn on_end(
+        &mut self,
+        at: TryRef,
+        end: TryEnd,
+        may_repeat: bool,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) -> Option<Reply> {
+        self.note_end(at, &end, cx, now);
+        let idempotent = self.route.repeat == Repeat::Idempotent;
+        let is_gather = self.is_gather();
+        let part = &mut self.parts[at.part];
+        let ran = !matches!(end, TryEnd::NotRun | TryEnd::Unsent);
+        part.tries[at.no].may_have_run = ran;
+        part.tries[at.no].reached = end != TryEnd::Unsent;
+        if !part.is_open() {
+            return None;
+        }
+        match end {
+            TryEnd::Answer(answer) if answer.is_success() => {
+                part.answer = Some(answer);
+                self.answered += 1;
+                return self.conclude(now);
+            }
+            TryEnd::Answer(answer) if !idempotent => {
+                return Some(relay_final(answer));
+            }
+            TryEnd::Answer(answer) if !is_gather && is_final_failure(answer.status) => {
+                return Some(Reply::Relayed(answer));
+            }
+            TryEnd::Answer(answer) => part.failure = Some(answer),
+            TryEnd::Lost if !idempotent => return Some(Reply::Failed(Cause::Broken)),
+            TryEnd::Lost | TryEnd::NotRun | TryEnd::Unsent => {}
+        }
+        if part.pending() > 0 {
+            return None;
+        }
+        let repeated = may_repeat && now < self.give_up_at && self.repeat(at.part, cx, now, sends);
+        if !repeated {
+            self.parts[at.part].dead = true;
+        }
+        self.conclude(now)
+    }
+
+    fn note_end(&mut self, at: TryRef, end: &TryEnd, cx: &mut Traffic, now: Instant) {
+        let sent = &mut self.parts[at.part].tries[at.no];
+        sent.pending = false;
+        let (leaf, since) = (sent.leaf, sent.sent);
+        let health = match end {
+            TryEnd::Answer(answer) if answer.status < 500 => SendEnd::Answered,
+            TryEnd::Answer(_) | TryEnd::NotRun => SendEnd::Failed,
+            TryEnd::Unsent | TryEnd::Lost => SendEnd::Broken,
+        };
+        if health == SendEnd::Answered {
+            cx.pace(&self.route).record(now.since(since), now);
+        }
+        cx.leaves.ended(leaf, since, self.usual, health, now);
+    }
+
+    /// A send that outlived its request has ended, or the send is given up.
+    pub fn on_late_end(&mut self, at: TryRef, end: SendEnd, cx: &mut Traffic, now: Instant) {
+        let sent = &mut self.parts[at.part].tries[at.no];
+        if !sent.pending {
+            return;
+        }
+        sent.pending = false;
+        let (leaf, since) = (sent.leaf, sent.sent);
+        cx.leaves.ended(leaf, since, self.usual, end, now);
+    }
+
+    /// The time named by `next_time` has come.
+    pub fn on_time(
+        &mut self,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) -> Option<Reply> {
+        if now >= self.give_up_at {
+            return Some(self.give_up());
+        }
+        if !self.asked_late && now >= self.late_at {
+            self.asked_late = true;
+            self.ask_second_leaves(cx, now, sends);
+        }
+        self.conclude(now)
+    }
+
+    fn ask_second_leaves(&mut self, cx: &mut Traffic, now: Instant, sends: &mut Vec<Send>) {
+        if self.route.repeat == Repeat::AtMostOnce {
+            return;
+        }
+        for index in 0..self.parts.len() {
+            if self.parts[index].is_open() {
+                self.ask_second_leaf(index, cx, now, sends);
+            }
+        }
+    }
+
+    fn ask_second_leaf(
+        &mut self,
+        index: usize,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) {
+        let part = &self.parts[index];
+        if part.tries.len() >= self.route.attempts {
+            return;
+        }
+        let except: Vec<LeafKey> = part.tries.iter().map(|t| t.leaf).collect();
+        let service = part.service.clone();
+        if room(cx, &service, now) < 1.0 {
+            return;
+        }
+        let Some(leaf) = cx.choose(&service, &except, self.usual, now) else { return };
+        if cx.leaves.is_troubled(leaf, now) {
+            return;
+        }
+        spend(cx, &service, now);
+        self.push(index, leaf, cx, now, sends);
+    }
+
+    /// Sends a part again after a failed send; false when that is not possible.
+    fn repeat(
+        &mut self,
+        index: usize,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) -> bool {
+        let part = &self.parts[index];
+        let (runs, tries) = (part.runs(), part.tries.len());
+        if runs >= self.route.attempts || tries >= self.route.attempts + SPARE_TRIES {
+            return false;
+        }
+        if self.route.repeat == Repeat::AtMostOnce && runs > 0 {
+            return false;
+        }
+        // The first arrival at a leaf of the service is not an extra one.
+        let extra = part.tries.iter().any(|t| t.reached);
+        let service = part.service.clone();
+        if extra && room(cx, &service, now) < 1.0 {
+            return false;
+        }
+        if !self.send(index, cx, now, sends) {
+            return false;
+        }
+        if extra {
+            spend(cx, &service, now);
+        }
+        true
+    }
+
+    fn send(
+        &mut self,
+        index: usize,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) -> bool {
+        let part = &self.parts[index];
+        let except: Vec<LeafKey> = part.tries.iter().map(|t| t.leaf).collect();
+        match cx.choose(&part.service, &except, self.usual, now) {
+            Some(leaf) => self.push(index, leaf, cx, now, sends),
+            None => return false,
+        }
+        true
+    }
+
+    fn push(
+        &mut self,
+        index: usize,
+        leaf: LeafKey,
+        cx: &mut Traffic,
+        now: Instant,
+        sends: &mut Vec<Send>,
+    ) {
+        cx.leaves.sent(leaf, self.usual, now);
+        let part = &mut self.parts[index];
+        let at = TryRef { part: index, no: part.tries.len() };
+        part.tries.push(Try { leaf, sent: now, pending: true, reached: true, may_have_run: true });
+        sends.push(Send { at, leaf, left: self.give_up_at.since(now) });
+    }
+
+    fn is_gather(&self) -> bool {
+        matches!(self.route.target, Target::Gather { .. })
+    }
+
+    fn needed(&self) -> usize {
+        match &self.route.target {
+            Target::Gather { min_share, shards, .. } => {
+                // The share is compared with a tolerance far below one shard, so that 0.75 of 20
+                // is 15 whatever its binary form.
+                let least = (min_share * shards.len() as f64 - 1e-9).ceil();
+                (least.max(1.0) as usize).min(shards.len())
+            }
+            Target::One(_) => 1,
+        }
+    }
+
+    fn refuse_hopeless(&self, cx: &Traffic) -> Option<Reply> {
+        let served = self.parts.iter().filter(|part| cx.leaves.serves(&part.service)).count();
+        if served >= self.needed() && served > 0 {
+            return None;
+        }
+        let cause = if self.is_gather() { Cause::TooFewShards } else { Cause::NoLeaf };
+        Some(Reply::Refused { cause, retry_after: RETRY_NO_LEAF })
+    }
+
+    /// The reply, if there is nothing left to wait for.
+    fn conclude(&mut self, now: Instant) -> Option<Reply> {
+        if !self.is_gather() {
+            return self.conclude_single();
+        }
+        let needed = self.needed();
+        let open = self.parts.iter().filter(|part| part.is_open()).count();
+        if self.answered >= needed && (open == 0 || now >= self.reply_at) {
+            return Some(self.merge());
+        }
+        if self.answered + open < needed {
+            return Some(self.fail(Cause::TooFewShards));
+        }
+        None
+    }
+
+    fn conclude_single(&mut self) -> Option<Reply> {
+        let part = &mut self.parts[0];
+        if let Some(answer) = part.answer.take() {
+            return Some(Reply::Relayed(answer));
+        }
+        if !part.dead {
+            return None;
+        }
+        if let Some(failure) = part.failure.take() {
+            return Some(Reply::Relayed(failure));
+        }
+        Some(self.fail(Cause::Broken))
+    }
+
+    fn give_up(&mut self) -> Reply {
+        if self.is_gather() && self.answered >= self.needed() {
+            return self.merge();
+        }
+        match self.parts[0].failure.take().filter(|_| !self.is_gather()) {
+            Some(failure) => Reply::Relayed(failure),
+            None => self.fail(Cause::TimeUp),
+        }
+    }
+
+    fn fail(&self, cause: Cause) -> Reply {
+        if self.parts.iter().any(|part| part.runs() > 0) {
+            return Reply::Failed(cause);
+        }
+        Reply::Refused { cause: Cause::NotRun, retry_after: RETRY_BUSY }
+    }
+
+    fn merge(&mut self) -> Reply {
+        let Target::Gather { top_k, .. } = &self.route.target else {
+            return Reply::Failed(Cause::Broken);
+        };
+        let answers: Vec<&LeafAnswer> =
+            self.parts.iter().filter_map(|part| part.answer.as_ref()).collect();
+        let stamps = answers.iter().filter_map(|answer| answer.stamp.clone()).collect();
+        let body = greatest(answers.iter().map(|answer| answer.body.as_slice()), *top_k);
+        Reply::Merged { stamps, missing: self.parts.len() - answers.len(), body }
+    }
+}
+
+/// Failures that another leaf would answer alike.
+fn is_final_failure(status: u16) -> bool {
+    (300..500).contains(&status) && status != 429 && status != 408 && status != 421
+}
+
+/// Passes an answer on for a request that must not run twice. A status that promises "not run"
+/// without the leaf's word for it is not passed on.
+fn relay_final(answer: LeafAnswer) -> Reply {
+    if answer.claims_not_run() || answer.status < 300 {
+        return Reply::Failed(Cause::Broken);
+    }
+    Reply::Relayed(answer)
+}
+
+fn room(cx: &mut Traffic, service: &ServiceId, now: Instant) -> f64 {
+    let (bound, share) = (cx.bound, cx.share);
+    cx.budgets.get_mut(service).map_or(0.0, |budget| budget.room(&bound, share, now))
+}
+
+fn spend(cx: &mut Traffic, service: &ServiceId, now: Instant) {
+    let bound = cx.bound;
+    if let Some(budget) = cx.budgets.get_mut(service) {
+        budget.spend(&bound, now);
+    }
+}
+
+fn pick_services(target: &Target, rng: &mut impl Rng) -> Vec<ServiceId> {
+    match target {
+        Target::Gather { shards, .. } => shards.clone(),
+        Target::One(split) => pick_weighted(split, rng).into_iter().cloned().collect(),
+    }
+}
+
+fn pick_weighted<'a>(split: &'a [(ServiceId, f64)], rng: &mut impl Rng) -> Option<&'a ServiceId> {
+    let total: f64 = split.iter().map(|(_, weight)| weight).sum();
+    let mut left = rng.random::<f64>() * total;
+    for (service, weight) in split.iter().filter(|(_, weight)| *weight > 0.0) {
+        left -= weight;
+        if left <= 0.0 {
+            return Some(service);
+        }
+    }
+    split.last().map(|(service, _)| service)
+}
--- /dev/null
+++ b/components/routing/src/lib.rs
@@ -0,0 +1,17 @@
+//! Decisions of a host that sends to upstreams itself, free of I/O.
+//!
+//! Every aggregate takes events with an explicit `now` and returns its decisions as values. The
+//! event loop in `wigeonramp-edge` owns sockets, clocks and the process.
+
+pub mod catalog;
+pub mod entry;
+pub mod exchange;
+pub mod extra;
+pub mod feed;
+pub mod leaf;
+pub mod leaves;
+pub mod members;
+pub mod merge;
+pub mod pace;
+pub mod poison;
+pub mod relay;
--- /dev/null
+++ b/components/routing/src/members.rs
@@ -0,0 +1,192 @@
+//! The hosts of the system, as one host knows them.
+//!
+//! Each host counts its own beats and tells a few random others the newest count that it knows of
+//! every host. A host whose count stands still is taken as lost. Clocks of different hosts are
+//! never compared: a count's age is measured on the clock of the host that saw it rise.
+
+use {
+    indexmap::IndexMap,
+    rand::{Rng, seq::IteratorRandom},
+    std::net::Ipv4Addr,
+    wigeonramp_units::{Instant, Span, ZoneId},
+};
+
+/// A host whose beats stand still for this long is not named to callers.
+pub const LOST_AFTER: Span = Span::millis(3_500);
+/// Traffic of a host counts in the shares of the others for this long after its last beat: callers
+/// may still use it although this host does not hear it.
+const RATE_KEPT: Span = Span::secs(12);
+/// Part of an equal share that every host has, whatever its traffic.
+const LEAST_SHARE: f64 = 0.15;
+/// Requests a second from which a host counts as one that callers use.
+const ACTIVE_RATE: f64 = 0.2;
+/// Share of a host that does not know the others yet.
+const UNKNOWN_SHARE: f64 = 0.01;
+/// Time after the start within which a host may not know the others yet.
+const SETTLING: Span = Span::secs(4);
+
+/// What a host tells of itself.
+#[derive(Clone, Debug, PartialEq)]
+pub struct MemberInfo {
+    /// Its address; the ports are the same on all hosts.
+    pub ip: Ipv4Addr,
+    /// Its availability zone.
+    pub zone: ZoneId,
+    /// Rises with each start.
+    pub incarnation: u64,
+    /// Rises with each beat.
+    pub beat: u64,
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Requests that it took lately, a second.
+    pub rate: f64,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    info: MemberInfo,
+    heard: Option<Instant>,
+}
+
+/// All hosts known to this one.
+#[derive(Clone, Debug)]
+pub struct Members {
+    own: MemberInfo,
+    started: Instant,
+    others: IndexMap<Ipv4Addr, Member>,
+}
+
+impl Members {
+    /// Only this host is known.
+    pub fn new(own: MemberInfo, now: Instant) -> Self {
+        Self { own, started: now, others: IndexMap::new() }
+    }
+
+    /// This host.
+    pub fn own(&self) -> &MemberInfo {
+        &self.own
+    }
+
+    /// Sets what this host tells of itself.
+    pub fn set_own(&mut self, ready: bool, leaving: bool, rate: f64) {
+        self.own.ready = ready;
+        self.own.leaving = leaving;
+        self.own.rate = rate;
+    }
+
+    /// Counts a beat of this host.
+    pub fn beat(&mut self) {
+        self.own.beat += 1;
+    }
+
+    /// A host is listed; nothing is known of its state.
+    pub fn listed(&mut self, ip: Ipv4Addr, zone: ZoneId) {
+        if ip == self.own.ip || self.others.contains_key(&ip) {
+            return;
+        }
+        let info = MemberInfo {
+            ip,
+            zone,
+            incarnation: 0,
+            beat: 0,
+            ready: false,
+            leaving: false,
+            rate: 0.0,
+        };
+        self.others.insert(ip, Member { info, heard: None });
+    }
+
+    /// A host was taken off the list.
+    pub fn unlisted(&mut self, ip: Ipv4Addr) {
+        self.others.shift_remove(&ip);
+    }
+
+    /// Takes in what is told of a host; returns whether its state as an address for callers changed.
+    pub fn told(&mut self, info: MemberInfo, now: Instant) -> bool {
+        if info.ip == self.own.ip {
+            // An earlier start of this host is still remembered, possibly with a clock ahead.
+            if info.incarnation > self.own.incarnation
+                || (info.incarnation == self.own.incarnation && info.beat > self.own.beat)
+            {
+                self.own.incarnation = info.incarnation + 1;
+            }
+            return false;
+        }
+        let Some(known) = self.others.get_mut(&info.ip) else {
+            self.others.insert(info.ip, Member { info, heard: Some(now) });
+            return true;
+        };
+        if (info.incarnation, info.beat) <= (known.info.incarnation, known.info.beat) {
+            return false;
+        }
+        let changed = (info.ready, info.leaving) != (known.info.ready, known.info.leaving)
+            || info.incarnation != known.info.incarnation;
+        *known = Member { info, heard: Some(now) };
+        changed
+    }
+
+    /// Other hosts whose beats are rising and that are not stopping.
+    pub fn alive(&self, now: Instant) -> impl Iterator<Item = &MemberInfo> {
+        let alive = move |member: &&Member| is_heard(member, LOST_AFTER, now);
+        self.others.values().filter(alive).map(|m| &m.info).filter(|info| !info.leaving)
+    }
+
+    /// Hosts to name to callers: those that serve and are not lost, this one included.
+    pub fn serving(&self, now: Instant) -> impl Iterator<Item = &MemberInfo> {
+        let own = Some(&self.own).filter(|own| own.ready && !own.leaving);
+        own.into_iter().chain(self.alive(now).filter(|info| info.ready))
+    }
+
+    /// Hosts that have traffic of callers, this one included.
+    pub fn active(&self, now: Instant) -> usize {
+        let busy =
+            |member: &&Member| is_heard(member, RATE_KEPT, now) && member.info.rate >= ACTIVE_RATE;
+        let others = self.others.values().filter(busy).count();
+        if now.since(self.started) < SETTLING { self.known() } else { others + 1 }
+    }
+
+    /// Hosts known, lost ones and this one included.
+    pub fn known(&self) -> usize {
+        self.others.len() + 1
+    }
+
+    /// At most `n` random living hosts and one that is not heard, so that two groups that lost each
+    /// other find together again.
+    pub fn partners(&self, n: usize, now: Instant, rng: &mut impl Rng) -> Vec<Ipv4Addr> {
+        let mut chosen: Vec<_> = self.alive(now).map(|info| info.ip).sample(rng, n);
+        let silent = self.others.values().filter(|m| !is_heard(m, LOST_AFTER, now));
+        chosen.extend(silent.map(|member| member.info.ip).choose(rng));
+        chosen
+    }
+
+    /// All other known hosts.
+    pub fn all(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.others.keys().copied()
+    }
+
+    /// What to tell about other hosts, newest beats first, at most `n`.
+    pub fn news(&self, n: usize) -> Vec<MemberInfo> {
+        let mut heard: Vec<_> = self.others.values().filter(|m| m.heard.is_some()).collect();
+        heard.sort_by_key(|member| std::cmp::Reverse(member.heard));
+        heard.into_iter().take(n).map(|member| member.info.clone()).collect()
+    }
+
+    /// This host's share of all hosts' traffic.
+    pub fn share(&self, now: Instant) -> f64 {
+        let known = self.known() as f64;
+        if now.since(self.started) < SETTLING {
+            return if known > 1.0 { LEAST_SHARE / known } else { UNKNOWN_SHARE };
+        }
+        let counted = |member: &&Member| is_heard(member, RATE_KEPT, now);
+        let others: f64 = self.others.values().filter(counted).map(|m| m.info.rate).sum();
+        let total = self.own.rate + others;
+        let by_rate = if total > 0.0 { self.own.rate / total } else { 0.0 };
+        by_rate.max(LEAST_SHARE / known)
+    }
+}
+
+fn is_heard(member: &Member, within: Span, now: Instant) -> bool {
+    member.heard.is_some_and(|heard| now.since(heard) < within)
+}
--- a/components/units/src/id.rs
+++ b/components/units/src/id.rs
@@ -91,6 +91,11 @@
     CollectionId,
     "collection id"
 );
+text_id!(
+    /// A service: upstreams that answer alike.
+    ServiceId,
+    "service id"
+);
 text_id!(
     /// One shard of a collection.
     ShardId,
--- a/src/bin/wigeonrampd.rs
+++ b/src/bin/wigeonrampd.rs
@@ -10,11 +10,13 @@
     std::{
         error::Error,
         io::{Write, stdout},
-        path::PathBuf,
+        path::{Path, PathBuf},
         process::ExitCode,
     },
     wigeonramp_config::{HostSettings, LogLevel},
     wigeonramp_daemon::host::{Host, HostAddresses},
+    wigeonramp_edge::{Node, RunError},
+    wigeonramp_platform::settings::PATH_VARIABLE,
     wigeonramp_store::{HttpStore, HttpStoreTimes},
     wigeonramp_telemetry::logging::{self, LogOutput},
     wigeonramp_units::InstanceId,
@@ -26,10 +28,19 @@
 /// Runs one host of the query tier.
 #[derive(Bpaf, Clone, Debug)]
 #[bpaf(options)]
-struct Args {
-    /// Settings of the host (TOML)
-    #[bpaf(argument("FILE"))]
-    settings: PathBuf,
+enum Args {
+    /// On hosts with settings of our own
+    Own {
+        /// Settings of the host (TOML)
+        #[bpaf(argument("FILE"))]
+        settings: PathBuf,
+    },
+    /// On the users' platform
+    Platform {
+        /// Take the settings file that the platform names in WIGEONRAMP_CONFIG
+        #[bpaf(long("platform"), req_flag(()))]
+        _platform: (),
+    },
 }
 
 /// The line that says that the host is ready.
@@ -41,8 +52,31 @@
 }
 
 fn main() -> ExitCode {
-    let args = args().run();
-    let settings = match HostSettings::load(&args.settings) {
+    match args().run() {
+        Args::Own { settings } => run_own(&settings),
+        Args::Platform { .. } => run_on_platform(),
+    }
+}
+
+fn run_on_platform() -> ExitCode {
+    let Some(path) = std::env::var_os(PATH_VARIABLE) else {
+        eprintln!(
+            "wigeonrampd: {PATH_VARIABLE} is not set; expected the path of the settings file"
+        );
+        return ExitCode::from(BAD_SETTINGS);
+    };
+    match Node::start(Path::new(&path)).and_then(|mut node| node.run()) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(err) => {
+            eprintln!("wigeonrampd: {err}");
+            let is_settings = matches!(err, RunError::Settings(_));
+            if is_settings { ExitCode::from(BAD_SETTINGS) } else { ExitCode::FAILURE }
+        }
+    }
+}
+
+fn run_own(path: &Path) -> ExitCode {
+    let settings = match HostSettings::load(path) {
         Ok(settings) => settings,
         Err(err) => {
             eprintln!("wigeonrampd: {err}");
