Let a few hosts watch the store and the others follow them

Hosts now rank the living hosts alike; the first of each zone and at least four watch the store, the others follow one of them over a stream and turn to whoever announces newer changes. The directory names hosts with at least half of the largest processor share.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -1,7 +1,10 @@
 //! Datagrams between the hosts.
 
 use {
-    crate::node::{Node, Source},
+    crate::{
+        node::{Node, Source},
+        sock,
+    },
     mio::{Interest, Poll, net::UdpSocket},
     prost::Message,
     rand::RngExt,
@@ -12,15 +15,21 @@
     },
     wigeonramp_platform::settings::NodeSettings,
     wigeonramp_routing::members::MemberInfo,
-    wigeonramp_units::{Fingerprint, Instant, Span},
+    wigeonramp_units::{Fingerprint, Instant, Revision, Span},
 };
 
-use crate::sock;
-
 /// Time between beats.
 const BEAT_EVERY: Span = Span::millis(700);
 /// Living hosts that a beat goes to.
 const PARTNERS: usize = 2;
+/// Living hosts that a beat of a host with callers goes to; its loss must be known soon.
+const ACTIVE_PARTNERS: usize = 4;
+/// Time after the start in which a host that hears nobody beats faster.
+const SEARCHING: Span = Span::secs(10);
+/// Time between its beats then.
+const SEARCH_EVERY: Span = Span::millis(150);
+/// Hosts that each of them goes to.
+const MAX_SEARCHED: usize = 8;
 /// Hosts that a beat tells of; keeps a datagram below the usual packet size.
 const MAX_NEWS: usize = 40;
 /// Refused requests that a beat tells of.
@@ -49,6 +58,11 @@
     /// Requests in ten seconds.
     #[prost(uint32, tag = "7")]
     rate: u32,
+    /// Thousandths of a processor core.
+    #[prost(uint32, tag = "8")]
+    capacity: u32,
+    #[prost(bool, tag = "9")]
+    blind: bool,
 }
 
 /// A beat.
@@ -59,6 +73,13 @@
     members: Vec<MemberMessage>,
     #[prost(fixed64, repeated, tag = "2")]
     refused: Vec<u64>,
+    /// Revisions of the last changes that the sender knows.
+    #[prost(uint64, tag = "3")]
+    config: u64,
+    #[prost(uint64, tag = "4")]
+    leaves: u64,
+    #[prost(uint64, tag = "5")]
+    evacuations: u64,
 }
 
 impl From<&MemberInfo> for MemberMessage {
@@ -71,6 +92,8 @@
             ready: info.ready,
             leaving: info.leaving,
             rate: (info.rate * 10.0) as u32,
+            capacity: (info.capacity * 1e3) as u32,
+            blind: info.blind,
         }
     }
 }
@@ -86,6 +109,8 @@
             ready: self.ready,
             leaving: self.leaving,
             rate: f64::from(self.rate) / 10.0,
+            capacity: f64::from(self.capacity) / 1e3,
+            blind: self.blind,
         })
     }
 }
@@ -96,14 +121,16 @@
     sock: UdpSocket,
     port: u16,
     next: Instant,
+    /// Newest changes that other hosts know of: of configuration, leaves, evacuations.
+    heard: [Revision; 3],
 }
 
 impl Gossip {
     pub fn open(settings: &NodeSettings, poll: &Poll, now: Instant) -> Result<Self> {
         let address = SocketAddr::from((settings.ip, settings.peer_port));
         let mut sock = sock::datagrams(address)?;
-        poll.registry().register(&mut sock, Source::Peers.token(), Interest::READABLE)?;
-        Ok(Self { sock, port: settings.peer_port, next: now })
+        poll.registry().register(&mut sock, Source::Datagrams.token(), Interest::READABLE)?;
+        Ok(Self { sock, port: settings.peer_port, next: now, heard: [Revision(0); 3] })
     }
 
     /// When the next beat is due.
@@ -117,9 +144,15 @@
         if self.now < self.gossip.next {
             return;
         }
+        if !self.members.hears_others(self.now) && self.now.since(self.started) < SEARCHING {
+            self.gossip.next = self.now + SEARCH_EVERY;
+            let all: Vec<Ipv4Addr> = self.members.all().take(MAX_SEARCHED).collect();
+            return self.send_beat(&all);
+        }
         let jitter = Span(self.rng.random_range(0..BEAT_EVERY.0 / 4));
         self.gossip.next = self.now + BEAT_EVERY + jitter;
-        let partners = self.members.partners(PARTNERS, self.now, &mut self.rng);
+        let partners = if self.members.is_active() { ACTIVE_PARTNERS } else { PARTNERS };
+        let partners = self.members.partners(partners, self.now, &mut self.rng);
         self.send_beat(&partners);
     }
 
@@ -127,10 +160,25 @@
     pub(crate) fn send_beat(&mut self, to: &[Ipv4Addr]) {
         self.members.beat();
         let news = self.members.news(MAX_NEWS);
+        self.send_members(to, &news);
+    }
+
+    /// Tells all living hosts that something has changed; the changes follow on the streams.
+    pub(crate) fn send_notice(&mut self) {
+        let alive: Vec<Ipv4Addr> = self.members.alive(self.now).map(|info| info.ip).collect();
+        self.members.beat();
+        self.send_members(&alive, &[]);
+    }
+
+    fn send_members(&mut self, to: &[Ipv4Addr], news: &[MemberInfo]) {
         let own = std::iter::once(MemberMessage::from(self.members.own()));
+        let [config, leaves, evacuations] = self.own_changes();
         let beat = BeatMessage {
             members: own.chain(news.iter().map(MemberMessage::from)).collect(),
             refused: self.poison.refused(MAX_REFUSED, self.now).iter().map(|f| f.0).collect(),
+            config: config.0,
+            leaves: leaves.0,
+            evacuations: evacuations.0,
         };
         let bytes = beat.encode_to_vec();
         for ip in to {
@@ -139,6 +187,18 @@
         }
     }
 
+    fn own_changes(&self) -> [Revision; 3] {
+        let known = &self.known;
+        [known.config_changed, known.leaves.changed(), known.evacuations.changed()]
+    }
+
+    /// Whether this host knows all changes that it heard of.
+    pub(crate) fn is_behind_nobody(&self) -> bool {
+        let known = &self.known;
+        let own = [known.config_upto, known.leaves.upto(), known.evacuations.upto()];
+        own.iter().zip(&self.gossip.heard).all(|(own, heard)| own >= heard)
+    }
+
     pub(crate) fn on_datagrams(&mut self) {
         let mut buf = [0; MAX_DATAGRAM];
         loop {
@@ -160,6 +220,8 @@
                 return;
             }
         };
+        let Some(sender) = beat.members.first().and_then(MemberMessage::info) else { return };
+        let is_new = !self.members.knows(sender.ip, sender.incarnation);
         for info in beat.members.iter().filter_map(MemberMessage::info) {
             let (ip, ready, leaving) = (info.ip, info.ready, info.leaving);
             if self.members.told(info, self.now) {
@@ -170,5 +232,23 @@
         for print in beat.refused {
             self.poison.told(Fingerprint(print), self.now);
         }
+        let told = [beat.config, beat.leaves, beat.evacuations].map(Revision);
+        for (heard, told) in self.gossip.heard.iter_mut().zip(told) {
+            *heard = told.max(*heard);
+        }
+        if !self.is_behind_nobody() {
+            self.following.behind(sender.ip, self.now);
+        }
+        if is_new {
+            self.introduce(sender.ip);
+        }
+    }
+
+    /// Tells a host that has just started of all others.
+    fn introduce(&mut self, ip: Ipv4Addr) {
+        let everything = self.members.everything();
+        for part in everything.chunks(MAX_NEWS) {
+            self.send_members(&[ip], part);
+        }
     }
 }
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -6,7 +6,9 @@
         clock,
         gossip::Gossip,
         journal::Journal,
+        known::Known,
         metrics::Metrics,
+        peers::Peers,
         requests::{Ended, Request},
         sock::{self, READ_BYTES},
         stopping::Stopping,
@@ -32,8 +34,9 @@
     wigeonramp_routing::{
         catalog::Adoption,
         exchange::Traffic,
+        follow::{Following, Origin},
         leaves::Leaves,
-        members::{MemberInfo, Members},
+        members::{MemberInfo, Members, OwnState},
         poison::PoisonList,
     },
     wigeonramp_units::{Instant, Span},
@@ -76,8 +79,12 @@
     Leaf(usize),
     /// A connection to the store.
     Store(usize),
+    /// A stream between hosts.
+    Peer(usize),
     /// Datagrams of other hosts.
-    Peers,
+    Datagrams,
+    /// The listener for streams between hosts.
+    PeerListener,
 }
 
 const KIND_BITS: u32 = 3;
@@ -89,7 +96,9 @@
             Source::Caller(index) => (1, index),
             Source::Leaf(index) => (2, index),
             Source::Store(index) => (3, index),
-            Source::Peers => (4, 0),
+            Source::Peer(index) => (4, index),
+            Source::Datagrams => (5, 0),
+            Source::PeerListener => (6, 0),
         };
         Token(index << KIND_BITS | kind)
     }
@@ -101,7 +110,9 @@
             1 => Some(Source::Caller(index)),
             2 => Some(Source::Leaf(index)),
             3 => Some(Source::Store(index)),
-            4 => Some(Source::Peers),
+            4 => Some(Source::Peer(index)),
+            5 => Some(Source::Datagrams),
+            6 => Some(Source::PeerListener),
             _ => None,
         }
     }
@@ -135,6 +146,11 @@
     pub(crate) poison: PoisonList,
     pub(crate) members: Members,
     pub(crate) gossip: Gossip,
+    pub(crate) peers: Peers,
+    pub(crate) peer_listener: TcpListener,
+    pub(crate) following: Following,
+    pub(crate) known: Known,
+    pub(crate) started: Instant,
     pub(crate) store: StoreSide,
     pub(crate) journal: Journal,
     pub(crate) metrics: Metrics,
@@ -167,10 +183,20 @@
             ready: false,
             leaving: false,
             rate: 0.0,
+            capacity: settings.capacity,
+            blind: false,
         };
         let leaves = Leaves::new(settings.zone.clone());
         let traffic = Traffic::new(leaves, settings.extra, SmallRng::from_rng(&mut rng));
         let gossip = system("datagrams between hosts", Gossip::open(&settings, &poll, now))?;
+        let peer_address = (settings.ip, settings.peer_port).into();
+        let mut peer_listener = system("streams between hosts", sock::listen(peer_address))?;
+        let added = poll.registry().register(
+            &mut peer_listener,
+            Source::PeerListener.token(),
+            Interest::READABLE,
+        );
+        system("event queue", added)?;
         let mut members = Members::new(own, now);
         for seed in &settings.seeds {
             members.listed(*seed, settings.zone.clone());
@@ -190,6 +216,11 @@
             poison: PoisonList::default(),
             members,
             gossip,
+            peers: Peers::default(),
+            peer_listener,
+            following: Following::new(now),
+            known: Known::default(),
+            started: now,
             store: StoreSide::new(settings.store, now),
             journal: Journal::new(settings.host.to_string()),
             metrics: Metrics::new(),
@@ -277,7 +308,9 @@
             Some(Source::Caller(key)) => self.on_caller(key, event.is_writable()),
             Some(Source::Leaf(key)) => self.on_leaf(key),
             Some(Source::Store(index)) => self.on_store(index),
-            Some(Source::Peers) => self.on_datagrams(),
+            Some(Source::Peer(key)) => self.on_peer(key),
+            Some(Source::Datagrams) => self.on_datagrams(),
+            Some(Source::PeerListener) => self.accept_peers(),
             None => {}
         }
     }
@@ -300,6 +333,7 @@
             self.on_timer(timer);
             self.settle();
         }
+        self.pass_on();
         self.drive_store();
         self.drive_gossip();
         if self.now >= self.next_sweep {
@@ -309,7 +343,19 @@
         }
     }
 
+    /// Passes on what this host has learned.
+    fn pass_on(&mut self) {
+        if !std::mem::take(&mut self.known.to_tell) {
+            return;
+        }
+        if self.following.origin() == Origin::Store {
+            self.send_notice();
+        }
+        self.tell_followers();
+    }
+
     fn sweep(&mut self) {
+        self.drive_following();
         self.sweep_callers();
         self.sweep_requests();
         self.sweep_upstreams();
@@ -319,18 +365,25 @@
     }
 
     fn next_due(&self) -> Instant {
-        let due = [self.timers.next_at(), self.store.next_at(), Some(self.gossip.next_at())];
+        let watches = self.following.origin() == Origin::Store;
+        let store = self.store.next_at(watches);
+        let due = [self.timers.next_at(), store, Some(self.gossip.next_at())];
         due.into_iter().flatten().fold(self.next_sweep, Instant::min)
     }
 
     /// Whether the host can serve callers.
     pub(crate) fn is_ready(&self) -> bool {
-        self.stopping.is_none() && self.adoption.current().is_some() && self.store.knows_leaves()
+        self.stopping.is_none() && self.adoption.current().is_some() && self.known.is_complete()
     }
 
-    fn refresh_shares(&mut self) {
+    pub(crate) fn refresh_shares(&mut self) {
         let rate = self.metrics.request_rate(self.now);
-        self.members.set_own(self.is_ready(), self.stopping.is_some(), rate);
+        self.members.set_own(OwnState {
+            ready: self.is_ready(),
+            leaving: self.stopping.is_some(),
+            rate,
+            blind: self.store.is_blind(self.now),
+        });
         self.traffic.share = self.members.share(self.now);
         self.traffic.cold_share = crate::gossip::COLD_PART / self.members.known() as f64;
     }
--- /dev/null
+++ b/components/edge/src/peers.rs
@@ -0,0 +1,398 @@
+//! Streams between hosts: who watches the store passes its changes on to those who follow.
+//!
+//! A follower connects and says up to which revisions it knows everything; the other host answers
+//! with what is missing and then sends every change as it learns of it. Frames are JSON behind
+//! their length.
+
+use {
+    crate::{
+        node::{Node, Source},
+        sock::{self, OutBuf, ReadEnd},
+    },
+    mio::{Interest, net::TcpStream},
+    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde_json::json,
+    slab::Slab,
+    std::{io::ErrorKind, net::Ipv4Addr},
+    wigeonramp_routing::{
+        catalog::Catalog,
+        changes::{Change, Update},
+        follow::Origin,
+    },
+    wigeonramp_units::{ConfigVersion, Instant, LeafId, Revision, Span, ZoneId},
+};
+
+/// Longest frame in bytes; all leaves and routes of a large installation stay well below it.
+const MAX_FRAME: usize = 16 * 1024 * 1024;
+/// Length of a frame's length.
+const LENGTH_BYTES: usize = 4;
+/// Time until the first answer of a host that is followed.
+const FIRST_ANSWER: Span = Span::millis(800);
+
+/// What a follower knows.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Ask {
+    config: Option<ConfigVersion>,
+    leaves: Revision,
+    evacuations: Revision,
+}
+
+/// The configuration, as told to a follower.
+#[derive(Debug, Deserialize, Serialize)]
+struct ConfigNews {
+    upto: Revision,
+    changed: Revision,
+    catalog: Catalog,
+}
+
+/// What a follower is told.
+#[derive(Debug, Default, Deserialize, Serialize)]
+struct News {
+    config: Option<ConfigNews>,
+    leaves: Option<Update>,
+    evacuations: Option<Update>,
+}
+
+/// A connection between hosts.
+#[derive(Debug)]
+struct PeerConn {
+    sock: TcpStream,
+    inbuf: Vec<u8>,
+    out: OutBuf,
+    connected: bool,
+    /// What the follower on the other side knows; none before it has asked.
+    told: Option<Ask>,
+    /// The host that is followed over this connection.
+    followed: Option<Ipv4Addr>,
+    opened: Instant,
+    answered: bool,
+}
+
+/// All connections between this host and others.
+#[derive(Debug, Default)]
+pub(crate) struct Peers {
+    conns: Slab<PeerConn>,
+}
+
+fn frame<T: Serialize>(message: &T) -> Result<Vec<u8>, serde_json::Error> {
+    let mut bytes = vec![0; LENGTH_BYTES];
+    serde_json::to_writer(&mut bytes, message)?;
+    let length = (bytes.len() - LENGTH_BYTES) as u32;
+    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
+    Ok(bytes)
+}
+
+/// Takes a whole frame from the front of `buf`.
+fn take_frame<T: DeserializeOwned>(buf: &mut Vec<u8>) -> Result<Option<T>, String> {
+    let Some(length) = buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
+    let length = u32::from_le_bytes(*length) as usize;
+    if length > MAX_FRAME {
+        return Err("frame too long".to_owned());
+    }
+    let end = LENGTH_BYTES + length;
+    if buf.len() < end {
+        return Ok(None);
+    }
+    let message = serde_json::from_slice(&buf[LENGTH_BYTES..end]).map_err(|err| err.to_string());
+    buf.drain(..end);
+    message.map(Some)
+}
+
+impl Node {
+    /// Chooses where changes come from, and opens or ends connections accordingly.
+    pub(crate) fn drive_following(&mut self) {
+        if self.is_behind_nobody() {
+            self.following.caught_up();
+        }
+        let before = self.following.origin();
+        let fetch = self.following.decide(&self.members, self.now);
+        let origin = self.following.origin();
+        if origin != before {
+            let fields =
+                json!({ "origin": format!("{origin:?}"), "before": format!("{before:?}") });
+            self.journal.line("following", fields, self.now);
+        }
+        let wanted = match origin {
+            Origin::Host(host) => Some(host),
+            Origin::Nobody | Origin::Store => fetch,
+        };
+        self.drop_unwanted(wanted);
+        if let Some(host) = wanted {
+            self.follow(host);
+        }
+    }
+
+    fn drop_unwanted(&mut self, wanted: Option<Ipv4Addr>) {
+        let is_late =
+            |conn: &PeerConn| !conn.answered && self.now.since(conn.opened) >= FIRST_ANSWER;
+        let fetching = wanted.is_none() && self.following.origin() == Origin::Store;
+        let over = |conn: &PeerConn| match conn.followed {
+            Some(_) if is_late(conn) => true,
+            // What was fetched besides the own watch is complete with the first answer.
+            Some(_) if fetching => conn.answered,
+            Some(host) => Some(host) != wanted,
+            None => false,
+        };
+        let conns = self.peers.conns.iter().filter(|(_, conn)| over(conn));
+        let keys: Vec<(usize, bool)> = conns.map(|(key, conn)| (key, is_late(conn))).collect();
+        for (key, late) in keys {
+            self.drop_peer(key, late);
+        }
+    }
+
+    fn follow(&mut self, host: Ipv4Addr) {
+        if self.peers.conns.iter().any(|(_, conn)| conn.followed == Some(host)) {
+            return;
+        }
+        let opened = sock::connect((host, self.settings.peer_port).into());
+        let Ok(sock) = opened else { return self.following.failed(host, self.now) };
+        self.add_peer(sock, Some(host));
+    }
+
+    fn add_peer(&mut self, mut sock: TcpStream, followed: Option<Ipv4Addr>) {
+        let entry = self.peers.conns.vacant_entry();
+        let token = Source::Peer(entry.key()).token();
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let added = self.poll.registry().register(&mut sock, token, both);
+        if added.and_then(|()| sock::detect_silence(&sock)).is_err() {
+            return;
+        }
+        entry.insert(PeerConn {
+            sock,
+            inbuf: Vec::new(),
+            out: OutBuf::default(),
+            connected: followed.is_none(),
+            told: None,
+            followed,
+            opened: self.now,
+            answered: false,
+        });
+    }
+
+    pub(crate) fn accept_peers(&mut self) {
+        loop {
+            match self.peer_listener.accept() {
+                Ok((sock, _)) => self.add_peer(sock, None),
+                Err(err) if err.kind() == ErrorKind::Interrupted => {}
+                Err(err) => {
+                    if err.kind() != ErrorKind::WouldBlock {
+                        let fields = json!({ "error": err.to_string() });
+                        self.journal.line("accept_failed", fields, self.now);
+                    }
+                    return;
+                }
+            }
+        }
+    }
+
+    fn drop_peer(&mut self, key: usize, failed: bool) {
+        let Some(mut conn) = self.peers.conns.try_remove(key) else { return };
+        // A closed socket leaves the queue by itself.
+        let _ = self.poll.registry().deregister(&mut conn.sock);
+        if let Some(host) = conn.followed.filter(|_| failed) {
+            self.following.failed(host, self.now);
+        }
+    }
+
+    pub(crate) fn on_peer(&mut self, key: usize) {
+        let ask = self.ask();
+        let Some(conn) = self.peers.conns.get_mut(key) else { return };
+        if !conn.connected {
+            match conn.sock.peer_addr() {
+                Ok(_) => {
+                    conn.connected = true;
+                    if let Ok(bytes) = frame(&ask) {
+                        conn.out.push(bytes);
+                    }
+                }
+                Err(_) => match conn.sock.take_error() {
+                    Ok(None) => return,
+                    Ok(Some(_)) | Err(_) => return self.drop_peer(key, true),
+                },
+            }
+        }
+        if conn.out.flush(&mut conn.sock).is_err() {
+            return self.drop_peer(key, true);
+        }
+        let limit = MAX_FRAME + LENGTH_BYTES;
+        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
+        let sound = self.read_frames(key);
+        if !sound || end != ReadEnd::Drained {
+            self.drop_peer(key, true);
+        }
+    }
+
+    fn read_frames(&mut self, key: usize) -> bool {
+        loop {
+            match self.read_one_frame(key) {
+                Ok(true) => {}
+                Ok(false) => return true,
+                Err(err) => {
+                    self.journal.line("frame_unreadable", json!({ "error": err }), self.now);
+                    return false;
+                }
+            }
+        }
+    }
+
+    /// Takes one frame in; false when there is none.
+    fn read_one_frame(&mut self, key: usize) -> Result<bool, String> {
+        let Some(conn) = self.peers.conns.get_mut(key) else { return Ok(false) };
+        if conn.followed.is_some() {
+            let Some(news) = take_frame::<News>(&mut conn.inbuf)? else { return Ok(false) };
+            conn.answered = true;
+            self.take_news(news);
+            return Ok(true);
+        }
+        let Some(ask) = take_frame::<Ask>(&mut conn.inbuf)? else { return Ok(false) };
+        conn.told = Some(ask);
+        self.tell(key, true);
+        Ok(true)
+    }
+
+    fn ask(&self) -> Ask {
+        Ask {
+            config: self.adoption.version(),
+            leaves: self.known.leaves.upto(),
+            evacuations: self.known.evacuations.upto(),
+        }
+    }
+
+    /// Tells all followers what has changed since they were told last.
+    pub(crate) fn tell_followers(&mut self) {
+        let keys: Vec<usize> = self.peers.conns.iter().map(|(key, _)| key).collect();
+        for key in keys {
+            self.tell(key, false);
+        }
+    }
+
+    fn tell(&mut self, key: usize, first: bool) {
+        let now_known = self.ask();
+        let Some(told) = self.peers.conns.get(key).and_then(|conn| conn.told) else { return };
+        if told == now_known && !first {
+            return;
+        }
+        let news = self.news_since(&told);
+        let nothing = news.config.is_none() && news.leaves.is_none() && news.evacuations.is_none();
+        let Some(conn) = self.peers.conns.get_mut(key) else { return };
+        conn.told = Some(now_known);
+        if nothing && !first {
+            return;
+        }
+        match frame(&news) {
+            Ok(bytes) => conn.out.push(bytes),
+            Err(err) => {
+                let fields = json!({ "error": err.to_string() });
+                self.journal.line("news_unwritable", fields, self.now);
+                return;
+            }
+        }
+        if conn.out.flush(&mut conn.sock).is_err() {
+            self.drop_peer(key, false);
+        }
+    }
+
+    fn news_since(&self, told: &Ask) -> News {
+        let catalog = self.adoption.current().filter(|c| Some(c.version) > told.config);
+        let config = catalog.map(|catalog| ConfigNews {
+            upto: self.known.config_upto,
+            changed: self.known.config_changed,
+            catalog: catalog.as_ref().clone(),
+        });
+        let leaves = match self.known.leaves.since(told.leaves) {
+            Some(update) => Some(update),
+            None if self.known.leaves.upto() > told.leaves => Some(self.all_leaves()),
+            None => None,
+        };
+        let evacuations = match self.known.evacuations.since(told.evacuations) {
+            Some(update) => Some(update),
+            None if self.known.evacuations.upto() > told.evacuations => Some(self.all_zones()),
+            None => None,
+        };
+        let newer = |update: &Update, known: Revision| update.upto > known;
+        News {
+            config,
+            leaves: leaves.filter(|update| newer(update, told.leaves)),
+            evacuations: evacuations.filter(|update| newer(update, told.evacuations)),
+        }
+    }
+
+    fn all_leaves(&self) -> Update {
+        let log = &self.known.leaves;
+        let leaves = self.traffic.leaves.entries(self.now).map(Change::Leaf).collect();
+        Update { whole: true, upto: log.upto(), changed: log.changed(), changes: leaves }
+    }
+
+    fn all_zones(&self) -> Update {
+        let log = &self.known.evacuations;
+        let zone = |zone: &ZoneId| Change::Evacuation { zone: zone.clone(), out: true };
+        let zones = self.traffic.leaves.evacuated().map(zone).collect();
+        Update { whole: true, upto: log.upto(), changed: log.changed(), changes: zones }
+    }
+
+    fn take_news(&mut self, news: News) {
+        if let Some(config) = news.config {
+            self.known.config_upto = self.known.config_upto.max(config.upto);
+            self.known.config_changed = self.known.config_changed.max(config.changed);
+            self.adopt(config.catalog, "host");
+            self.known.to_tell = true;
+        }
+        if let Some(update) = news.leaves {
+            self.take_leaves(update);
+        }
+        if let Some(update) = news.evacuations {
+            self.take_zones(update);
+        }
+    }
+
+    fn take_leaves(&mut self, update: Update) {
+        if update.upto <= self.known.leaves.upto() {
+            return;
+        }
+        if update.whole {
+            let named = |id: &LeafId| {
+                update.changes.iter().any(|c| matches!(c, Change::Leaf(entry) if entry.id == *id))
+            };
+            let gone: Vec<LeafId> =
+                self.traffic.leaves.ids().filter(|id| !named(id)).cloned().collect();
+            for id in gone {
+                self.apply(&Change::LeafGone { id, grace: Span::ZERO });
+            }
+        }
+        for change in &update.changes {
+            self.apply(change);
+        }
+        if update.whole {
+            self.known.leaves.restart(update.upto, update.changed);
+        } else {
+            self.known.leaves.extend(update.upto, &update.changes);
+        }
+        self.known.to_tell = true;
+    }
+
+    fn take_zones(&mut self, update: Update) {
+        if update.upto <= self.known.evacuations.upto() {
+            return;
+        }
+        if update.whole {
+            let out = |zone: &ZoneId| {
+                let is = |c: &Change| matches!(c, Change::Evacuation { zone: z, .. } if z == zone);
+                update.changes.iter().any(is)
+            };
+            let back: Vec<ZoneId> =
+                self.traffic.leaves.evacuated().filter(|zone| !out(zone)).cloned().collect();
+            for zone in back {
+                self.apply(&Change::Evacuation { zone, out: false });
+            }
+        }
+        for change in &update.changes {
+            self.apply(change);
+        }
+        if update.whole {
+            self.known.evacuations.restart(update.upto, update.changed);
+        } else {
+            self.known.evacuations.extend(update.upto, &update.changes);
+        }
+        self.known.to_tell = true;
+    }
+}
--- a/components/edge/src/stopping.rs
+++ b/components/edge/src/stopping.rs
@@ -32,7 +32,7 @@
         let stop = Stopping { since: self.now, closed: false, announced: 0, over: false };
         self.stopping = Some(stop);
         self.journal.line("stopping", json!({ "open_requests": self.requests.len() }), self.now);
-        self.members.set_own(false, true, 0.0);
+        self.refresh_shares();
         self.announce_stop();
     }
 
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -1,4 +1,4 @@
-//! Following the platform's store, and what its objects change on this host.
+//! Calls to the platform's store.
 
 use {
     crate::{
@@ -7,19 +7,18 @@
         sock::{self, OutBuf, ReadEnd},
     },
     mio::{Interest, net::TcpStream},
-    serde::Serialize,
-    serde_json::{Value, json},
-    std::net::{Ipv4Addr, SocketAddr},
+    serde_json::json,
+    std::net::SocketAddr,
     wigeonramp_platform::{
         http::{self, AnswerHead},
         objects::{self, CONFIG_NAME, Kind, StoredObject},
     },
     wigeonramp_routing::{
-        catalog::Adopted,
+        changes::Change,
         feed::{Feed, FeedCall},
-        leaves::LeafChange,
+        follow::Origin,
     },
-    wigeonramp_units::{Instant, LeafId, Span, ZoneId},
+    wigeonramp_units::{Instant, LeafId, Revision, Span, ZoneId},
 };
 
 /// Time for which the store holds a watch open.
@@ -33,6 +32,13 @@
 /// Registrations that vanish together at least to count as lapsed.
 const LAPSED_COUNT: usize = 4;
 
+/// Time for which calls fail until other hosts watch in this one's place.
+const BLIND_AFTER: Span = Span::millis(1_000);
+/// Time without word from any host after which the roster is read.
+const ALONE_AFTER: Span = Span::millis(1_000);
+/// Time between readings of the roster.
+const ROSTER_EVERY: Span = Span::secs(3);
+
 /// What a call is for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Purpose {
@@ -57,7 +63,8 @@
     inbuf: Vec<u8>,
     answer: Option<(AnswerHead, BodyReader)>,
     call: Option<Call>,
-    listed_once: bool,
+    /// Newest change among the objects listed.
+    newest: Revision,
 }
 
 /// The host's side of the store.
@@ -66,16 +73,8 @@
     address: SocketAddr,
     lines: Vec<Line>,
     registered: bool,
-    lost: bool,
-    /// Calls made, by outcome.
-    pub calls: u64,
-}
-
-/// What a host says of itself in the store.
-#[derive(Serialize)]
-struct MemberSpec<'a> {
-    ip: Ipv4Addr,
-    zone: &'a ZoneId,
+    next_roster: Instant,
+    lost_since: Option<Instant>,
 }
 
 impl StoreSide {
@@ -90,26 +89,22 @@
             inbuf: Vec::new(),
             answer: None,
             call: None,
-            listed_once: false,
+            newest: Revision(0),
         };
         let lines = Kind::ALL.iter().map(line).collect();
-        Self { address, lines, registered: false, lost: false, calls: 0 }
-    }
-
-    fn line(&self, kind: Kind) -> Option<&Line> {
-        self.lines.iter().find(|line| line.kind == kind)
+        Self { address, lines, registered: false, next_roster: now, lost_since: None }
     }
 
-    /// Whether the leaves were listed once.
-    pub fn knows_leaves(&self) -> bool {
-        self.line(Kind::Leaves).is_some_and(|line| line.listed_once)
+    /// Whether calls have failed for so long that other hosts should watch in this one's place.
+    pub fn is_blind(&self, now: Instant) -> bool {
+        self.lost_since.is_some_and(|since| now.since(since) >= BLIND_AFTER)
     }
 
     /// When a call is due, or one under way is given up.
-    pub fn next_at(&self) -> Option<Instant> {
+    pub fn next_at(&self, watches: bool) -> Option<Instant> {
         let due = self.lines.iter().filter_map(|line| match &line.call {
             Some(call) => Some(call.deadline),
-            None if line.kind == Kind::Members && line.listed_once => None,
+            None if !watches || line.kind == Kind::Members => None,
             None => line.feed.next_at(),
         });
         due.min()
@@ -118,6 +113,7 @@
 
 impl Node {
     pub(crate) fn drive_store(&mut self) {
+        let watches = self.following.origin() == Origin::Store;
         for index in 0..self.store.lines.len() {
             let now = self.now;
             let line = &mut self.store.lines[index];
@@ -127,15 +123,20 @@
                 }
                 continue;
             }
-            if line.kind == Kind::Members && line.listed_once {
+            if line.kind == Kind::Members {
+                self.drive_roster(index, watches);
                 continue;
             }
-            if line.kind == Kind::Members && !self.store.registered {
-                if line.feed.next_at().is_some_and(|at| at <= now) {
-                    self.register_self(index);
-                }
+            if !watches {
                 continue;
             }
+            let known = match line.kind {
+                Kind::Config => self.known.config_upto,
+                Kind::Leaves => self.known.leaves.upto(),
+                Kind::Evacuations => self.known.evacuations.upto(),
+                Kind::Members => Revision(0),
+            };
+            line.feed.resume(known, now);
             let Some(call) = line.feed.due(now) else { continue };
             let bytes = objects::feed_request(line.kind, &call, WATCH_WAIT, self.store.address);
             let wait = match call {
@@ -146,10 +147,36 @@
         }
     }
 
+    /// A host that watches the store enters itself in the roster once, so that others find somebody
+    /// there; a host that hears nobody looks the others up.
+    fn drive_roster(&mut self, index: usize, watches: bool) {
+        let now = self.now;
+        let alone = !self.members.hears_others(now) && now.since(self.started) >= ALONE_AFTER;
+        let line = &mut self.store.lines[index];
+        if line.feed.next_at().is_none_or(|at| at > now) {
+            return;
+        }
+        if watches && !self.store.registered {
+            return self.register_self(index);
+        }
+        if !alone || now < self.store.next_roster {
+            return;
+        }
+        self.store.next_roster = now + ROSTER_EVERY;
+        let call = FeedCall::List { after: None };
+        let bytes = objects::feed_request(Kind::Members, &call, WATCH_WAIT, self.store.address);
+        self.start_call(index, bytes, Purpose::Feed(call), Span::ZERO);
+    }
+
     fn register_self(&mut self, index: usize) {
-        let spec = MemberSpec { ip: self.settings.ip, zone: &self.settings.zone };
-        let name = self.settings.host.as_str();
-        match objects::create_request(Kind::Members, name, &spec, self.store.address) {
+        let settings = &self.settings;
+        let call = objects::register_request(
+            settings.host.as_str(),
+            settings.ip,
+            &settings.zone,
+            self.store.address,
+        );
+        match call {
             Ok(bytes) => self.start_call(index, bytes, Purpose::Register, Span::ZERO),
             Err(err) => {
                 self.store.registered = true;
@@ -160,7 +187,6 @@
 
     fn start_call(&mut self, index: usize, bytes: Vec<u8>, purpose: Purpose, wait: Span) {
         let now = self.now;
-        self.store.calls += 1;
         self.metrics.called_store();
         let address = self.store.address;
         let line = &mut self.store.lines[index];
@@ -241,8 +267,8 @@
         }
         line.feed.on_error(self.now, &mut self.rng);
         self.metrics.store_failed();
-        if !self.store.lost {
-            self.store.lost = true;
+        if self.store.lost_since.is_none() {
+            self.store.lost_since = Some(self.now);
             let kind = self.store.lines[index].kind.name();
             self.journal.line("store_lost", json!({ "kind": kind, "reason": reason }), self.now);
         }
@@ -275,7 +301,7 @@
     }
 
     fn note_store_back(&mut self) {
-        if std::mem::take(&mut self.store.lost) {
+        if self.store.lost_since.take().is_some() {
             self.journal.line("store_regained", json!({}), self.now);
         }
     }
@@ -287,29 +313,43 @@
         };
         self.note_store_back();
         let kind = self.store.lines[index].kind;
+        let newest = page.items.iter().map(|object| object.revision).max();
         for object in &page.items {
-            self.take_object(kind, object);
+            if let Some(change) = self.read_object(kind, object) {
+                self.apply(&change);
+            }
         }
         let names = page.items.iter().map(|object| object.name.clone());
         let line = &mut self.store.lines[index];
         let all = line.feed.on_page(names, page.more, page.revision, self.now);
-        let Some(all) = all else { return };
-        line.listed_once = true;
+        line.newest = line.newest.max(newest.unwrap_or_default());
+        let (Some(all), newest) = (all, line.newest) else { return };
+        // Revisions start above zero, which stands for nothing known.
+        let upto = line.feed.revision().unwrap_or_default().max(Revision(1));
         match kind {
             Kind::Leaves => {
                 let missing = |id: &&LeafId| !all.contains(id.as_str());
                 let missing: Vec<_> = self.traffic.leaves.ids().filter(missing).cloned().collect();
-                self.leaves_gone(index, &missing);
+                for change in self.leaves_gone(index, missing) {
+                    self.apply(&change);
+                }
+                self.known.leaves.restart(upto, newest);
             }
             Kind::Evacuations => {
                 let back = |zone: &&ZoneId| !all.contains(zone.as_str());
                 let back: Vec<_> = self.traffic.leaves.evacuated().filter(back).cloned().collect();
                 for zone in back {
-                    self.set_evacuated(&zone, false);
+                    self.apply(&Change::Evacuation { zone, out: false });
                 }
+                self.known.evacuations.restart(upto, newest);
             }
-            Kind::Config | Kind::Members => {}
+            Kind::Config => {
+                self.known.config_upto = self.known.config_upto.max(upto);
+                self.known.config_changed = self.known.config_changed.max(newest);
+            }
+            Kind::Members => {}
         }
+        self.known.to_tell = true;
     }
 
     fn unreadable(&mut self, index: usize, err: &str) {
@@ -320,43 +360,76 @@
     }
 
     fn on_changes(&mut self, index: usize, body: &[u8]) {
-        let changes = match objects::changes(body) {
-            Ok(changes) => changes,
+        let batch = match objects::changes(body) {
+            Ok(batch) => batch,
             Err(err) => return self.unreadable(index, &err),
         };
         self.note_store_back();
         let line = &mut self.store.lines[index];
         let kind = line.kind;
-        line.feed.on_changes(!changes.changes.is_empty(), changes.revision, self.now);
-        let mut gone = Vec::new();
-        for change in &changes.changes {
+        line.feed.on_changes(!batch.changes.is_empty(), batch.revision, self.now);
+        let mut changes = Vec::new();
+        let mut gone: Vec<LeafId> = Vec::new();
+        for change in &batch.changes {
+            let name = &change.object.name;
             if !change.deleted {
-                if let Ok(id) = change.object.name.parse::<LeafId>() {
-                    gone.retain(|known| *known != id);
-                }
-                self.take_object(kind, &change.object);
+                gone.retain(|id| id.as_str() != name);
+                changes.extend(self.read_object(kind, &change.object));
                 continue;
             }
-            match (kind, change.object.name.parse::<LeafId>(), change.object.name.parse()) {
-                (Kind::Leaves, Ok(id), _) => gone.push(id),
-                (Kind::Evacuations, _, Ok(zone)) => self.set_evacuated(&zone, false),
+            match (kind, name.parse::<LeafId>(), name.parse::<ZoneId>()) {
+                (Kind::Leaves, Ok(id), _) => {
+                    // What was registered before the end in the same batch no longer counts.
+                    changes.retain(|known| !matches!(known, Change::Leaf(e) if e.id == id));
+                    gone.push(id);
+                }
+                (Kind::Evacuations, _, Ok(zone)) => {
+                    changes.push(Change::Evacuation { zone, out: false });
+                }
                 _ => {}
             }
         }
-        self.leaves_gone(index, &gone);
+        let mut all = self.leaves_gone(index, gone);
+        all.extend(changes);
+        let fresh = match kind {
+            Kind::Leaves => self.known.leaves.extend(batch.revision, &all),
+            Kind::Evacuations => self.known.evacuations.extend(batch.revision, &all),
+            Kind::Config => {
+                self.known.config_upto = self.known.config_upto.max(batch.revision);
+                if !batch.changes.is_empty() {
+                    self.known.config_changed = self.known.config_changed.max(batch.revision);
+                }
+                true
+            }
+            Kind::Members => false,
+        };
+        if fresh {
+            for change in &all {
+                self.apply(change);
+            }
+        }
+        self.known.to_tell |= !batch.changes.is_empty();
     }
 
-    fn take_object(&mut self, kind: Kind, object: &StoredObject) {
+    /// What an object changes; a configuration or a host is taken in at once.
+    fn read_object(&mut self, kind: Kind, object: &StoredObject) -> Option<Change> {
         match kind {
-            Kind::Config if object.name == CONFIG_NAME => self.take_config(object),
+            Kind::Config if object.name == CONFIG_NAME => match objects::catalog(object) {
+                Ok(catalog) => self.adopt(catalog, "store"),
+                Err(err) => self.ignore_object(kind, object, &err),
+            },
             Kind::Config => {}
-            Kind::Leaves => self.take_leaf(object),
+            Kind::Leaves => return self.read_leaf(object),
             Kind::Evacuations => match object.name.parse() {
-                Ok(zone) => self.set_evacuated(&zone, true),
+                Ok(zone) => return Some(Change::Evacuation { zone, out: true }),
                 Err(_) => self.ignore_object(kind, object, "not the name of a zone"),
             },
-            Kind::Members => self.take_member(object),
+            Kind::Members => match objects::member(object) {
+                Ok((ip, zone)) => self.members.listed(ip, zone),
+                Err(err) => self.ignore_object(kind, object, &err),
+            },
         }
+        None
     }
 
     fn ignore_object(&mut self, kind: Kind, object: &StoredObject, reason: &str) {
@@ -367,106 +440,30 @@
         self.journal.line("object_ignored", fields, self.now);
     }
 
-    fn take_config(&mut self, object: &StoredObject) {
-        let catalog = match objects::catalog(object) {
-            Ok(catalog) => catalog,
-            Err(err) => return self.ignore_object(Kind::Config, object, &err),
-        };
-        let version = catalog.version;
-        if self.adoption.offer(catalog) != Adopted::Newer {
-            return;
-        }
-        let Some(catalog) = self.adoption.current().cloned() else { return };
-        let rate = |(id, spec): (_, &wigeonramp_routing::catalog::ServiceSpec)| {
-            let id: &wigeonramp_units::ServiceId = id;
-            (id.clone(), spec.cold_per_second)
-        };
-        self.traffic.cold_rates = catalog.services.iter().map(rate).collect();
-        self.traffic.keep(
-            |service| catalog.services.contains_key(service),
-            |name| catalog.routes.iter().any(|route| route.name == name),
-        );
-        let fields = json!({
-            "version": version.0, "revision": object.revision.0, "routes": catalog.routes.len(),
-            "services": catalog.services.len(),
-        });
-        self.journal.line("config_adopted", fields, self.now);
-    }
-
-    fn take_leaf(&mut self, object: &StoredObject) {
-        let entry = match objects::leaf(object) {
-            Ok(entry) => entry,
+    /// A registration that cannot be read names no leaf to use.
+    fn read_leaf(&mut self, object: &StoredObject) -> Option<Change> {
+        match objects::leaf(object) {
+            Ok(entry) => Some(Change::Leaf(entry)),
             Err(err) => {
                 self.ignore_object(Kind::Leaves, object, &err);
-                if let Ok(id) = object.name.parse::<LeafId>() {
-                    self.remove_leaf(&id, "unreadable");
-                }
-                return;
-            }
-        };
-        let (id, draining) = (entry.id.clone(), entry.draining);
-        let cold_left = entry.cold_left;
-        let change = self.traffic.leaves.register(entry, self.now);
-        let what = match change {
-            LeafChange::Kept | LeafChange::Removed(_) => return,
-            LeafChange::Added(_) => "added",
-            LeafChange::Updated(_) if draining => "draining",
-            LeafChange::Updated(_) => "updated",
-            LeafChange::Restarted(key) => {
-                self.close_idle_to(key);
-                "restarted"
+                let id = object.name.parse().ok()?;
+                Some(Change::LeafGone { id, grace: Span::ZERO })
             }
-        };
-        if what == "added" && !self.store.knows_leaves() {
-            return;
         }
-        let fields = json!({
-            "leaf": id, "state": what, "cold_left_us": cold_left.0, "revision": object.revision.0,
-        });
-        self.journal.line("leaf", fields, self.now);
     }
 
     /// Registrations are gone: at once, or after a grace when the store was away and they may
     /// merely have lapsed.
-    fn leaves_gone(&mut self, index: usize, ids: &[LeafId]) {
+    fn leaves_gone(&self, index: usize, ids: Vec<LeafId>) -> Vec<Change> {
         let many = (self.traffic.leaves.len() as f64 * LAPSED_SHARE) as usize;
         let lapsed = ids.len() >= many.max(LAPSED_COUNT);
         let back = self.store.lines[index].feed.lapse_until(self.now);
-        let until = back.or(lapsed.then_some(self.now + Feed::lapse_grace()));
-        for id in ids {
-            match until {
-                Some(until) => self.traffic.leaves.lapse(id, until),
-                None => self.remove_leaf(id, "unregistered"),
-            }
-        }
-    }
-
-    fn remove_leaf(&mut self, id: &LeafId, reason: &str) {
-        if let LeafChange::Removed(key) = self.traffic.leaves.remove(id) {
-            self.close_idle_to(key);
-            self.journal.line("leaf", json!({ "leaf": id, "state": reason }), self.now);
-        }
-    }
-
-    pub(crate) fn sweep_leaves(&mut self) {
-        for (id, key) in self.traffic.leaves.drop_lapsed(self.now) {
-            self.close_idle_to(key);
-            self.journal.line("leaf", json!({ "leaf": id, "state": "lapsed" }), self.now);
-        }
-    }
-
-    fn set_evacuated(&mut self, zone: &ZoneId, out: bool) {
-        self.traffic.leaves.evacuate(zone.clone(), out);
-        self.journal.line("evacuation", json!({ "zone": zone, "out": out }), self.now);
-    }
-
-    fn take_member(&mut self, object: &StoredObject) {
-        let ip = object.spec.get("ip").and_then(Value::as_str).map(str::parse::<Ipv4Addr>);
-        let zone = object.spec.get("zone").and_then(Value::as_str).map(str::parse::<ZoneId>);
-        match (ip, zone) {
-            (Some(Ok(ip)), Some(Ok(zone))) => self.members.listed(ip, zone),
-            _ => self.ignore_object(Kind::Members, object, "ip or zone missing"),
-        }
+        let grace = match back {
+            Some(until) => until.since(self.now),
+            None if lapsed => Feed::lapse_grace(),
+            None => Span::ZERO,
+        };
+        ids.into_iter().map(|id| Change::LeafGone { id, grace }).collect()
     }
 }
 
--- a/components/routing/src/catalog.rs
+++ b/components/routing/src/catalog.rs
@@ -5,12 +5,13 @@
 
 use {
     indexmap::IndexMap,
+    serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc},
     wigeonramp_units::{ConfigVersion, ServiceId, Span},
 };
 
 /// What may be repeated of a route's requests.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Repeat {
     /// Requests may run more than once.
     Idempotent,
@@ -19,7 +20,7 @@
 }
 
 /// Where a route's requests go.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Target {
     /// To one leaf of one of these services, in proportion to the weights.
     One(Vec<(ServiceId, f64)>),
@@ -35,7 +36,7 @@
 }
 
 /// One route.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Route {
     /// The operators' name for it.
     pub name: String,
@@ -58,7 +59,7 @@
 }
 
 /// What operators declare about a service.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct ServiceSpec {
     /// Connections that each of its leaves takes from all hosts together.
     pub connections: u32,
@@ -69,7 +70,7 @@
 }
 
 /// Limits on what callers send.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct CallerLimits {
     /// Longest request head in bytes.
     pub head_bytes: usize,
@@ -93,7 +94,7 @@
 }
 
 /// One version of the configuration.
-#[derive(Clone, Debug, PartialEq)]
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Catalog {
     /// Rises with every change.
     pub version: ConfigVersion,
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -3,7 +3,9 @@
 //! A gathered request is sent to a leaf of every shard, so most of its bytes stay inside a zone
 //! only when the host is in a zone that has leaves of nearly all shards. Hosts in such zones are
 //! named first, a few for each zone: they see enough requests to know the leaves, and need few
-//! connections.
+//! connections. A gathered request costs a send for every shard, which takes a host with a small
+//! share of a processor a large part of the target latency; hosts much smaller than the largest are
+//! named only where there is no larger one.
 
 use {
     crate::{
@@ -26,6 +28,9 @@
 /// A zone is near the shards when it has leaves of this share of the shards of the best zone.
 const NEAR_SHARE: f64 = 0.8;
 
+/// A host is large enough beside the largest one from this share of its processor on.
+const LARGE_SHARE: f64 = 0.5;
+
 /// The hosts to name to a caller in `zone`.
 pub fn choose(
     members: &Members,
@@ -36,7 +41,11 @@
 ) -> Vec<Ipv4Addr> {
     let near = near_zones(catalog, leaves);
     let mut by_zone: IndexMap<&ZoneId, Vec<&MemberInfo>> = IndexMap::new();
+    let largest = members.serving(now).map(|member| member.capacity).fold(0.0, f64::max);
     for member in members.serving(now) {
+        if member.capacity < largest * LARGE_SHARE {
+            continue;
+        }
         by_zone.entry(&member.zone).or_default().push(member);
     }
     for hosts in by_zone.values_mut() {
--- a/components/routing/src/feed.rs
+++ b/components/routing/src/feed.rs
@@ -45,6 +45,8 @@
     calling: bool,
     failures: u32,
     returned_at: Option<Instant>,
+    /// Newest revision from which the store could not tell the changes.
+    gone: Revision,
 }
 
 #[derive(Clone, Debug, Default)]
@@ -64,6 +66,7 @@
             calling: false,
             failures: 0,
             returned_at: None,
+            gone: Revision(0),
         }
     }
 
@@ -121,6 +124,7 @@
     /// The store no longer has the changes since our revision: list again.
     pub fn on_history_gone(&mut self, now: Instant, rng: &mut impl Rng) {
         self.succeeded(now);
+        self.gone = self.since.unwrap_or_default().max(self.gone);
         self.since = None;
         self.listing = None;
         self.next_at = now + Span(rng.random_range(0..SETTLE.0));
@@ -144,6 +148,15 @@
         self.next_at = now;
     }
 
+    /// Everything up to `revision` is known from elsewhere; the next watch starts there.
+    pub fn resume(&mut self, revision: Revision, now: Instant) {
+        if revision > self.gone && self.since.is_none_or(|since| since < revision) {
+            self.since = Some(revision);
+            self.listing = None;
+            self.next_at = self.next_at.min(now);
+        }
+    }
+
     /// Whether the kind was listed once.
     pub fn is_listed(&self) -> bool {
         self.since.is_some()
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -5,12 +5,13 @@
 //! health is not asked.
 
 use {
+    serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     wigeonramp_units::{Instant, LeafId, ServiceId, Span, ZoneId},
 };
 
 /// A leaf as it registers itself.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct LeafEntry {
     /// Its id; mostly new at each start.
     pub id: LeafId,
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -152,6 +152,14 @@
         self.evacuated.iter()
     }
 
+    /// All registrations, with what is left of their cold state.
+    pub fn entries(&self, now: Instant) -> impl Iterator<Item = LeafEntry> {
+        self.leaves.values().map(move |leaf| {
+            let cold_left = leaf.cold_until.since(now);
+            LeafEntry { cold_left, ..leaf.entry.clone() }
+        })
+    }
+
     /// Ids of all registered leaves.
     pub fn ids(&self) -> impl Iterator<Item = &LeafId> {
         self.by_id.keys()
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -4,10 +4,12 @@
 //! event loop in `wigeonramp-edge` owns sockets, clocks and the process.
 
 pub mod catalog;
+pub mod changes;
 pub mod entry;
 pub mod exchange;
 pub mod extra;
 pub mod feed;
+pub mod follow;
 pub mod leaf;
 pub mod leaves;
 pub mod members;
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -42,6 +42,23 @@
     pub leaving: bool,
     /// Requests that it took lately, a second.
     pub rate: f64,
+    /// Its share of a processor core.
+    pub capacity: f64,
+    /// Whether its calls to the store fail.
+    pub blind: bool,
+}
+
+/// What changes of a host while it runs.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct OwnState {
+    /// Whether it serves callers.
+    pub ready: bool,
+    /// Whether it is stopping.
+    pub leaving: bool,
+    /// Requests that it took lately, a second.
+    pub rate: f64,
+    /// Whether its calls to the store fail.
+    pub blind: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -70,10 +87,11 @@
     }
 
     /// Sets what this host tells of itself.
-    pub fn set_own(&mut self, ready: bool, leaving: bool, rate: f64) {
-        self.own.ready = ready;
-        self.own.leaving = leaving;
-        self.own.rate = rate;
+    pub fn set_own(&mut self, state: OwnState) {
+        self.own.ready = state.ready;
+        self.own.leaving = state.leaving;
+        self.own.rate = state.rate;
+        self.own.blind = state.blind;
     }
 
     /// Counts a beat of this host.
@@ -94,6 +112,8 @@
             ready: false,
             leaving: false,
             rate: 0.0,
+            capacity: 0.0,
+            blind: false,
         };
         self.others.insert(ip, Member { info, heard: None });
     }
@@ -166,13 +186,36 @@
         self.others.keys().copied()
     }
 
-    /// What to tell about other hosts, newest beats first, at most `n`.
+    /// What to tell about other hosts, at most `n`: first those that callers use, whose loss must
+    /// be known soonest, then those heard last.
     pub fn news(&self, n: usize) -> Vec<MemberInfo> {
         let mut heard: Vec<_> = self.others.values().filter(|m| m.heard.is_some()).collect();
-        heard.sort_by_key(|member| std::cmp::Reverse(member.heard));
+        heard.sort_by_key(|m| std::cmp::Reverse((m.info.rate >= ACTIVE_RATE, m.heard)));
         heard.into_iter().take(n).map(|member| member.info.clone()).collect()
     }
 
+    /// Everything known of other hosts.
+    pub fn everything(&self) -> Vec<MemberInfo> {
+        let heard = self.others.values().filter(|member| member.heard.is_some());
+        heard.map(|member| member.info.clone()).collect()
+    }
+
+    /// Whether the host was heard in its present start.
+    pub fn knows(&self, ip: Ipv4Addr, incarnation: u64) -> bool {
+        let known = self.others.get(&ip);
+        known.is_some_and(|m| m.heard.is_some() && m.info.incarnation == incarnation)
+    }
+
+    /// Whether any other host was heard.
+    pub fn hears_others(&self, now: Instant) -> bool {
+        self.alive(now).next().is_some()
+    }
+
+    /// Whether callers use this host.
+    pub fn is_active(&self) -> bool {
+        self.own.rate >= ACTIVE_RATE
+    }
+
     /// This host's share of all hosts' traffic.
     pub fn share(&self, now: Instant) -> f64 {
         let known = self.known() as f64;
