Keep membership traffic in the zone and draw watching hosts from the best known ones

Beats now tell of the hosts that come first for callers and six more, with the age of what they tell; hosts on standby beat half as often and mostly inside their zone; watching hosts are ranked like addresses for callers; another zone costs a leaf one usual time instead of 0.4.

Ruled out: the catalog on the streams (in-zone after this change).

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -18,20 +18,24 @@
     wigeonramp_units::{Fingerprint, Instant, Revision, Span},
 };
 
-/// Time between beats.
+/// Time between beats of a host whose loss must be known soon.
 const BEAT_EVERY: Span = Span::millis(700);
-/// Living hosts that a beat goes to.
-const PARTNERS: usize = 2;
-/// Living hosts that a beat of a host with callers goes to; its loss must be known soon.
-const ACTIVE_PARTNERS: usize = 4;
+/// Time between beats of the others.
+const STANDBY_BEAT_EVERY: Span = Span::millis(1_400);
+/// Hosts of the own zone that a beat goes to; one more goes to another zone.
+const NEAR_PARTNERS: usize = 2;
+/// One of so many beats of a host on standby goes to another zone too.
+const STANDBY_FAR: u32 = 4;
 /// Time after the start in which a host that hears nobody beats faster.
 const SEARCHING: Span = Span::secs(10);
 /// Time between its beats then.
 const SEARCH_EVERY: Span = Span::millis(150);
 /// Hosts that each of them goes to.
 const MAX_SEARCHED: usize = 8;
-/// Hosts that a beat tells of; keeps a datagram below the usual packet size.
-const MAX_NEWS: usize = 40;
+/// Hosts that a beat tells of besides those that come first for callers.
+const MORE_NEWS: usize = 6;
+/// Hosts told of in one datagram to a new host; keeps it below the usual packet size.
+const MEMBERS_PER_DATAGRAM: usize = 24;
 /// Refused requests that a beat tells of.
 const MAX_REFUSED: usize = 16;
 /// Longest datagram in bytes.
@@ -63,6 +67,9 @@
     capacity: u32,
     #[prost(bool, tag = "9")]
     blind: bool,
+    /// Milliseconds since the last beat.
+    #[prost(uint32, tag = "10")]
+    age: u32,
 }
 
 /// A beat.
@@ -94,6 +101,7 @@
             rate: (info.rate * 10.0) as u32,
             capacity: (info.capacity * 1e3) as u32,
             blind: info.blind,
+            age: info.age.as_millis() as u32,
         }
     }
 }
@@ -111,6 +119,7 @@
             rate: f64::from(self.rate) / 10.0,
             capacity: f64::from(self.capacity) / 1e3,
             blind: self.blind,
+            age: Span::millis(u64::from(self.age)),
         })
     }
 }
@@ -149,17 +158,20 @@
             let all: Vec<Ipv4Addr> = self.members.all().take(MAX_SEARCHED).collect();
             return self.send_beat(&all);
         }
-        let jitter = Span(self.rng.random_range(0..BEAT_EVERY.0 / 4));
-        self.gossip.next = self.now + BEAT_EVERY + jitter;
-        let partners = if self.members.is_active() { ACTIVE_PARTNERS } else { PARTNERS };
-        let partners = self.members.partners(partners, self.now, &mut self.rng);
+        let candidate = self.members.is_candidate(self.now);
+        let every = if candidate { BEAT_EVERY } else { STANDBY_BEAT_EVERY };
+        let jitter = Span(self.rng.random_range(0..every.0 / 4));
+        self.gossip.next = self.now + every + jitter;
+        let far = candidate || self.rng.random_ratio(1, STANDBY_FAR);
+        let near = if candidate { NEAR_PARTNERS } else { 1 };
+        let partners = self.members.partners(near, far.into(), self.now, &mut self.rng);
         self.send_beat(&partners);
     }
 
     /// Tells these hosts what this one knows.
     pub(crate) fn send_beat(&mut self, to: &[Ipv4Addr]) {
         self.members.beat();
-        let news = self.members.news(MAX_NEWS);
+        let news = self.members.news(MORE_NEWS, self.now);
         self.send_members(to, &news);
     }
 
@@ -246,8 +258,8 @@
 
     /// Tells a host that has just started of all others.
     fn introduce(&mut self, ip: Ipv4Addr) {
-        let everything = self.members.everything();
-        for part in everything.chunks(MAX_NEWS) {
+        let everything = self.members.everything(self.now);
+        for part in everything.chunks(MEMBERS_PER_DATAGRAM) {
             self.send_members(&[ip], part);
         }
     }
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -185,6 +185,7 @@
             rate: 0.0,
             capacity: settings.capacity,
             blind: false,
+            age: Span::ZERO,
         };
         let leaves = Leaves::new(settings.zone.clone());
         let traffic = Traffic::new(leaves, settings.extra, SmallRng::from_rng(&mut rng));
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -11,12 +11,11 @@
     crate::{
         catalog::{Catalog, Target},
         leaves::Leaves,
-        members::{MemberInfo, Members},
+        members::{MemberInfo, Members, entry_order},
     },
     indexmap::{IndexMap, IndexSet},
     std::net::Ipv4Addr,
     wigeonramp_units::{Instant, ServiceId, ZoneId},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Time for which callers keep an answer, in seconds. Short, so that a lost host is left soon.
@@ -50,7 +49,7 @@
     }
     for hosts in by_zone.values_mut() {
         // The same order on every host, so that all name the same few.
-        hosts.sort_by_key(|host| xxh3_64(&host.ip.octets()));
+        hosts.sort_by(|a, b| entry_order(a, b));
         hosts.truncate(PER_ZONE);
     }
     let is_near = |name: &ZoneId| near.is_empty() || near.contains(name);
--- a/components/routing/src/follow.rs
+++ b/components/routing/src/follow.rs
@@ -5,24 +5,26 @@
 //! so no agreement is needed: hosts with different views only make a few watches more or less.
 
 use {
-    crate::members::{MemberInfo, Members},
+    crate::members::{MemberInfo, Members, entry_order},
     indexmap::{IndexMap, IndexSet},
     std::net::Ipv4Addr,
     wigeonramp_units::{Instant, Span, ZoneId},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Hosts that watch the store at least, besides one in each zone.
 const MIN_WATCHERS: usize = 4;
 /// Time after the start in which a host only listens to others, so that hosts that start together
 /// do not all turn to the store.
-const LISTEN_FIRST: Span = Span::millis(600);
+const LISTEN_FIRST: Span = Span::millis(300);
 /// Time after the start, or without anybody to follow, after which a host turns to the store itself.
-const ALONE_AFTER: Span = Span::millis(1_600);
+const ALONE_AFTER: Span = Span::millis(1_200);
+/// Time for which a host waits for the watching host of its own zone to know everything.
+const NEAR_FIRST: Span = Span::millis(800);
 /// Time for which a host that failed as a source is not followed.
 const SHUN: Span = Span::secs(4);
-/// Time for which a host may be behind what another one knows before it turns to that one.
-const BEHIND: Span = Span::millis(250);
+/// Time for which a host may be behind what another one knows before it turns to that one; longer
+/// than hosts that watch the store differ by pausing between their calls.
+const BEHIND: Span = Span::millis(600);
 /// Time for which a host's own watch of the store may be behind.
 const WATCH_BEHIND: Span = Span::millis(900);
 
@@ -125,6 +127,13 @@
         {
             return self.origin;
         }
+        // The first answer carries everything known; within the zone it costs least.
+        let near_soon = members.alive(now).any(|info| {
+            info.zone == own.zone && watchers.contains(&info.ip) && !info.ready && !info.blind
+        });
+        if near_soon && self.lost_since.is_some_and(|since| now.since(since) < NEAR_FIRST) {
+            return Origin::Nobody;
+        }
         let is_watcher = |info: &&&MemberInfo| watchers.contains(&info.ip);
         let near = ready.iter().filter(is_watcher).find(|info| info.zone == own.zone);
         let any = near.or_else(|| ready.iter().find(is_watcher));
@@ -136,15 +145,16 @@
     }
 }
 
-/// Hosts that watch the store: the first of each zone and some more, in an order that is the same on
-/// every host. Hosts whose calls fail come last, so that others take over from them.
+/// Hosts that watch the store: the first of each zone and some more, in the order in which they are
+/// named to callers, because every host knows the state of those best. Hosts whose calls fail come
+/// last, so that others take over from them.
 fn watchers(members: &Members, now: Instant) -> IndexSet<Ipv4Addr> {
     let own = members.own();
     let mut all: Vec<&MemberInfo> = members.alive(now).collect();
     if !own.leaving {
         all.push(own);
     }
-    all.sort_by_key(|info| (info.blind, xxh3_64(&info.ip.octets())));
+    all.sort_by(|a, b| a.blind.cmp(&b.blind).then_with(|| entry_order(a, b)));
     let mut zones: IndexSet<&ZoneId> = IndexSet::new();
     let mut chosen: IndexSet<Ipv4Addr> =
         all.iter().filter(|info| zones.insert(&info.zone)).map(|info| info.ip).collect();
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -27,7 +27,7 @@
 }
 
 /// Cost of another zone, in hundredths of the usual time.
-const OTHER_ZONE_PERCENT: f64 = 40.0;
+const OTHER_ZONE_PERCENT: f64 = 100.0;
 /// Cost of a leaf with an overdue request, in usual times.
 const OVERDUE_COST: f64 = 12.0;
 /// Cost of a leaf in a pause after broken connections, in usual times; paid only where all leaves
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -5,14 +5,18 @@
 //! never compared: a count's age is measured on the clock of the host that saw it rise.
 
 use {
-    indexmap::IndexMap,
+    indexmap::{IndexMap, IndexSet},
     rand::{Rng, seq::IteratorRandom},
-    std::net::Ipv4Addr,
+    std::{cmp::Ordering, net::Ipv4Addr},
     wigeonramp_units::{Instant, Span, ZoneId},
+    xxhash_rust::xxh3::xxh3_64,
 };
 
-/// A host whose beats stand still for this long is not named to callers.
-pub const LOST_AFTER: Span = Span::millis(3_500);
+/// A host whose last beat is older than this is not named to callers.
+pub const LOST_AFTER: Span = Span::millis(4_000);
+/// Hosts of each zone that come first when callers need an address; the others know their state
+/// well.
+const CANDIDATES: usize = 6;
 /// Traffic of a host counts in the shares of the others for this long after its last beat: callers
 /// may still use it although this host does not hear it.
 const RATE_KEPT: Span = Span::secs(12);
@@ -46,6 +50,8 @@
     pub capacity: f64,
     /// Whether its calls to the store fail.
     pub blind: bool,
+    /// Age of its last beat, as the teller knows it.
+    pub age: Span,
 }
 
 /// What changes of a host while it runs.
@@ -114,6 +120,7 @@
             rate: 0.0,
             capacity: 0.0,
             blind: false,
+            age: Span::ZERO,
         };
         self.others.insert(ip, Member { info, heard: None });
     }
@@ -123,7 +130,7 @@
         self.others.shift_remove(&ip);
     }
 
-    /// Takes in what is told of a host; returns whether its state as an address for callers changed.
+    /// Takes in what is told of a host, dated back by the age that the teller gives; returns whether its state as an address for callers changed.
     pub fn told(&mut self, info: MemberInfo, now: Instant) -> bool {
         if info.ip == self.own.ip {
             // An earlier start of this host is still remembered, possibly with a clock ahead.
@@ -134,8 +141,9 @@
             }
             return false;
         }
+        let heard = Some(now - info.age);
         let Some(known) = self.others.get_mut(&info.ip) else {
-            self.others.insert(info.ip, Member { info, heard: Some(now) });
+            self.others.insert(info.ip, Member { info, heard });
             return true;
         };
         if (info.incarnation, info.beat) <= (known.info.incarnation, known.info.beat) {
@@ -143,7 +151,7 @@
         }
         let changed = (info.ready, info.leaving) != (known.info.ready, known.info.leaving)
             || info.incarnation != known.info.incarnation;
-        *known = Member { info, heard: Some(now) };
+        *known = Member { info, heard };
         changed
     }
 
@@ -172,10 +180,20 @@
         self.others.len() + 1
     }
 
-    /// At most `n` random living hosts and one that is not heard, so that two groups that lost each
-    /// other find together again.
-    pub fn partners(&self, n: usize, now: Instant, rng: &mut impl Rng) -> Vec<Ipv4Addr> {
-        let mut chosen: Vec<_> = self.alive(now).map(|info| info.ip).sample(rng, n);
+    /// Random hosts to tell: `near` living ones of the own zone and `far` ones of others, and one
+    /// that is not heard, so that two groups that lost each other find together again.
+    pub fn partners(
+        &self,
+        near: usize,
+        far: usize,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> Vec<Ipv4Addr> {
+        let own = &self.own.zone;
+        let mut chosen: Vec<Ipv4Addr> =
+            self.alive(now).filter(|i| i.zone == *own).map(|i| i.ip).sample(rng, near);
+        let others = self.alive(now).filter(|i| i.zone != *own).map(|i| i.ip);
+        chosen.extend(others.sample(rng, far));
         let silent = self.others.values().filter(|m| !is_heard(m, LOST_AFTER, now));
         chosen.extend(silent.map(|member| member.info.ip).choose(rng));
         chosen
@@ -186,18 +204,45 @@
         self.others.keys().copied()
     }
 
-    /// What to tell about other hosts, at most `n`: first those that callers use, whose loss must
-    /// be known soonest, then those heard last.
-    pub fn news(&self, n: usize) -> Vec<MemberInfo> {
-        let mut heard: Vec<_> = self.others.values().filter(|m| m.heard.is_some()).collect();
-        heard.sort_by_key(|m| std::cmp::Reverse((m.info.rate >= ACTIVE_RATE, m.heard)));
-        heard.into_iter().take(n).map(|member| member.info.clone()).collect()
+    /// What to tell about other hosts: those that come first as addresses for callers, and `more`
+    /// of the others, the last heard.
+    pub fn news(&self, more: usize, now: Instant) -> Vec<MemberInfo> {
+        let first = self.candidates(now);
+        let mut others: Vec<&Member> = self.others.values().filter(|m| m.heard.is_some()).collect();
+        others.sort_by_key(|m| std::cmp::Reverse(m.heard));
+        let (front, rest): (Vec<&Member>, Vec<&Member>) =
+            others.into_iter().partition(|m| first.contains(&m.info.ip));
+        let told = front.into_iter().chain(rest.into_iter().take(more));
+        told.map(|member| with_age(member, now)).collect()
     }
 
     /// Everything known of other hosts.
-    pub fn everything(&self) -> Vec<MemberInfo> {
+    pub fn everything(&self, now: Instant) -> Vec<MemberInfo> {
         let heard = self.others.values().filter(|member| member.heard.is_some());
-        heard.map(|member| member.info.clone()).collect()
+        heard.map(|member| with_age(member, now)).collect()
+    }
+
+    /// Hosts that come first as addresses for callers, lost ones included.
+    fn candidates(&self, now: Instant) -> IndexSet<Ipv4Addr> {
+        let known = self.others.values().filter(|m| is_heard(m, RATE_KEPT, now));
+        let mut all: Vec<&MemberInfo> =
+            known.map(|member| &member.info).chain(std::iter::once(&self.own)).collect();
+        all.sort_by(|a, b| entry_order(a, b));
+        let mut by_zone: IndexMap<&ZoneId, usize> = IndexMap::new();
+        let mut chosen = IndexSet::new();
+        for info in all {
+            let count = by_zone.entry(&info.zone).or_default();
+            *count += 1;
+            if *count <= CANDIDATES {
+                chosen.insert(info.ip);
+            }
+        }
+        chosen
+    }
+
+    /// Whether the loss of this host must be known soon: callers use it, or may be sent to it next.
+    pub fn is_candidate(&self, now: Instant) -> bool {
+        self.own.rate >= ACTIVE_RATE || self.candidates(now).contains(&self.own.ip)
     }
 
     /// Whether the host was heard in its present start.
@@ -211,11 +256,6 @@
         self.alive(now).next().is_some()
     }
 
-    /// Whether callers use this host.
-    pub fn is_active(&self) -> bool {
-        self.own.rate >= ACTIVE_RATE
-    }
-
     /// This host's share of all hosts' traffic.
     pub fn share(&self, now: Instant) -> f64 {
         let known = self.known() as f64;
@@ -230,6 +270,17 @@
     }
 }
 
+/// The order in which hosts of a zone are named to callers, the same on every host.
+pub(crate) fn entry_order(a: &MemberInfo, b: &MemberInfo) -> Ordering {
+    let hash = |info: &MemberInfo| xxh3_64(&info.ip.octets());
+    b.capacity.total_cmp(&a.capacity).then_with(|| hash(a).cmp(&hash(b)))
+}
+
+fn with_age(member: &Member, now: Instant) -> MemberInfo {
+    let age = member.heard.map_or(RATE_KEPT, |heard| now.since(heard));
+    MemberInfo { age, ..member.info.clone() }
+}
+
 fn is_heard(member: &Member, within: Span, now: Instant) -> bool {
     member.heard.is_some_and(|heard| now.since(heard) < within)
 }
