--- /dev/null
+++ b/components/routing/tests/common/mod.rs
@@ -0,0 +1,139 @@
+//! Leaves, routes and traffic for the tests of decisions.
+#![allow(dead_code)] // Each test file uses a part of these.
+
+use {
+    rand::{SeedableRng, rngs::SmallRng},
+    std::sync::Arc,
+    wigeonramp_routing::{
+        catalog::{Repeat, Route, Target},
+        exchange::{Exchange, Send, Times, Traffic, TryEnd, TryRef},
+        extra::ExtraBound,
+        leaf::LeafEntry,
+        leaves::{LeafKey, Leaves},
+        relay::{LeafAnswer, Reply},
+    },
+    wigeonramp_units::{Instant, ServiceId, Span},
+};
+
+pub const SEED: u64 = 7;
+
+pub fn at(ms: u64) -> Instant {
+    Instant(1_000_000_000 + ms * 1_000)
+}
+
+pub fn service(name: &str) -> ServiceId {
+    name.parse().expect("a service id")
+}
+
+pub fn entry(id: &str, of: &str, zone: &str) -> LeafEntry {
+    LeafEntry {
+        id: id.parse().expect("a leaf id"),
+        service: service(of),
+        address: "10.0.0.1:80".parse().expect("an address"),
+        zone: zone.parse().expect("a zone"),
+        slots: 2,
+        draining: false,
+        cold_left: Span::ZERO,
+        born: Some(1),
+    }
+}
+
+/// Services `s0` to `s<n-1>`, each with a leaf in zone `a` and one in zone `b`; the host is in `a`.
+pub fn traffic(services: usize) -> Traffic {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    for n in 0..services {
+        for zone in ["a", "b"] {
+            leaves.register(entry(&format!("l{n}{zone}"), &format!("s{n}"), zone), at(0));
+        }
+    }
+    let bound = ExtraBound { window: Span::secs(10), ratio: 0.2, fixed: 100.0 };
+    let mut traffic = Traffic::new(leaves, bound, SmallRng::seed_from_u64(SEED));
+    traffic.share = 1.0;
+    traffic
+}
+
+pub fn route(repeat: Repeat, target: Target) -> Arc<Route> {
+    Arc::new(Route {
+        name: "r".to_owned(),
+        host: "h".to_owned(),
+        prefix: "/".to_owned(),
+        repeat,
+        timeout: Span::millis(600),
+        target_latency: Span::millis(60),
+        priority: 1,
+        attempts: 2,
+        target,
+    })
+}
+
+pub fn gather(services: usize, min_share: f64) -> Arc<Route> {
+    let shards = (0..services).map(|n| service(&format!("s{n}"))).collect();
+    route(Repeat::Idempotent, Target::Gather { shards, top_k: 3, min_share })
+}
+
+pub fn single(repeat: Repeat) -> Arc<Route> {
+    route(repeat, Target::One(vec![(service("s0"), 1.0)]))
+}
+
+/// A request under way, with what it decided.
+pub struct Run {
+    pub exchange: Exchange,
+    pub cx: Traffic,
+    pub sends: Vec<Send>,
+    pub reply: Option<Reply>,
+}
+
+impl Run {
+    /// A request that arrives at `at(0)` with a second to live.
+    pub fn begin(route: Arc<Route>, mut cx: Traffic) -> Self {
+        let times = Times { arrived: at(0), deadline: at(1_000), outside: Span::millis(4) };
+        let mut sends = Vec::new();
+        let (exchange, reply) = Exchange::begin(route, times, &mut cx, at(0), &mut sends);
+        Self { exchange, cx, sends, reply }
+    }
+
+    pub fn end(&mut self, part: usize, no: usize, end: TryEnd, ms: u64) {
+        let at_try = TryRef { part, no };
+        let reply = self.exchange.on_end(at_try, end, true, &mut self.cx, at(ms), &mut self.sends);
+        self.reply = self.reply.take().or(reply);
+    }
+
+    pub fn time(&mut self, ms: u64) {
+        let reply = self.exchange.on_time(&mut self.cx, at(ms), &mut self.sends);
+        self.reply = self.reply.take().or(reply);
+    }
+
+    /// Sends so far as `part.no>leaf`, and the reply.
+    pub fn story(&self) -> String {
+        let leaf = |key: LeafKey| {
+            let leaf = self.cx.leaves.get(key);
+            leaf.map_or("gone".to_owned(), |leaf| leaf.entry.id.to_string())
+        };
+        let sends: Vec<String> = self
+            .sends
+            .iter()
+            .map(|send| format!("{}.{}>{}", send.at.part, send.at.no, leaf(send.leaf)))
+            .collect();
+        let reply = match &self.reply {
+            None => "waits".to_owned(),
+            Some(Reply::Relayed(answer)) => format!("relayed {}", answer.status),
+            Some(Reply::Merged { stamps, missing, body }) => {
+                format!("merged {} missing {missing} body {}", stamps.join("+"), body.len())
+            }
+            Some(Reply::Refused { cause, retry_after }) => {
+                format!("refused {} again in {retry_after}", cause.name())
+            }
+            Some(Reply::Failed(cause)) => format!("failed {}", cause.name()),
+        };
+        format!("{}; {reply}", sends.join(" "))
+    }
+}
+
+pub fn answer(status: u16, stamp: &str) -> TryEnd {
+    TryEnd::Answer(LeafAnswer {
+        status,
+        stamp: Some(stamp.to_owned()),
+        headers: Vec::new(),
+        body: vec![b'x'; 16],
+    })
+}
--- /dev/null
+++ b/components/routing/tests/fleet.rs
@@ -0,0 +1,259 @@
+//! Hosts together: membership, who watches the store, whom callers use, shared budgets.
+
+mod common;
+
+use {
+    common::{SEED, at, entry},
+    rand::{SeedableRng, rngs::SmallRng},
+    std::{net::Ipv4Addr, sync::Arc},
+    wigeonramp_routing::{
+        catalog::{CallerLimits, Catalog},
+        entry::choose,
+        extra::{ExtraBound, ExtraBudget},
+        follow::{Following, Origin},
+        leaves::Leaves,
+        members::{MemberInfo, Members},
+    },
+    wigeonramp_units::{ConfigVersion, Instant, Span},
+};
+
+fn ip(n: u8) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, 0, n)
+}
+
+/// Host `n` of zones `a`, `b` and `c` in turn.
+fn info(n: u8) -> MemberInfo {
+    MemberInfo {
+        ip: ip(n),
+        zone: ["a", "b", "c"][usize::from(n % 3)].parse().expect("a zone"),
+        incarnation: 1,
+        beat: 1,
+        ready: true,
+        leaving: false,
+        rate: 10.0,
+        capacity: 0.2,
+        blind: false,
+        age: Span::ZERO,
+    }
+}
+
+fn members(hosts: u8, now: Instant) -> Members {
+    let mut members = Members::new(info(0), now);
+    for n in 1..hosts {
+        members.told(info(n), now);
+    }
+    members
+}
+
+fn serving(members: &Members, now: Instant) -> Vec<u8> {
+    members.serving(now).map(|info| info.ip.octets()[3]).collect()
+}
+
+/// Guards against callers that are sent to a lost or stopping host.
+#[test]
+fn lost_and_stopping_hosts_are_not_named() {
+    let mut members = members(4, at(0));
+    let mut beat = info(1);
+    beat.beat = 2;
+    members.told(beat, at(3_000));
+    let mut stopping = info(2);
+    (stopping.beat, stopping.leaving) = (2, true);
+    members.told(stopping, at(3_000));
+    assert_eq!(serving(&members, at(3_500)), [0, 1, 3]);
+    assert_eq!(serving(&members, at(4_500)), [0, 1], "host 3 was not heard for over four seconds");
+}
+
+/// Guards against a lost host that lives on in what hosts tell of it.
+#[test]
+fn age_of_a_beat_counts_from_the_host_itself() {
+    let mut members = members(2, at(0));
+    let mut old = info(1);
+    (old.beat, old.age) = (9, Span::millis(3_900));
+    members.told(old, at(4_000));
+    assert_eq!(serving(&members, at(4_050)), [0, 1]);
+    assert_eq!(serving(&members, at(4_150)), [0]);
+}
+
+/// Guards against a restarted host that is ignored because its clock went back.
+#[test]
+fn host_outruns_what_is_remembered_of_its_earlier_start() {
+    let mut members = members(1, at(0));
+    let mut earlier = info(0);
+    earlier.incarnation = 77;
+    members.told(earlier, at(1));
+    assert_eq!(members.own().incarnation, 78);
+}
+
+/// Guards against a fleet in which nobody, or everybody, watches the store.
+#[test]
+fn few_hosts_watch_the_store_and_the_others_follow_them() {
+    let now = at(1_000);
+    let mut watch = 0;
+    let mut followed = Vec::new();
+    for own in 0..30 {
+        let mut members = Members::new(info(own), at(0));
+        for n in (0..30).filter(|n| *n != own) {
+            members.told(info(n), now);
+        }
+        let mut following = Following::new(at(0));
+        following.decide(&members, now);
+        match following.origin() {
+            Origin::Store => watch += 1,
+            Origin::Host(host) => followed.push((host, own)),
+            Origin::Nobody => panic!("host {own} has no source"),
+        }
+    }
+    assert_eq!(watch, 4);
+    let near = |(host, own): &(Ipv4Addr, u8)| host.octets()[3] % 3 == own % 3;
+    assert!(followed.iter().all(near), "each follows a host of its zone");
+}
+
+/// Guards against a host that stays with a source that does not hear of changes.
+#[test]
+fn host_that_is_behind_turns_to_whoever_knows_more() {
+    let members = members(9, at(0));
+    let mut following = Following::new(at(0));
+    following.decide(&members, at(1_000));
+    let before = following.origin();
+    following.behind(ip(5), at(1_100));
+    following.decide(&members, at(1_300));
+    assert_eq!(following.origin(), before, "a moment is left to the source");
+    following.decide(&members, at(1_800));
+    let other = Origin::Host(ip(5));
+    assert!(before == Origin::Store || following.origin() == other, "{:?}", following.origin());
+}
+
+/// Guards against a host without a source when it hears nobody.
+#[test]
+fn lonely_host_turns_to_the_store() {
+    let mut following = Following::new(at(0));
+    let alone = members(1, at(0));
+    following.decide(&alone, at(100));
+    assert_eq!(following.origin(), Origin::Nobody, "it listens first");
+    following.decide(&alone, at(400));
+    assert_eq!(following.origin(), Origin::Store);
+}
+
+/// Guards against blind hosts that are watched while others see.
+#[test]
+fn other_hosts_watch_in_place_of_blind_ones() {
+    let watchers = |blind: &[u8]| -> Vec<u8> {
+        let watches = |own: &u8| {
+            let mut members = Members::new(info(*own), at(0));
+            for n in (0..12).filter(|n| n != own) {
+                let mut other = info(n);
+                other.blind = blind.contains(&n);
+                members.told(other, at(0));
+            }
+            let mut following = Following::new(at(0));
+            following.decide(&members, at(1_000));
+            following.origin() == Origin::Store
+        };
+        (0..12).filter(|own| !blind.contains(own)).filter(watches).collect()
+    };
+    let first = watchers(&[]);
+    assert_eq!(first.len(), 4);
+    let next = watchers(&first);
+    assert_eq!(next.len(), 4);
+    assert!(next.iter().all(|n| !first.contains(n)));
+}
+
+/// Guards against more second sends over all hosts than the bound, whatever their shares.
+#[test]
+fn hosts_together_stay_within_the_bound_of_second_sends() {
+    let bound = ExtraBound { window: Span::secs(10), ratio: 0.2, fixed: 60.0 };
+    let rates = [40.0, 20.0, 10.0, 5.0, 1.0, 0.0];
+    let mut all = Vec::new();
+    for own in 0..rates.len() {
+        let mut members = Members::new(MemberInfo { rate: rates[own], ..info(own as u8) }, at(0));
+        for (n, rate) in rates.iter().enumerate().filter(|(n, _)| *n != own) {
+            members.told(MemberInfo { rate: *rate, ..info(n as u8) }, at(9_000));
+        }
+        let share = members.share(at(9_500));
+        let mut budget = ExtraBudget::default();
+        let mut extra = 0;
+        let mut first = 0;
+        for ms in (0_u64..10_000).step_by(25) {
+            while f64::from(first) < rates[own] * ms as f64 / 1_000.0 {
+                budget.first(&bound, at(ms));
+                first += 1;
+            }
+            while budget.room(&bound, share, at(ms)) >= 1.0 {
+                budget.spend(&bound, at(ms));
+                extra += 1;
+            }
+        }
+        all.push(extra);
+    }
+    let requests: f64 = rates.iter().sum::<f64>() * 10.0;
+    let total: i32 = all.iter().sum();
+    assert!(f64::from(total) <= requests * bound.ratio + bound.fixed, "{all:?}");
+    assert!(total > 100, "the budget is used: {all:?}");
+}
+
+/// Guards against a host that has just started and takes the whole budget for itself.
+#[test]
+fn new_host_takes_a_small_share() {
+    assert!(members(1, at(0)).share(at(100)) <= 0.01);
+    assert!(members(10, at(0)).share(at(100)) <= 0.02);
+}
+
+fn catalog() -> Catalog {
+    let routes = vec![common::gather(2, 0.5)];
+    Catalog {
+        version: ConfigVersion(1),
+        routes,
+        services: Default::default(),
+        limits: CallerLimits::default(),
+    }
+}
+
+/// Guards against gathered requests whose parts all cross a zone border, and against small hosts
+/// that answer late.
+#[test]
+fn callers_use_large_hosts_in_zones_with_the_shards() {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    for n in 0..2 {
+        for zone in ["a", "b"] {
+            leaves.register(entry(&format!("l{n}{zone}"), &format!("s{n}"), zone), at(0));
+        }
+    }
+    let mut members = members(12, at(0));
+    for n in [3, 4, 5] {
+        members.told(MemberInfo { beat: 2, capacity: 0.8, ..info(n) }, at(0));
+    }
+    let named = |zone: &str| {
+        let mut named: Vec<u8> = choose(&members, &catalog(), &leaves, zone, at(1))
+            .iter()
+            .map(|ip| ip.octets()[3])
+            .collect();
+        named.sort_unstable();
+        named
+    };
+    assert_eq!(named("a"), [3]);
+    assert_eq!(named("b"), [4]);
+    assert_eq!(named("c"), [3, 4], "zone c has no leaves of the shards");
+}
+
+/// Guards against a configuration that goes back.
+#[test]
+fn lower_version_is_never_adopted() {
+    use wigeonramp_routing::catalog::{Adopted, Adoption};
+    let mut adoption = Adoption::new();
+    let version = |n| Catalog { version: ConfigVersion(n), ..catalog() };
+    let offers: Vec<Adopted> =
+        [3, 7, 5, 7, 9].into_iter().map(|n| adoption.offer(version(n))).collect();
+    let expected = [Adopted::Newer, Adopted::Newer, Adopted::Older, Adopted::Same, Adopted::Newer];
+    assert_eq!(offers, expected);
+    let route: Option<&Arc<_>> = adoption.route("H:80", "/x");
+    assert!(route.is_some(), "host names match without port and in any case");
+}
+
+/// Guards against random choices that tests cannot repeat.
+#[test]
+fn partners_follow_the_seed() {
+    let members = members(20, at(0));
+    let pick = || members.partners(2, 1, at(1), &mut SmallRng::seed_from_u64(SEED));
+    assert_eq!(pick(), pick());
+    assert_eq!(pick().len(), 3);
+}
--- /dev/null
+++ b/components/routing/tests/leaves.rs
@@ -0,0 +1,138 @@
+//! Which leaf is asked.
+
+mod common;
+
+use {
+    common::{SEED, at, entry, service, traffic},
+    rand::{SeedableRng, rngs::SmallRng},
+    wigeonramp_routing::{
+        leaf::SendEnd,
+        leaves::{LeafChange, LeafKey, Leaves, Seek},
+    },
+    wigeonramp_units::{Instant, Span},
+};
+
+const USUAL: Span = Span::millis(10);
+
+fn choose(leaves: &mut Leaves, except: &[LeafKey], cold: Option<f64>, now: Instant) -> String {
+    let of = service("s0");
+    let seek = Seek { service: &of, except, usual: USUAL, cold_per_second: cold };
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    match leaves.choose(&seek, now, &mut rng) {
+        Some(key) => leaves.get(key).expect("a chosen leaf").entry.id.to_string(),
+        None => "none".to_owned(),
+    }
+}
+
+fn key(leaves: &Leaves, id: &str) -> LeafKey {
+    leaves.key_of(&id.parse().expect("a leaf id")).expect("a registered leaf")
+}
+
+/// Guards against traffic between zones, and against waiting behind a leaf in trouble.
+#[test]
+fn near_leaf_is_asked_unless_it_is_in_trouble() {
+    let cases: [(&str, fn(&mut Leaves, LeafKey), &str); 6] = [
+        ("calm", |_, _| {}, "l0a"),
+        ("overdue", |leaves, key| leaves.sent(key, USUAL, at(0)), "l0b"),
+        (
+            "connection broken",
+            |leaves, key| {
+                leaves.sent(key, USUAL, at(90));
+                leaves.ended(key, at(90), USUAL, SendEnd::Broken, at(95));
+            },
+            "l0b",
+        ),
+        (
+            "slow",
+            |leaves, key| {
+                for n in 0..4 {
+                    leaves.sent(key, USUAL, at(n));
+                    leaves.ended(key, at(n), USUAL, SendEnd::Answered, at(n + 90));
+                }
+            },
+            "l0b",
+        ),
+        (
+            "draining",
+            |leaves, _| {
+                let mut leaving = entry("l0a", "s0", "a");
+                leaving.draining = true;
+                leaves.register(leaving, at(1));
+            },
+            "l0b",
+        ),
+        ("zone taken out", |leaves, _| leaves.evacuate("a".parse().expect("a zone"), true), "l0b"),
+    ];
+    for (name, trouble, chosen) in cases {
+        let mut leaves = traffic(1).leaves;
+        let near = key(&leaves, "l0a");
+        trouble(&mut leaves, near);
+        assert_eq!(choose(&mut leaves, &[], None, at(100)), chosen, "{name}");
+    }
+}
+
+/// Guards against a service without an answer because all of its leaves are in trouble.
+#[test]
+fn last_leaf_is_asked_even_in_trouble() {
+    let mut leaves = traffic(1).leaves;
+    let (near, far) = (key(&leaves, "l0a"), key(&leaves, "l0b"));
+    for leaf in [near, far] {
+        leaves.sent(leaf, USUAL, at(0));
+        leaves.ended(leaf, at(0), USUAL, SendEnd::Broken, at(1));
+    }
+    assert_eq!(choose(&mut leaves, &[far], None, at(100)), "l0a");
+}
+
+/// Guards against a slow leaf that is never tried again.
+#[test]
+fn slowness_is_forgotten() {
+    let mut leaves = traffic(1).leaves;
+    let near = key(&leaves, "l0a");
+    for n in 0..4 {
+        leaves.sent(near, USUAL, at(n));
+        leaves.ended(near, at(n), USUAL, SendEnd::Answered, at(n + 90));
+    }
+    assert_eq!(choose(&mut leaves, &[], None, at(200)), "l0b");
+    assert_eq!(choose(&mut leaves, &[], None, at(20_000)), "l0a");
+}
+
+/// Guards against a cold leaf that gets more than this host's part of its declared rate.
+#[test]
+fn cold_leaf_gets_its_allowance() {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    let mut cold = entry("l0a", "s0", "a");
+    cold.cold_left = Span::secs(3);
+    leaves.register(cold, at(0));
+    let sends = (0..3_000).step_by(10);
+    let taken = sends.filter(|ms| choose(&mut leaves, &[], Some(2.0), at(*ms)) == "l0a").count();
+    assert_eq!(taken, 5, "two a second, beginning with an empty allowance");
+    assert_eq!(choose(&mut leaves, &[], Some(2.0), at(3_001)), "l0a", "warm again");
+}
+
+/// Guards against a leaf that is used for good after its registration lapsed in a store outage, and
+/// against one dropped although it comes back.
+#[test]
+fn lapsed_registration_is_used_until_its_grace_ends() {
+    let mut leaves = traffic(1).leaves;
+    let id = "l0a".parse().expect("a leaf id");
+    leaves.lapse(&id, at(2_000));
+    assert_eq!(choose(&mut leaves, &[], None, at(1_000)), "l0a");
+    leaves.register(entry("l0a", "s0", "a"), at(1_500));
+    assert!(leaves.drop_lapsed(at(3_000)).is_empty(), "it is back");
+    leaves.lapse(&id, at(4_000));
+    assert_eq!(leaves.drop_lapsed(at(4_000)).len(), 1);
+    assert_eq!(choose(&mut leaves, &[], None, at(4_001)), "l0b");
+}
+
+/// Guards against what was learned of an earlier start of a leaf under the same id.
+#[test]
+fn restarted_leaf_is_new() {
+    let mut leaves = traffic(1).leaves;
+    let near = key(&leaves, "l0a");
+    leaves.get_mut(near).expect("a leaf").misdirected = true;
+    assert_eq!(choose(&mut leaves, &[], None, at(1)), "l0b");
+    let mut again = entry("l0a", "s0", "a");
+    again.born = Some(2);
+    assert_eq!(leaves.register(again, at(2)), LeafChange::Restarted(near));
+    assert_eq!(choose(&mut leaves, &[], None, at(3)), "l0a");
+}
