Stop within the grace, announce readiness at once, and add a fault soak with stand-ins

The soak runs the daemon against stand-ins for store, leaves and callers (platform/standin) behind loopback proxies, and compares what callers were told with what the leaves ran.

--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -47,6 +47,8 @@
 const EVENTS: usize = 256;
 /// Time between looks at everything that has no timer of its own.
 const SWEEP_EVERY: Span = Span::millis(200);
+/// The same while the host has nowhere to learn of changes.
+const SEARCH_EVERY: Span = Span::millis(50);
 /// A port that an earlier process still holds is tried again for this long.
 const LISTEN_TRIES: u32 = 20;
 /// Pause between tries to listen.
@@ -338,7 +340,8 @@
         self.drive_store();
         self.drive_gossip();
         if self.now >= self.next_sweep {
-            self.next_sweep = self.now + SWEEP_EVERY;
+            let searching = self.following.origin() == Origin::Nobody;
+            self.next_sweep = self.now + if searching { SEARCH_EVERY } else { SWEEP_EVERY };
             self.sweep();
             self.settle();
         }
@@ -349,7 +352,11 @@
         if !std::mem::take(&mut self.known.to_tell) {
             return;
         }
-        if self.following.origin() == Origin::Store {
+        let was_ready = self.members.own().ready;
+        self.refresh_shares();
+        let now_ready = !was_ready && self.members.own().ready;
+        let is_candidate = self.members.is_candidate(self.now);
+        if self.following.origin() == Origin::Store || (now_ready && is_candidate) {
             self.send_notice();
         }
         self.tell_followers();
--- a/components/edge/src/stopping.rs
+++ b/components/edge/src/stopping.rs
@@ -7,10 +7,11 @@
     wigeonramp_units::{Instant, Span},
 };
 
-/// Time kept at the end of the grace in which open requests get a last answer.
-const LAST_ANSWERS: Span = Span::millis(400);
+/// Time kept at the end of the grace in which open requests get a last answer and the process ends;
+/// the signal is noticed up to a sweep late, and the end is reached a sweep late.
+const LAST_ANSWERS: Span = Span::millis(900);
 /// Time kept at the end of the grace in which no new connection is taken.
-const CLOSED: Span = Span::millis(1_500);
+const CLOSED: Span = Span::millis(1_900);
 
 /// A stop under way.
 #[derive(Debug)]
--- a/components/routing/src/follow.rs
+++ b/components/routing/src/follow.rs
@@ -15,11 +15,11 @@
 const MIN_WATCHERS: usize = 4;
 /// Time after the start in which a host only listens to others, so that hosts that start together
 /// do not all turn to the store.
-const LISTEN_FIRST: Span = Span::millis(300);
+const LISTEN_FIRST: Span = Span::millis(250);
 /// Time after the start, or without anybody to follow, after which a host turns to the store itself.
 const ALONE_AFTER: Span = Span::millis(1_200);
 /// Time for which a host waits for the watching host of its own zone to know everything.
-const NEAR_FIRST: Span = Span::millis(800);
+const NEAR_FIRST: Span = Span::millis(450);
 /// Time for which a host that failed as a source is not followed.
 const SHUN: Span = Span::secs(4);
 /// Time for which a host may be behind what another one knows before it turns to that one; longer
--- /dev/null
+++ b/components/soak/src/faults.rs
@@ -0,0 +1,212 @@
+//! Faults, drawn one after the other; some overlap.
+
+use {
+    crate::{Plan, proxy::Link, world::World},
+    rand::RngExt,
+    rustix::process::Signal,
+    std::{
+        thread,
+        time::{Duration, Instant},
+    },
+    wigeonramp_platform_standin::{leaf::LeafFault, store::StoreFault},
+};
+
+/// Kinds of faults.
+const KINDS: usize = 15;
+/// Pause between faults, in milliseconds.
+const PAUSE_MS: std::ops::Range<u64> = 150..900;
+/// Length of faults that end by themselves, in milliseconds.
+const LENGTH_MS: std::ops::Range<u64> = 300..2_500;
+
+/// Longest wait for one fault to be undone at the end.
+const LAST_STEP: Duration = Duration::from_millis(100);
+
+/// Something to undo later.
+enum Undo {
+    Start(usize),
+    StartWhenEnded(usize),
+    Continue(usize),
+    LeafSound(usize),
+    LinkOpen(usize),
+    StoreLinkOpen(usize),
+    StoreSound,
+    NewLeaf(String, String),
+    EndLeaf(usize),
+}
+
+/// Injects faults until the plan's time is over, then undoes all; returns what it did.
+pub(crate) fn inject(world: &mut World, plan: &Plan) -> Vec<String> {
+    let end = Instant::now() + plan.length;
+    let mut story = Vec::new();
+    let mut undo: Vec<(Instant, Undo)> = Vec::new();
+    while Instant::now() < end {
+        let (what, then) = draw(world);
+        story.push(what);
+        if let Some(then) = then {
+            let length = Duration::from_millis(world.rng.random_range(LENGTH_MS));
+            undo.push((Instant::now() + length, then));
+        }
+        let next = Instant::now() + Duration::from_millis(world.rng.random_range(PAUSE_MS));
+        while Instant::now() < next {
+            let due: Vec<usize> =
+                (0..undo.len()).rev().filter(|n| undo[*n].0 <= Instant::now()).collect();
+            for n in due {
+                let (_, then) = undo.remove(n);
+                undo.extend(take_back(world, then));
+            }
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+    while let Some((at, then)) = undo.pop() {
+        thread::sleep(at.saturating_duration_since(Instant::now()).min(LAST_STEP));
+        undo.extend(take_back(world, then));
+    }
+    story
+}
+
+fn draw(world: &mut World) -> (String, Option<Undo>) {
+    let host = world.rng.random_range(0..world.hosts.len());
+    let leaf = world.rng.random_range(0..world.leaves.len());
+    let name = world.hosts[host].name.clone();
+    let id = world.leaves[leaf].0.id().to_owned();
+    match world.rng.random_range(0..KINDS) {
+        0 => {
+            world.disturb();
+            world.hosts[host].kill();
+            (format!("kill {name}"), Some(Undo::Start(host)))
+        }
+        1 => {
+            world.disturb();
+            world.hosts[host].signal(Signal::STOP);
+            world.hosts[host].paused = true;
+            (format!("pause {name}"), Some(Undo::Continue(host)))
+        }
+        2 => {
+            world.hosts[host].signal(Signal::TERM);
+            (format!("stop {name}"), Some(Undo::StartWhenEnded(host)))
+        }
+        3 => {
+            world.hosts[host].signal(Signal::HUP);
+            (format!("reload {name}"), None)
+        }
+        4 | 5 => {
+            let single = if world.rng.random() { "one" } else { "two" };
+            let extra = world.rng.random();
+            world.configure(single, extra);
+            (format!("configure {single} extra {extra}"), None)
+        }
+        6 => {
+            world.disturb();
+            let faults = [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent];
+            let fault = faults[world.rng.random_range(0..faults.len())];
+            world.store.set_fault(fault);
+            (format!("store {fault:?}"), Some(Undo::StoreSound))
+        }
+        7 => {
+            world.store.forget();
+            ("store forgets its history".to_owned(), None)
+        }
+        8 => {
+            world.disturb();
+            let links =
+                [Link::Silent, Link::OneWay, Link::Closed, Link::Slow(Duration::from_millis(200))];
+            let link = links[world.rng.random_range(0..links.len())];
+            world.hosts[host].store.set(link);
+            if link == Link::Closed {
+                world.hosts[host].store.reset();
+            }
+            (format!("link of {name} to the store {link:?}"), Some(Undo::StoreLinkOpen(host)))
+        }
+        9 => {
+            world.leaves[leaf].1.reset();
+            (format!("connections of {id} reset"), None)
+        }
+        10 => {
+            let links = [Link::Silent, Link::OneWay, Link::Slow(Duration::from_millis(60))];
+            let link = links[world.rng.random_range(0..links.len())];
+            world.leaves[leaf].1.set(link);
+            (format!("link of {id} {link:?}"), Some(Undo::LinkOpen(leaf)))
+        }
+        11 | 12 => {
+            let faults = [
+                LeafFault::Slow(Duration::from_millis(80)),
+                LeafFault::Shed,
+                LeafFault::LosesAnswers,
+                LeafFault::Truncates,
+                LeafFault::Doubles,
+                LeafFault::Mute,
+            ];
+            let fault = faults[world.rng.random_range(0..faults.len())];
+            world.leaves[leaf].0.set_fault(fault);
+            (format!("{id} {fault:?}"), Some(Undo::LeafSound(leaf)))
+        }
+        13 => {
+            let (service, zone) = (world.leaves[leaf].0.service().to_owned(), "a".to_owned());
+            world.leaves[leaf].0.crash();
+            world.leaves[leaf].0.unregister();
+            (format!("{id} crashes"), Some(Undo::NewLeaf(service, zone)))
+        }
+        _ => {
+            world.leaves[leaf].0.register("draining");
+            world.history.left.push((id.clone(), Instant::now()));
+            (format!("{id} leaves"), Some(Undo::EndLeaf(leaf)))
+        }
+    }
+}
+
+/// Undoes a fault; what follows from that is returned with its time.
+fn take_back(world: &mut World, undo: Undo) -> Option<(Instant, Undo)> {
+    let soon = Instant::now() + Duration::from_millis(100);
+    match undo {
+        Undo::Start(host) => {
+            if world.hosts[host].has_ended() {
+                start(world, host);
+            }
+        }
+        Undo::StartWhenEnded(host) => {
+            if world.hosts[host].paused {
+                world.hosts[host].signal(Signal::CONT);
+            }
+            if !world.hosts[host].has_ended() {
+                return Some((soon, Undo::StartWhenEnded(host)));
+            }
+            start(world, host);
+        }
+        Undo::Continue(host) => {
+            world.disturb();
+            world.hosts[host].signal(Signal::CONT);
+            world.hosts[host].paused = false;
+        }
+        Undo::LeafSound(leaf) => world.leaves[leaf].0.set_fault(LeafFault::None),
+        Undo::LinkOpen(leaf) => world.leaves[leaf].1.set(Link::Open),
+        Undo::StoreLinkOpen(host) => {
+            world.disturb();
+            world.hosts[host].store.set(Link::Open);
+        }
+        Undo::StoreSound => {
+            world.disturb();
+            world.store.set_fault(StoreFault::None);
+        }
+        Undo::NewLeaf(service, zone) => add_leaf(world, &service, &zone),
+        Undo::EndLeaf(leaf) => {
+            // It serves for as long as hosts may not know yet, and then ends.
+            let service = world.leaves[leaf].0.service().to_owned();
+            world.leaves[leaf].0.unregister();
+            add_leaf(world, &service, "b");
+        }
+    }
+    None
+}
+
+fn start(world: &mut World, host: usize) {
+    world.disturb();
+    if let Err(err) = world.hosts[host].spawn() {
+        eprintln!("{} does not start: {err}", world.hosts[host].name);
+    }
+}
+
+fn add_leaf(world: &mut World, service: &str, zone: &str) {
+    if let Err(err) = world.add_leaf(service, zone) {
+        eprintln!("a leaf of {service} does not start: {err}");
+    }
+}
--- /dev/null
+++ b/components/soak/src/hosts.rs
@@ -0,0 +1,153 @@
+//! The daemon as a process, its settings and signals.
+
+use {
+    crate::proxy::Proxy,
+    rustix::process::{Pid, Signal, kill_process},
+    std::{
+        fs::{self, File},
+        io::Result,
+        net::{SocketAddr, TcpListener},
+        path::PathBuf,
+        process::{Child, Command},
+    },
+};
+
+/// Ports of every host.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Ports {
+    pub callers: u16,
+    pub readiness: u16,
+    pub directory: u16,
+    pub control: u16,
+    pub peers: u16,
+}
+
+impl Ports {
+    /// Ports that are free at this address now.
+    pub fn free(ip: &str) -> Result<Self> {
+        let held = [(); 5].map(|()| TcpListener::bind((ip, 0)));
+        let mut ports = Vec::new();
+        for listener in &held {
+            match listener {
+                Ok(listener) => ports.push(listener.local_addr()?.port()),
+                Err(err) => return Err(std::io::Error::new(err.kind(), err.to_string())),
+            }
+        }
+        let [callers, readiness, directory, control, peers] = ports[..] else {
+            return Err(std::io::Error::other("five ports were asked for"));
+        };
+        Ok(Self { callers, readiness, directory, control, peers })
+    }
+}
+
+/// One host; its process is killed when it is dropped.
+#[derive(Debug)]
+pub(crate) struct Host {
+    pub name: String,
+    pub ip: String,
+    pub ports: Ports,
+    /// The way to the store.
+    pub store: Proxy,
+    pub paused: bool,
+    daemon: PathBuf,
+    settings: PathBuf,
+    log: PathBuf,
+    child: Option<Child>,
+}
+
+/// Where a host lives.
+pub(crate) struct Place<'a> {
+    pub name: String,
+    pub ip: String,
+    pub zone: &'a str,
+    pub ports: Ports,
+    pub seeds: &'a [String],
+}
+
+impl Host {
+    /// Writes the settings and starts the process.
+    pub fn start(
+        place: Place<'_>,
+        store: Proxy,
+        daemon: &std::path::Path,
+        directory: &std::path::Path,
+    ) -> Result<Self> {
+        let settings = directory.join(format!("{}.toml", place.name));
+        fs::write(&settings, settings_text(&place, store.address))?;
+        let mut host = Self {
+            log: directory.join(format!("{}.log", place.name)),
+            name: place.name,
+            ip: place.ip,
+            ports: place.ports,
+            store,
+            paused: false,
+            daemon: daemon.to_owned(),
+            settings,
+            child: None,
+        };
+        host.spawn()?;
+        Ok(host)
+    }
+
+    /// Starts the process again.
+    pub fn spawn(&mut self) -> Result<()> {
+        let log = File::options().create(true).append(true).open(&self.log)?;
+        let mut command = Command::new(&self.daemon);
+        command.arg("--platform").env("WIGEONRAMP_CONFIG", &self.settings);
+        self.child = Some(command.stdout(log.try_clone()?).stderr(log).spawn()?);
+        self.paused = false;
+        Ok(())
+    }
+
+    /// Sends a signal to the process, if it runs.
+    pub fn signal(&mut self, signal: Signal) {
+        let Some(child) = &mut self.child else { return };
+        if !matches!(child.try_wait(), Ok(None)) {
+            return;
+        }
+        if let Some(pid) = i32::try_from(child.id()).ok().and_then(Pid::from_raw) {
+            // The process may end between the look and the signal; nobody waits for it but us.
+            let _ = kill_process(pid, signal);
+        }
+    }
+
+    /// Whether the process has ended, however it did.
+    pub fn has_ended(&mut self) -> bool {
+        self.child.as_mut().is_none_or(|child| !matches!(child.try_wait(), Ok(None)))
+    }
+
+    /// Kills the process and waits for its end.
+    pub fn kill(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Where callers ask which addresses to use.
+    pub fn directory(&self) -> Option<SocketAddr> {
+        Some(SocketAddr::new(self.ip.parse().ok()?, self.ports.directory))
+    }
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        self.kill();
+    }
+}
+
+fn settings_text(place: &Place<'_>, store: SocketAddr) -> String {
+    let Place { name, ip, zone, ports, seeds } = place;
+    let Ports { callers, readiness, directory, control, peers } = ports;
+    let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
+    format!(
+        "node_name = \"{name}\"\nip = \"{ip}\"\nzone = \"{zone}\"\n\
+         internal_port_range = [{peers}, {peers}]\nseeds = [{}]\n\
+         [listen]\nfrontend = \"{ip}:{callers}\"\nreadiness = \"{ip}:{readiness}\"\n\
+         directory = \"{ip}:{directory}\"\n[limits]\ncpu_share = 0.5\n\
+         [bounds]\ngrace_s = 3\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
+         retry_budget_slack = 100\n[platform]\naddress = \"{store}\"\n",
+        seeds.join(", ")
+    )
+}
