Explain a request from log lines; check the platform's settings file

A reply that is not a whole success in time now names each open send: leaf, end and time. 'wigeonramp explain ID FILE...' orders lines by each host's steady clock and names the cause and what the host believed before; a test holds a clock that goes back five seconds.

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -2,15 +2,15 @@
 
 use {
     crate::{callers::Phase, node::Node, timers::Timer},
-    serde_json::json,
+    serde_json::{Value, json},
     wigeonramp_platform::http::{self, RequestHead},
     wigeonramp_routing::{
         catalog::Repeat,
-        exchange::{Exchange, Send, Times, TryEnd, TryRef},
+        exchange::{Exchange, Send, Times, TryEnd, TryRef, TryTrace},
         leaf::SendEnd,
         relay::{Cause, Reply},
     },
-    wigeonramp_units::{Fingerprint, Instant, Span},
+    wigeonramp_units::{Fingerprint, Instant, ServiceId, Span},
     xxhash_rust::xxh3::Xxh3,
 };
 
@@ -21,6 +21,8 @@
 const OUTSIDE_FIRST: Span = Span::millis(8);
 /// Time for which sends go on after their caller has left.
 const AFTER_CALLER: Span = Span::millis(150);
+/// Shards and sends named in a log line.
+const MAX_LOGGED: usize = 12;
 /// When to come back to a host that knows no configuration.
 const RETRY_NO_CONFIG: Span = Span::millis(500);
 /// When to come back after a request was refused because it crashes leaves.
@@ -270,17 +272,31 @@
         if cause == "ok" || !self.journal.admits("reply", self.now) {
             return;
         }
-        let missing: Vec<_> =
-            req.exchange.missing().map(|(service, sends)| json!([service, sends])).collect();
+        let missing: Vec<&ServiceId> = req.exchange.missing().take(MAX_LOGGED).collect();
+        let tries: Vec<Value> =
+            req.exchange.open_tries().take(MAX_LOGGED).map(|t| self.try_fields(&t)).collect();
         let fields = json!({
-            "request": req.head.id, "route": route.name, "status": status, "cause": cause,
-            "took_us": took.0, "target_us": route.target_latency.0, "answered": answered,
-            "parts": parts, "missing": missing, "config": self.adoption.version().map(|v| v.0),
-            "caller_left": req.left_at.is_some(),
+            "request": req.head.id, "target": req.head.target, "route": route.name,
+            "status": status, "cause": cause, "took_us": took.0,
+            "target_us": route.target_latency.0, "timeout_us": route.timeout.0,
+            "may_repeat": route.repeat == Repeat::Idempotent,
+            "answered": answered, "parts": parts, "missing": missing, "tries": tries,
+            "config": self.adoption.version().map(|v| v.0), "share": self.traffic.share,
+            "leaves_upto": self.known.leaves.upto().0, "caller_left": req.left_at.is_some(),
         });
         self.journal.line("reply", fields, self.now);
     }
 
+    /// One send for a log line: shard, leaf, time of the send, end and time until the end.
+    fn try_fields(&self, t: &TryTrace<'_>) -> Value {
+        let leaf = self.traffic.leaves.get(t.leaf).map(|leaf| &leaf.entry.id);
+        let (ended, how) = t.ended.unwrap_or((self.now, "no_answer"));
+        json!({
+            "service": t.service, "leaf": leaf, "end": how, "took_us": ended.since(t.sent).0,
+            "ago_us": self.now.since(t.sent).0,
+        })
+    }
+
     fn forget_if_over(&mut self, key: usize) {
         if self.requests.get(key).is_some_and(|req| req.replied && req.pending == 0) {
             self.requests.remove(key);
--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange.rs
@@ -135,6 +135,19 @@
     Lost,
 }
 
+impl TryEnd {
+    /// Stable name for logs.
+    const fn name(&self) -> &'static str {
+        match self {
+            TryEnd::Answer(answer) if answer.status < 400 => "answered",
+            TryEnd::Answer(_) => "failed",
+            TryEnd::NotRun => "not_run",
+            TryEnd::Unsent => "unsent",
+            TryEnd::Lost => "lost",
+        }
+    }
+}
+
 #[derive(Clone, Debug)]
 struct Try {
     leaf: LeafKey,
@@ -142,6 +155,20 @@
     pending: bool,
     reached: bool,
     may_have_run: bool,
+    ended: Option<(Instant, &'static str)>,
+}
+
+/// A send, for the log.
+#[derive(Clone, Copy, Debug)]
+pub struct TryTrace<'a> {
+    /// The shard, or the only service.
+    pub service: &'a ServiceId,
+    /// The leaf.
+    pub leaf: LeafKey,
+    /// When it was sent.
+    pub sent: Instant,
+    /// When and how it ended; none while it has not.
+    pub ended: Option<(Instant, &'static str)>,
 }
 
 #[derive(Clone, Debug)]
@@ -232,10 +259,23 @@
         (self.answered, self.parts.len())
     }
 
-    /// Shards without an answer, with the number of sends to each.
-    pub fn missing(&self) -> impl Iterator<Item = (&ServiceId, usize)> {
-        let open = self.parts.iter().filter(|part| part.answer.is_none());
-        open.map(|part| (&part.service, part.tries.len()))
+    /// Shards without an answer.
+    pub fn missing(&self) -> impl Iterator<Item = &ServiceId> {
+        self.parts.iter().filter(|part| part.answer.is_none()).map(|part| &part.service)
+    }
+
+    /// Sends of the shards without an answer; all sends of a request with a single part.
+    pub fn open_tries(&self) -> impl Iterator<Item = TryTrace<'_>> {
+        let is_single = !self.is_gather();
+        let open = self.parts.iter().filter(move |part| is_single || part.answer.is_none());
+        open.flat_map(|part| {
+            part.tries.iter().map(|t| TryTrace {
+                service: &part.service,
+                leaf: t.leaf,
+                sent: t.sent,
+                ended: t.ended,
+            })
+        })
     }
 
     /// When `on_time` is to be called next.
@@ -294,6 +334,7 @@
     fn note_end(&mut self, at: TryRef, end: &TryEnd, cx: &mut Traffic, now: Instant) {
         let sent = &mut self.parts[at.part].tries[at.no];
         sent.pending = false;
+        sent.ended = Some((now, end.name()));
         let (leaf, since) = (sent.leaf, sent.sent);
         let health = match end {
             TryEnd::Answer(answer) if answer.status < 500 => SendEnd::Answered,
@@ -427,7 +468,14 @@
         cx.leaves.sent(leaf, self.usual, now);
         let part = &mut self.parts[index];
         let at = TryRef { part: index, no: part.tries.len() };
-        part.tries.push(Try { leaf, sent: now, pending: true, reached: true, may_have_run: true });
+        part.tries.push(Try {
+            leaf,
+            sent: now,
+            pending: true,
+            reached: true,
+            may_have_run: true,
+            ended: None,
+        });
         sends.push(Send { at, leaf, left: self.give_up_at.since(now) });
     }
 
--- a/components/routing/tests/leaves.rs
+++ b/components/routing/tests/leaves.rs
@@ -28,10 +28,13 @@
     leaves.key_of(&id.parse().expect("a leaf id")).expect("a registered leaf")
 }
 
+/// Brings a leaf into trouble.
+type Trouble = fn(&mut Leaves, LeafKey);
+
 /// Guards against traffic between zones, and against waiting behind a leaf in trouble.
 #[test]
 fn near_leaf_is_asked_unless_it_is_in_trouble() {
-    let cases: [(&str, fn(&mut Leaves, LeafKey), &str); 6] = [
+    let cases: [(&str, Trouble, &str); 6] = [
         ("calm", |_, _| {}, "l0a"),
         ("overdue", |leaves, key| leaves.sent(key, USUAL, at(0)), "l0b"),
         (
--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -130,9 +130,7 @@
     let old = history.versions.iter().rev().find(|version| version.at + APPLY <= sent.at);
     let new = history.versions.iter().filter(|v| v.at + APPLY > sent.at && v.at <= sent.ended);
     let allowed: Vec<_> = old.into_iter().chain(new).collect();
-    if old.is_none() {
-        return None;
-    }
+    old?;
     let wrong = match sent.kind {
         Kind::Gather => false,
         Kind::Read | Kind::Write => {
--- /dev/null
+++ b/components/telemetry/tests/explain.rs
@@ -0,0 +1,34 @@
+//! From a request's id to its cause.
+
+use {
+    insta::assert_snapshot,
+    wigeonramp_telemetry::explain::{explain, read},
+};
+
+const LOG: &str = r#"
+  3.1 host-1 {"event":"leaf","host":"host-1","leaf":"i-1","seq":4,"state":"draining","steady_us":1000000,"time_ms":9000}
+  3.2 host-1 {"event":"store_lost","host":"host-1","kind":"servers","reason":"no answer","seq":5,"steady_us":1200000,"time_ms":4000}
+  3.3 host-2 {"event":"store_lost","host":"host-2","kind":"servers","reason":"no answer","seq":1,"steady_us":1250000,"time_ms":9100}
+not a line
+  3.4 host-1 {"answered":4,"cause":"parts_missing","config":7,"event":"reply","host":"host-1","may_repeat":true,"parts":6,"request":"r1","seq":6,"status":200,"steady_us":1300000,"took_us":55000,"tries":[{"service":"s1","leaf":"i-1","end":"no_answer","took_us":54000},{"service":"s2","leaf":"i-2","end":"lost","took_us":9000}],"time_ms":4100}
+  3.5 host-1 {"answered":0,"cause":"broken","config":7,"event":"reply","host":"host-1","may_repeat":false,"parts":1,"request":"r2","seq":7,"status":502,"steady_us":1400000,"took_us":3000,"tries":[{"service":"w","leaf":"i-3","end":"lost","took_us":2000}],"time_ms":4200}
+  3.6 host-1 {"cause":"no_config","config":null,"event":"refused","host":"host-1","request":"r3","seq":8,"status":503,"steady_us":1500000,"took_us":10,"time_ms":4300}
+"#;
+
+/// Guards against a failed request that cannot be explained, and against lines of hosts whose clocks
+/// differ being mixed up: the host's clock goes back by five seconds between its first two lines.
+#[test]
+fn a_request_is_explained_from_its_id() {
+    let lines = read(LOG);
+    let stories: Vec<String> = ["r1", "r2", "r3"]
+        .iter()
+        .map(|id| format!("{id}: {:#?}", explain(id, &lines).expect("an explanation")))
+        .collect();
+    assert_snapshot!(stories.join("\n"));
+}
+
+/// Guards against an explanation that is made up.
+#[test]
+fn unknown_request_has_no_explanation() {
+    assert!(explain("r9", &read(LOG)).is_none());
+}
--- a/src/cli.rs
+++ b/src/cli.rs
@@ -283,6 +283,18 @@
         #[bpaf(external)]
         timeline_args: TimelineArgs,
     },
+    /// Explain one request from the log lines of the hosts
+    #[bpaf(command)]
+    Explain {
+        #[bpaf(external)]
+        output: Output,
+        /// Id of the caller's attempt
+        #[bpaf(positional("ID"))]
+        id: String,
+        /// Files with log lines of one or more hosts
+        #[bpaf(positional("FILE"), some("expected at least one file with log lines"))]
+        files: Vec<PathBuf>,
+    },
 }
 
 impl Command {
@@ -293,6 +305,7 @@
             | Self::Plan { output, .. }
             | Self::Confirm { output, .. }
             | Self::Status { output, .. }
+            | Self::Explain { output, .. }
             | Self::Query { output, .. }
             | Self::Timeline { output, .. } => output,
             Self::Zone {
--- a/src/cmd/check.rs
+++ b/src/cmd/check.rs
@@ -5,16 +5,28 @@
     serde_json::json,
     std::path::Path,
     wigeonramp_config::{Deployment, HostSettings, SettingsFile},
+    wigeonramp_platform::settings::NodeSettings,
 };
 
 /// Checks `file`; contacts no host.
 pub fn run(file: &Path) -> Result<Outcome, Failure> {
+    if NodeSettings::is_meant(file) {
+        let settings = NodeSettings::load(file).map_err(|err| Failure::Usage(err.to_string()))?;
+        return Ok(on_platform(file, &settings));
+    }
     match SettingsFile::load(file).map_err(|err| Failure::Usage(err.to_string()))? {
         SettingsFile::Host(settings) => Ok(host(file, &settings)),
         SettingsFile::Deployment(deployment) => Ok(deployed(file, &deployment)),
     }
 }
 
+fn on_platform(file: &Path, settings: &NodeSettings) -> Outcome {
+    let NodeSettings { host, zone, .. } = settings;
+    let text = format!("{}: platform settings of host {host} in zone {zone}", file.display());
+    let json = json!({ "file": file, "kind": "platform", "host": host, "zone": zone });
+    Outcome::new(Status::Done, text, &json)
+}
+
 fn host(file: &Path, settings: &HostSettings) -> Outcome {
     let HostSettings { host, zone, .. } = settings;
     let text = format!("{}: settings of host {host} in zone {zone}", file.display());
--- a/src/cmd/mod.rs
+++ b/src/cmd/mod.rs
@@ -2,6 +2,7 @@
 
 mod check;
 mod confirm;
+mod explain;
 mod plan;
 mod query;
 mod status;
@@ -24,6 +25,7 @@
         Command::Confirm { target, file, .. } => confirm::run(target, &file),
         Command::Status { target, plan, .. } => status::run(target, plan.as_deref()),
         Command::Query { query_args, .. } => query::run(query_args),
+        Command::Explain { id, files, .. } => explain::run(&id, &files),
         Command::Timeline { target, timeline_args, .. } => timeline::run(target, timeline_args),
     }
 }
