--- a/components/edge/src/callers.rs
+++ b/components/edge/src/callers.rs
@@ -313,7 +313,8 @@
             let age = now.since(conn.since);
             match conn.phase {
                 Phase::Idle if age > limits.idle_time => over.push(key),
-                Phase::Head | Phase::Body(..) if age > limits.head_time => slow.push(key),
+                Phase::Head if age > limits.head_time => slow.push(key),
+                Phase::Body(..) if age > limits.idle_time => slow.push(key),
                 Phase::Lingering if age > LINGER && conn.out.is_empty() => over.push(key),
                 Phase::Lingering if age > limits.idle_time => over.push(key),
                 _ => {}
