--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -66,7 +66,7 @@
 
 fn draw(world: &mut World) -> (String, Option<Undo>) {
     let host = world.rng.random_range(0..world.hosts.len());
-    let leaf = world.rng.random_range(0..world.leaves.len());
+    let leaf = world.draw_leaf();
     let name = world.hosts[host].name.clone();
     let id = world.leaves[leaf].0.id().to_owned();
     match world.rng.random_range(0..KINDS) {
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -7,7 +7,7 @@
         proxy::Proxy,
         traffic::{self, Sent, Traffic},
     },
-    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     serde_json::{Value, json},
     std::{
         fs,
@@ -31,6 +31,8 @@
 pub(crate) const TOP_K: usize = 5;
 /// Host name of all routes.
 pub(crate) const HOST: &str = "soak.example";
+/// Services of the routes that go to one leaf.
+const SINGLE: [&str; 2] = ["one", "two"];
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Threads that send requests.
 const CALLERS: usize = 5;
@@ -144,7 +146,9 @@
         self.next_leaf += 1;
         let id = format!("i-{}", self.next_leaf);
         let ip = format!("{}.252", self.prefix);
-        let work = Duration::from_millis(self.rng.random_range(1..6));
+        // Requests that must not run twice take longer, so that faults meet some of them.
+        let longest = if SINGLE.contains(&service) { 40 } else { 6 };
+        let work = Duration::from_millis(self.rng.random_range(1..longest));
         let spec = LeafSpec { id: &id, service, zone, ip: &ip, work };
         let leaf = Leaf::start(&spec, &self.store, &self.runs)?;
         let proxy = Proxy::start(&ip, leaf.address())?;
@@ -154,6 +158,17 @@
         Ok(())
     }
 
+    /// A random leaf; half of the time one that runs requests which must not run twice.
+    pub fn draw_leaf(&mut self) -> usize {
+        let any = self.rng.random_range(0..self.leaves.len());
+        if self.rng.random() {
+            return any;
+        }
+        let is_single = |leaf: &usize| SINGLE.contains(&self.leaves[*leaf].0.service());
+        let singles: Vec<usize> = (0..self.leaves.len()).filter(is_single).collect();
+        singles.choose(&mut self.rng).copied().unwrap_or(any)
+    }
+
     /// Writes a new version of the configuration.
     pub fn configure(&mut self, single: &str, extra: bool) {
         self.version += self.rng.random_range(1..4);
