Leave the queue of a leaf that does not answer; size the named hosts to the load

A send now waits 200 ms at most and then counts as not sent, and activity is a share of the busiest host's requests.

The directory names at least three hosts in each zone near the shards, more as sends need more processor.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -70,6 +70,9 @@
     /// Milliseconds since the last beat.
     #[prost(uint32, tag = "10")]
     age: u32,
+    /// Thousandths of a processor core that sends take.
+    #[prost(uint32, tag = "11")]
+    load: u32,
 }
 
 /// A beat.
@@ -102,6 +105,7 @@
             capacity: (info.capacity * 1e3) as u32,
             blind: info.blind,
             age: info.age.as_millis() as u32,
+            load: (info.load * 1e3) as u32,
         }
     }
 }
@@ -120,6 +124,7 @@
             capacity: f64::from(self.capacity) / 1e3,
             blind: self.blind,
             age: Span::millis(u64::from(self.age)),
+            load: f64::from(self.load) / 1e3,
         })
     }
 }
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -34,6 +34,14 @@
     route: String,
 }
 
+/// What happened in one second.
+#[derive(Clone, Copy, Debug)]
+struct Second {
+    number: u64,
+    requests: u32,
+    sends: u32,
+}
+
 /// All metrics of a host.
 pub(crate) struct Metrics {
     registry: Registry,
@@ -47,7 +55,7 @@
     leaves: Gauge,
     hosts: Gauge,
     routes: HashSet<String>,
-    seconds: VecDeque<(u64, u32)>,
+    seconds: VecDeque<Second>,
 }
 
 impl Metrics {
@@ -101,21 +109,28 @@
 
     /// A request has arrived.
     pub fn took_request(&mut self, now: Instant) {
-        let second = now.0 / 1_000_000;
-        match self.seconds.back_mut() {
-            Some((last, count)) if *last == second => *count += 1,
-            _ => self.seconds.push_back((second, 1)),
+        self.second(now).requests += 1;
+    }
+
+    fn second(&mut self, now: Instant) -> &mut Second {
+        let number = now.0 / 1_000_000;
+        if self.seconds.back().is_none_or(|second| second.number < number) {
+            self.seconds.push_back(Second { number, requests: 0, sends: 0 });
         }
+        let last = self.seconds.len() - 1;
+        &mut self.seconds[last]
     }
 
-    /// Requests a second, lately.
-    pub fn request_rate(&mut self, now: Instant) -> f64 {
-        let second = now.0 / 1_000_000;
-        while self.seconds.front().is_some_and(|(at, _)| at + RATE_SECONDS < second) {
+    /// Requests and sends a second, lately.
+    pub fn rates(&mut self, now: Instant) -> (f64, f64) {
+        let number = now.0 / 1_000_000;
+        while self.seconds.front().is_some_and(|s| s.number + RATE_SECONDS < number) {
             self.seconds.pop_front();
         }
-        let count: u32 = self.seconds.iter().map(|(_, count)| count).sum();
-        f64::from(count) / RATE_SECONDS as f64
+        let requests: u32 = self.seconds.iter().map(|second| second.requests).sum();
+        let sends: u32 = self.seconds.iter().map(|second| second.sends).sum();
+        let seconds = RATE_SECONDS as f64;
+        (f64::from(requests) / seconds, f64::from(sends) / seconds)
     }
 
     pub fn replied(&mut self, route: Option<&str>, status: u16, cause: &'static str) {
@@ -128,8 +143,9 @@
         self.latency.get_or_create(&RouteLabels { route }).observe(time.0 as f64 / 1e6);
     }
 
-    pub fn sent(&self) {
+    pub fn sent(&mut self, now: Instant) {
         self.sends.inc();
+        self.second(now).sends += 1;
     }
 
     pub fn connected(&self) {
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -49,6 +49,8 @@
 const SWEEP_EVERY: Span = Span::millis(200);
 /// The same while the host has nowhere to learn of changes.
 const SEARCH_EVERY: Span = Span::millis(50);
+/// Processor time of a send and its answer, with its share of everything else.
+const SEND_COST: Span = Span(60);
 /// A port that an earlier process still holds is tried again for this long.
 const LISTEN_TRIES: u32 = 20;
 /// Pause between tries to listen.
@@ -185,6 +187,7 @@
             ready: false,
             leaving: false,
             rate: 0.0,
+            load: 0.0,
             capacity: settings.capacity,
             blind: false,
             age: Span::ZERO,
@@ -385,11 +388,12 @@
     }
 
     pub(crate) fn refresh_shares(&mut self) {
-        let rate = self.metrics.request_rate(self.now);
+        let (rate, sends) = self.metrics.rates(self.now);
         self.members.set_own(OwnState {
             ready: self.is_ready(),
             leaving: self.stopping.is_some(),
             rate,
+            load: sends * SEND_COST.0 as f64 / 1e6,
             blind: self.store.is_blind(self.now),
         });
         self.traffic.share = self.members.share(self.now);
--- a/components/edge/src/upstreams.rs
+++ b/components/edge/src/upstreams.rs
@@ -51,6 +51,9 @@
 const MIN_CONNECTIONS: usize = 2;
 /// Connections to a leaf without a declared bound.
 const DEFAULT_CONNECTIONS: u32 = 50;
+/// Time for which a send waits for a connection; the leaf may hold all of them without answering,
+/// and another leaf may be free.
+const QUEUE_TIME: Span = Span::millis(200);
 /// A broken connection and other signs of the leaf's crash lie this close together.
 const CRASH_WINDOW: Span = Span::millis(1_500);
 
@@ -156,7 +159,7 @@
             keep_headers: req.exchange.coverage().1 == 1,
             fingerprint: req.fingerprint,
         });
-        self.metrics.sent();
+        self.metrics.sent(self.now);
         if conn.connected && conn.out.flush(&mut conn.sock).is_err() {
             self.fail_conn(conn_key, true);
         }
@@ -171,7 +174,7 @@
                 self.abandon(next.key, next.serial, next.send.at, SendEnd::Abandoned);
                 continue;
             }
-            if left == Span::ZERO {
+            if left == Span::ZERO || self.now.since(next.since) >= QUEUE_TIME {
                 self.end_unsent(next.key, next.serial, &next.send);
                 continue;
             }
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -5,7 +5,7 @@
 //! named first, a few for each zone: they see enough requests to know the leaves, and need few
 //! connections. A gathered request costs a send for every shard, which takes a host with a small
 //! share of a processor a large part of the target latency; hosts much smaller than the largest are
-//! named only where there is no larger one.
+//! named only where there is no larger one. The number of hosts follows the load.
 
 use {
     crate::{
@@ -22,8 +22,10 @@
 pub const LIFETIME_S: u32 = 2;
 /// Most addresses in an answer.
 const MAX_ADDRESSES: usize = 64;
-/// Hosts named in each zone.
-const PER_ZONE: usize = 4;
+/// Hosts named in each zone at least: one may be lost and another may just restart.
+const LEAST_PER_ZONE: usize = 3;
+/// Part of its processor that a named host is to spend on sends.
+const PLANNED_USE: f64 = 0.3;
 /// A zone is near the shards when it has leaves of this share of the shards of the best zone.
 const NEAR_SHARE: f64 = 0.8;
 
@@ -50,7 +52,10 @@
     for hosts in by_zone.values_mut() {
         // The same order on every host, so that all name the same few.
         hosts.sort_by(|a, b| entry_order(a, b));
-        hosts.truncate(PER_ZONE);
+    }
+    let per_zone = per_zone(members, largest, near.len().max(1), now);
+    for hosts in by_zone.values_mut() {
+        hosts.truncate(per_zone);
     }
     let is_near = |name: &ZoneId| near.is_empty() || near.contains(name);
     let chosen: Vec<&Vec<&MemberInfo>> = {
@@ -67,6 +72,14 @@
     chosen.into_iter().flatten().map(|host| host.ip).take(MAX_ADDRESSES).collect()
 }
 
+/// Hosts to name in each of `zones`, so that all hosts' sends take a planned part of theirs.
+fn per_zone(members: &Members, capacity: f64, zones: usize, now: Instant) -> usize {
+    let load: f64 = members.serving(now).map(|member| member.load).sum();
+    let planned = capacity * PLANNED_USE * zones as f64;
+    let needed = if planned > 0.0 { (load / planned).ceil() } else { 0.0 };
+    (needed as usize).clamp(LEAST_PER_ZONE, MAX_ADDRESSES)
+}
+
 /// Zones with leaves of nearly all shards; empty when no route gathers.
 fn near_zones(catalog: &Catalog, leaves: &Leaves) -> IndexSet<ZoneId> {
     let mut shards: IndexSet<&ServiceId> = IndexSet::new();
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -22,8 +22,9 @@
 const RATE_KEPT: Span = Span::secs(12);
 /// Part of an equal share that every host has, whatever its traffic.
 const LEAST_SHARE: f64 = 0.15;
-/// Requests a second from which a host counts as one that callers use.
-const ACTIVE_RATE: f64 = 0.2;
+/// Share of the busiest host's requests from which a host counts as one that callers use; the
+/// platform's own checks reach every host.
+const ACTIVE_SHARE: f64 = 0.1;
 /// Share of a host that does not know the others yet.
 const UNKNOWN_SHARE: f64 = 0.01;
 /// Time after the start within which a host may not know the others yet.
@@ -46,6 +47,8 @@
     pub leaving: bool,
     /// Requests that it took lately, a second.
     pub rate: f64,
+    /// Processor cores that its sends take, as estimated from their number.
+    pub load: f64,
     /// Its share of a processor core.
     pub capacity: f64,
     /// Whether its calls to the store fail.
@@ -63,6 +66,8 @@
     pub leaving: bool,
     /// Requests that it took lately, a second.
     pub rate: f64,
+    /// Processor cores that its sends take.
+    pub load: f64,
     /// Whether its calls to the store fail.
     pub blind: bool,
 }
@@ -97,6 +102,7 @@
         self.own.ready = state.ready;
         self.own.leaving = state.leaving;
         self.own.rate = state.rate;
+        self.own.load = state.load;
         self.own.blind = state.blind;
     }
 
@@ -118,6 +124,7 @@
             ready: false,
             leaving: false,
             rate: 0.0,
+            load: 0.0,
             capacity: 0.0,
             blind: false,
             age: Span::ZERO,
@@ -169,10 +176,18 @@
 
     /// Hosts that have traffic of callers, this one included.
     pub fn active(&self, now: Instant) -> usize {
-        let busy =
-            |member: &&Member| is_heard(member, RATE_KEPT, now) && member.info.rate >= ACTIVE_RATE;
-        let others = self.others.values().filter(busy).count();
-        if now.since(self.started) < SETTLING { self.known() } else { others + 1 }
+        if now.since(self.started) < SETTLING {
+            return self.known();
+        }
+        let least = self.busiest(now) * ACTIVE_SHARE;
+        let busy = |member: &&Member| is_heard(member, RATE_KEPT, now) && member.info.rate >= least;
+        self.others.values().filter(busy).count() + 1
+    }
+
+    /// Requests a second of the busiest host.
+    fn busiest(&self, now: Instant) -> f64 {
+        let heard = self.others.values().filter(|member| is_heard(member, RATE_KEPT, now));
+        heard.map(|member| member.info.rate).fold(self.own.rate, f64::max)
     }
 
     /// Hosts known, lost ones and this one included.
@@ -242,7 +257,8 @@
 
     /// Whether the loss of this host must be known soon: callers use it, or may be sent to it next.
     pub fn is_candidate(&self, now: Instant) -> bool {
-        self.own.rate >= ACTIVE_RATE || self.candidates(now).contains(&self.own.ip)
+        let active = self.own.rate > 0.0 && self.own.rate >= self.busiest(now) * ACTIVE_SHARE;
+        active || self.candidates(now).contains(&self.own.ip)
     }
 
     /// Whether the host was heard in its present start.
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -31,6 +31,7 @@
         ready: true,
         leaving: false,
         rate: 10.0,
+        load: 0.01,
         capacity: 0.2,
         blind: false,
         age: Span::ZERO,
@@ -60,7 +61,7 @@
     (stopping.beat, stopping.leaving) = (2, true);
     members.told(stopping, at(3_000));
     assert_eq!(serving(&members, at(3_500)), [0, 1, 3]);
-    assert_eq!(serving(&members, at(4_500)), [0, 1], "host 3 was not heard for over four seconds");
+    assert_eq!(serving(&members, at(4_500)), [0, 1], "host 3 was not heard for too long");
 }
 
 /// Guards against a lost host that lives on in what hosts tell of it.
@@ -235,6 +236,35 @@
     assert_eq!(named("c"), [3, 4], "zone c has no leaves of the shards");
 }
 
+/// Guards against a few hosts that drown while the others stand by.
+#[test]
+fn more_hosts_are_named_as_the_load_grows() {
+    let leaves = Leaves::new("a".parse().expect("a zone"));
+    let named = |load: f64| {
+        let mut members = members(30, at(0));
+        for n in 1..30 {
+            members.told(MemberInfo { beat: 2, load, ..info(n) }, at(0));
+        }
+        let mut plain = catalog();
+        plain.routes = vec![common::single(wigeonramp_routing::catalog::Repeat::Idempotent)];
+        choose(&members, &plain, &leaves, "a", at(1)).len()
+    };
+    assert_eq!([named(0.001), named(0.009), named(0.02), named(0.06)], [3, 5, 10, 10]);
+}
+
+/// Guards against connections shared out among hosts that only the platform's checks reach: a host
+/// then had two connections to a leaf with room for eleven.
+#[test]
+fn hosts_that_callers_do_not_use_are_not_active() {
+    let mut members = members(20, at(0));
+    for n in 1..20 {
+        let rate = if n < 4 { 12.0 } else { 0.7 };
+        members.told(MemberInfo { beat: 2, rate, ..info(n) }, at(5_000));
+    }
+    assert_eq!(members.active(at(5_100)), 4);
+    assert_eq!(members.active(at(100)), 20, "nothing is known of their traffic at first");
+}
+
 /// Guards against a configuration that goes back.
 #[test]
 fn lower_version_is_never_adopted() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -31,6 +31,28 @@
     assert_eq!(statuses, [200; 8]);
 }
 
+/// Guards against sends that wait for a connection of a leaf that holds all of them without an answer:
+/// 19 of 226 certificate requests of one day were given up after five seconds in such a queue.
+#[test]
+fn sends_leave_the_queue_of_a_mute_leaf() {
+    let it = Installation::start(6, "connection_limit", 1);
+    let mute = it.add_leaf("one", Duration::from_millis(1));
+    it.wait_until_served();
+    it.add_leaf("one", Duration::from_millis(1));
+    mute.set_fault(LeafFault::Mute);
+    thread::sleep(Duration::from_millis(600));
+    let callers: Vec<_> = (0..10)
+        .map(|n| {
+            let address = it.callers();
+            thread::spawn(move || support::ask(address, "POST", &format!("mute-{n}"), WAIT))
+        })
+        .collect();
+    let statuses: Vec<u16> =
+        callers.into_iter().map(|caller| caller.join().expect("a caller")).collect();
+    let served = statuses.iter().filter(|status| **status == 200).count();
+    assert!(served >= 8, "only the two on the mute leaf's connections fail: {statuses:?}");
+}
+
 /// Guards against a second run of a request whose answer was lost, and against a false "not run".
 #[test]
 fn lost_answer_of_a_request_that_must_not_run_twice_is_a_failure() {
