--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -83,6 +83,7 @@
         }
         2 => {
             world.hosts[host].signal(Signal::TERM);
+            world.hosts[host].stopping = true;
             (format!("stop {name}"), Some(Undo::StartWhenEnded(host)))
         }
         3 => {
@@ -163,6 +164,8 @@
                 start(world, host);
             }
         }
+        // The host may have been killed and started again meanwhile.
+        Undo::StartWhenEnded(host) if !world.hosts[host].stopping => {}
         Undo::StartWhenEnded(host) => {
             if world.hosts[host].paused {
                 world.hosts[host].signal(Signal::CONT);
--- a/components/soak/src/hosts.rs
+++ b/components/soak/src/hosts.rs
@@ -58,6 +58,8 @@
     pub store: Proxy,
     /// Whether its process is stopped by a signal.
     pub paused: bool,
+    /// Whether its process was asked to end.
+    pub stopping: bool,
     daemon: PathBuf,
     settings: PathBuf,
     log: PathBuf,
@@ -95,6 +97,7 @@
             ports: place.ports,
             store,
             paused: false,
+            stopping: false,
             daemon: daemon.to_owned(),
             settings,
             child: None,
@@ -110,6 +113,7 @@
         command.arg("--platform").env("WIGEONRAMP_CONFIG", &self.settings);
         self.child = Some(command.stdout(log.try_clone()?).stderr(log).spawn()?);
         self.paused = false;
+        self.stopping = false;
         Ok(())
     }
 
