--- a/components/edge/src/known.rs
+++ b/components/edge/src/known.rs
@@ -74,10 +74,10 @@
     fn take_leaf(&mut self, entry: LeafEntry) {
         let (id, draining, cold_left) = (entry.id.clone(), entry.draining, entry.cold_left);
         let what = match self.traffic.leaves.register(entry, self.now) {
-            LeafChange::Kept | LeafChange::Removed(_) => return,
-            LeafChange::Added(_) => "added",
             LeafChange::Updated(_) if draining => "draining",
-            LeafChange::Updated(_) => "updated",
+            // A leaf that warms up changes its entry with every beat; that decides nothing new.
+            LeafChange::Kept | LeafChange::Removed(_) | LeafChange::Updated(_) => return,
+            LeafChange::Added(_) => "added",
             LeafChange::Restarted(key) => {
                 self.close_idle_to(key);
                 "restarted"
