Give each test of the platform an address of its own

Cause: tests 1 and 6 shared 127.x.251.1, so the second host could not listen on the metrics port while the first one lived. Ruled out: load (the host had ended with 'listen on ...:9464: address in use').

--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -64,7 +64,8 @@
     }
 
     fn begin(n: u64, field: &str, value: u32, unread: bool) -> Self {
-        let prefix = format!("127.{}.{}", 20 + std::process::id() % 200, 250 + n % 5);
+        // Tests run side by side, and the port for metrics is the same on every host.
+        let prefix = format!("127.{}.{}", 20 + std::process::id() % 200, 200 + n);
         let ip = format!("{prefix}.1");
         let store = Store::start(&format!("{prefix}.254")).expect("a store");
         let route = |name: &str, kind: &str| {
