--- a/components/routing/src/feed.rs
+++ b/components/routing/src/feed.rs
@@ -157,21 +157,11 @@
         }
     }
 
-    /// Whether the kind was listed once.
-    pub fn is_listed(&self) -> bool {
-        self.since.is_some()
-    }
-
     /// The revision up to which everything is known.
     pub fn revision(&self) -> Option<Revision> {
         self.since
     }
 
-    /// Whether the last call failed.
-    pub fn is_failing(&self) -> bool {
-        self.failures > 0
-    }
-
     /// Until when a missing registration may come back, shortly after the store's return.
     pub fn lapse_until(&self, now: Instant) -> Option<Instant> {
         let until = self.returned_at? + LAPSE_GRACE;
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -132,11 +132,6 @@
         self.others.insert(ip, Member { info, heard: None });
     }
 
-    /// A host was taken off the list.
-    pub fn unlisted(&mut self, ip: Ipv4Addr) {
-        self.others.shift_remove(&ip);
-    }
-
     /// Takes in what is told of a host, dated back by the age that the teller gives; returns whether its state as an address for callers changed.
     pub fn told(&mut self, info: MemberInfo, now: Instant) -> bool {
         if info.ip == self.own.ip {
--- a/components/routing/src/poison.rs
+++ b/components/routing/src/poison.rs
@@ -58,11 +58,6 @@
         entry.is_some_and(|entry| entry.crashes >= CRASHED_LEAVES && now < entry.until)
     }
 
-    /// Whether the request broke a connection before and may break another.
-    pub fn suspects(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        self.entries.get(&fingerprint).is_some_and(|entry| now < entry.until)
-    }
-
     /// Requests that this host refuses, newest first, at most `n`.
     pub fn refused(&self, n: usize, now: Instant) -> Vec<Fingerprint> {
         let refused = |entry: &Entry| entry.crashes >= CRASHED_LEAVES && now < entry.until;
