Leave silent sources, and check that the store answers

Whoever is followed now says something every 0.3 s; a source that is silent for 0.9 s is left, and after two such sources a host turns to the store itself.

Tests that failed before: silent_sources_are_left_for_the_store and changes_arrive_soon_after_an_outage_that_swallowed_the_watches.

--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -367,6 +367,7 @@
 
     fn sweep(&mut self) {
         self.drive_following();
+        self.keep_followers();
         self.sweep_callers();
         self.sweep_requests();
         self.sweep_upstreams();
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -17,7 +17,7 @@
     wigeonramp_routing::{
         catalog::Catalog,
         changes::{Change, Update},
-        follow::Origin,
+        follow::{KEEP_ALIVE, Origin},
     },
     wigeonramp_units::{ConfigVersion, Instant, LeafId, Revision, Span, ZoneId},
 };
@@ -66,6 +66,8 @@
     followed: Option<Ipv4Addr>,
     opened: Instant,
     answered: bool,
+    /// When something was sent to the follower last.
+    spoke: Instant,
 }
 
 /// All connections between this host and others.
@@ -166,6 +168,7 @@
             followed,
             opened: self.now,
             answered: false,
+            spoke: self.now,
         });
     }
 
@@ -215,7 +218,11 @@
             return self.drop_peer(key, true);
         }
         let limit = MAX_FRAME + LENGTH_BYTES;
+        let before = conn.inbuf.len();
         let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
+        if let Some(host) = conn.followed.filter(|_| conn.inbuf.len() > before) {
+            self.following.heard(host, self.now);
+        }
         let sound = self.read_frames(key);
         if !sound || end != ReadEnd::Drained {
             self.drop_peer(key, true);
@@ -276,10 +283,15 @@
         let nothing = news.config.is_none() && news.leaves.is_none() && news.evacuations.is_none();
         let Some(conn) = self.peers.conns.get_mut(key) else { return };
         conn.told = Some(now_known);
-        if nothing && !first {
-            return;
+        if !nothing || first {
+            self.send_news(key, &news);
         }
-        match frame(&news) {
+    }
+
+    fn send_news(&mut self, key: usize, news: &News) {
+        let Some(conn) = self.peers.conns.get_mut(key) else { return };
+        conn.spoke = self.now;
+        match frame(news) {
             Ok(bytes) => conn.out.push(bytes),
             Err(err) => {
                 let fields = json!({ "error": err.to_string() });
@@ -292,6 +304,18 @@
         }
     }
 
+    /// Lets followers that were told nothing for a while know that this host is there.
+    pub(crate) fn keep_followers(&mut self) {
+        let waits = |conn: &PeerConn| {
+            conn.told.is_some() && conn.out.is_empty() && self.now.since(conn.spoke) >= KEEP_ALIVE
+        };
+        let conns = self.peers.conns.iter().filter(|(_, conn)| waits(conn));
+        let keys: Vec<usize> = conns.map(|(key, _)| key).collect();
+        for key in keys {
+            self.send_news(key, &News::default());
+        }
+    }
+
     fn news_since(&self, told: &Ask) -> News {
         let catalog = self.adoption.current().filter(|c| Some(c.version) > told.config);
         let config = catalog.map(|catalog| ConfigNews {
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -25,6 +25,11 @@
 const WATCH_WAIT: Span = Span::secs(25);
 /// Time for a call besides the wait it asks for.
 const CALL_TIME: Span = Span::millis(2_500);
+/// Time between checks that the store answers. A watch shows nothing while it waits, and its answer
+/// can be lost while its connection stays open.
+const CHECK_EVERY: Span = Span::millis(1_000);
+/// Time for the answer to a check; a slow store answers within half a second.
+const CHECK_TIME: Span = Span::millis(1_200);
 /// Longest answer of the store in bytes; a page is about one megabyte at most.
 const MAX_ANSWER: u64 = 8 * 1024 * 1024;
 /// Registrations that vanish together in at least this share lapsed; single ones are gone.
@@ -44,6 +49,7 @@
 enum Purpose {
     Feed(FeedCall),
     Register,
+    Check,
 }
 
 #[derive(Debug)]
@@ -74,6 +80,7 @@
     lines: Vec<Line>,
     registered: bool,
     next_roster: Instant,
+    next_check: Instant,
     lost_since: Option<Instant>,
 }
 
@@ -92,7 +99,14 @@
             newest: Revision(0),
         };
         let lines = Kind::ALL.iter().map(line).collect();
-        Self { address, lines, registered: false, next_roster: now, lost_since: None }
+        Self {
+            address,
+            lines,
+            registered: false,
+            next_roster: now,
+            next_check: now + CHECK_EVERY,
+            lost_since: None,
+        }
     }
 
     /// Whether calls have failed for so long that other hosts should watch in this one's place.
@@ -104,7 +118,10 @@
     pub fn next_at(&self, watches: bool) -> Option<Instant> {
         let due = self.lines.iter().filter_map(|line| match &line.call {
             Some(call) => Some(call.deadline),
-            None if !watches || line.kind == Kind::Members => None,
+            None if !watches => None,
+            None if line.kind == Kind::Members => {
+                line.feed.next_at().map(|at| at.max(self.next_check))
+            }
             None => line.feed.next_at(),
         });
         due.min()
@@ -159,6 +176,11 @@
         if watches && !self.store.registered {
             return self.register_self(index);
         }
+        if watches && now >= self.store.next_check {
+            self.store.next_check = now + CHECK_EVERY;
+            let bytes = objects::check_request(self.store.address);
+            return self.start_call(index, bytes, Purpose::Check, Span::ZERO);
+        }
         if !alone || now < self.store.next_roster {
             return;
         }
@@ -190,7 +212,8 @@
         self.metrics.called_store();
         let address = self.store.address;
         let line = &mut self.store.lines[index];
-        line.call = Some(Call { purpose, deadline: now + CALL_TIME + wait });
+        let time = if purpose == Purpose::Check { CHECK_TIME } else { CALL_TIME };
+        line.call = Some(Call { purpose, deadline: now + time + wait });
         line.out.push(bytes);
         if line.sock.is_none() {
             let opened = sock::connect(address).and_then(|mut sock| {
@@ -282,6 +305,7 @@
                 self.store.registered = true;
                 self.note_store_back();
             }
+            (Purpose::Check, 200 | 404) => self.note_store_back(),
             (Purpose::Feed(FeedCall::List { .. }), 200) => self.on_page(index, body),
             (Purpose::Feed(FeedCall::List { .. }), 404) => {
                 let page = b"{\"items\":[],\"current_rev\":0}";
@@ -301,9 +325,20 @@
     }
 
     fn note_store_back(&mut self) {
-        if self.store.lost_since.take().is_some() {
-            self.journal.line("store_regained", json!({}), self.now);
+        if self.store.lost_since.take().is_none() {
+            return;
+        }
+        let mut again = Vec::new();
+        for index in 0..self.store.lines.len() {
+            let line = &mut self.store.lines[index];
+            if line.call.as_ref().is_some_and(|call| matches!(call.purpose, Purpose::Feed(_))) {
+                line.call = None;
+                line.feed.make_again(self.now);
+                again.push(line.kind.name());
+                self.close_line(index);
+            }
         }
+        self.journal.line("store_regained", json!({ "made_again": again }), self.now);
     }
 
     fn on_page(&mut self, index: usize, body: &[u8]) {
--- a/components/routing/src/feed.rs
+++ b/components/routing/src/feed.rs
@@ -139,6 +139,16 @@
         self.next_at = now + pause + Span(rng.random_range(0..pause.0));
     }
 
+    /// The store is back after a loss that the call under way may not have shown: its answer may have
+    /// been lost while its connection stayed open. The call is made again, and registrations that
+    /// vanished meanwhile may come back.
+    pub fn make_again(&mut self, now: Instant) {
+        self.calling = false;
+        self.failures = 0;
+        self.next_at = now;
+        self.returned_at = Some(now);
+    }
+
     fn succeeded(&mut self, now: Instant) {
         self.calling = false;
         if self.failures > 0 {
--- a/components/routing/src/follow.rs
+++ b/components/routing/src/follow.rs
@@ -20,6 +20,14 @@
 const ALONE_AFTER: Span = Span::millis(1_200);
 /// Time for which a host waits for the watching host of its own zone to know everything.
 const NEAR_FIRST: Span = Span::millis(450);
+/// Time after which a host that is followed says something, whether or not it has learned anything.
+pub const KEEP_ALIVE: Span = Span::millis(300);
+/// Time without a word from the source after which it counts as failed. A host that is killed or
+/// suspended is left long before it counts as lost: changes have to be in force within seconds.
+const SOURCE_SILENT: Span = Span::millis(900);
+/// Sources that fail one after the other until the host turns to the store itself; all watching
+/// hosts may be lost together.
+const MAX_FAILED: u32 = 2;
 /// Time for which a host that failed as a source is not followed.
 const SHUN: Span = Span::secs(4);
 /// Time for which a host may be behind what another one knows before it turns to that one; longer
@@ -47,6 +55,12 @@
     lost_since: Option<Instant>,
     shunned: IndexMap<Ipv4Addr, Instant>,
     behind: Option<(Instant, Ipv4Addr)>,
+    /// When the host that is followed was chosen or heard last.
+    heard: Instant,
+    /// Sources that failed since one was heard.
+    failed: u32,
+    /// Until when the host uses the store itself because its sources failed.
+    direct_until: Instant,
 }
 
 impl Following {
@@ -58,6 +72,9 @@
             lost_since: Some(now),
             shunned: IndexMap::new(),
             behind: None,
+            heard: now,
+            failed: 0,
+            direct_until: now,
         }
     }
 
@@ -69,8 +86,22 @@
     /// The host does not serve as a source.
     pub fn failed(&mut self, host: Ipv4Addr, now: Instant) {
         self.shunned.insert(host, now + SHUN);
+        if self.origin != Origin::Host(host) {
+            return;
+        }
+        self.origin = Origin::Nobody;
+        self.failed += 1;
+        if self.failed >= MAX_FAILED {
+            self.failed = 0;
+            self.direct_until = now + SHUN;
+        }
+    }
+
+    /// The host has sent something.
+    pub fn heard(&mut self, host: Ipv4Addr, now: Instant) {
         if self.origin == Origin::Host(host) {
-            self.origin = Origin::Nobody;
+            self.heard = now;
+            self.failed = 0;
         }
     }
 
@@ -87,15 +118,25 @@
     /// Chooses anew; returns the host to fetch changes from besides, when the origin is behind.
     pub fn decide(&mut self, members: &Members, now: Instant) -> Option<Ipv4Addr> {
         self.shunned.retain(|_, until| now < *until);
+        if let Origin::Host(host) = self.origin
+            && now.since(self.heard) >= SOURCE_SILENT
+        {
+            self.failed(host, now);
+        }
+        let before = self.origin;
         let fetch = self.late_source(now);
         if let (Some(host), Origin::Host(slow)) = (fetch, self.origin) {
             if slow != host {
                 self.shunned.insert(slow, now + SHUN);
             }
             self.origin = Origin::Host(host);
+            self.heard = now;
             return fetch;
         }
         self.origin = self.choose(members, now);
+        if self.origin != before {
+            self.heard = now;
+        }
         match self.origin {
             Origin::Nobody => {
                 self.lost_since.get_or_insert(now);
@@ -119,6 +160,9 @@
         if listened && !own.leaving && watchers.contains(&own.ip) {
             return Origin::Store;
         }
+        if now < self.direct_until && !own.leaving {
+            return Origin::Store;
+        }
         let usable =
             |info: &&MemberInfo| info.ready && !info.blind && !self.shunned.contains_key(&info.ip);
         let ready: Vec<&MemberInfo> = members.alive(now).filter(usable).collect();
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -124,6 +124,36 @@
     assert!(before == Origin::Store || following.origin() == other, "{:?}", following.origin());
 }
 
+/// Guards against changes that are missed for as long as it takes to know that the watching hosts
+/// are lost: all of them may be killed or suspended together.
+#[test]
+fn silent_sources_are_left_for_the_store() {
+    let follower = |own: u8| {
+        let mut members = Members::new(info(own), at(0));
+        for n in (0..9).filter(|n| *n != own) {
+            members.told(info(n), at(0));
+        }
+        let mut following = Following::new(at(0));
+        following.decide(&members, at(1_000));
+        match following.origin() {
+            Origin::Host(source) => Some((members, following, source)),
+            Origin::Store | Origin::Nobody => None,
+        }
+    };
+    let (members, mut following, first) =
+        (0..9).find_map(follower).expect("some hosts follow others");
+    following.heard(first, at(1_500));
+    following.decide(&members, at(2_300));
+    assert_eq!(following.origin(), Origin::Host(first), "it was heard lately");
+    following.decide(&members, at(2_400));
+    let second = following.origin();
+    assert!(matches!(second, Origin::Host(host) if host != first), "{second:?}");
+    following.decide(&members, at(3_300));
+    assert_eq!(following.origin(), Origin::Store, "no third host is tried");
+    following.decide(&members, at(3_900));
+    assert_eq!(following.origin(), Origin::Store, "the hosts count as alive still");
+}
+
 /// Guards against a host without a source when it hears nobody.
 #[test]
 fn lonely_host_turns_to_the_store() {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -101,6 +101,27 @@
     }
 }
 
+/// Guards against a watch whose answer was lost in an outage. Its connection stays open, so the host
+/// would wait for the end of the watch's time while others serve the new version: two days of the
+/// hunts broke the bound on changes so.
+#[test]
+fn changes_arrive_soon_after_an_outage_that_swallowed_the_watches() {
+    let it = Installation::start(7, "connection_limit", 50);
+    it.add_leaf("one", Duration::from_millis(1));
+    it.wait_until_served();
+    it.store.set_fault(StoreFault::Swallow);
+    it.replace_routes("later");
+    thread::sleep(Duration::from_secs(2));
+    it.store.set_fault(StoreFault::None);
+    let end = Instant::now() + Duration::from_secs(10);
+    let mut n = 0;
+    while support::ask_path(it.callers(), "/later/", &format!("l{n}"), WAIT) != 200 {
+        assert!(Instant::now() < end, "the version is in force long before a watch ends by itself");
+        thread::sleep(Duration::from_millis(50));
+        n += 1;
+    }
+}
+
 /// Guards against log lines that hold up requests when nobody reads them.
 #[test]
 fn stalled_log_does_not_hold_up_requests() {
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -1,7 +1,7 @@
 //! A host, a store and leaves on loopback addresses.
 
 use {
-    serde_json::json,
+    serde_json::{Value, json},
     std::{
         fs,
         net::SocketAddr,
@@ -52,6 +52,13 @@
     told.map_or(0, |told| told.status)
 }
 
+fn route(name: &str, kind: &str) -> Value {
+    json!({
+        "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
+        "timeout_ms": 1500, "target_latency_ms": 400, "attempts": 2, "service": "one",
+    })
+}
+
 impl Installation {
     /// A host and a store with a configuration; `field` of the only service is set to `value`.
     pub fn start(n: u64, field: &str, value: u32) -> Self {
@@ -68,16 +75,10 @@
         let prefix = format!("127.{}.{}", 20 + std::process::id() % 200, 200 + n);
         let ip = format!("{prefix}.1");
         let store = Store::start(&format!("{prefix}.254")).expect("a store");
-        let route = |name: &str, kind: &str| {
-            json!({
-                "name": name, "host": HOST, "path_prefix": format!("/{name}/"), "kind": kind,
-                "timeout_ms": 1500, "target_latency_ms": 400, "attempts": 2, "service": "one",
-            })
-        };
         let mut service = json!({ "name": "one" });
         service["connection_limit"] = json!(50);
         service[field] = json!(value);
-        let routes = [route("read", "safe"), route("write", "unsafe")];
+        let routes = json!([route("read", "safe"), route("write", "unsafe")]);
         let spec = json!({ "version": 1, "routes": routes, "services": [service] });
         store.put("config", "main", spec);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{n}"));
@@ -101,6 +102,13 @@
         Self { store, host, unread, runs, leaves, ip }
     }
 
+    /// Writes the next version, in which a route with this name is the only one.
+    pub fn replace_routes(&self, name: &str) {
+        let services = json!([{ "name": "one", "connection_limit": 50 }]);
+        let spec = json!({ "version": 2, "routes": [route(name, "safe")], "services": services });
+        self.store.put("config", "main", spec);
+    }
+
     /// Starts and registers a leaf of the only service.
     pub fn add_leaf(&self, service: &str, work: Duration) -> Leaf {
         let id = format!("i-{}", self.leaves.fetch_add(1, Ordering::SeqCst));
