Pass over cold leaves without an allowance

Cause: the leaf with the least cost was chosen first and its allowance asked then, so a part was given up although a warm leaf of the shard was there. And the allowance was divided by all hosts known, while callers use a few of them. Hosts now leave such leaves out of the choice, divide the allowance by their traffic, and treat a leaf that took no connection as cold until its registration says otherwise, where its service declares a rate.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -40,9 +40,6 @@
 const MAX_REFUSED: usize = 16;
 /// Longest datagram in bytes.
 const MAX_DATAGRAM: usize = 8 * 1024;
-/// Part of a cold leaf's declared rate that all hosts together use; hosts with different views of
-/// each other stay below the rate.
-pub(crate) const COLD_PART: f64 = 0.5;
 
 /// One host, as told to another.
 #[derive(Clone, PartialEq, prost::Message)]
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -398,7 +398,7 @@
             blind: self.store.is_blind(self.now),
         });
         self.traffic.share = self.members.share(self.now);
-        self.traffic.cold_share = crate::gossip::COLD_PART / self.members.known() as f64;
+        self.traffic.cold_share = self.members.cold_share(self.now);
     }
 
     /// Reads the settings file again. Addresses of a running process do not change; the bounds do.
--- a/components/edge/src/upstreams.rs
+++ b/components/edge/src/upstreams.rs
@@ -416,10 +416,13 @@
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
         let leaf = conn.leaf;
         let unsent = !conn.connected || (conn.out.is_untouched() && !conn.out.is_empty());
-        let refused = !conn.connected && broken;
+        let (unopened, refused) = (!conn.connected, !conn.connected && broken);
         let unanswered = conn.answer.is_none() && conn.inbuf.is_empty();
         let work = conn.work.take();
         self.close_conn(key);
+        if unopened {
+            self.leaf_was_down(leaf);
+        }
         match work {
             Some(work) => {
                 let end = if unsent { TryEnd::Unsent } else { TryEnd::Lost };
@@ -435,6 +438,18 @@
         }
     }
 
+    /// The leaf took no connection. Where its service declares what a cold leaf bears, it is treated
+    /// as one that starts.
+    fn leaf_was_down(&mut self, leaf: LeafKey) {
+        let service = self.traffic.leaves.get(leaf).map(|leaf| &leaf.entry.service);
+        let catalog = self.adoption.current();
+        let spec = service.and_then(|service| catalog?.services.get(service));
+        if let Some(spec) = spec.filter(|spec| spec.cold_per_second > 0.0) {
+            let cold_for = spec.cold_for;
+            self.traffic.leaves.was_down(leaf, cold_for, self.now);
+        }
+    }
+
     /// A request's connection broke before any answer. Together with another sign of the leaf's
     /// crash this makes the request a suspect.
     fn suspect(&mut self, fingerprint: Fingerprint, leaf: LeafKey) {
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -198,15 +198,26 @@
         now < self.cold_until
     }
 
-    /// Takes one send to the cold leaf when this host may send it `per_second`.
-    pub fn take_cold(&mut self, per_second: f64, now: Instant) -> bool {
+    /// The leaf did not take a connection, so it may have started anew: it counts as cold for
+    /// `time`, the declared time after a start, until its registration says otherwise.
+    pub fn was_down(&mut self, time: Span, now: Instant) {
+        self.cold_until = self.cold_until.max(now + time);
+    }
+
+    /// Sends that the cold leaf is allowed now, one at most, when this host may send it `per_second`.
+    fn cold_room(&self, per_second: f64, now: Instant) -> f64 {
         let earned = now.since(self.cold_tokens_at).0 as f64 / 1e6 * per_second;
-        self.cold_tokens = (self.cold_tokens + earned).min(1.0);
+        (self.cold_tokens + earned).min(1.0)
+    }
+
+    /// Whether the cold leaf is allowed a send.
+    pub fn may_take_cold(&self, per_second: f64, now: Instant) -> bool {
+        self.cold_room(per_second, now) >= 1.0
+    }
+
+    /// Counts one send to the cold leaf.
+    pub fn take_cold(&mut self, per_second: f64, now: Instant) {
+        self.cold_tokens = self.cold_room(per_second, now) - 1.0;
         self.cold_tokens_at = now;
-        if self.cold_tokens < 1.0 {
-            return false;
-        }
-        self.cold_tokens -= 1.0;
-        true
     }
 }
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -217,6 +217,10 @@
             if !self.is_open(leaf) || seek.except.contains(&key) {
                 continue;
             }
+            let rationed = seek.cold_per_second.filter(|_| leaf.is_cold(now));
+            if rationed.is_some_and(|per_second| !leaf.may_take_cold(per_second, now)) {
+                continue;
+            }
             let cost = self.cost(leaf, now) + rng.random::<f64>() * SPREAD;
             if best.is_none_or(|(least, _)| cost < least) {
                 best = Some((cost, key));
@@ -224,9 +228,17 @@
         }
         let (_, key) = best?;
         let leaf = &mut self.leaves[&key];
-        match seek.cold_per_second.filter(|_| leaf.is_cold(now)) {
-            Some(per_second) => leaf.take_cold(per_second, now).then_some(key),
-            None => Some(key),
+        if let Some(per_second) = seek.cold_per_second.filter(|_| leaf.is_cold(now)) {
+            leaf.take_cold(per_second, now);
+        }
+        Some(key)
+    }
+
+    /// The leaf did not take a connection; `cold_for` is the time for which its service's leaves are
+    /// cold after a start.
+    pub fn was_down(&mut self, key: LeafKey, cold_for: Span, now: Instant) {
+        if let Some(leaf) = self.leaves.get_mut(&key) {
+            leaf.was_down(cold_for, now);
         }
     }
 
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -27,6 +27,9 @@
 const ACTIVE_SHARE: f64 = 0.1;
 /// Share of a host that does not know the others yet.
 const UNKNOWN_SHARE: f64 = 0.01;
+/// Part of what a cold leaf bears that all hosts together use; hosts with different views of each
+/// other stay below the whole.
+const COLD_PART: f64 = 0.5;
 /// Time after the start within which a host may not know the others yet.
 const SETTLING: Span = Span::secs(4);
 
@@ -279,6 +282,11 @@
         let by_rate = if total > 0.0 { self.own.rate / total } else { 0.0 };
         by_rate.max(LEAST_SHARE / known)
     }
+
+    /// This host's share of what a cold leaf bears.
+    pub fn cold_share(&self, now: Instant) -> f64 {
+        self.share(now) * COLD_PART
+    }
 }
 
 /// The order in which hosts of a zone are named to callers, the same on every host.
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -222,6 +222,25 @@
     assert!(total > 100, "the budget is used: {all:?}");
 }
 
+/// Guards against a cold leaf that gets more than it bears from hosts that know different hosts, some
+/// of which have just started.
+#[test]
+fn hosts_together_ask_less_of_a_cold_leaf_than_it_bears() {
+    let rates = [40.0, 20.0, 10.0, 5.0, 1.0, 0.0];
+    let mut together = 0.0;
+    for own in 0..rates.len() {
+        let started = if own % 3 == 2 { at(9_000) } else { at(0) };
+        let mut members = Members::new(MemberInfo { rate: rates[own], ..info(own as u8) }, started);
+        // Every host misses another one.
+        for n in (0..rates.len()).filter(|n| *n != own && *n != (own + 1) % rates.len()) {
+            members.told(MemberInfo { rate: rates[n], ..info(n as u8) }, at(9_000));
+        }
+        together += members.cold_share(at(9_500));
+    }
+    assert!(together < 1.0, "{together}");
+    assert!(together > 0.3, "the allowance is used: {together}");
+}
+
 /// Guards against a host that has just started and takes the whole budget for itself.
 #[test]
 fn new_host_takes_a_small_share() {
--- a/components/routing/tests/leaves.rs
+++ b/components/routing/tests/leaves.rs
@@ -112,6 +112,42 @@
     assert_eq!(choose(&mut leaves, &[], Some(2.0), at(3_001)), "l0a", "warm again");
 }
 
+/// Guards against a request that is not sent although a warm leaf is there: the cold one of the own
+/// zone came first and had no allowance left.
+#[test]
+fn cold_leaf_without_allowance_is_passed_over() {
+    let mut leaves = traffic(1).leaves;
+    let near = key(&leaves, "l0a");
+    let mut cold = entry("l0a", "s0", "a");
+    cold.cold_left = Span::secs(3);
+    leaves.register(cold, at(0));
+    // The warm leaf is slower than the cold one seems.
+    let far = key(&leaves, "l0b");
+    for n in 0..4 {
+        leaves.sent(far, USUAL, at(n));
+        leaves.ended(far, at(n), USUAL, SendEnd::Answered, at(n + 90));
+    }
+    assert_eq!(choose(&mut leaves, &[], Some(2.0), at(200)), "l0b", "no allowance yet");
+    assert_eq!(choose(&mut leaves, &[], Some(2.0), at(600)), "l0a", "one send is allowed");
+    assert_eq!(choose(&mut leaves, &[], Some(2.0), at(610)), "l0b", "it is used up");
+    assert_eq!(choose(&mut leaves, &[far], Some(2.0), at(620)), "none", "never more than allowed");
+    assert!(leaves.get(near).is_some_and(|leaf| leaf.is_cold(at(620))));
+}
+
+/// Guards against a leaf that gets warm load because its restart is not registered yet.
+#[test]
+fn leaf_that_was_down_is_cold_until_its_registration_says_otherwise() {
+    let mut leaves = traffic(1).leaves;
+    let (near, far) = (key(&leaves, "l0a"), key(&leaves, "l0b"));
+    leaves.was_down(near, Span::secs(3), at(100));
+    assert_eq!(choose(&mut leaves, &[far], Some(2.0), at(200)), "none");
+    assert_eq!(choose(&mut leaves, &[far], None, at(200)), "l0a", "no rate is declared");
+    let mut warm = entry("l0a", "s0", "a");
+    warm.slots = 3;
+    leaves.register(warm, at(300));
+    assert_eq!(choose(&mut leaves, &[far], Some(2.0), at(310)), "l0a");
+}
+
 /// Guards against a leaf that is used for good after its registration lapsed in a store outage, and
 /// against one dropped although it comes back.
 #[test]
