Refuse requests while the leaves of their shards are overloaded

A gathered answer needs nearly all parts, so leaves a little over their capacity make nearly every answer fail. Each host now takes a share of the requests that follows the late parts of the middle shard, the more urgent routes first, and asks no second leaves meanwhile.

--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange.rs
@@ -11,6 +11,7 @@
         leaf::SendEnd,
         leaves::LeafKey,
         merge::greatest,
+        overload::PartFate,
         relay::{Cause, LeafAnswer, Reply},
         traffic::Traffic,
     },
@@ -26,6 +27,8 @@
 const RETRY_NO_LEAF: Span = Span::millis(500);
 /// When to come back after a refusal because leaves are full.
 const RETRY_BUSY: Span = Span::millis(100);
+/// When to come back after a refusal because the leaves are overloaded.
+const RETRY_OVERLOAD: Span = Span::millis(400);
 
 /// Times of one request.
 #[derive(Clone, Copy, Debug)]
@@ -91,6 +94,8 @@
     pending: bool,
     reached: bool,
     may_have_run: bool,
+    /// The leaf said that it did not run the request.
+    turned_away: bool,
     ended: Option<(Instant, &'static str)>,
 }
 
@@ -145,6 +150,8 @@
     give_up_at: Instant,
     asked_late: bool,
     answered: usize,
+    /// Late parts have been counted.
+    counted: bool,
 }
 
 impl Exchange {
@@ -168,18 +175,23 @@
             give_up_at: (times.arrived + route.timeout).min(latest),
             asked_late: false,
             answered: 0,
+            counted: false,
             route,
         };
         if let Some(reply) = this.refuse_hopeless(cx) {
             return (this, Some(reply));
         }
+        if !cx.admits(&this.route, now) {
+            let cause = Cause::Overload;
+            return (this, Some(Reply::Refused { cause, retry_after: RETRY_OVERLOAD }));
+        }
         for part in 0..this.parts.len() {
             cx.count_first(this.parts[part].service.clone(), now);
             if !this.send(part, cx, now, sends) {
                 this.parts[part].dead = true;
             }
         }
-        let reply = this.conclude(now);
+        let reply = this.conclude(cx, now);
         (this, reply)
     }
 
@@ -235,6 +247,7 @@
         let part = &mut self.parts[at.part];
         let ran = !matches!(end, TryEnd::NotRun | TryEnd::Unsent);
         part.tries[at.no].may_have_run = ran;
+        part.tries[at.no].turned_away = end == TryEnd::NotRun;
         part.tries[at.no].reached = end != TryEnd::Unsent;
         if !part.is_open() {
             return None;
@@ -243,7 +256,7 @@
             TryEnd::Answer(answer) if answer.is_success() => {
                 part.answer = Some(answer);
                 self.answered += 1;
-                return self.conclude(now);
+                return self.conclude(cx, now);
             }
             TryEnd::Answer(answer) if !idempotent => {
                 return Some(relay_final(answer));
@@ -262,7 +275,7 @@
         if !repeated {
             self.parts[at.part].dead = true;
         }
-        self.conclude(now)
+        self.conclude(cx, now)
     }
 
     fn note_end(&mut self, at: TryRef, end: &TryEnd, cx: &mut Traffic, now: Instant) {
@@ -306,11 +319,11 @@
             self.asked_late = true;
             self.ask_second_leaves(cx, now, sends);
         }
-        self.conclude(now)
+        self.conclude(cx, now)
     }
 
     fn ask_second_leaves(&mut self, cx: &mut Traffic, now: Instant, sends: &mut Vec<Send>) {
-        if self.route.repeat == Repeat::AtMostOnce {
+        if self.route.repeat == Repeat::AtMostOnce || self.is_overloaded(cx) {
             return;
         }
         for index in 0..self.parts.len() {
@@ -408,6 +421,7 @@
             pending: true,
             reached: true,
             may_have_run: true,
+            turned_away: false,
             ended: None,
         });
         sends.push(Send { at, leaf, left: self.give_up_at.since(now) });
@@ -439,10 +453,40 @@
     }
 
     /// The reply, if there is nothing left to wait for.
-    fn conclude(&mut self, now: Instant) -> Option<Reply> {
+    fn conclude(&mut self, cx: &mut Traffic, now: Instant) -> Option<Reply> {
         if !self.is_gather() {
             return self.conclude_single();
         }
+        let reply = self.conclude_gather(now);
+        if !self.counted && (reply.is_some() || now >= self.reply_at) {
+            self.counted = true;
+            self.count_late(cx, now);
+        }
+        reply
+    }
+
+    /// Counts the parts that are not in because their leaves are busy.
+    fn count_late(&self, cx: &mut Traffic, now: Instant) {
+        let Target::Gather { shards, .. } = &self.route.target else { return };
+        let due = now >= self.reply_at;
+        let fate = |part: &Part| match part.tries.last() {
+            _ if part.answer.is_some() => PartFate::Settled,
+            Some(last) if last.pending && due => PartFate::Late,
+            Some(last) if last.pending => PartFate::Open,
+            Some(last) if last.turned_away => PartFate::Late,
+            Some(_) | None => PartFate::Settled,
+        };
+        cx.count_fates(shards, self.parts.iter().map(fate), now);
+    }
+
+    fn is_overloaded(&self, cx: &Traffic) -> bool {
+        match &self.route.target {
+            Target::Gather { shards, .. } => cx.is_overloaded(shards),
+            Target::One(_) => false,
+        }
+    }
+
+    fn conclude_gather(&mut self, now: Instant) -> Option<Reply> {
         let needed = self.needed();
         let open = self.parts.iter().filter(|part| part.is_open()).count();
         if self.answered >= needed && (open == 0 || now >= self.reply_at) {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod leaves;
 pub mod members;
 pub mod merge;
+pub mod overload;
 pub mod pace;
 pub mod poison;
 pub mod relay;
--- a/components/routing/src/relay.rs
+++ b/components/routing/src/relay.rs
@@ -34,6 +34,8 @@
     NoLeaf,
     /// Every leaf that was tried said that it did not run the request, or could not be reached.
     NotRun,
+    /// The leaves are overloaded.
+    Overload,
     /// Too few shards can answer.
     TooFewShards,
     /// A leaf broke off or answered unusably.
@@ -64,6 +66,7 @@
         match self {
             Cause::NoLeaf => "no_leaf",
             Cause::NotRun => "not_run",
+            Cause::Overload => "overload",
             Cause::TooFewShards => "too_few_shards",
             Cause::Broken => "broken",
             Cause::TimeUp => "time_up",
--- a/components/routing/src/traffic.rs
+++ b/components/routing/src/traffic.rs
@@ -5,6 +5,7 @@
         catalog::{Route, Target},
         extra::{ExtraBound, ExtraBudget},
         leaves::{LeafKey, Leaves, Seek},
+        overload::{Overload, PartFate},
         pace::Pace,
     },
     indexmap::IndexMap,
@@ -29,6 +30,8 @@
     pub rng: SmallRng,
     budgets: IndexMap<ServiceId, ExtraBudget>,
     paces: IndexMap<String, Pace>,
+    /// By the first shard of each group.
+    overloads: IndexMap<ServiceId, Overload>,
 }
 
 impl Traffic {
@@ -43,6 +46,7 @@
             rng,
             budgets: IndexMap::new(),
             paces: IndexMap::new(),
+            overloads: IndexMap::new(),
         }
     }
 
@@ -71,9 +75,41 @@
     /// Forgets budgets and paces of services and routes that are no longer configured.
     pub fn keep(&mut self, service: impl Fn(&ServiceId) -> bool, route: impl Fn(&str) -> bool) {
         self.budgets.retain(|known, _| service(known));
+        self.overloads.retain(|known, _| service(known));
         self.paces.retain(|known, _| route(known));
     }
 
+    /// Whether a request of the route is taken; not when the leaves of its shards are overloaded and
+    /// it is among those that are refused.
+    pub(crate) fn admits(&mut self, route: &Route, now: Instant) -> bool {
+        let Target::Gather { shards, .. } = &route.target else { return true };
+        let Some(first) = shards.first() else { return true };
+        if !self.overloads.contains_key(first) {
+            self.overloads.insert(first.clone(), Overload::new(now));
+        }
+        let share = self.overloads[first].share(route.priority, now);
+        share >= 1.0 || self.rng.random::<f64>() < share
+    }
+
+    /// Whether the leaves of these shards are overloaded.
+    pub(crate) fn is_overloaded(&self, shards: &[ServiceId]) -> bool {
+        let overload = shards.first().and_then(|first| self.overloads.get(first));
+        overload.is_some_and(Overload::is_on)
+    }
+
+    /// Counts a gathered request by what became of its parts.
+    pub(crate) fn count_fates(
+        &mut self,
+        shards: &[ServiceId],
+        fates: impl Iterator<Item = PartFate>,
+        now: Instant,
+    ) {
+        let overload = shards.first().and_then(|first| self.overloads.get_mut(first));
+        if let Some(overload) = overload {
+            overload.record(fates, now);
+        }
+    }
+
     /// Counts a request for the service.
     pub(crate) fn count_first(&mut self, service: ServiceId, now: Instant) {
         let bound = self.bound;
