Tell of overloads, second sends and ages in log lines, metrics and explanations

New metrics: second sends, those over the budget, sends without a leaf, share taken under overload, share of the traffic, age of the configuration, hosts that can be named, store calls by kind.

The fleet tests show what each host knows when their fleet is not complete in time.

--- a/components/edge/src/known.rs
+++ b/components/edge/src/known.rs
@@ -9,7 +9,7 @@
         leaf::LeafEntry,
         leaves::LeafChange,
     },
-    wigeonramp_units::{LeafId, Revision, Span},
+    wigeonramp_units::{Instant, LeafId, Revision, Span},
 };
 
 /// Revisions and changes, to bring other hosts up to date.
@@ -21,6 +21,8 @@
     pub config_upto: Revision,
     /// Revision at which it changed last.
     pub config_changed: Revision,
+    /// When the configuration in force was adopted.
+    pub config_adopted_at: Option<Instant>,
     /// Something changed that other hosts have not been told.
     pub to_tell: bool,
 }
@@ -40,6 +42,7 @@
             return;
         }
         let Some(catalog) = self.adoption.current().cloned() else { return };
+        self.known.config_adopted_at = Some(self.now);
         self.traffic.cold_rates =
             catalog.services.iter().map(|(id, spec)| (id.clone(), spec.cold_per_second)).collect();
         self.traffic.keep(
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -7,7 +7,11 @@
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
         registry::Registry,
     },
-    std::collections::{HashSet, VecDeque},
+    std::{
+        collections::{HashSet, VecDeque},
+        sync::atomic::AtomicU64,
+    },
+    wigeonramp_routing::traffic::Counts,
     wigeonramp_units::{Instant, Span},
 };
 
@@ -29,6 +33,11 @@
     cause: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct StoreLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
@@ -49,8 +58,16 @@
     latency: Family<RouteLabels, Histogram>,
     sends: Counter,
     connects: Counter,
-    store_calls: Counter,
-    store_failures: Counter,
+    store_calls: Family<StoreLabels, Counter>,
+    store_failures: Family<StoreLabels, Counter>,
+    second_sends: Counter,
+    over_budget: Counter,
+    no_leaf: Counter,
+    counted: Counts,
+    taken: Gauge<f64, AtomicU64>,
+    traffic_share: Gauge<f64, AtomicU64>,
+    config_age: Gauge<f64, AtomicU64>,
+    serving_hosts: Gauge,
     config_version: Gauge,
     leaves: Gauge,
     hosts: Gauge,
@@ -68,8 +85,16 @@
             latency,
             sends: Counter::default(),
             connects: Counter::default(),
-            store_calls: Counter::default(),
-            store_failures: Counter::default(),
+            store_calls: Family::default(),
+            store_failures: Family::default(),
+            second_sends: Counter::default(),
+            over_budget: Counter::default(),
+            no_leaf: Counter::default(),
+            counted: Counts::default(),
+            taken: Gauge::default(),
+            traffic_share: Gauge::default(),
+            config_age: Gauge::default(),
+            serving_hosts: Gauge::default(),
             config_version: Gauge::default(),
             leaves: Gauge::default(),
             hosts: Gauge::default(),
@@ -81,12 +106,25 @@
         registry.register("reply_seconds", "Time to the reply", this.latency.clone());
         registry.register("sends", "Requests sent to leaves", this.sends.clone());
         registry.register("connects", "Connections opened to leaves", this.connects.clone());
-        registry.register("store_calls", "Calls to the store", this.store_calls.clone());
+        registry.register("store_calls", "Calls to the store by kind", this.store_calls.clone());
         registry.register(
             "store_failures",
-            "Failed calls to the store",
+            "Failed calls to the store by kind",
             this.store_failures.clone(),
         );
+        registry.register("second_sends", "Second sends", this.second_sends.clone());
+        let help = "Second sends that the budget did not allow";
+        registry.register("second_sends_over_budget", help, this.over_budget.clone());
+        let help = "Sends without a leaf to ask, cold ones without an allowance included";
+        registry.register("sends_without_leaf", help, this.no_leaf.clone());
+        let help = "Least share of the most urgent requests that is taken, over groups of shards";
+        registry.register("taken_share", help, this.taken.clone());
+        let help = "Share of all hosts' traffic that this host counts with";
+        registry.register("traffic_share", help, this.traffic_share.clone());
+        let help = "Seconds since the configuration in force was adopted";
+        registry.register("config_age_seconds", help, this.config_age.clone());
+        let help = "Hosts that callers can be sent to";
+        registry.register("serving_hosts", help, this.serving_hosts.clone());
         registry.register(
             "config_version",
             "Version of the configuration in force",
@@ -152,12 +190,19 @@
         self.connects.inc();
     }
 
-    pub fn called_store(&self) {
-        self.store_calls.inc();
+    pub fn called_store(&self, kind: &'static str) {
+        self.store_calls.get_or_create(&StoreLabels { kind }).inc();
     }
 
-    pub fn store_failed(&self) {
-        self.store_failures.inc();
+    pub fn store_failed(&self, kind: &'static str) {
+        self.store_failures.get_or_create(&StoreLabels { kind }).inc();
+    }
+
+    fn take_counts(&mut self, now: Counts) {
+        let before = std::mem::replace(&mut self.counted, now);
+        self.second_sends.inc_by(now.second_sends - before.second_sends);
+        self.over_budget.inc_by(now.over_budget - before.over_budget);
+        self.no_leaf.inc_by(now.no_leaf - before.no_leaf);
     }
 }
 
@@ -168,6 +213,13 @@
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.metrics.leaves.set(self.traffic.leaves.len() as i64);
         self.metrics.hosts.set(self.members.known() as i64);
+        self.metrics.serving_hosts.set(self.members.serving(self.now).count() as i64);
+        self.metrics.take_counts(self.traffic.counts);
+        self.metrics.taken.set(self.traffic.least_taken());
+        self.metrics.traffic_share.set(self.traffic.share);
+        if let Some(at) = self.known.config_adopted_at {
+            self.metrics.config_age.set(self.now.since(at).0 as f64 / 1e6);
+        }
         let mut text = String::new();
         match encode(&mut text, &self.metrics.registry) {
             Ok(()) => text,
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -374,6 +374,12 @@
         self.sweep_leaves();
         self.drive_stop();
         self.refresh_shares();
+        for change in self.traffic.overload_changes() {
+            let fields = json!({
+                "first_shard": change.first_shard, "taken": change.taken, "late": change.late,
+            });
+            self.journal.line("overload", fields, self.now);
+        }
     }
 
     fn next_due(&self) -> Instant {
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -282,6 +282,7 @@
             "may_repeat": route.repeat == Repeat::Idempotent,
             "answered": answered, "parts": parts, "missing": missing, "tries": tries,
             "config": self.adoption.version().map(|v| v.0), "share": self.traffic.share,
+            "taken": self.traffic.least_taken(),
             "leaves_upto": self.known.leaves.upto().0, "caller_left": req.left_at.is_some(),
         });
         self.journal.line("reply", fields, self.now);
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -209,9 +209,9 @@
 
     fn start_call(&mut self, index: usize, bytes: Vec<u8>, purpose: Purpose, wait: Span) {
         let now = self.now;
-        self.metrics.called_store();
         let address = self.store.address;
         let line = &mut self.store.lines[index];
+        self.metrics.called_store(line.kind.name());
         let time = if purpose == Purpose::Check { CHECK_TIME } else { CALL_TIME };
         line.call = Some(Call { purpose, deadline: now + time + wait });
         line.out.push(bytes);
@@ -289,7 +289,7 @@
             return;
         }
         line.feed.on_error(self.now, &mut self.rng);
-        self.metrics.store_failed();
+        self.metrics.store_failed(line.kind.name());
         if self.store.lost_since.is_none() {
             self.store.lost_since = Some(self.now);
             let kind = self.store.lines[index].kind.name();
--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange.rs
@@ -424,7 +424,16 @@
             turned_away: false,
             ended: None,
         });
-        sends.push(Send { at, leaf, left: self.give_up_at.since(now) });
+        sends.push(Send { at, leaf, left: self.useful_until(cx, now).since(now) });
+    }
+
+    /// Until when a leaf may work on a part that is sent now. Overloaded leaves drop what waits beyond
+    /// the target latency, in favour of requests that still can be in time.
+    fn useful_until(&self, cx: &Traffic, now: Instant) -> Instant {
+        if now < self.reply_at && self.is_overloaded(cx) {
+            return self.give_up_at.min(self.reply_at);
+        }
+        self.give_up_at
     }
 
     fn is_gather(&self) -> bool {
--- a/components/routing/src/overload.rs
+++ b/components/routing/src/overload.rs
@@ -13,7 +13,7 @@
 /// latency.
 const STEP: Span = Span::millis(200);
 /// Requests needed for a judgement.
-const MIN_REQUESTS: u32 = 10;
+const MIN_REQUESTS: u32 = 6;
 /// A step ends after this time with what there is; without any request it counts as calm.
 const MAX_STEP: Span = Span::secs(1);
 /// Share of late parts from which the leaves count as overloaded.
@@ -23,7 +23,7 @@
 /// Part of the excess by which the share is lowered in one step.
 const DAMPING: f64 = 0.5;
 /// Factor by which the share rises in a calm step.
-const RISE: f64 = 1.15;
+const RISE: f64 = 1.08;
 /// Least share that is taken of every kind of request; it also tells when the overload is over, and
 /// keeps less urgent requests from starving.
 const LEAST: f64 = 0.25;
@@ -35,6 +35,10 @@
     since: Instant,
     requests: u32,
     shards: Vec<Shard>,
+    /// Late share at the last judgement.
+    late: f64,
+    /// Whether the last report said that requests are refused.
+    reported: bool,
     /// Ranks of the routes that use the shards, the most urgent first.
     ranks: Vec<u32>,
 }
@@ -60,7 +64,15 @@
 impl Overload {
     /// Everything is taken.
     pub fn new(now: Instant) -> Self {
-        Self { taken: 1.0, since: now, requests: 0, shards: Vec::new(), ranks: Vec::new() }
+        Self {
+            taken: 1.0,
+            since: now,
+            requests: 0,
+            shards: Vec::new(),
+            late: 0.0,
+            reported: false,
+            ranks: Vec::new(),
+        }
     }
 
     /// Counts a request with these parts, one for each shard in the order of the group.
@@ -81,6 +93,20 @@
         self.taken < 1.0
     }
 
+    /// Share that is taken of the most urgent requests.
+    pub fn taken(&self) -> f64 {
+        self.taken
+    }
+
+    /// Share of late parts, when refusals have begun or ended since the last call.
+    pub fn change(&mut self) -> Option<f64> {
+        if self.reported == self.is_on() {
+            return None;
+        }
+        self.reported = self.is_on();
+        Some(self.late)
+    }
+
     /// Share of the requests with this rank that is taken; zero is the most urgent rank.
     pub fn share(&mut self, rank: u32, now: Instant) -> f64 {
         self.step(now);
@@ -105,7 +131,7 @@
         } else if late < CALM {
             self.taken = (self.taken * RISE).min(1.0);
         }
-        (self.since, self.requests) = (now, 0);
+        (self.since, self.requests, self.late) = (now, 0, late);
         self.shards.clear();
     }
 
--- a/components/routing/src/traffic.rs
+++ b/components/routing/src/traffic.rs
@@ -13,6 +13,28 @@
     wigeonramp_units::{Instant, ServiceId, Span},
 };
 
+/// What a host has counted since its start.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Counts {
+    /// Second sends.
+    pub second_sends: u64,
+    /// Second sends that the budget did not allow.
+    pub over_budget: u64,
+    /// Sends for which no leaf was left, cold ones without an allowance included.
+    pub no_leaf: u64,
+}
+
+/// An overload that has begun or ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct OverloadChange {
+    /// The first shard of the group.
+    pub first_shard: ServiceId,
+    /// Share that is taken of the most urgent requests.
+    pub taken: f64,
+    /// Share of late parts.
+    pub late: f64,
+}
+
 /// What all requests of a host share.
 #[derive(Debug)]
 pub struct Traffic {
@@ -26,6 +48,8 @@
     pub cold_share: f64,
     /// Declared rate of a cold leaf, by service.
     pub cold_rates: IndexMap<ServiceId, f64>,
+    /// What was counted.
+    pub counts: Counts,
     /// Source of randomness.
     pub rng: SmallRng,
     budgets: IndexMap<ServiceId, ExtraBudget>,
@@ -43,6 +67,7 @@
             share: 0.0,
             cold_share: 0.0,
             cold_rates: IndexMap::new(),
+            counts: Counts::default(),
             rng,
             budgets: IndexMap::new(),
             paces: IndexMap::new(),
@@ -69,7 +94,9 @@
         let rate = self.cold_rates.get(service).filter(|rate| **rate > 0.0);
         let cold_per_second = rate.map(|rate| rate * self.cold_share);
         let seek = Seek { service, except, usual, cold_per_second };
-        self.leaves.choose(&seek, now, &mut self.rng)
+        let leaf = self.leaves.choose(&seek, now, &mut self.rng);
+        self.counts.no_leaf += u64::from(leaf.is_none());
+        leaf
     }
 
     /// Forgets budgets and paces of services and routes that are no longer configured.
@@ -120,17 +147,34 @@
     pub(crate) fn has_room(&mut self, service: &ServiceId, now: Instant) -> bool {
         let (bound, share) = (self.bound, self.share);
         let budget = self.budgets.get_mut(service);
-        budget.is_some_and(|budget| budget.room(&bound, share, now) >= 1.0)
+        let has_room = budget.is_some_and(|budget| budget.room(&bound, share, now) >= 1.0);
+        self.counts.over_budget += u64::from(!has_room);
+        has_room
     }
 
     /// Counts a second send to the service.
     pub(crate) fn spend(&mut self, service: &ServiceId, now: Instant) {
         let bound = self.bound;
+        self.counts.second_sends += 1;
         if let Some(budget) = self.budgets.get_mut(service) {
             budget.spend(&bound, now);
         }
     }
 
+    /// Overloads that have begun or ended since the last call.
+    pub fn overload_changes(&mut self) -> Vec<OverloadChange> {
+        let changed = self.overloads.iter_mut().filter_map(|(first, overload)| {
+            let late = overload.change()?;
+            Some(OverloadChange { first_shard: first.clone(), taken: overload.taken(), late })
+        });
+        changed.collect()
+    }
+
+    /// Least share of the most urgent requests that is taken, over all groups of shards.
+    pub fn least_taken(&self) -> f64 {
+        self.overloads.values().map(Overload::taken).fold(1.0, f64::min)
+    }
+
     /// The services that a request goes to: one a shard, or one drawn by the weights.
     pub(crate) fn pick_services(&mut self, target: &Target) -> Vec<ServiceId> {
         match target {
--- a/components/routing/tests/overload.rs
+++ b/components/routing/tests/overload.rs
@@ -55,7 +55,9 @@
 #[test]
 fn urgent_requests_are_taken_first_and_ordinary_ones_keep_a_floor() {
     let mut overload = Overload::new(at(0));
-    (overload.share(1, at(0)), overload.share(5, at(0)));
+    for rank in [1, 5] {
+        overload.share(rank, at(0));
+    }
     press(&mut overload, 1.8, 0, 3_000);
     let (urgent, ordinary) = (overload.share(1, at(3_000)), overload.share(5, at(3_000)));
     assert!(ordinary < urgent && urgent < 0.8, "{urgent} {ordinary}");
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -9,12 +9,13 @@
 /// Beliefs that changed within this time before the reply may have decided it, in microseconds.
 const CONTEXT_US: u64 = 6_000_000;
 /// Kinds of lines that tell what a host believes.
-const CONTEXT: [&str; 11] = [
+const CONTEXT: [&str; 12] = [
     "config_adopted",
     "evacuation",
     "following",
     "leaf",
     "leaf_address_reused",
+    "overload",
     "reloaded",
     "request_suspected",
     "started",
@@ -76,6 +77,10 @@
             "no leaf of the service may be sent to: all are gone, leaving or in a zone taken out"
         }
         "not_run" => "every leaf that was tried refused the request or could not be reached",
+        "overload" => {
+            "the leaves of the route's shards were overloaded; the host took only a part of the \
+             requests, and this one was not sent to any leaf"
+        }
         "too_few_shards" => "fewer shards than the route's least share could answer",
         "broken" => "a leaf broke off or answered unusably, and no further send was possible",
         "time_up" => "the route's time or the caller's deadline was over first",
@@ -95,9 +100,17 @@
 fn causes(line: &Value) -> Vec<String> {
     let mut all = vec![meaning(text(line, "cause")).to_owned()];
     let (answered, parts) = (number(line, "answered"), number(line, "parts"));
-    if parts > 1 {
+    if text(line, "cause") == "overload" {
+        let taken = line["taken"].as_f64().unwrap_or(1.0) * 100.0;
+        all.push(format!("{taken:.0} in 100 of the most urgent requests were taken"));
+    } else if parts > 1 {
         all.push(format!("{answered} of {parts} shards had answered"));
     }
+    if text(line, "cause") == "no_leaf" {
+        let services = line["missing"].as_array().into_iter().flatten();
+        let services: Vec<&str> = services.filter_map(Value::as_str).collect();
+        all.push(format!("service: {}", services.join(", ")));
+    }
     let tries = line["tries"].as_array().cloned().unwrap_or_default();
     for t in &tries {
         let (service, leaf) = (text(t, "service"), text(t, "leaf"));
--- a/components/telemetry/tests/explain.rs
+++ b/components/telemetry/tests/explain.rs
@@ -13,6 +13,9 @@
   3.4 host-1 {"answered":4,"cause":"parts_missing","config":7,"event":"reply","host":"host-1","may_repeat":true,"parts":6,"request":"r1","seq":6,"status":200,"steady_us":1300000,"took_us":55000,"tries":[{"service":"s1","leaf":"i-1","end":"no_answer","took_us":54000},{"service":"s2","leaf":"i-2","end":"lost","took_us":9000}],"time_ms":4100}
   3.5 host-1 {"answered":0,"cause":"broken","config":7,"event":"reply","host":"host-1","may_repeat":false,"parts":1,"request":"r2","seq":7,"status":502,"steady_us":1400000,"took_us":3000,"tries":[{"service":"w","leaf":"i-3","end":"lost","took_us":2000}],"time_ms":4200}
   3.6 host-1 {"cause":"no_config","config":null,"event":"refused","host":"host-1","request":"r3","seq":8,"status":503,"steady_us":1500000,"took_us":10,"time_ms":4300}
+  3.7 host-1 {"event":"overload","first_shard":"s1","host":"host-1","late":0.3,"seq":9,"steady_us":1550000,"taken":0.85,"time_ms":4350}
+  3.8 host-1 {"answered":0,"cause":"overload","config":7,"event":"reply","host":"host-1","may_repeat":true,"parts":6,"request":"r4","seq":10,"status":503,"steady_us":1600000,"taken":0.55,"took_us":80,"tries":[],"time_ms":4400}
+  3.9 host-1 {"answered":0,"cause":"no_leaf","config":7,"event":"reply","host":"host-1","may_repeat":true,"missing":["w"],"parts":1,"request":"r5","seq":11,"status":503,"steady_us":1650000,"took_us":20,"tries":[],"time_ms":4450}
 "#;
 
 /// Guards against a failed request that cannot be explained, and against lines of hosts whose clocks
@@ -20,7 +23,7 @@
 #[test]
 fn a_request_is_explained_from_its_id() {
     let lines = read(LOG);
-    let stories: Vec<String> = ["r1", "r2", "r3"]
+    let stories: Vec<String> = ["r1", "r2", "r3", "r4", "r5"]
         .iter()
         .map(|id| format!("{id}: {:#?}", explain(id, &lines).expect("an explanation")))
         .collect();
--- a/tests/fleet/support.rs
+++ b/tests/fleet/support.rs
@@ -6,7 +6,9 @@
     serde_json::{Value, json},
     std::{
         collections::BTreeSet,
-        env, fs,
+        env,
+        fmt::Display,
+        fs,
         io::{BufRead, BufReader},
         net::SocketAddr,
         path::PathBuf,
@@ -157,6 +159,12 @@
     serde_json::from_value(document).expect("the document is well formed")
 }
 
+/// What a host knows of the others and of the store.
+fn outline(status: &StatusAnswer) -> String {
+    let known: Vec<String> = status.hosts.iter().map(|host| format!("{host:?}")).collect();
+    format!("{}, store {:?} ms ago, knows {known:?}", status.host, status.store_contact_ms)
+}
+
 impl Fleet {
     /// Hosts whose first declaration is in force, and that hold all leaves.
     pub fn start(hosts: usize, shards: usize) -> Self {
@@ -170,8 +178,12 @@
         let start = |n| HostProcess::start(n, platform.address(), &[]);
         let hosts: Vec<_> = (0..hosts).map(start).collect();
         let fleet = Self { hosts, leaves, platform, shards };
-        wait_for("every host knows all hosts", || {
-            fleet.hosts.iter().all(|host| host.status().hosts.len() == fleet.hosts.len())
+        wait_until("every host knows all hosts", || {
+            let all: Vec<StatusAnswer> = fleet.hosts.iter().map(HostProcess::status).collect();
+            if all.iter().all(|status| status.hosts.len() == all.len()) {
+                return Ok(());
+            }
+            Err(all.iter().map(outline).collect::<Vec<String>>().join("; "))
         });
         let operator = fleet.hosts[0].ready.operator;
         let intent = Intent::Declare { document: Box::new(declared) };
@@ -262,9 +274,14 @@
 
 /// Waits until `done`; fails after `PATIENCE`. Returns the time it took.
 pub fn wait_for(what: &str, mut done: impl FnMut() -> bool) -> Duration {
+    wait_until(what, || if done() { Ok(()) } else { Err("not yet") })
+}
+
+/// The same; the failure shows the last state.
+fn wait_until<S: Display>(what: &str, mut state: impl FnMut() -> Result<(), S>) -> Duration {
     let begun = Instant::now();
-    while !done() {
-        assert!(begun.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}");
+    while let Err(seen) = state() {
+        assert!(begun.elapsed() < PATIENCE, "not within {PATIENCE:?}: {what}: {seen}");
         thread::sleep(LOOK);
     }
     begun.elapsed()
