--- a/components/routing/src/overload.rs
+++ b/components/routing/src/overload.rs
@@ -22,7 +22,7 @@
 const CALM: f64 = 0.04;
 /// Part of the excess by which the share is lowered in one step.
 const DAMPING: f64 = 0.5;
-/// Factor by which the share rises in a calm step.
+/// Factor by which the share rises in each calm `STEP`.
 const RISE: f64 = 1.08;
 /// Least share that is taken of every kind of request; it also tells when the overload is over, and
 /// keeps less urgent requests from starving.
@@ -129,7 +129,8 @@
         if late >= OVERLOADED {
             self.taken = (self.taken * (1.0 - late * DAMPING)).max(LEAST);
         } else if late < CALM {
-            self.taken = (self.taken * RISE).min(1.0);
+            let steps = length.0 as f64 / STEP.0 as f64;
+            self.taken = (self.taken * RISE.powf(steps)).min(1.0);
         }
         (self.since, self.requests, self.late) = (now, 0, late);
         self.shards.clear();
