Keep requests in the homes of their routes; name a second host beside a large one

Leaves outside the homes are now left out of the choice, and the directory names hosts of the caller's region and the homes for hosts with such routes.

Where one host of a zone is more than twice as large as the others, all callers of the zone depended on it; at least two are named now.

Objects without a readable name were left out without a line; they are counted in one now.

--- a/components/edge/src/callers.rs
+++ b/components/edge/src/callers.rs
@@ -17,7 +17,7 @@
         http::{self, CONTINUE, HeadError, RequestHead},
     },
     wigeonramp_routing::{
-        entry::{LIFETIME_S, choose},
+        entry::{Asker, LIFETIME_S, choose},
         relay::{Cause, Reply},
     },
     wigeonramp_units::{Instant, Span},
@@ -220,15 +220,22 @@
                 let status = if self.is_ready() { 200 } else { 503 };
                 http::own_answer(status, None, b"", close)
             }
-            Some(Question::Resolve { zone }) => self.resolve(&zone, close),
+            Some(Question::Resolve { name, region, zone }) => {
+                self.resolve(&name, &region, &zone, close)
+            }
             None => http::own_answer(404, None, b"", close),
         };
         self.send_caller(key, bytes, close);
     }
 
-    fn resolve(&mut self, zone: &str, close: bool) -> Vec<u8> {
+    fn resolve(&mut self, name: &str, region: &str, zone: &str, close: bool) -> Vec<u8> {
+        let mut regions = self.adoption.homes_of(name);
+        if let (Some(regions), Ok(own)) = (&mut regions, region.parse()) {
+            regions.push(own);
+        }
+        let asker = Asker { zone, regions: regions.as_deref().unwrap_or_default() };
         let hosts: Vec<Ipv4Addr> = match self.adoption.current() {
-            Some(catalog) => choose(&self.members, catalog, &self.traffic.leaves, zone, self.now),
+            Some(catalog) => choose(&self.members, catalog, &self.traffic.leaves, asker, self.now),
             None => Vec::new(),
         };
         if hosts.is_empty() {
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -192,7 +192,8 @@
             blind: false,
             age: Span::ZERO,
         };
-        let leaves = Leaves::new(settings.zone.clone());
+        let mut leaves = Leaves::new(settings.zone.clone());
+        leaves.set_regions(settings.regions.clone());
         let traffic = Traffic::new(leaves, settings.extra, SmallRng::from_rng(&mut rng));
         let gossip = system("datagrams between hosts", Gossip::open(&settings, &poll, now))?;
         let peer_address = (settings.ip, settings.peer_port).into();
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -348,6 +348,7 @@
         };
         self.note_store_back();
         let kind = self.store.lines[index].kind;
+        self.note_nameless(kind, page.nameless);
         let newest = page.items.iter().map(|object| object.revision).max();
         for object in &page.items {
             if let Some(change) = self.read_object(kind, object) {
@@ -400,8 +401,9 @@
             Err(err) => return self.unreadable(index, &err),
         };
         self.note_store_back();
+        let kind = self.store.lines[index].kind;
+        self.note_nameless(kind, batch.nameless);
         let line = &mut self.store.lines[index];
-        let kind = line.kind;
         line.feed.on_changes(!batch.changes.is_empty(), batch.revision, self.now);
         let mut changes = Vec::new();
         let mut gone: Vec<LeafId> = Vec::new();
@@ -467,6 +469,14 @@
         None
     }
 
+    fn note_nameless(&mut self, kind: Kind, count: usize) {
+        if count > 0 {
+            let fields =
+                json!({ "kind": kind.name(), "count": count, "reason": "no readable name" });
+            self.journal.line("object_ignored", fields, self.now);
+        }
+    }
+
     fn ignore_object(&mut self, kind: Kind, object: &StoredObject, reason: &str) {
         let fields = json!({
             "kind": kind.name(), "name": object.name, "revision": object.revision.0,
--- a/components/routing/src/catalog.rs
+++ b/components/routing/src/catalog.rs
@@ -7,7 +7,7 @@
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc},
-    wigeonramp_units::{ConfigVersion, ServiceId, Span},
+    wigeonramp_units::{ConfigVersion, RegionId, ServiceId, Span},
 };
 
 /// What may be repeated of a route's requests.
@@ -54,6 +54,8 @@
     pub priority: u32,
     /// Leaves that one request may be sent to, for each shard.
     pub attempts: usize,
+    /// Regions that the requests may be served in; empty for all.
+    pub homes: Vec<RegionId>,
     /// Where the requests go.
     pub target: Target,
 }
@@ -163,6 +165,17 @@
         self.current.as_ref().map(|catalog| catalog.limits).unwrap_or_default()
     }
 
+    /// Regions in which all requests for this host may be served; none when there is no such limit.
+    pub fn homes_of(&self, host: &str) -> Option<Vec<RegionId>> {
+        let routes = self.by_host.get(&normal_host(host))?;
+        let mut limited = routes.iter().filter(|route| !route.homes.is_empty());
+        let mut homes = limited.next()?.homes.clone();
+        for route in limited {
+            homes.retain(|home| route.homes.contains(home));
+        }
+        Some(homes)
+    }
+
     /// The route with the longest prefix of `path` on `host`.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = match self.by_host.get(host) {
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -15,7 +15,7 @@
     },
     indexmap::{IndexMap, IndexSet},
     std::net::Ipv4Addr,
-    wigeonramp_units::{Instant, ServiceId, ZoneId},
+    wigeonramp_units::{Instant, RegionId, ServiceId, ZoneId},
 };
 
 /// Time for which callers keep an answer, in seconds. Short, so that a lost host is left soon.
@@ -29,29 +29,43 @@
 /// A zone is near the shards when it has leaves of this share of the shards of the best zone.
 const NEAR_SHARE: f64 = 0.8;
 
+/// Hosts named in each zone whatever their size, so that the loss of the only large one is not felt.
+const LEAST_OF_ANY_SIZE: usize = 2;
 /// A host is large enough beside the largest one from this share of its processor on.
 const LARGE_SHARE: f64 = 0.5;
 
-/// The hosts to name to a caller in `zone`.
+/// Who asks for addresses.
+#[derive(Clone, Copy, Debug)]
+pub struct Asker<'a> {
+    /// Its zone.
+    pub zone: &'a str,
+    /// Regions whose hosts may take its requests: its own and the homes of the routes; empty for all.
+    pub regions: &'a [RegionId],
+}
+
+/// The hosts to name to a caller.
 pub fn choose(
     members: &Members,
     catalog: &Catalog,
     leaves: &Leaves,
-    zone: &str,
+    asker: Asker<'_>,
     now: Instant,
 ) -> Vec<Ipv4Addr> {
+    let zone = asker.zone;
     let near = near_zones(catalog, leaves);
     let mut by_zone: IndexMap<&ZoneId, Vec<&MemberInfo>> = IndexMap::new();
-    let largest = members.serving(now).map(|member| member.capacity).fold(0.0, f64::max);
-    for member in members.serving(now) {
-        if member.capacity < largest * LARGE_SHARE {
-            continue;
-        }
+    let is_allowed = |member: &&MemberInfo| leaves.is_home(&member.zone, asker.regions);
+    // Somebody is named even when no host of these regions serves.
+    let is_limited = members.serving(now).any(|member| is_allowed(&member));
+    for member in members.serving(now).filter(|member| !is_limited || is_allowed(member)) {
         by_zone.entry(&member.zone).or_default().push(member);
     }
+    let largest = by_zone.values().flatten().map(|member| member.capacity).fold(0.0, f64::max);
     for hosts in by_zone.values_mut() {
         // The same order on every host, so that all name the same few.
         hosts.sort_by(|a, b| entry_order(a, b));
+        let large = hosts.iter().filter(|host| host.capacity >= largest * LARGE_SHARE).count();
+        hosts.truncate(large.max(LEAST_OF_ANY_SIZE));
     }
     let per_zone = per_zone(members, largest, near.len().max(1), now);
     for hosts in by_zone.values_mut() {
--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange.rs
@@ -349,7 +349,9 @@
         if !cx.has_room(&service, now) {
             return;
         }
-        let Some(leaf) = cx.choose(&service, &except, self.usual, now) else { return };
+        let Some(leaf) = cx.choose(&service, &self.route.homes, &except, self.usual, now) else {
+            return;
+        };
         if cx.leaves.is_troubled(leaf, now) {
             return;
         }
@@ -397,7 +399,7 @@
     ) -> bool {
         let part = &self.parts[index];
         let except: Vec<LeafKey> = part.tries.iter().map(|t| t.leaf).collect();
-        match cx.choose(&part.service, &except, self.usual, now) {
+        match cx.choose(&part.service, &self.route.homes, &except, self.usual, now) {
             Some(leaf) => self.push(index, leaf, cx, now, sends),
             None => return false,
         }
@@ -453,7 +455,8 @@
     }
 
     fn refuse_hopeless(&self, cx: &Traffic) -> Option<Reply> {
-        let served = self.parts.iter().filter(|part| cx.leaves.serves(&part.service)).count();
+        let is_served = |part: &&Part| cx.leaves.serves(&part.service, &self.route.homes);
+        let served = self.parts.iter().filter(is_served).count();
         if served >= self.needed() && served > 0 {
             return None;
         }
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -4,7 +4,7 @@
     crate::leaf::{Leaf, LeafEntry, SendEnd},
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, RngExt},
-    wigeonramp_units::{Instant, LeafId, ServiceId, Span, ZoneId},
+    wigeonramp_units::{Instant, LeafId, RegionId, ServiceId, Span, ZoneId},
 };
 
 /// Names one leaf for as long as it is registered; never names another one later.
@@ -43,6 +43,8 @@
 pub struct Seek<'a> {
     /// The service.
     pub service: &'a ServiceId,
+    /// Regions that the request may be served in; empty for all.
+    pub homes: &'a [RegionId],
     /// Leaves that have had the request.
     pub except: &'a [LeafKey],
     /// Usual time of an answer.
@@ -60,6 +62,7 @@
     by_id: IndexMap<LeafId, LeafKey>,
     by_service: IndexMap<ServiceId, Vec<LeafKey>>,
     evacuated: IndexSet<ZoneId>,
+    regions: IndexMap<ZoneId, RegionId>,
 }
 
 impl Leaves {
@@ -72,9 +75,20 @@
             by_id: IndexMap::new(),
             by_service: IndexMap::new(),
             evacuated: IndexSet::new(),
+            regions: IndexMap::new(),
         }
     }
 
+    /// Sets the region of each zone.
+    pub fn set_regions(&mut self, regions: IndexMap<ZoneId, RegionId>) {
+        self.regions = regions;
+    }
+
+    /// Whether a zone is in one of these regions; always when none is named.
+    pub fn is_home(&self, zone: &ZoneId, homes: &[RegionId]) -> bool {
+        homes.is_empty() || self.regions.get(zone).is_some_and(|region| homes.contains(region))
+    }
+
     /// Takes in a registration.
     pub fn register(&mut self, entry: LeafEntry, now: Instant) -> LeafChange {
         if let Some(key) = self.by_id.get(&entry.id).copied() {
@@ -195,9 +209,10 @@
         !leaf.entry.draining && !leaf.misdirected && !self.evacuated.contains(&leaf.entry.zone)
     }
 
-    /// Whether the service has a leaf that may be sent to.
-    pub fn serves(&self, service: &ServiceId) -> bool {
-        self.of(service).any(|(_, leaf)| self.is_open(leaf))
+    /// Whether the service has a leaf in these regions that may be sent to.
+    pub fn serves(&self, service: &ServiceId, homes: &[RegionId]) -> bool {
+        let usable = |leaf: &Leaf| self.is_open(leaf) && self.is_home(&leaf.entry.zone, homes);
+        self.of(service).any(|(_, leaf)| usable(leaf))
     }
 
     /// Zones in which the service has a leaf that may be sent to.
@@ -217,6 +232,9 @@
             if !self.is_open(leaf) || seek.except.contains(&key) {
                 continue;
             }
+            if !self.is_home(&leaf.entry.zone, seek.homes) {
+                continue;
+            }
             let rationed = seek.cold_per_second.filter(|_| leaf.is_cold(now));
             if rationed.is_some_and(|per_second| !leaf.may_take_cold(per_second, now)) {
                 continue;
--- a/components/routing/src/traffic.rs
+++ b/components/routing/src/traffic.rs
@@ -10,7 +10,7 @@
     },
     indexmap::IndexMap,
     rand::{Rng, RngExt, rngs::SmallRng},
-    wigeonramp_units::{Instant, ServiceId, Span},
+    wigeonramp_units::{Instant, RegionId, ServiceId, Span},
 };
 
 /// What a host has counted since its start.
@@ -87,13 +87,14 @@
     pub(crate) fn choose(
         &mut self,
         service: &ServiceId,
+        homes: &[RegionId],
         except: &[LeafKey],
         usual: Span,
         now: Instant,
     ) -> Option<LeafKey> {
         let rate = self.cold_rates.get(service).filter(|rate| **rate > 0.0);
         let cold_per_second = rate.map(|rate| rate * self.cold_share);
-        let seek = Seek { service, except, usual, cold_per_second };
+        let seek = Seek { service, homes, except, usual, cold_per_second };
         let leaf = self.leaves.choose(&seek, now, &mut self.rng);
         self.counts.no_leaf += u64::from(leaf.is_none());
         leaf
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -63,6 +63,7 @@
         target_latency: Span::millis(60),
         priority: 1,
         attempts: 2,
+        homes: Vec::new(),
         target,
     })
 }
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -5,16 +5,16 @@
 use {
     common::{SEED, at, entry},
     rand::{SeedableRng, rngs::SmallRng},
-    std::{net::Ipv4Addr, sync::Arc},
+    std::{collections::BTreeSet, net::Ipv4Addr, sync::Arc},
     wigeonramp_routing::{
         catalog::{CallerLimits, Catalog},
-        entry::choose,
+        entry::{Asker, choose},
         extra::{ExtraBound, ExtraBudget},
         follow::{Following, Origin},
         leaves::Leaves,
         members::{MemberInfo, Members},
     },
-    wigeonramp_units::{ConfigVersion, Instant, Span},
+    wigeonramp_units::{ConfigVersion, Instant, RegionId, Span},
 };
 
 fn ip(n: u8) -> Ipv4Addr {
@@ -269,20 +269,58 @@
         }
     }
     let mut members = members(12, at(0));
-    for n in [3, 4, 5] {
+    for n in [3, 4, 5, 6, 7, 8] {
         members.told(MemberInfo { beat: 2, capacity: 0.8, ..info(n) }, at(0));
     }
     let named = |zone: &str| {
-        let mut named: Vec<u8> = choose(&members, &catalog(), &leaves, zone, at(1))
+        let asker = Asker { zone, regions: &[] };
+        let mut named: Vec<u8> = choose(&members, &catalog(), &leaves, asker, at(1))
             .iter()
             .map(|ip| ip.octets()[3])
             .collect();
         named.sort_unstable();
         named
     };
-    assert_eq!(named("a"), [3]);
-    assert_eq!(named("b"), [4]);
-    assert_eq!(named("c"), [3, 4], "zone c has no leaves of the shards");
+    assert_eq!(named("a"), [3, 6]);
+    assert_eq!(named("b"), [4, 7]);
+    assert_eq!(named("c"), [3, 4, 6, 7], "zone c has no leaves of the shards");
+}
+
+/// Guards against a zone whose callers all depend on its only large host.
+#[test]
+fn second_host_is_named_beside_the_only_large_one() {
+    let leaves = Leaves::new("a".parse().expect("a zone"));
+    let mut members = members(9, at(0));
+    members.told(MemberInfo { beat: 2, capacity: 0.8, ..info(3) }, at(0));
+    let asker = Asker { zone: "a", regions: &[] };
+    let named = choose(&members, &catalog(), &leaves, asker, at(1));
+    let in_a = named.iter().filter(|ip| ip.octets()[3] % 3 == 0).count();
+    assert!(named.contains(&ip(3)) && in_a == 2, "{named:?}");
+}
+
+/// Guards against callers that are sent to hosts outside their own region and the homes of their
+/// routes, and against callers who are told nobody because none of those serves.
+#[test]
+fn hosts_of_other_regions_are_not_named_for_routes_with_homes() {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    let regions = [("a", "west"), ("b", "west"), ("c", "east")];
+    leaves.set_regions(
+        regions
+            .map(|(zone, of)| (zone.parse().expect("a zone"), of.parse().expect("a region")))
+            .into(),
+    );
+    let members = members(9, at(0));
+    let named = |regions: &[&str]| {
+        let regions: Vec<RegionId> =
+            regions.iter().map(|region| region.parse().expect("a region")).collect();
+        let asker = Asker { zone: "x", regions: &regions };
+        let hosts = choose(&members, &catalog(), &leaves, asker, at(1));
+        let zones: BTreeSet<u8> = hosts.iter().map(|ip| ip.octets()[3] % 3).collect();
+        zones.into_iter().collect::<Vec<u8>>()
+    };
+    assert_eq!(named(&["east"]), [2]);
+    assert_eq!(named(&["west"]), [0, 1]);
+    assert_eq!(named(&["north"]), [0, 1, 2], "no host serves there");
 }
 
 /// Guards against a few hosts that drown while the others stand by.
@@ -296,7 +334,8 @@
         }
         let mut plain = catalog();
         plain.routes = vec![common::single(wigeonramp_routing::catalog::Repeat::Idempotent)];
-        choose(&members, &plain, &leaves, "a", at(1)).len()
+        let asker = Asker { zone: "a", regions: &[] };
+        choose(&members, &plain, &leaves, asker, at(1)).len()
     };
     assert_eq!([named(0.001), named(0.009), named(0.02), named(0.06)], [3, 5, 10, 10]);
 }
--- a/components/routing/tests/leaves.rs
+++ b/components/routing/tests/leaves.rs
@@ -16,7 +16,7 @@
 
 fn choose(leaves: &mut Leaves, except: &[LeafKey], cold: Option<f64>, now: Instant) -> String {
     let of = service("s0");
-    let seek = Seek { service: &of, except, usual: USUAL, cold_per_second: cold };
+    let seek = Seek { service: &of, homes: &[], except, usual: USUAL, cold_per_second: cold };
     let mut rng = SmallRng::seed_from_u64(SEED);
     match leaves.choose(&seek, now, &mut rng) {
         Some(key) => leaves.get(key).expect("a chosen leaf").entry.id.to_string(),
@@ -28,6 +28,28 @@
     leaves.key_of(&id.parse().expect("a leaf id")).expect("a registered leaf")
 }
 
+/// Guards against a request that leaves the regions that its route allows, whatever state the leaves
+/// there are in.
+#[test]
+fn request_stays_in_the_homes_of_its_route() {
+    let mut leaves = traffic(1).leaves;
+    let regions = [("a", "west"), ("b", "east")];
+    leaves.set_regions(
+        regions
+            .map(|(zone, of)| (zone.parse().expect("a zone"), of.parse().expect("a region")))
+            .into(),
+    );
+    let (of, east) = (service("s0"), ["east".parse().expect("a region")]);
+    let mut rng = SmallRng::seed_from_u64(SEED);
+    let seek =
+        Seek { service: &of, homes: &east, except: &[], usual: USUAL, cold_per_second: None };
+    let far = key(&leaves, "l0b");
+    assert_eq!(leaves.choose(&seek, at(1), &mut rng), Some(far));
+    leaves.evacuate("b".parse().expect("a zone"), true);
+    assert_eq!(leaves.choose(&seek, at(2), &mut rng), None);
+    assert!(!leaves.serves(&of, &east) && leaves.serves(&of, &[]));
+}
+
 /// Brings a leaf into trouble.
 type Trouble = fn(&mut Leaves, LeafKey);
 
--- a/components/units/src/id.rs
+++ b/components/units/src/id.rs
@@ -81,6 +81,11 @@
     ZoneId,
     "zone id"
 );
+text_id!(
+    /// A region; a group of availability zones.
+    RegionId,
+    "region id"
+);
 text_id!(
     /// An upstream.
     LeafId,
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -9,8 +9,8 @@
 mod time;
 
 pub use id::{
-    BootId, CallerId, CollectionId, HostId, InstanceId, LeafId, MemberId, OpId, RequestId,
-    ServiceId, ShardId, ZoneId,
+    BootId, CallerId, CollectionId, HostId, InstanceId, LeafId, MemberId, OpId, RegionId,
+    RequestId, ServiceId, ShardId, ZoneId,
 };
 pub use number::{
     AttemptId, ByteSize, ConfigVersion, Connections, Digest, Epoch, Fingerprint, MapVersion,
