Take zones out and swallow watches in the soak

The soak now also checks that a zone that is out gets nothing more after 5 s, and has the outage in which waiting watches lose their answers.

--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         traffic::{Kind, Sent},
-        world::{History, MIN_SHARE_PERCENT, SHARDS, TOP_K},
+        world::{History, MIN_SHARE_PERCENT, SHARDS, TOP_K, ZoneOut},
     },
     indexmap::{IndexMap, IndexSet},
     std::{
@@ -16,6 +16,8 @@
 
 /// Time within which a version is in force, and a leaf that left gets nothing more.
 const APPLY: Duration = Duration::from_millis(3_000);
+/// Time after which a zone that was taken out gets nothing more.
+const ZONE_APPLY: Duration = Duration::from_millis(5_000);
 /// Promises with a time bound rest for this long after a disturbance.
 const REST: Duration = Duration::from_millis(4_000);
 /// Share of the requests that is served again after the last fault.
@@ -59,6 +61,7 @@
         found.extend(version_in_force(one, runs, history));
     }
     found.extend(runs.iter().filter_map(|run| left_alone(run, history)));
+    found.extend(runs.iter().filter_map(|run| zone_is_out(run, history)));
     found
 }
 
@@ -156,3 +159,18 @@
     let late = run.at.duration_since(*left).as_millis();
     violation("a leaving leaf gets nothing more", format!("{} after {late} ms", run.leaf))
 }
+
+fn zone_is_out(run: &Run, history: &History) -> Option<Violation> {
+    let zone = history.zones.get(&run.leaf)?;
+    let is_out = |out: &&ZoneOut| {
+        out.zone == zone.as_str()
+            && run.at >= out.from + ZONE_APPLY
+            && out.until.is_none_or(|until| run.at < until)
+    };
+    let out = history.zones_out.iter().find(is_out)?;
+    if is_disturbed(history, run.at) || is_disturbed(history, out.from) {
+        return None;
+    }
+    let late = run.at.duration_since(out.from).as_millis();
+    violation("a zone that is out gets nothing more", format!("{} after {late} ms", run.leaf))
+}
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -12,11 +12,13 @@
 };
 
 /// Kinds of faults.
-const KINDS: usize = 15;
+const KINDS: usize = 16;
 /// Kinds that leave hosts and store alone: after these, promises with a time bound hold throughout.
-const CALM: [usize; 9] = [3, 4, 5, 7, 9, 11, 13, 14, 14];
+const CALM: [usize; 10] = [3, 4, 5, 7, 9, 11, 13, 14, 15, 15];
 /// Time from a leaf's notice to its end; longer than hosts may still use it.
 const LEAVING: Duration = Duration::from_millis(4_500);
+/// Time for which a zone is out; longer than hosts may still use it.
+const ZONE_OUT: Duration = Duration::from_millis(6_500);
 /// Pause between faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 150..900;
 /// Length of faults that end by themselves, in milliseconds.
@@ -36,6 +38,7 @@
     StoreSound,
     NewLeaf(String, String),
     EndLeaf(usize),
+    ZoneBack,
 }
 
 /// Injects faults until the plan's time is over, then undoes all; returns what it did.
@@ -49,6 +52,7 @@
         if let Some(then) = then {
             let length = match then {
                 Undo::EndLeaf(_) => LEAVING,
+                Undo::ZoneBack => ZONE_OUT,
                 _ => Duration::from_millis(world.rng.random_range(LENGTH_MS)),
             };
             undo.push((Instant::now() + length, then));
@@ -109,7 +113,8 @@
         }
         6 => {
             world.disturb();
-            let faults = [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent];
+            let faults =
+                [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent, StoreFault::Swallow];
             let fault = faults[world.rng.random_range(0..faults.len())];
             world.store.set_fault(fault);
             (format!("store {fault:?}"), Some(Undo::StoreSound))
@@ -158,6 +163,13 @@
             world.leaves[leaf].0.unregister();
             (format!("{id} crashes"), Some(Undo::NewLeaf(service, zone)))
         }
+        14 => {
+            let zone = if world.rng.random() { "a" } else { "b" };
+            match world.take_zone_out(zone) {
+                true => (format!("zone {zone} out"), Some(Undo::ZoneBack)),
+                false => ("another zone is out already".to_owned(), None),
+            }
+        }
         _ => {
             world.leaves[leaf].0.register("draining");
             world.history.left.push((id.clone(), Instant::now()));
@@ -201,6 +213,7 @@
             world.disturb();
             world.store.set_fault(StoreFault::None);
         }
+        Undo::ZoneBack => world.take_zone_back(),
         Undo::NewLeaf(service, zone) => add_leaf(world, &service, &zone),
         Undo::EndLeaf(leaf) => {
             // It serves for as long as hosts may not know yet, and then ends.
--- a/components/soak/src/world.rs
+++ b/components/soak/src/world.rs
@@ -7,6 +7,7 @@
         proxy::Proxy,
         traffic::{self, Sent, Traffic},
     },
+    indexmap::IndexMap,
     rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
     serde_json::{Value, json},
     std::{
@@ -53,12 +54,24 @@
     pub extra: bool,
 }
 
+/// A zone that operators took out.
+#[derive(Clone, Debug)]
+pub(crate) struct ZoneOut {
+    pub zone: &'static str,
+    pub from: Instant,
+    /// When it was taken back; none until then.
+    pub until: Option<Instant>,
+}
+
 /// What happened, for the checks.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
     pub versions: Vec<Version>,
     /// Leaves that left, by id, with the time of the store's word.
     pub left: Vec<(String, Instant)>,
+    /// Zones of all leaves.
+    pub zones: IndexMap<String, String>,
+    pub zones_out: Vec<ZoneOut>,
     /// Times with faults after which promises with a time bound rest.
     pub disturbed: Vec<Instant>,
 }
@@ -154,6 +167,7 @@
         let proxy = Proxy::start(&ip, leaf.address())?;
         leaf.set_public(proxy.address);
         leaf.register("ready");
+        self.history.zones.insert(id, zone.to_owned());
         self.leaves.push((leaf, proxy));
         Ok(())
     }
@@ -206,6 +220,24 @@
         self.history.versions.push(Version { at: Instant::now(), single, extra });
     }
 
+    /// Takes a zone out; false when one is out already, as the other one has to serve.
+    pub fn take_zone_out(&mut self, zone: &'static str) -> bool {
+        if self.history.zones_out.iter().any(|out| out.until.is_none()) {
+            return false;
+        }
+        self.store.put("evacuations", zone, json!({}));
+        self.history.zones_out.push(ZoneOut { zone, from: Instant::now(), until: None });
+        true
+    }
+
+    /// Takes the zone back that is out.
+    pub fn take_zone_back(&mut self) {
+        for out in self.history.zones_out.iter_mut().filter(|out| out.until.is_none()) {
+            out.until = Some(Instant::now());
+            self.store.delete("evacuations", out.zone);
+        }
+    }
+
     /// Promises with a time bound rest for a while from now on.
     pub fn disturb(&mut self) {
         self.history.disturbed.push(Instant::now());
