Make one piece of what connections and updates repeat; decide on crash signs in routing

Found in the read-through: three copies of finishing a connect, two of taking in an update of another host, and the rule that blames a request for a crash in the shell that owns the sockets.

--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -6,6 +6,7 @@
 
 use {
     crate::{
+        known::Known,
         node::{Node, Source},
         sock::{self, OutBuf, ReadEnd},
     },
@@ -16,7 +17,7 @@
     std::{io::ErrorKind, net::Ipv4Addr},
     wigeonramp_routing::{
         catalog::Catalog,
-        changes::{Change, Update},
+        changes::{Change, ChangeLog, Update},
         follow::{KEEP_ALIVE, Origin},
     },
     wigeonramp_units::{ConfigVersion, Instant, LeafId, Revision, Span, ZoneId},
@@ -201,17 +202,13 @@
         let ask = self.ask();
         let Some(conn) = self.peers.conns.get_mut(key) else { return };
         if !conn.connected {
-            match conn.sock.peer_addr() {
-                Ok(_) => {
+            match (sock::is_open(&conn.sock), frame(&ask)) {
+                (Ok(true), Ok(bytes)) => {
                     conn.connected = true;
-                    if let Ok(bytes) = frame(&ask) {
-                        conn.out.push(bytes);
-                    }
+                    conn.out.push(bytes);
                 }
-                Err(_) => match conn.sock.take_error() {
-                    Ok(None) => return,
-                    Ok(Some(_)) | Err(_) => return self.drop_peer(key, true),
-                },
+                (Ok(false), _) => return,
+                (Err(_), _) | (_, Err(_)) => return self.drop_peer(key, true),
             }
         }
         if conn.out.flush(&mut conn.sock).is_err() {
@@ -370,52 +367,43 @@
     }
 
     fn take_leaves(&mut self, update: Update) {
-        if update.upto <= self.known.leaves.upto() {
-            return;
-        }
-        if update.whole {
-            let named = |id: &LeafId| {
-                update.changes.iter().any(|c| matches!(c, Change::Leaf(entry) if entry.id == *id))
-            };
-            let gone: Vec<LeafId> =
-                self.traffic.leaves.ids().filter(|id| !named(id)).cloned().collect();
-            for id in gone {
-                self.apply(&Change::LeafGone { id, grace: Span::ZERO });
-            }
-        }
-        for change in &update.changes {
-            self.apply(change);
-        }
-        if update.whole {
-            self.known.leaves.restart(update.upto, update.changed);
-        } else {
-            self.known.leaves.extend(update.upto, &update.changes);
-        }
-        self.known.to_tell = true;
+        let named = |id: &LeafId| {
+            update.changes.iter().any(|c| matches!(c, Change::Leaf(entry) if entry.id == *id))
+        };
+        let gone = self.traffic.leaves.ids().filter(|id| !named(id)).cloned();
+        let gone = gone.map(|id| Change::LeafGone { id, grace: Span::ZERO }).collect();
+        self.take_update(&update, gone, |known| &mut known.leaves);
     }
 
     fn take_zones(&mut self, update: Update) {
-        if update.upto <= self.known.evacuations.upto() {
+        let named = |zone: &ZoneId| {
+            let is = |c: &Change| matches!(c, Change::Evacuation { zone: z, .. } if z == zone);
+            update.changes.iter().any(is)
+        };
+        let back = self.traffic.leaves.evacuated().filter(|zone| !named(zone)).cloned();
+        let back = back.map(|zone| Change::Evacuation { zone, out: false }).collect();
+        self.take_update(&update, back, |known| &mut known.evacuations);
+    }
+
+    /// Takes in what another host knows of one kind of object; `unnamed` undoes the objects that the
+    /// update does not name, for an update that names all.
+    fn take_update(
+        &mut self,
+        update: &Update,
+        unnamed: Vec<Change>,
+        log: fn(&mut Known) -> &mut ChangeLog,
+    ) {
+        if update.upto <= log(&mut self.known).upto() {
             return;
         }
-        if update.whole {
-            let out = |zone: &ZoneId| {
-                let is = |c: &Change| matches!(c, Change::Evacuation { zone: z, .. } if z == zone);
-                update.changes.iter().any(is)
-            };
-            let back: Vec<ZoneId> =
-                self.traffic.leaves.evacuated().filter(|zone| !out(zone)).cloned().collect();
-            for zone in back {
-                self.apply(&Change::Evacuation { zone, out: false });
-            }
-        }
-        for change in &update.changes {
+        for change in unnamed.iter().filter(|_| update.whole).chain(&update.changes) {
             self.apply(change);
         }
+        let log = log(&mut self.known);
         if update.whole {
-            self.known.evacuations.restart(update.upto, update.changed);
+            log.restart(update.upto, update.changed);
         } else {
-            self.known.evacuations.extend(update.upto, &update.changes);
+            log.extend(update.upto, &update.changes);
         }
         self.known.to_tell = true;
     }
--- a/components/edge/src/sock.rs
+++ b/components/edge/src/sock.rs
@@ -43,6 +43,17 @@
     Ok(stream)
 }
 
+/// Whether a connection that was started is open by now; an error means that it never will be.
+pub(crate) fn is_open(stream: &TcpStream) -> Result<bool> {
+    if stream.peer_addr().is_ok() {
+        return Ok(true);
+    }
+    match stream.take_error()? {
+        Some(err) => Err(err),
+        None => Ok(false),
+    }
+}
+
 /// Makes a connection that goes silent end with an error.
 pub(crate) fn detect_silence(stream: &TcpStream) -> Result<()> {
     let socket = SockRef::from(stream);
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -244,12 +244,10 @@
         let Some(line) = self.store.lines.get_mut(index) else { return };
         let Some(sock) = &mut line.sock else { return };
         if !line.connected {
-            match sock.peer_addr() {
-                Ok(_) => line.connected = true,
-                Err(_) => match sock.take_error() {
-                    Ok(None) => return,
-                    Ok(Some(_)) | Err(_) => return self.store_failed(index, "cannot connect"),
-                },
+            match sock::is_open(sock) {
+                Ok(true) => line.connected = true,
+                Ok(false) => return,
+                Err(_) => return self.store_failed(index, "cannot connect"),
             }
         }
         if line.out.flush(sock).is_err() {
--- a/components/edge/src/upstreams.rs
+++ b/components/edge/src/upstreams.rs
@@ -22,6 +22,7 @@
         exchange::{Send, TryEnd, TryRef},
         leaf::SendEnd,
         leaves::LeafKey,
+        poison::CrashSigns,
         relay::LeafAnswer,
     },
     wigeonramp_units::{Fingerprint, Instant, Span},
@@ -54,8 +55,6 @@
 /// Time for which a send waits for a connection; the leaf may hold all of them without answering,
 /// and another leaf may be free.
 const QUEUE_TIME: Span = Span::millis(200);
-/// A broken connection and other signs of the leaf's crash lie this close together.
-const CRASH_WINDOW: Span = Span::millis(1_500);
 
 /// The request that a connection carries.
 #[derive(Debug)]
@@ -106,8 +105,7 @@
     conns: Slab<LeafConn>,
     idle: HashMap<LeafKey, Vec<usize>>,
     open: IndexMap<LeafKey, usize>,
-    suspects: Vec<(Fingerprint, LeafKey, Instant)>,
-    closed: Vec<(LeafKey, Instant)>,
+    crash_signs: CrashSigns,
 }
 
 impl Node {
@@ -264,12 +262,10 @@
     pub(crate) fn on_leaf(&mut self, key: usize) {
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
         if !conn.connected {
-            match conn.sock.peer_addr() {
-                Ok(_) => conn.connected = true,
-                Err(_) => match conn.sock.take_error() {
-                    Ok(None) => return,
-                    Ok(Some(_)) | Err(_) => return self.fail_conn(key, true),
-                },
+            match sock::is_open(&conn.sock) {
+                Ok(true) => conn.connected = true,
+                Ok(false) => return,
+                Err(_) => return self.fail_conn(key, true),
             }
         }
         if conn.out.flush(&mut conn.sock).is_err() {
@@ -427,14 +423,16 @@
             Some(work) => {
                 let end = if unsent { TryEnd::Unsent } else { TryEnd::Lost };
                 if !unsent && unanswered {
-                    self.suspect(work.fingerprint, leaf);
+                    if self.upstreams.crash_signs.broke(work.fingerprint, leaf, self.now) {
+                        self.blame(work.fingerprint, leaf);
+                    }
                 } else if refused {
-                    self.crash_sign(leaf);
+                    self.note_crash_sign(leaf);
                 }
                 let (key, serial, at) = (work.key, work.serial, work.at);
                 self.ended.push_back(Ended { key, serial, at, end });
             }
-            None => self.crash_sign(leaf),
+            None => self.note_crash_sign(leaf),
         }
     }
 
@@ -450,34 +448,9 @@
         }
     }
 
-    /// A request's connection broke before any answer. Together with another sign of the leaf's
-    /// crash this makes the request a suspect.
-    fn suspect(&mut self, fingerprint: Fingerprint, leaf: LeafKey) {
-        let now = self.now;
-        let recent = |at: &Instant| now.since(*at) < CRASH_WINDOW;
-        self.upstreams.closed.retain(|(_, at)| recent(at));
-        self.upstreams.suspects.retain(|(_, _, at)| recent(at));
-        if self.upstreams.closed.iter().any(|(closed, _)| *closed == leaf) {
+    fn note_crash_sign(&mut self, leaf: LeafKey) {
+        for fingerprint in self.upstreams.crash_signs.sign(leaf, self.now) {
             self.blame(fingerprint, leaf);
-            return;
-        }
-        self.upstreams.suspects.push((fingerprint, leaf, now));
-    }
-
-    /// An idle connection to the leaf ended, or the leaf refuses connections.
-    fn crash_sign(&mut self, leaf: LeafKey) {
-        let now = self.now;
-        let recent = |at: &Instant| now.since(*at) < CRASH_WINDOW;
-        self.upstreams.closed.retain(|(_, at)| recent(at));
-        self.upstreams.closed.push((leaf, now));
-        let suspects = std::mem::take(&mut self.upstreams.suspects);
-        let (here, others) = suspects.into_iter().partition(|(_, suspect, _)| *suspect == leaf);
-        self.upstreams.suspects = others;
-        let here: Vec<(Fingerprint, LeafKey, Instant)> = here;
-        for (fingerprint, leaf, at) in here {
-            if recent(&at) {
-                self.blame(fingerprint, leaf);
-            }
         }
     }
 
--- a/components/routing/src/poison.rs
+++ b/components/routing/src/poison.rs
@@ -1,10 +1,12 @@
 //! Requests that crash the leaves that run them.
 //!
-//! A connection that breaks while a request runs makes the request a suspect at that leaf. A
-//! request suspected at `CRASHED_LEAVES` leaves is refused for a while, at every host: the entries
-//! travel between the hosts. A success anywhere on this host clears it.
+//! A connection that breaks while a request runs, together with another sign of the leaf's crash,
+//! makes the request a suspect at that leaf. A request suspected at `CRASHED_LEAVES` leaves is
+//! refused for a while, at every host: the entries travel between the hosts. A success anywhere on
+//! this host clears it.
 
 use {
+    crate::leaves::LeafKey,
     indexmap::IndexMap,
     wigeonramp_units::{Fingerprint, Instant, Span},
 };
@@ -16,6 +18,44 @@
 /// Entries kept; the oldest go first.
 const MAX_ENTRIES: usize = 512;
 
+/// A broken connection and another sign of the leaf's crash lie this close together.
+const CRASH_WINDOW: Span = Span::millis(1_500);
+
+/// Signs of crashed leaves seen lately by one host.
+#[derive(Clone, Debug, Default)]
+pub struct CrashSigns {
+    broken: Vec<(Fingerprint, LeafKey, Instant)>,
+    others: Vec<(LeafKey, Instant)>,
+}
+
+impl CrashSigns {
+    /// A request's connection broke before any answer; returns whether the leaf has shown another
+    /// sign of a crash, so that the request is to blame.
+    pub fn broke(&mut self, fingerprint: Fingerprint, leaf: LeafKey, now: Instant) -> bool {
+        self.forget(now);
+        if self.others.iter().any(|(other, _)| *other == leaf) {
+            return true;
+        }
+        self.broken.push((fingerprint, leaf, now));
+        false
+    }
+
+    /// An idle connection to the leaf ended, or the leaf takes no connection; returns the requests to
+    /// blame.
+    pub fn sign(&mut self, leaf: LeafKey, now: Instant) -> Vec<Fingerprint> {
+        self.forget(now);
+        self.others.push((leaf, now));
+        let of_leaf = self.broken.extract_if(.., |(_, broken, _)| *broken == leaf);
+        of_leaf.map(|(fingerprint, ..)| fingerprint).collect()
+    }
+
+    fn forget(&mut self, now: Instant) {
+        let recent = |at: Instant| now.since(at) < CRASH_WINDOW;
+        self.broken.retain(|(_, _, at)| recent(*at));
+        self.others.retain(|(_, at)| recent(*at));
+    }
+}
+
 /// Suspected requests known to one host.
 #[derive(Clone, Debug, Default)]
 pub struct PoisonList {
--- a/components/routing/tests/parts.rs
+++ b/components/routing/tests/parts.rs
@@ -6,8 +6,9 @@
     common::at,
     proptest::{collection::vec, prelude::*},
     wigeonramp_routing::{
+        leaves::LeafKey,
         merge::{RECORD_BYTES, greatest},
-        poison::PoisonList,
+        poison::{CrashSigns, PoisonList},
     },
     wigeonramp_units::Fingerprint,
 };
@@ -30,6 +31,21 @@
     }
 }
 
+/// Guards against requests that are blamed for connections which broke without a crash, and against
+/// one that is not blamed for the crash of its leaf.
+#[test]
+fn request_is_blamed_only_with_another_sign_of_the_crash() {
+    let (leaf, other) = (LeafKey(1), LeafKey(2));
+    let (first, second) = (Fingerprint(7), Fingerprint(8));
+    let mut signs = CrashSigns::default();
+    assert!(!signs.broke(first, leaf, at(0)), "one broken connection is no crash");
+    assert!(signs.sign(other, at(10)).is_empty());
+    assert_eq!(signs.sign(leaf, at(1_000)), [first]);
+    assert!(signs.sign(leaf, at(1_001)).is_empty(), "it is blamed once");
+    assert!(signs.broke(second, leaf, at(2_000)), "the sign came first");
+    assert!(!signs.broke(second, leaf, at(3_000)), "the sign is too old");
+}
+
 /// Guards against a request that crashes one leaf after the other, at any host.
 #[test]
 fn request_that_broke_two_leaves_is_refused_here_and_where_it_is_told() {
