--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -29,8 +29,9 @@
 /// A zone is near the shards when it has leaves of this share of the shards of the best zone.
 const NEAR_SHARE: f64 = 0.8;
 
-/// Hosts named in each zone whatever their size, so that the loss of the only large one is not felt.
-const LEAST_OF_ANY_SIZE: usize = 2;
+/// Hosts named at least, so that the loss of one is not felt: those of other zones where the own zone
+/// has fewer large ones, and a smaller one where there is no other large one.
+const LEAST_NAMED: usize = 2;
 /// A host is large enough beside the largest one from this share of its processor on.
 const LARGE_SHARE: f64 = 0.5;
 
@@ -57,16 +58,16 @@
     let is_allowed = |member: &&MemberInfo| leaves.is_home(&member.zone, asker.regions);
     // Somebody is named even when no host of these regions serves.
     let is_limited = members.serving(now).any(|member| is_allowed(&member));
-    for member in members.serving(now).filter(|member| !is_limited || is_allowed(member)) {
+    let mut all: Vec<&MemberInfo> =
+        members.serving(now).filter(|member| !is_limited || is_allowed(member)).collect();
+    // The same order on every host, so that all name the same few.
+    all.sort_by(|a, b| entry_order(a, b));
+    let largest = all.first().map_or(0.0, |host| host.capacity);
+    let large = all.iter().filter(|host| host.capacity >= largest * LARGE_SHARE).count();
+    all.truncate(large.max(LEAST_NAMED));
+    for member in all {
         by_zone.entry(&member.zone).or_default().push(member);
     }
-    let largest = by_zone.values().flatten().map(|member| member.capacity).fold(0.0, f64::max);
-    for hosts in by_zone.values_mut() {
-        // The same order on every host, so that all name the same few.
-        hosts.sort_by(|a, b| entry_order(a, b));
-        let large = hosts.iter().filter(|host| host.capacity >= largest * LARGE_SHARE).count();
-        hosts.truncate(large.max(LEAST_OF_ANY_SIZE));
-    }
     let per_zone = per_zone(members, largest, near.len().max(1), now);
     for hosts in by_zone.values_mut() {
         hosts.truncate(per_zone);
@@ -75,7 +76,7 @@
     let chosen: Vec<&Vec<&MemberInfo>> = {
         let own = by_zone.iter().filter(|(name, _)| name.as_str() == zone && is_near(name));
         let own: Vec<_> = own.map(|(_, hosts)| hosts).collect();
-        if !own.is_empty() {
+        if own.iter().any(|hosts| hosts.len() >= LEAST_NAMED) {
             own
         } else {
             let near: Vec<_> =
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -286,16 +286,32 @@
     assert_eq!(named("c"), [3, 4, 6, 7], "zone c has no leaves of the shards");
 }
 
-/// Guards against a zone whose callers all depend on its only large host.
+/// Guards against callers who all depend on the only large host of their zone, and against small
+/// hosts beside it, which answer late: 30 hosts of a sweep served 0.81 in place of 0.90.
 #[test]
-fn second_host_is_named_beside_the_only_large_one() {
-    let leaves = Leaves::new("a".parse().expect("a zone"));
+fn large_hosts_of_other_zones_are_named_beside_the_only_one_of_a_zone() {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    for n in 0..2 {
+        for zone in ["a", "b"] {
+            leaves.register(entry(&format!("l{n}{zone}"), &format!("s{n}"), zone), at(0));
+        }
+    }
     let mut members = members(9, at(0));
+    let named = |members: &Members| {
+        let asker = Asker { zone: "a", regions: &[] };
+        let mut named: Vec<u8> = choose(members, &catalog(), &leaves, asker, at(1))
+            .iter()
+            .map(|ip| ip.octets()[3])
+            .collect();
+        named.sort_unstable();
+        named
+    };
     members.told(MemberInfo { beat: 2, capacity: 0.8, ..info(3) }, at(0));
-    let asker = Asker { zone: "a", regions: &[] };
-    let named = choose(&members, &catalog(), &leaves, asker, at(1));
-    let in_a = named.iter().filter(|ip| ip.octets()[3] % 3 == 0).count();
-    assert!(named.contains(&ip(3)) && in_a == 2, "{named:?}");
+    assert_eq!(named(&members).len(), 2, "a smaller one, as there is no other large one");
+    members.told(MemberInfo { beat: 2, capacity: 0.8, ..info(4) }, at(0));
+    assert_eq!(named(&members), [3, 4]);
+    members.told(MemberInfo { beat: 2, capacity: 0.8, ..info(6) }, at(0));
+    assert_eq!(named(&members), [3, 6], "two of the own zone are enough");
 }
 
 /// Guards against callers that are sent to hosts outside their own region and the homes of their
