--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -29,9 +29,8 @@
 /// A zone is near the shards when it has leaves of this share of the shards of the best zone.
 const NEAR_SHARE: f64 = 0.8;
 
-/// Hosts named at least, so that the loss of one is not felt: those of other zones where the own zone
-/// has fewer large ones, and a smaller one where there is no other large one.
-const LEAST_NAMED: usize = 2;
+/// Hosts that count as large at least, so that not all callers depend on the only large one.
+const LEAST_LARGE: usize = 2;
 /// A host is large enough beside the largest one from this share of its processor on.
 const LARGE_SHARE: f64 = 0.5;
 
@@ -64,7 +63,7 @@
     all.sort_by(|a, b| entry_order(a, b));
     let largest = all.first().map_or(0.0, |host| host.capacity);
     let large = all.iter().filter(|host| host.capacity >= largest * LARGE_SHARE).count();
-    all.truncate(large.max(LEAST_NAMED));
+    all.truncate(large.max(LEAST_LARGE));
     for member in all {
         by_zone.entry(&member.zone).or_default().push(member);
     }
@@ -76,7 +75,7 @@
     let chosen: Vec<&Vec<&MemberInfo>> = {
         let own = by_zone.iter().filter(|(name, _)| name.as_str() == zone && is_near(name));
         let own: Vec<_> = own.map(|(_, hosts)| hosts).collect();
-        if own.iter().any(|hosts| hosts.len() >= LEAST_NAMED) {
+        if !own.is_empty() {
             own
         } else {
             let near: Vec<_> =
