List sessions until the own one is among them

Cause, by reading: a host listed the sessions once after its start. Hosts that start together and all list before any has written its session never hear of each other without seeds, until an assignment names them.

The platform path does not use this.

--- a/components/daemon/src/control/lookup.rs
+++ b/components/daemon/src/control/lookup.rs
@@ -1,5 +1,8 @@
-//! Learns of hosts from the store: all sessions once after the start, and later single sessions of
-//! hosts that the assignment names and no heartbeat has described.
+//! Learns of hosts from the store: all sessions after the start, until this host's own is among them,
+//! and later single sessions of hosts that the assignment names and no heartbeat has described.
+//!
+//! Of two hosts that start together, the one whose session was written later then finds the other.
+//! With a single list, hosts that all listed before they wrote never heard of each other.
 //!
 //! This has a thread of its own: a store that hangs must not hold up heartbeats, which keep the
 //! host's rights fresh.
@@ -32,8 +35,9 @@
         let answered = if listed {
             look_up(gate, platform)
         } else {
-            listed = list(gate, platform);
-            listed
+            let own = list(gate, platform);
+            listed = own == Some(true);
+            own.is_some()
         };
         if answered {
             backoff.succeeded();
@@ -44,16 +48,17 @@
     }
 }
 
-/// Reads all sessions; false if the store did not answer.
-fn list(gate: &Gate, platform: &Platform<impl ObjectStore>) -> bool {
-    let Ok(objects) = platform.list(CallKind::Session, "session/") else { return false };
+/// Reads all sessions; returns whether this host's own is among them, none if the store did not answer.
+fn list(gate: &Gate, platform: &Platform<impl ObjectStore>) -> Option<bool> {
+    let objects = platform.list(CallKind::Session, "session/").ok()?;
     let records = objects.iter().filter_map(|object| {
         let record = serde_json::from_str::<SessionRecord>(&object.body);
         record.inspect_err(|err| log::error!("{} cannot be read: {err}", object.key)).ok()
     });
     let records: Vec<_> = records.collect();
     records.iter().for_each(|record| hear(gate, record));
-    true
+    let me = gate.core().me.instance.clone();
+    Some(records.iter().any(|record| record.instance == me))
 }
 
 /// Reads the sessions of unknown hosts; false if the store did not answer.
