--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange.rs
@@ -344,14 +344,11 @@
         if part.tries.len() >= self.route.attempts {
             return;
         }
-        let except: Vec<LeafKey> = part.tries.iter().map(|t| t.leaf).collect();
         let service = part.service.clone();
         if !cx.has_room(&service, now) {
             return;
         }
-        let Some(leaf) = cx.choose(&service, &self.route.homes, &except, self.usual, now) else {
-            return;
-        };
+        let Some(leaf) = self.untried_leaf(index, cx, now) else { return };
         if cx.leaves.is_troubled(leaf, now) {
             return;
         }
@@ -397,15 +394,18 @@
         now: Instant,
         sends: &mut Vec<Send>,
     ) -> bool {
-        let part = &self.parts[index];
-        let except: Vec<LeafKey> = part.tries.iter().map(|t| t.leaf).collect();
-        match cx.choose(&part.service, &self.route.homes, &except, self.usual, now) {
-            Some(leaf) => self.push(index, leaf, cx, now, sends),
-            None => return false,
-        }
+        let Some(leaf) = self.untried_leaf(index, cx, now) else { return false };
+        self.push(index, leaf, cx, now, sends);
         true
     }
 
+    /// The best leaf of a part that has not had it.
+    fn untried_leaf(&self, index: usize, cx: &mut Traffic, now: Instant) -> Option<LeafKey> {
+        let part = &self.parts[index];
+        let tried: Vec<LeafKey> = part.tries.iter().map(|t| t.leaf).collect();
+        cx.choose(&part.service, &self.route.homes, &tried, self.usual, now)
+    }
+
     fn push(
         &mut self,
         index: usize,
