Expect a resolve before the first request on a connection

Cause: in the first seconds of a host the common wait of a route was taken from first requests, which all had spent 20 ms, so nothing was taken off for it. First requests no longer count for the common wait, two equal announcements suffice, and three round trips stand in until it is known.

--- a/components/routing/src/reply_time.rs
+++ b/components/routing/src/reply_time.rs
@@ -18,13 +18,16 @@
 
 /// Round-trip time assumed until a connection of any caller has a measured one.
 const INITIAL_ROUND_TRIP: Span = Span::millis(4);
+/// Round trips that a caller needs before the first request on a connection: it connects to a host
+/// that resolves the name, gets the addresses, and connects to one of them.
+const FIRST_ROUND_TRIPS: u64 = 3;
 /// Upper bound of the margin for the variation of the round-trip time, in percent of that time.
 const MAX_MARGIN_PERCENT: u64 = 50;
 /// Number of recent announcements per route from which the common wait is derived.
 const ANNOUNCEMENTS: usize = 32;
-/// Minimum number of recent announcements of the same wait; fewer can be callers with a wait of
-/// their own.
-const MIN_EQUAL: usize = 4;
+/// Minimum number of recent announcements of the same wait; a single one can be a caller with a wait
+/// of its own.
+const MIN_EQUAL: usize = 2;
 /// Largest difference of announcements that count as equal; callers round to milliseconds.
 const EQUAL_WITHIN: Span = Span::millis(1);
 /// Weight of a new sample in the mean, as a divisor.
@@ -181,10 +184,18 @@
     pub fn overhead(&mut self, route: &str, target_latency: Span, path: &CallerPath) -> Overhead {
         let way = self.way(path);
         let own = self.own_delay().min(target_latency.percent(MAX_OWN_PERCENT));
-        let connect = if path.is_first { way } else { Span::ZERO };
-        let spent = path.time_left.and_then(|left| self.spent(route, left));
-        let before = spent.filter(|spent| *spent < target_latency).unwrap_or_default().max(connect);
-        Overhead { before, way, own }
+        let before = self.before(route, path, way).filter(|before| *before < target_latency);
+        Overhead { before: before.unwrap_or_default(), way, own }
+    }
+
+    /// Returns the time that the caller spent before the request, if it can be told.
+    fn before(&mut self, route: &str, path: &CallerPath, round_trip: Span) -> Option<Span> {
+        let spent = path.time_left.and_then(|left| self.spent(route, left, path.is_first));
+        match spent {
+            Some(spent) if path.is_first => Some(spent.max(round_trip)),
+            None if path.is_first => Some(round_trip * FIRST_ROUND_TRIPS),
+            spent => spent,
+        }
     }
 
     /// Returns the time on the network.
@@ -200,13 +211,16 @@
     }
 
     /// Returns the time that a caller spent before its request if it started with the wait that is
-    /// common on the route; none if the common wait is unknown or shorter.
-    fn spent(&mut self, route: &str, left: Span) -> Option<Span> {
+    /// common on the route; none if the common wait is unknown or shorter. The first request on a
+    /// connection never has the whole wait left, so it does not count for the common one.
+    fn spent(&mut self, route: &str, left: Span, is_first: bool) -> Option<Span> {
         if !self.waits.contains_key(route) {
             self.waits.insert(route.to_owned(), AnnouncedWaits::default());
         }
         let waits = &mut self.waits[route];
-        waits.record(left);
+        if !is_first {
+            waits.record(left);
+        }
         let common = waits.common().filter(|common| *common >= left)?;
         Some(Span(common.0 - left.0))
     }
