Name two hosts of other zones to every caller

Cause: a lost zone at 195 and 300 hosts left its callers without a host that lives: all addresses that they had were in their own zone.

What binds now: callers resolve names at the three nearest hosts, which are all in the lost zone (65 of 92 failures were requests without any address).

--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -6,6 +6,9 @@
 //! leaves and few connections are needed; their number grows with the load. Sending to every shard
 //! takes a host with a small processor share a large part of the target latency, so hosts much
 //! smaller than the largest are selected only if there is no larger one.
+//!
+//! Each caller also gets a host of another zone: if its zone is lost, callers cannot resolve other
+//! addresses either until they reach a host elsewhere.
 
 use {
     crate::{
@@ -16,6 +19,7 @@
     indexmap::{IndexMap, IndexSet},
     std::net::Ipv4Addr,
     wigeonramp_units::{Instant, RegionId, ServiceId, ZoneId},
+    xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
 };
 
 /// Time for which callers may cache the addresses, in seconds. It is short so that callers soon
@@ -25,6 +29,8 @@
 const MAX_ADDRESSES: usize = 64;
 /// Minimum number of hosts per zone: one may be lost while another restarts.
 const MIN_PER_ZONE: usize = 3;
+/// Number of hosts of other zones that a caller gets beside those of its own zone.
+const FALLBACK_HOSTS: usize = 2;
 /// Fraction of its processor share that a selected host is planned to use for sending to leaves.
 const PLANNED_UTILIZATION: f64 = 0.3;
 /// A zone is preferred if the number of shards with leaves in it is at least this fraction of the
@@ -75,21 +81,33 @@
         hosts.truncate(per_zone);
     }
     let is_preferred = |name: &ZoneId| preferred.is_empty() || preferred.contains(name);
-    let chosen: Vec<&Vec<&MemberInfo>> = {
-        let own = by_zone.iter().filter(|(name, _)| name.as_str() == zone && is_preferred(name));
-        let own: Vec<_> = own.map(|(_, hosts)| hosts).collect();
-        if !own.is_empty() {
-            own
-        } else {
-            let others: Vec<_> = by_zone
-                .iter()
-                .filter(|(name, _)| is_preferred(name))
-                .map(|(_, hosts)| hosts)
-                .collect();
-            if others.is_empty() { by_zone.values().collect() } else { others }
-        }
+    if by_zone.keys().any(|name| is_preferred(name)) {
+        by_zone.retain(|name, _| is_preferred(name));
+    }
+    let own = by_zone.iter().position(|(name, _)| name.as_str() == zone);
+    let chosen: Vec<&MemberInfo> = match own.and_then(|own| by_zone.swap_remove_index(own)) {
+        Some((_, own)) => own.into_iter().chain(fallback_hosts(zone, &by_zone)).collect(),
+        None => by_zone.into_values().flatten().collect(),
+    };
+    chosen.into_iter().map(|host| host.ip).take(MAX_ADDRESSES).collect()
+}
+
+/// Returns hosts of other zones for callers in `zone`, which lose all hosts of their own zone and
+/// its address resolution together.
+fn fallback_hosts<'a>(
+    zone: &str,
+    others: &IndexMap<&ZoneId, Vec<&'a MemberInfo>>,
+) -> impl Iterator<Item = &'a MemberInfo> {
+    // The callers of different zones fall back to different hosts.
+    let rank = |text: &str| xxh3_64_with_seed(text.as_bytes(), xxh3_64(zone.as_bytes()));
+    let mut zones: Vec<(&ZoneId, &Vec<&MemberInfo>)> =
+        others.iter().map(|(name, hosts)| (*name, hosts)).collect();
+    zones.sort_by_key(|(name, _)| rank(name.as_str()));
+    let host = move |(name, hosts): (&ZoneId, &Vec<&'a MemberInfo>)| {
+        let index = rank(name.as_str()) as usize % hosts.len().max(1);
+        hosts.get(index).copied()
     };
-    chosen.into_iter().flatten().map(|host| host.ip).take(MAX_ADDRESSES).collect()
+    zones.into_iter().filter_map(host).take(FALLBACK_HOSTS)
 }
 
 /// Returns the number of hosts to select in each of `zones` zones, so that sending to leaves takes
