Test that hosts which list before any session is written discover each other

The mend of (sessions are listed until the own one is among them) lacked a test that fails without it.

The two tests that intercept calls to the store share one wrapper.

--- a/components/daemon/tests/control/lost_confirm.rs
+++ b/components/daemon/tests/control/lost_confirm.rs
@@ -2,76 +2,58 @@
 //! effect.
 
 use {
-    crate::support::{confirm_at, declared, get, post, settings, wait_for},
-    std::sync::{
-        Arc,
-        atomic::{AtomicBool, Ordering},
+    crate::support::{
+        InterceptedStore, Interceptor, confirm_at, declared, get, post, settings, wait_for,
     },
+    std::sync::atomic::{AtomicBool, Ordering},
     wigeonramp_config::api::{
         ConfirmResponse, Intent, PLAN_PATH, PlanRequest, PlanResponse, STATUS_PATH, StatusResponse,
     },
     wigeonramp_daemon::host::Host,
     wigeonramp_standin::platform::{self, PlatformOptions},
     wigeonramp_store::{
-        Change, HttpStore, HttpStoreTimeouts, Object, ObjectStore, PlatformHost, Precondition,
-        ReadOutcome, StoreError, WriteOutcome,
+        HttpStore, HttpStoreTimeouts, ObjectStore, Precondition, ReadOutcome, StoreError,
+        WriteOutcome,
     },
-    wigeonramp_units::{Revision, Span},
 };
 
 const KEY: &str = "config/current";
 
-/// Store that loses the response to each write of the configuration and cannot read the key
-/// afterwards.
-struct LosingStore {
-    inner: HttpStore,
-    lost: Arc<AtomicBool>,
+/// Loses the response to each write of the configuration and cannot read the key afterwards.
+#[derive(Default)]
+struct LosesWrites {
+    lost: AtomicBool,
 }
 
-impl ObjectStore for LosingStore {
-    fn get(&self, key: &str) -> Result<ReadOutcome, StoreError> {
+impl Interceptor for LosesWrites {
+    fn get(&self, store: &HttpStore, key: &str) -> Result<ReadOutcome, StoreError> {
         if key == KEY && self.lost.load(Ordering::Acquire) {
             return Err(StoreError::unavailable(key, "test"));
         }
-        self.inner.get(key)
-    }
-
-    fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
-        self.inner.list(prefix)
+        store.get(key)
     }
 
     fn put(
         &self,
+        store: &HttpStore,
         key: &str,
         body: &str,
         precondition: Precondition,
     ) -> Result<WriteOutcome, StoreError> {
-        let put = self.inner.put(key, body, precondition);
+        let put = store.put(key, body, precondition);
         if key == KEY {
             self.lost.store(true, Ordering::Release);
             return Err(StoreError::unknown(key, "test"));
         }
         put
     }
-
-    fn delete(&self, key: &str, revision: Revision) -> Result<WriteOutcome, StoreError> {
-        self.inner.delete(key, revision)
-    }
-
-    fn watch(&self, prefix: &str, after: Revision, wait: Span) -> Result<Vec<Change>, StoreError> {
-        self.inner.watch(prefix, after, wait)
-    }
-
-    fn hosts(&self) -> Result<Vec<PlatformHost>, StoreError> {
-        self.inner.hosts()
-    }
 }
 
 #[test]
 fn a_write_with_an_unknown_outcome_is_reported_as_not_known_yet() {
     let platform = platform::start(&PlatformOptions::default()).expect("the platform starts");
     let inner = HttpStore::new(platform.address(), HttpStoreTimeouts::default());
-    let store = LosingStore { inner, lost: Arc::default() };
+    let store = InterceptedStore { inner, interceptor: LosesWrites::default() };
     let host = Host::start(&settings(0, platform.address()), store).expect("the host starts");
     let operator = host.addresses().operator;
     let mut document = declared(1);
--- a/components/daemon/tests/control/main.rs
+++ b/components/daemon/tests/control/main.rs
@@ -2,6 +2,7 @@
 
 mod claims;
 mod configuration;
+mod discovery;
 mod host_state;
 mod lost_confirm;
 mod stop;
--- a/components/daemon/tests/control/support.rs
+++ b/components/daemon/tests/control/support.rs
@@ -29,8 +29,11 @@
         leaves::{self, LeafCounters, Leaves, LeavesOptions},
         platform::{self, Platform, PlatformOptions},
     },
-    wigeonramp_store::{HttpStore, HttpStoreTimeouts},
-    wigeonramp_units::Span,
+    wigeonramp_store::{
+        Change, HttpStore, HttpStoreTimeouts, Object, ObjectStore, PlatformHost, Precondition,
+        ReadOutcome, StoreError, WriteOutcome,
+    },
+    wigeonramp_units::{Revision, Span},
 };
 
 /// Timeout of every wait and call in these tests.
@@ -44,6 +47,64 @@
 /// A host in the tests.
 pub type TestHost = Host<HttpStore>;
 
+/// Changes the calls of one host to the store; every call that it does not change is made as it is.
+pub trait Interceptor: Send + Sync + 'static {
+    fn get(&self, store: &HttpStore, key: &str) -> Result<ReadOutcome, StoreError> {
+        store.get(key)
+    }
+
+    fn list(&self, store: &HttpStore, prefix: &str) -> Result<Vec<Object>, StoreError> {
+        store.list(prefix)
+    }
+
+    fn put(
+        &self,
+        store: &HttpStore,
+        key: &str,
+        body: &str,
+        precondition: Precondition,
+    ) -> Result<WriteOutcome, StoreError> {
+        store.put(key, body, precondition)
+    }
+}
+
+/// A store whose calls pass through an interceptor.
+pub struct InterceptedStore<I> {
+    pub inner: HttpStore,
+    pub interceptor: I,
+}
+
+impl<I: Interceptor> ObjectStore for InterceptedStore<I> {
+    fn get(&self, key: &str) -> Result<ReadOutcome, StoreError> {
+        self.interceptor.get(&self.inner, key)
+    }
+
+    fn list(&self, prefix: &str) -> Result<Vec<Object>, StoreError> {
+        self.interceptor.list(&self.inner, prefix)
+    }
+
+    fn put(
+        &self,
+        key: &str,
+        body: &str,
+        precondition: Precondition,
+    ) -> Result<WriteOutcome, StoreError> {
+        self.interceptor.put(&self.inner, key, body, precondition)
+    }
+
+    fn delete(&self, key: &str, revision: Revision) -> Result<WriteOutcome, StoreError> {
+        self.inner.delete(key, revision)
+    }
+
+    fn watch(&self, prefix: &str, after: Revision, wait: Span) -> Result<Vec<Change>, StoreError> {
+        self.inner.watch(prefix, after, wait)
+    }
+
+    fn hosts(&self) -> Result<Vec<PlatformHost>, StoreError> {
+        self.inner.hosts()
+    }
+}
+
 /// Hosts with their platform and leaves.
 pub struct Fleet {
     pub hosts: Vec<TestHost>,
