Log the request limits that leaves name and what is sent to such leaves

Hosts now read the limit of each response and log when it is first named, changes and ends, and once a second what they sent to limited leaves. A response that is late or out of order does not end or raise a limit; one that is no success does not end it. No decision uses the limit yet.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -10,6 +10,7 @@
 mod clock;
 mod gossip;
 mod journal;
+mod limits;
 mod metrics;
 mod node;
 mod peers;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -40,6 +40,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct SendLabels {
+    kind: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
@@ -67,6 +72,8 @@
     extra_attempts: Counter,
     over_budget: Counter,
     no_leaf: Counter,
+    limited_sends: Family<SendLabels, Counter>,
+    limited_leaves: Gauge,
     /// Attempt counts at the last export; the counters grow by the difference.
     last_counts: AttemptCounts,
     admitted_share: Gauge<f64, AtomicU64>,
@@ -99,6 +106,8 @@
             extra_attempts: Counter::default(),
             over_budget: Counter::default(),
             no_leaf: Counter::default(),
+            limited_sends: Family::default(),
+            limited_leaves: Gauge::default(),
             last_counts: AttemptCounts::default(),
             admitted_share: Gauge::default(),
             traffic_share: Gauge::default(),
@@ -130,6 +139,10 @@
         registry.register("second_sends_over_budget", help, this.over_budget.clone());
         let help = "Sends without a leaf to ask, cold ones without an allowance included";
         registry.register("sends_without_leaf", help, this.no_leaf.clone());
+        let help = "Requests sent to leaves that name a limit, by kind";
+        registry.register("limited_sends", help, this.limited_sends.clone());
+        let help = "Leaves that name a limit";
+        registry.register("limited_leaves", help, this.limited_leaves.clone());
         let help = "Least share of the most urgent requests that is taken, over groups of shards";
         registry.register("taken_share", help, this.admitted_share.clone());
         let help = "Share of all hosts' traffic that this host counts with";
@@ -213,6 +226,12 @@
         self.store_failures.get_or_create(&StoreLabels { kind }).inc();
     }
 
+    /// Counts requests that were sent to leaves that name a limit.
+    pub fn count_limited_sends(&self, first: u64, extra: u64) {
+        self.limited_sends.get_or_create(&SendLabels { kind: "first" }).inc_by(first);
+        self.limited_sends.get_or_create(&SendLabels { kind: "extra" }).inc_by(extra);
+    }
+
     fn add_attempts(&mut self, counts: AttemptCounts) {
         let before = std::mem::replace(&mut self.last_counts, counts);
         self.extra_attempts.inc_by(counts.extra - before.extra);
@@ -227,6 +246,7 @@
         let version = self.active_catalog.version().map_or(0, |version| version.0);
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.metrics.leaves.set(self.routing.leaves.len() as i64);
+        self.metrics.limited_leaves.set(self.routing.limits.len() as i64);
         self.metrics.hosts.set(self.members.known_count() as i64);
         self.metrics.serving_hosts.set(self.members.serving(self.now).count() as i64);
         self.metrics.add_attempts(self.routing.counts);
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -166,6 +166,7 @@
     stop_signal: Arc<AtomicBool>,
     reload_signal: Arc<AtomicBool>,
     next_sweep: Instant,
+    pub(crate) next_limit_usage: Instant,
 }
 
 fn system_result<T>(what: &str, result: std::io::Result<T>) -> Result<T, RunError> {
@@ -241,6 +242,7 @@
             stop_signal: Arc::default(),
             reload_signal: Arc::default(),
             next_sweep: now,
+            next_limit_usage: now,
             settings,
         };
         node.listen()?;
@@ -380,6 +382,7 @@
         self.sweep_requests();
         self.sweep_upstreams();
         self.sweep_leaves();
+        self.report_limited_sends();
         self.advance_stop();
         self.refresh_shares();
         for change in self.routing.overload_changes() {
--- a/components/edge/src/upstreams.rs
+++ b/components/edge/src/upstreams.rs
@@ -396,6 +396,9 @@
         if conn.inbuf.capacity() > sock::READ_BYTES {
             conn.inbuf = Vec::new();
         }
+        if head.status != 421 {
+            self.hear_limit(leaf, &head, in_flight.sent);
+        }
         let outcome = self.classify_response(leaf, head, reader);
         self.ended_attempts.push_back(EndedAttempt {
             request: in_flight.request,
--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange.rs
@@ -445,6 +445,7 @@
     ) {
         cx.leaves.on_sent(leaf, self.typical_latency, now);
         let part = &mut self.parts[index];
+        cx.limits.count_send(leaf, !part.attempts.is_empty());
         let attempt = AttemptRef { part: index, number: part.attempts.len() };
         part.attempts.push(Attempt {
             leaf,
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod latency;
 pub mod leaf;
 pub mod leaves;
+pub mod limits;
 pub mod list_watch;
 pub mod members;
 pub mod merge;
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -7,6 +7,7 @@
         catalog::{Route, Target},
         latency::LatencyTracker,
         leaves::{LeafCriteria, LeafKey, Leaves},
+        limits::LeafLimits,
         overload::{OverloadController, PartStatus},
         reply_time::ReplyTiming,
     },
@@ -43,6 +44,8 @@
 pub struct RoutingState {
     /// Leaves known to this host.
     pub leaves: Leaves,
+    /// Request limits that leaves named.
+    pub limits: LeafLimits,
     /// Limit on extra attempts of all hosts together.
     pub extra_attempt_limit: ExtraAttemptLimit,
     /// This host's share of the traffic of all hosts, from 0 to 1.
@@ -68,6 +71,7 @@
     pub fn new(leaves: Leaves, extra_attempt_limit: ExtraAttemptLimit, rng: SmallRng) -> Self {
         Self {
             leaves,
+            limits: LeafLimits::default(),
             extra_attempt_limit,
             traffic_share: 0.0,
             cold_share: 0.0,
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -11,12 +11,13 @@
 /// microseconds.
 const CONTEXT_WINDOW_US: u64 = 6_000_000;
 /// Kinds of log events that report a change of a host's state or of its view of the cluster.
-const CONTEXT_EVENTS: [&str; 12] = [
+const CONTEXT_EVENTS: [&str; 13] = [
     "config_adopted",
     "evacuation",
     "following",
     "leaf",
     "leaf_address_reused",
+    "leaf_limit",
     "overload",
     "reloaded",
     "request_suspected",
@@ -179,7 +180,8 @@
     let is_context = |candidate: &&Value| {
         let at = number(candidate, "steady_us");
         let event = text(candidate, "event");
-        let is_relevant = event != "leaf" || tried_leaves.contains(&text(candidate, "leaf"));
+        let names_leaf = matches!(event, "leaf" | "leaf_limit");
+        let is_relevant = !names_leaf || tried_leaves.contains(&text(candidate, "leaf"));
         text(candidate, "host") == host
             && (begin..=end).contains(&at)
             && CONTEXT_EVENTS.contains(&event)
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -6,6 +6,7 @@
 
 mod id;
 mod number;
+mod rate;
 mod text;
 mod time;
 
@@ -17,5 +18,6 @@
     AttemptId, ByteSize, ConfigVersion, Connections, Digest, Epoch, Fingerprint, MapVersion,
     PerSecond, Percent, Revision, Slots, SnapshotId,
 };
+pub use rate::RequestRate;
 pub use text::ParseError;
 pub use time::{Instant, Span, UnixMillis};
--- a/components/units/tests/text_forms.rs
+++ b/components/units/tests/text_forms.rs
@@ -3,7 +3,7 @@
 
 use {
     proptest::prelude::*,
-    wigeonramp_units::{Digest, HostId, InstanceId, LeafId, Span},
+    wigeonramp_units::{Digest, HostId, InstanceId, LeafId, RequestRate, Span},
 };
 
 proptest! {
@@ -39,3 +39,17 @@
     assert_eq!(instance.to_string(), "h1@b2");
     assert_eq!(instance.host().as_str(), "h1");
 }
+
+/// Guards against a rate that computations turn into an unlimited one.
+#[test]
+fn a_request_rate_is_a_finite_number_that_is_not_negative() {
+    let texts = ["25.4", "0", "1e3", "-1", "-0.5", "inf", "NaN", "1e999", "", "12 a second"];
+    let rates: Vec<String> = texts
+        .iter()
+        .map(|text| match text.parse::<RequestRate>() {
+            Ok(rate) => format!("{text:?}: {rate}"),
+            Err(err) => err.to_string(),
+        })
+        .collect();
+    insta::assert_json_snapshot!(rates);
+}
