--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -29,8 +29,8 @@
 /// A host, the store and the leaves that run requests for it.
 pub struct Fixture {
     pub store: Store,
-    host: HostProcess,
-    /// The daemon process with an output that nobody reads, used instead of the process in `host`.
+    hosts: Vec<HostProcess>,
+    /// The daemon process with an output that nobody reads, used instead of the first process in `hosts`.
     stalled_process: Option<Child>,
     runs: Runs,
     leaves: AtomicU32,
@@ -65,15 +65,20 @@
     /// Starts a store with a configuration, and a host; `field` of the only service is set to
     /// `value`. `n` must differ between concurrent tests.
     pub fn start(n: u64, field: &str, value: u32) -> Self {
-        Self::start_with(n, field, value, false)
+        Self::start_with(n, 1, &[(field, value)], false)
     }
 
     /// Like `start`, but nobody reads the output of the host.
     pub fn start_with_stalled_log(n: u64) -> Self {
-        Self::start_with(n, "connection_limit", 50, true)
+        Self::start_with(n, 1, &[], true)
     }
 
-    fn start_with(n: u64, field: &str, value: u32, stall_log: bool) -> Self {
+    /// Like `start`, but with several hosts.
+    pub fn start_fleet(n: u64, hosts: u8) -> Self {
+        Self::start_with(n, hosts, &[], false)
+    }
+
+    fn start_with(n: u64, host_count: u8, fields: &[(&str, u32)], stall_log: bool) -> Self {
         // Each test has its own addresses: tests run concurrently, and the metrics port is the same
         // on every host.
         let prefix = format!("127.{}.{}", 20 + std::process::id() % 200, 200 + n);
@@ -81,29 +86,39 @@
         let store = Store::start(&format!("{prefix}.254")).expect("a store");
         let mut service = json!({ "name": "one" });
         service["connection_limit"] = json!(50);
-        service[field] = json!(value);
+        for (field, value) in fields {
+            service[*field] = json!(value);
+        }
         let routes = json!([route("read", "safe"), route("write", "unsafe")]);
         let spec = json!({ "version": 1, "routes": routes, "services": [service] });
         store.put("config", "main", spec);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{n}"));
         fs::create_dir_all(&directory).expect("a directory");
         let ports = Ports::find_free(&ip).expect("free ports");
-        let host_spec =
-            HostSpec { name: format!("host-{n}"), ip: ip.clone(), zone: "a", ports, seeds: &[] };
-        let proxy = Proxy::start(&format!("{prefix}.253"), store.address()).expect("a proxy");
         let daemon = PathBuf::from(env!("CARGO_BIN_EXE_wigeonrampd"));
-        let mut host = HostProcess::start(host_spec, proxy, &daemon, &directory).expect("a host");
+        let start_host = |number: u8| {
+            let spec = HostSpec {
+                name: format!("host-{n}-{number}"),
+                ip: format!("{prefix}.{number}"),
+                zone: "a",
+                ports,
+                seeds: std::slice::from_ref(&ip),
+            };
+            let proxy = Proxy::start(&format!("{prefix}.253"), store.address()).expect("a proxy");
+            HostProcess::start(spec, proxy, &daemon, &directory).expect("a host")
+        };
+        let mut hosts: Vec<HostProcess> = (1..=host_count).map(start_host).collect();
         let stalled_process = stall_log.then(|| {
-            host.kill();
+            hosts[0].kill();
             Command::new(&daemon)
                 .arg("--platform")
-                .env("WIGEONRAMP_CONFIG", directory.join(format!("host-{n}.toml")))
+                .env("WIGEONRAMP_CONFIG", directory.join(format!("host-{n}-1.toml")))
                 .stdout(Stdio::piped())
                 .spawn()
                 .expect("a host")
         });
         let (runs, leaves) = (Runs::default(), AtomicU32::new(0));
-        Self { store, host, stalled_process, runs, leaves, ip }
+        Self { store, hosts, stalled_process, runs, leaves, ip }
     }
 
     /// Writes the next version of the configuration, with `name` as the only route.
@@ -122,38 +137,53 @@
         leaf
     }
 
-    /// Returns the address to which callers connect.
+    /// Returns the address to which callers of the first host connect.
     pub fn caller_address(&self) -> SocketAddr {
-        let ip = self.ip.parse().expect("an address");
-        SocketAddr::new(ip, self.host.ports.callers)
+        self.caller_addresses()[0]
+    }
+
+    /// Returns the addresses to which callers of all hosts connect.
+    pub fn caller_addresses(&self) -> Vec<SocketAddr> {
+        let address = |host: &HostProcess| {
+            SocketAddr::new(host.ip.parse().expect("an address"), host.ports.callers)
+        };
+        self.hosts.iter().map(address).collect()
     }
 
-    /// Waits until the host serves requests.
+    /// Waits until all hosts serve requests.
     pub fn wait_until_serving(&self) {
         let deadline = Instant::now() + START_TIMEOUT;
         let timeout = Duration::from_secs(2);
-        let mut n = 0;
-        while request_status(self.caller_address(), "GET", &format!("first-{n}"), timeout) != 200 {
-            assert!(Instant::now() < deadline, "the host must serve within {START_TIMEOUT:?}");
-            thread::sleep(Duration::from_millis(50));
-            n += 1;
+        for address in self.caller_addresses() {
+            let mut n = 0;
+            while request_status(address, "GET", &format!("first-{n}"), timeout) != 200 {
+                assert!(Instant::now() < deadline, "a host must serve within {START_TIMEOUT:?}");
+                thread::sleep(Duration::from_millis(50));
+                n += 1;
+            }
         }
     }
 
+    /// Returns the times at which a leaf started to run requests.
+    pub fn run_times(&self, leaf: &Leaf) -> Vec<Instant> {
+        let runs = self.runs.lock().expect("no leaf has failed");
+        runs.iter().filter(|run| run.leaf == leaf.id()).map(|run| run.at).collect()
+    }
+
     /// Returns the number of times that leaves ran the request.
     pub fn runs_of(&self, id: &str) -> usize {
         let runs = self.runs.lock().expect("no leaf has failed");
         runs.iter().filter(|run| run.id == id).count()
     }
 
-    /// Tells the host to stop by SIGTERM.
+    /// Tells the first host to stop by SIGTERM.
     pub fn stop(&mut self) {
-        self.host.signal(rustix::process::Signal::TERM);
+        self.hosts[0].signal(rustix::process::Signal::TERM);
     }
 
-    /// Returns whether the host's process has ended.
+    /// Returns whether the first host's process has ended.
     pub fn has_ended(&mut self) -> bool {
-        self.host.has_ended()
+        self.hosts[0].has_ended()
     }
 }
 
