--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -221,7 +221,9 @@
             evacuations: evacuations.0,
             limits,
         };
+        let kind = if heartbeat.limits.is_some() { "limits" } else { "heartbeat" };
         let bytes = heartbeat.encode_to_vec();
+        self.metrics.count_datagrams(kind, bytes.len() * to.len());
         for ip in to {
             // A failure has the same effect as the loss of the datagram.
             let _ = self.gossip.sock.send_to(&bytes, (*ip, self.gossip.port).into());
--- a/components/edge/src/limits.rs
+++ b/components/edge/src/limits.rs
@@ -176,7 +176,7 @@
     pub(crate) fn hear_limit(&mut self, leaf: LeafKey, head: &ResponseHead, asked: Instant) {
         // A failing leaf may leave out the limit that it names otherwise.
         let is_success = head.status < 300 && head.stamp.is_some();
-        if head.limit == NamedLimit::None && (!is_success || self.routing.limits.is_unknown()) {
+        if head.limit == NamedLimit::None && (!is_success || self.routing.limits.is_empty()) {
             return;
         }
         let Some(leaf) = self.routing.leaves.get(leaf) else { return };
@@ -248,7 +248,7 @@
             return;
         }
         self.next_limit_usage = self.now + USAGE_INTERVAL;
-        let used = self.routing.limits.take_sends();
+        let used = self.routing.limits.take_sends(self.now);
         if used.is_empty() {
             return;
         }
@@ -270,7 +270,7 @@
             })
             .collect();
         let fields = json!({
-            "limited": self.routing.limits.len(), "first": total.first, "extra": total.extra,
+            "limited": self.routing.limits.count(), "first": total.first, "extra": total.extra,
             "denied": total.denied, "leaves": leaves,
         });
         self.journal.record("limited_sends", fields, self.now);
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -74,6 +74,7 @@
     no_leaf: Counter,
     limited_sends: Family<SendLabels, Counter>,
     limited_leaves: Gauge,
+    datagram_bytes: Family<SendLabels, Counter>,
     /// Attempt counts at the last export; the counters grow by the difference.
     last_counts: AttemptCounts,
     admitted_share: Gauge<f64, AtomicU64>,
@@ -108,6 +109,7 @@
             no_leaf: Counter::default(),
             limited_sends: Family::default(),
             limited_leaves: Gauge::default(),
+            datagram_bytes: Family::default(),
             last_counts: AttemptCounts::default(),
             admitted_share: Gauge::default(),
             traffic_share: Gauge::default(),
@@ -141,6 +143,8 @@
         registry.register("sends_without_leaf", help, this.no_leaf.clone());
         let help = "Requests meant for leaves that name a limit: first and extra ones, and those without a permit";
         registry.register("limited_sends", help, this.limited_sends.clone());
+        let help = "Bytes of datagrams sent to other hosts, without headers, by kind";
+        registry.register("datagram_bytes", help, this.datagram_bytes.clone());
         let help = "Leaves that name a limit";
         registry.register("limited_leaves", help, this.limited_leaves.clone());
         let help = "Least share of the most urgent requests that is taken, over groups of shards";
@@ -234,6 +238,11 @@
         }
     }
 
+    /// Counts the bytes of datagrams to other hosts.
+    pub fn count_datagrams(&self, kind: &'static str, bytes: usize) {
+        self.datagram_bytes.get_or_create(&SendLabels { kind }).inc_by(bytes as u64);
+    }
+
     fn add_attempts(&mut self, counts: AttemptCounts) {
         let before = std::mem::replace(&mut self.last_counts, counts);
         self.extra_attempts.inc_by(counts.extra - before.extra);
@@ -248,7 +257,7 @@
         let version = self.active_catalog.version().map_or(0, |version| version.0);
         self.metrics.config_version.set(i64::try_from(version).unwrap_or(i64::MAX));
         self.metrics.leaves.set(self.routing.leaves.len() as i64);
-        self.metrics.limited_leaves.set(self.routing.limits.len() as i64);
+        self.metrics.limited_leaves.set(self.routing.limits.count() as i64);
         self.metrics.hosts.set(self.members.known_count() as i64);
         self.metrics.serving_hosts.set(self.members.serving(self.now).count() as i64);
         self.metrics.add_attempts(self.routing.counts);
--- a/components/routing/src/limits/allocator.rs
+++ b/components/routing/src/limits/allocator.rs
@@ -24,7 +24,7 @@
 /// Time of the rate for which permits are kept while no host wants them.
 const KEPT_TIME: Span = Span::millis(500);
 /// Rate that a leaf gets although it names a lower one, so that its end is noticed.
-const MIN_RATE: f64 = 0.5;
+pub(super) const MIN_RATE: f64 = 0.5;
 /// Rate above which a limit has no effect.
 const MAX_RATE: f64 = 1e9;
 /// Time after its last request for which a host is remembered.
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -17,7 +17,7 @@
 
 use {
     crate::leaf::LeafInstance,
-    allocator::{Allocator, Wanted},
+    allocator::{Allocator, MIN_RATE, Wanted},
     indexmap::IndexMap,
     messages::{LimitMessage, LimitNews, Outgoing, PermitGrant, PermitRequest},
     permits::Permits,
@@ -29,6 +29,11 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// Time for which the rate rises from a limit that has ended, so that a leaf that has just recovered
+/// does not get the load of all hosts at once.
+const RAMP_TIME: Span = Span::secs(4);
+/// Factor by which the rate rises in a second of that time.
+const RAMP_PER_SECOND: f64 = 2.0;
 /// Time for which the end of a limit is remembered, so that older news does not revive it.
 const ENDED_RETENTION: Span = Span::secs(10);
 /// Time after which a limit that no response has confirmed is forgotten.
@@ -78,8 +83,8 @@
 #[derive(Clone, Debug)]
 struct LimitedLeaf {
     said: LimitStatement,
-    /// Time at which the leaf was first heard to name no limit any more.
-    ended_at: Option<Instant>,
+    /// Time at which the leaf was first heard to name no limit any more, and its last limit.
+    ended: Option<(Instant, RequestRate)>,
     sends: LimitedSends,
     permits: Permits,
     precedence: Precedence,
@@ -94,7 +99,7 @@
     fn new(said: LimitStatement, first_request: Instant, now: Instant) -> Self {
         Self {
             said,
-            ended_at: None,
+            ended: None,
             sends: LimitedSends::default(),
             permits: Permits::new(first_request, now),
             precedence: Precedence::default(),
@@ -104,9 +109,19 @@
         }
     }
 
+    /// Returns the rate that is kept: the leaf's limit, or a rising one after the limit has ended.
+    fn rate(&self, now: Instant) -> Option<RequestRate> {
+        if self.said.rate.is_some() {
+            return self.said.rate;
+        }
+        let (at, last) = self.ended.filter(|(at, _)| now.since(*at) < RAMP_TIME)?;
+        let factor = RAMP_PER_SECOND.powf(now.since(at).0 as f64 / 1e6);
+        RequestRate::new(last.per_second().max(MIN_RATE) * factor)
+    }
+
     fn is_outdated(&self, now: Instant) -> bool {
-        match self.ended_at {
-            Some(at) => now.since(at) >= ENDED_RETENTION,
+        match self.ended {
+            Some((at, _)) => now.since(at) >= ENDED_RETENTION,
             None => now.since(self.said.heard) >= UNCONFIRMED_RETENTION,
         }
     }
@@ -172,12 +187,13 @@
         if !said.replaces(&known.said) {
             return None;
         }
+        let was_limited = known.rate(now).is_some();
         let before = std::mem::replace(&mut known.said, said);
         let change = LimitChange::between(before.rate, said.rate)?;
-        known.ended_at = said.rate.is_none().then_some(now);
-        if before.rate.is_none() {
+        if !was_limited {
             known.permits = Permits::new(first_request, now);
         }
+        known.ended = before.rate.filter(|_| said.rate.is_none()).map(|last| (now, last));
         let delegators = known.allocator.iter().flat_map(|allocator| allocator.delegators(now));
         let news = LimitMessage::News(LimitNews::new(leaf.clone(), &said, now));
         let own = self.own;
@@ -197,25 +213,29 @@
         std::mem::take(&mut self.changes)
     }
 
-    fn limited(&self, leaf: &LeafInstance) -> Option<&LimitedLeaf> {
-        self.leaves.get(leaf).filter(|known| known.said.rate.is_some())
+    fn limited(&self, leaf: &LeafInstance, now: Instant) -> Option<&LimitedLeaf> {
+        self.leaves.get(leaf).filter(|known| known.rate(now).is_some())
+    }
+
+    fn limited_mut(&mut self, leaf: &LeafInstance, now: Instant) -> Option<&mut LimitedLeaf> {
+        self.leaves.get_mut(leaf).filter(|known| known.rate(now).is_some())
     }
 
-    /// Returns the limit of a leaf; none if it names none.
-    pub fn rate(&self, leaf: &LeafInstance) -> Option<RequestRate> {
-        self.limited(leaf)?.said.rate
+    /// Returns the rate that is kept for a leaf: its limit, or a rising one after the limit has
+    /// ended; none if requests to it are not limited.
+    pub fn rate(&self, leaf: &LeafInstance, now: Instant) -> Option<RequestRate> {
+        self.limited(leaf, now)?.rate(now)
     }
 
     /// Whether a request of this priority may be sent to the leaf now; zero is the most urgent.
     pub fn may_send(&self, leaf: &LeafInstance, priority: u32, now: Instant) -> bool {
-        let Some(known) = self.limited(leaf) else { return true };
+        let Some(known) = self.limited(leaf, now) else { return true };
         known.permits.available(now) > 0 && known.precedence.admits(priority, now)
     }
 
     /// Records that a request would have been sent to the leaf with a permit.
     pub fn on_denied(&mut self, leaf: &LeafInstance, priority: u32, now: Instant) {
-        let known = self.leaves.get_mut(leaf).filter(|known| known.said.rate.is_some());
-        let Some(known) = known else { return };
+        let Some(known) = self.limited_mut(leaf, now) else { return };
         if known.permits.available(now) == 0 {
             known.precedence.on_denied(priority, now);
         }
@@ -225,8 +245,7 @@
 
     /// Records that a request is sent to the leaf, which uses a permit.
     pub fn on_sent(&mut self, leaf: &LeafInstance, priority: u32, is_extra: bool, now: Instant) {
-        let known = self.leaves.get_mut(leaf).filter(|known| known.said.rate.is_some());
-        let Some(known) = known else { return };
+        let Some(known) = self.limited_mut(leaf, now) else { return };
         known.permits.spend(now);
         known.precedence.on_used(priority, now);
         known.sends.first += u64::from(!is_extra);
@@ -234,33 +253,28 @@
     }
 
     /// Returns the expected time until the leaf can be sent a request.
-    pub fn expected_wait(&self, leaf: &LeafInstance) -> Span {
-        let known = self.limited(leaf);
+    pub fn expected_wait(&self, leaf: &LeafInstance, now: Instant) -> Span {
+        let known = self.limited(leaf, now);
         let interval = |known: &LimitedLeaf| known.permits.permit_interval();
         known.map_or(Span::ZERO, |known| interval(known).unwrap_or(DEFAULT_PERMIT_INTERVAL))
     }
 
     /// Returns the limited leaves that requests were meant for since the last call, each with its
     /// limit and the number of requests.
-    pub fn take_sends(&mut self) -> Vec<(LeafInstance, RequestRate, LimitedSends)> {
+    pub fn take_sends(&mut self, now: Instant) -> Vec<(LeafInstance, RequestRate, LimitedSends)> {
         let taken = self.leaves.iter_mut().filter_map(|(leaf, known)| {
             let sends = std::mem::take(&mut known.sends);
-            let rate = known.said.rate.filter(|_| sends != LimitedSends::default())?;
+            let rate = known.rate(now).filter(|_| sends != LimitedSends::default())?;
             Some((leaf.clone(), rate, sends))
         });
         taken.collect()
     }
 
-    /// Returns the number of leaves with a limit.
-    pub fn len(&self) -> usize {
+    /// Returns the number of leaves that name a limit.
+    pub fn count(&self) -> usize {
         self.leaves.values().filter(|known| known.said.rate.is_some()).count()
     }
 
-    /// Whether no leaf has a limit.
-    pub fn is_empty(&self) -> bool {
-        self.leaves.values().all(|known| known.said.rate.is_none())
-    }
-
     /// Returns the number of hosts that delegate their shares of a leaf's limit to this one.
     pub fn delegator_count(&self, leaf: &LeafInstance, now: Instant) -> usize {
         let allocator = self.leaves.get(leaf).and_then(|known| known.allocator.as_ref());
@@ -268,7 +282,7 @@
     }
 
     /// Whether nothing is known of any leaf's limit, not even that it has ended.
-    pub fn is_unknown(&self) -> bool {
+    pub fn is_empty(&self) -> bool {
         self.leaves.is_empty()
     }
 
@@ -286,8 +300,8 @@
         if !self.outbox.is_empty() {
             return Some(now);
         }
-        let next_at = |known: &LimitedLeaf| match known.ended_at {
-            Some(at) if !known.requests_are_due() => at + ENDED_RETENTION,
+        let next_at = |known: &LimitedLeaf| match known.ended {
+            Some((at, _)) if !known.requests_are_due(now) => at + ENDED_RETENTION,
             _ => known.permits.next_request(),
         };
         self.leaves.values().map(next_at).min()
@@ -303,8 +317,9 @@
     pub fn poll(&mut self, hosts: &LimitHosts, now: Instant) -> Vec<Outgoing> {
         self.silent.retain(|_, until| now < *until);
         self.drop_outdated(now);
-        let due =
-            |known: &LimitedLeaf| known.requests_are_due() && known.permits.next_request() <= now;
+        let due = |known: &LimitedLeaf| {
+            known.requests_are_due(now) && known.permits.next_request() <= now
+        };
         let leaves = self.leaves.iter().filter(|(_, known)| due(known));
         let leaves: Vec<LeafInstance> = leaves.map(|(leaf, _)| leaf.clone()).collect();
         for leaf in leaves {
@@ -386,7 +401,7 @@
         let Some(known) = self.leaves.get_mut(leaf) else {
             return Some(grant(&req.news.statement(now), req.wanted, false));
         };
-        let Some(rate) = known.said.rate else {
+        let Some(rate) = known.rate(now) else {
             return Some(grant(&known.said, req.wanted, false));
         };
         if self.stopping && from != self.own {
--- a/components/routing/src/limits/requester.rs
+++ b/components/routing/src/limits/requester.rs
@@ -71,9 +71,10 @@
 }
 
 impl LimitedLeaf {
-    /// Whether requests for permits are sent: while the leaf names a limit, and once more after.
-    pub(super) fn requests_are_due(&self) -> bool {
-        self.said.rate.is_some() || self.requester.has_news
+    /// Whether requests for permits are sent: while requests to the leaf are limited, and once more
+    /// after.
+    pub(super) fn requests_are_due(&self, now: Instant) -> bool {
+        self.rate(now).is_some() || self.requester.has_news
     }
 }
 
@@ -99,6 +100,7 @@
         now: Instant,
     ) {
         let Some(known) = self.leaves.get_mut(leaf) else { return };
+        let is_limited = known.rate(now).is_some();
         let requester = &mut known.requester;
         if let Some(asked) = requester.asked
             && requester.waiting_since.is_some_and(|since| now.since(since) >= SILENT_AFTER)
@@ -116,9 +118,9 @@
         }
         let (wanted, unused) = known.permits.start_request(now);
         let interval = known.permits.interval(now);
-        let delegation = match known.said.rate {
-            Some(_) => requester.delegate(allocator, interval, now),
-            None => Span::ZERO,
+        let delegation = match is_limited {
+            true => requester.delegate(allocator, interval, now),
+            false => Span::ZERO,
         };
         self.serial += 1;
         requester.has_news = false;
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -143,7 +143,7 @@
         let denied =
             self.leaves.without_permits(service, &route.homes, &self.limits, route.priority, now);
         let limited = denied.iter().filter_map(|key| self.leaves.get(*key));
-        limited.map(|leaf| self.limits.expected_wait(&leaf.registration.instance())).min()
+        limited.map(|leaf| self.limits.expected_wait(&leaf.registration.instance(), now)).min()
     }
 
     /// Records that a request of the route was refused although permits for a leaf of the service
--- a/components/routing/tests/limits/fleet.rs
+++ b/components/routing/tests/limits/fleet.rs
@@ -392,7 +392,7 @@
             _ => 1.0 / self.hosts.len() as f64,
         };
         let limits = &self.hosts[host].limits;
-        let Some(limit) = limits.rate(&self.leaf) else { return true };
+        let Some(limit) = limits.rate(&self.leaf, now) else { return true };
         let known = &mut self.hosts[host];
         let earned = now.since(known.tokens_at).0 as f64 / 1e6 * limit.per_second() * share;
         known.tokens = (known.tokens + earned).min(1.0);
@@ -438,6 +438,6 @@
 
     /// Returns the number of hosts that know of a limit.
     pub fn limited_hosts(&self) -> usize {
-        self.hosts.iter().filter(|host| host.limits.rate(&self.leaf).is_some()).count()
+        self.hosts.iter().filter(|host| host.limits.rate(&self.leaf, self.now).is_some()).count()
     }
 }
--- a/components/routing/tests/limits/statements.rs
+++ b/components/routing/tests/limits/statements.rs
@@ -50,7 +50,7 @@
         for (asked, heard, named) in responses {
             limits.on_response(&leaf(), *named, at(*asked), at(*heard));
         }
-        let rate = limits.rate(&leaf()).map(|rate| rate.to_string());
+        let rate = limits.rate(&leaf(), at(5_000)).map(|rate| rate.to_string());
         lines.push(format!("{name}: {}", rate.unwrap_or_else(|| "no limit".to_owned())));
     }
     assert_snapshot!(lines.join("\n"));
@@ -64,9 +64,9 @@
     limits.on_response(&leaf(), named(5.0), at(0), at(20));
     let mut restarted = leaf();
     restarted.born = Some(2);
-    assert_eq!(limits.rate(&restarted), None);
+    assert_eq!(limits.rate(&restarted, at(20)), None);
     limits.forget(&leaf().id);
-    assert_eq!(limits.rate(&leaf()), None);
+    assert_eq!(limits.rate(&leaf(), at(20)), None);
 }
 
 /// Guards against a limit that stays in force although nobody confirms it.
@@ -75,9 +75,9 @@
     let mut limits = limits();
     limits.on_response(&leaf(), named(5.0), at(0), at(20));
     limits.poll(&LimitHosts::default(), at(59_000));
-    assert!(limits.rate(&leaf()).is_some());
+    assert!(limits.rate(&leaf(), at(59_000)).is_some());
     limits.poll(&LimitHosts::default(), at(61_000));
-    assert_eq!(limits.rate(&leaf()), None);
+    assert_eq!(limits.rate(&leaf(), at(61_000)), None);
 }
 
 /// Guards against a host that sends to a limited leaf before it has a permit, and against one that
@@ -134,7 +134,23 @@
     };
     let from = Ipv4Addr::new(10, 0, 0, 2);
     limits.on_message(from, news(9.0, 900), 2, at(1_500));
-    assert_eq!(limits.rate(&leaf()), RequestRate::new(5.0));
+    assert_eq!(limits.rate(&leaf(), at(1_500)), RequestRate::new(5.0));
     limits.on_message(from, news(9.0, 100), 2, at(1_500));
-    assert_eq!(limits.rate(&leaf()), RequestRate::new(9.0));
+    assert_eq!(limits.rate(&leaf(), at(1_500)), RequestRate::new(9.0));
+}
+
+/// Guards against a surge at a leaf that has just lifted its limit, and at one that names its limit
+/// in some responses only.
+#[test]
+fn the_rate_rises_after_the_end_of_a_limit() {
+    let mut limits = limits();
+    limits.on_response(&leaf(), named(5.0), at(0), at(20));
+    limits.on_response(&leaf(), NamedLimit::None, at(30), at(50));
+    let rate = |limits: &LeafLimits, ms| limits.rate(&leaf(), at(ms)).map(RequestRate::per_second);
+    let rates: Vec<_> = [50, 1_050, 2_050, 4_049, 4_050].map(|ms| rate(&limits, ms)).into();
+    assert_eq!(rates[..3], [Some(5.0), Some(10.0), Some(20.0)]);
+    assert!(rates[3].is_some_and(|rate| rate < 80.0));
+    assert_eq!(rates[4], None);
+    limits.on_response(&leaf(), named(5.0), at(4_100), at(4_120));
+    assert_eq!(rate(&limits, 4_120), Some(5.0));
 }
