Divide the permits of a limited leaf fairly among hosts

Seen in the test with four hosts of equal demand: one sent 52 requests to the limited leaf, another 4. A host that had just got permits asked again after 100 ms, one that had got none after up to a second, and each request took what was there.

The allocator now grants a host what its fair rate has earned since its last grant, and beyond that only what exceeds half of the permits that it keeps.

--- a/components/routing/src/limits/allocator.rs
+++ b/components/routing/src/limits/allocator.rs
@@ -27,6 +27,8 @@
 pub(super) const MIN_RATE: f64 = 0.5;
 /// Rate above which a limit has no effect.
 const MAX_RATE: f64 = 1e9;
+/// Time after which a host that wanted permits no longer counts for the fair rate of the others.
+const ACTIVE_TIME: Span = Span::secs(2);
 /// Time after its last request for which a host is remembered.
 const HOST_RETENTION: Span = Span::secs(10);
 
@@ -37,6 +39,10 @@
     delegated_until: Instant,
     known_hosts: u32,
     last_request: Instant,
+    /// Time at which it last wanted permits.
+    last_wanted: Option<Instant>,
+    /// Time at which it last got permits.
+    last_grant: Option<Instant>,
 }
 
 /// Permits granted in one step, without those returned unused.
@@ -116,23 +122,43 @@
         }
         self.refill(rate, known_hosts, now);
         self.return_unused(wanted.unused);
+        let before = self.hosts.get(&host).copied();
+        let wants_permits = Some(now).filter(|_| wanted.permits > 0);
         let delegator = Delegator {
             serial: wanted.serial,
             delegated_until: now + wanted.delegation,
             known_hosts: wanted.known_hosts,
             last_request: now,
+            last_wanted: wants_permits.or(before.and_then(|host| host.last_wanted)),
+            last_grant: before.and_then(|host| host.last_grant),
         };
         self.hosts.insert(host, delegator);
         let capacity = self.capacity(rate, known_hosts, now);
         self.tokens = self.tokens.min(max_tokens(capacity));
         let window = capacity * (WINDOW.0 as f64 / 1e6) + WINDOW_SLACK - f64::from(self.granted());
-        let available = self.tokens.min(window).max(0.0) as u32;
+        let fair = self.fair_permits(&delegator, capacity, now);
+        let available = self.tokens.min(window).min(fair).max(0.0) as u32;
         let permits = wanted.permits.min(available);
+        if permits > 0 {
+            self.hosts[&host].last_grant = Some(now);
+        }
         self.tokens -= f64::from(permits);
         self.count(permits, now);
         Some(permits)
     }
 
+    /// Returns the number of permits that a host may get: those of its fair rate since its last
+    /// grant, and what is left over beyond half of the permits that are kept.
+    fn fair_permits(&self, host: &Delegator, capacity: f64, now: Instant) -> f64 {
+        let is_active =
+            |host: &&Delegator| host.last_wanted.is_some_and(|at| now.since(at) < ACTIVE_TIME);
+        let active = self.hosts.values().filter(is_active).count().max(1);
+        let rate = capacity / active as f64;
+        let most = rate.max(1.0);
+        let earned = host.last_grant.map_or(most, |at| rate * (now.since(at).0 as f64 / 1e6));
+        earned.min(most).max(self.tokens - max_tokens(capacity) / 2.0)
+    }
+
     fn refill(&mut self, rate: RequestRate, known_hosts: u32, now: Instant) {
         let capacity = self.capacity(rate, known_hosts, now);
         let earned = capacity * (now.since(self.refilled_at).0 as f64 / 1e6);
--- a/components/routing/tests/limits/fleet.rs
+++ b/components/routing/tests/limits/fleet.rs
@@ -436,6 +436,16 @@
         count as f64 / (self.now.since(from).0 as f64 / 1e6)
     }
 
+    /// Returns the requests per second that the leaf got from each host since `from`.
+    pub fn host_rates(&self, from: Instant) -> Vec<f64> {
+        let seconds = self.now.since(from).0 as f64 / 1e6;
+        let mut rates = vec![0.0; self.hosts.len()];
+        for (_, host) in self.arrivals.iter().filter(|(at, _)| *at >= from) {
+            rates[*host] += 1.0 / seconds;
+        }
+        rates
+    }
+
     /// Returns the number of hosts that know of a limit.
     pub fn limited_hosts(&self) -> usize {
         self.hosts.iter().filter(|host| host.limits.rate(&self.leaf, self.now).is_some()).count()
--- a/components/routing/tests/limits/main.rs
+++ b/components/routing/tests/limits/main.rs
@@ -67,7 +67,6 @@
                 let demands = demands(hosts, limit * OVERLOAD);
                 let used = [Sharing::Permits, Sharing::FixedShare, Sharing::DemandShare]
                     .map(|sharing| used_share(&demands, limit, sharing));
-                let used: Vec<String> = used.iter().map(|used| format!("{used:4.2}")).collect();
                 let used = used.join(" | ");
                 table.push(format!("{hosts:3} hosts | {limit:5} | {name:9} | {used}"));
             }
@@ -76,8 +75,9 @@
     assert_snapshot!(table.join("\n"));
 }
 
-/// Returns the used share of the limit; checks the bound if the hosts use permits.
-fn used_share(demands: &[f64], limit: f64, sharing: Sharing) -> f64 {
+/// Returns the used share of the limit, with a mark if the bound was exceeded; checks the bound if
+/// the hosts use permits.
+fn used_share(demands: &[f64], limit: f64, sharing: Sharing) -> String {
     let mut fleet = limited(demands, limit, sharing, SEED);
     let named = fleet.now;
     fleet.run_for(Span::secs(24));
@@ -85,7 +85,9 @@
         let case = format!("{} hosts, limit {limit}", demands.len());
         assert_within_bound(&fleet, named + REACTION_TIME, limit, &case);
     }
-    fleet.rate_since(named + Span::secs(4)) / limit
+    let (busiest, allowed) = fleet.busiest_window(named + REACTION_TIME, limit);
+    let mark = if busiest as f64 > allowed { "!" } else { " " };
+    format!("{:4.2}{mark}", fleet.rate_since(named + Span::secs(4)) / limit)
 }
 
 /// Guards against an excess while hosts are killed, stopped, suspended, added or cut from each
@@ -197,3 +199,19 @@
     }
     assert_within_bound(&fleet, named + REACTION_TIME, 10.0, "restarted");
 }
+
+/// Guards against a host that takes all permits because it asks more often or for more than others.
+#[test]
+fn permits_are_divided_fairly() {
+    let mut lines = Vec::new();
+    for demands in [&[60.0, 60.0, 60.0, 60.0][..], &[100.0, 3.0, 30.0, 1.0]] {
+        let mut fleet = limited(demands, 10.0, Sharing::Permits, SEED);
+        fleet.run_for(Span::secs(5));
+        let from = fleet.now;
+        fleet.run_for(Span::secs(60));
+        let rates: Vec<String> =
+            fleet.host_rates(from).iter().map(|rate| format!("{rate:.1}")).collect();
+        lines.push(format!("wanted {demands:?}, got {}", rates.join(" ")));
+    }
+    assert_snapshot!(lines.join("\n"));
+}
