Log the era of the store and the revisions that hosts list and watch from

Logs could not tell a watch that starts above the revision of a change from a version that is refused. Hosts now log when a response shows another era of the store, from which revision they list and watch, and versions that they ignore as they are below the one in force. No decision uses the era yet.

--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -38,8 +38,14 @@
     /// Adopts a configuration if it is newer than the active one; `from` is its source for the log.
     pub(crate) fn adopt(&mut self, catalog: Catalog, from: &str) {
         let version = catalog.version;
-        if self.active_catalog.offer(catalog) != OfferOutcome::Newer {
-            return;
+        match self.active_catalog.offer(catalog) {
+            OfferOutcome::Newer => {}
+            OfferOutcome::Same => return,
+            OfferOutcome::Older => {
+                let in_force = self.active_catalog.version();
+                let fields = json!({ "version": version, "from": from, "in_force": in_force });
+                return self.journal.record("config_ignored", fields, self.now);
+            }
         }
         let Some(catalog) = self.active_catalog.current().cloned() else { return };
         self.replicated.config_adopted_at = Some(self.now);
--- a/components/edge/src/store.rs
+++ b/components/edge/src/store.rs
@@ -24,7 +24,7 @@
         follow::Origin,
         list_watch::{ListWatch, ListWatchCall},
     },
-    wigeonramp_units::{Instant, LeafId, Revision, Span, ZoneId},
+    wigeonramp_units::{Instant, LeafId, Revision, Span, StoreEra, ZoneId},
 };
 
 /// Time for which the store holds a watch open without changes.
@@ -96,6 +96,8 @@
     registered: bool,
     next_member_list: Instant,
     next_probe: Instant,
+    /// Era of the store in the last response; zero before the first one and for an older store.
+    era: StoreEra,
     /// Time of the first failed call of the current outage; `None` while the store answers.
     unavailable_since: Option<Instant>,
 }
@@ -121,6 +123,7 @@
             registered: false,
             next_member_list: now,
             next_probe: now + PROBE_INTERVAL,
+            era: StoreEra(0),
             unavailable_since: None,
         }
     }
@@ -177,6 +180,10 @@
             let Some(call) = conn.list_watch.start_due_call(now) else { continue };
             let bytes =
                 objects::list_watch_request(conn.kind, &call, WATCH_WAIT, self.store.address);
+            if let ListWatchCall::Watch { since } = call {
+                let fields = json!({ "kind": conn.kind.name(), "since": since });
+                self.journal.record("store_watch", fields, now);
+            }
             let wait = match call {
                 ListWatchCall::Watch { .. } => WATCH_WAIT,
                 ListWatchCall::List { .. } => Span::ZERO,
@@ -291,6 +298,7 @@
                 if end != ReadEnd::Drained || head.close {
                     self.close_store_conn(index);
                 }
+                self.note_era(index, head.era.unwrap_or_default());
                 self.on_store_response(index, head.status, &body);
             }
             Ok(None) if end == ReadEnd::Drained => {}
@@ -327,6 +335,16 @@
         }
     }
 
+    /// Records the era of the store that a response shows.
+    fn note_era(&mut self, index: usize, era: StoreEra) {
+        let before = std::mem::replace(&mut self.store.era, era);
+        if before != era {
+            let kind = self.store.conns[index].kind.name();
+            let fields = json!({ "kind": kind, "era": era, "before": before });
+            self.journal.record("store_era", fields, self.now);
+        }
+    }
+
     fn on_store_response(&mut self, index: usize, status: u16, body: &[u8]) {
         let conn = &mut self.store.conns[index];
         let Some(call) = conn.call.take() else { return };
@@ -432,6 +450,11 @@
         let (Some(all_names), last_change) = (all_names, conn.last_change) else { return };
         // Revision zero would mean that nothing is known. The revisions of the store start above it.
         let upto = conn.list_watch.revision().unwrap_or_default().max(Revision(1));
+        let fields = json!({
+            "kind": kind.name(), "revision": upto, "objects": all_names.len(),
+            "last_change": last_change,
+        });
+        self.journal.record("store_listed", fields, self.now);
         match kind {
             ObjectKind::Leaves => {
                 let missing = |id: &&LeafId| !all_names.contains(id.as_str());
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -11,7 +11,7 @@
 /// microseconds.
 const CONTEXT_WINDOW_US: u64 = 6_000_000;
 /// Kinds of log events that report a change of a host's state or of its view of the cluster.
-const CONTEXT_EVENTS: [&str; 13] = [
+const CONTEXT_EVENTS: [&str; 14] = [
     "config_adopted",
     "evacuation",
     "following",
@@ -23,6 +23,7 @@
     "request_suspected",
     "started",
     "stopping",
+    "store_era",
     "store_lost",
     "store_regained",
 ];
--- a/components/units/src/lib.rs
+++ b/components/units/src/lib.rs
@@ -16,7 +16,7 @@
 };
 pub use number::{
     AttemptId, ByteSize, ConfigVersion, Connections, Digest, Epoch, Fingerprint, MapVersion,
-    PerSecond, Percent, Revision, Slots, SnapshotId,
+    PerSecond, Percent, Revision, Slots, SnapshotId, StoreEra,
 };
 pub use rate::RequestRate;
 pub use text::ParseError;
--- a/components/units/src/number.rs
+++ b/components/units/src/number.rs
@@ -78,6 +78,12 @@
     u64,
     "revision"
 );
+number!(
+    /// Number of times that the platform's store has come back from a copy.
+    StoreEra,
+    u64,
+    "era of the store"
+);
 number!(
     /// Id of an attempt to run a query at a leaf; unique within an entry host's instance.
     AttemptId,
