--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! One host process between stand-ins of the platform's store and leaves.
 
 mod request_limits;
+mod restored_store;
 mod support;
 
 use {
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -7,7 +7,7 @@
         net::SocketAddr,
         path::PathBuf,
         process::{Child, Command, Stdio},
-        sync::atomic::{AtomicU32, Ordering},
+        sync::atomic::{AtomicU32, AtomicU64, Ordering},
         thread,
         time::{Duration, Instant},
     },
@@ -34,6 +34,8 @@
     stalled_process: Option<Child>,
     runs: Runs,
     leaves: AtomicU32,
+    /// Version of the configuration in the store.
+    version: AtomicU64,
     ip: String,
 }
 
@@ -118,13 +120,15 @@
                 .expect("a host")
         });
         let (runs, leaves) = (Runs::default(), AtomicU32::new(0));
-        Self { store, hosts, stalled_process, runs, leaves, ip }
+        Self { store, hosts, stalled_process, runs, leaves, version: AtomicU64::new(1), ip }
     }
 
     /// Writes the next version of the configuration, with `name` as the only route.
     pub fn replace_routes(&self, name: &str) {
         let services = json!([{ "name": "one", "connection_limit": 50 }]);
-        let spec = json!({ "version": 2, "routes": [route(name, "safe")], "services": services });
+        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+        let spec =
+            json!({ "version": version, "routes": [route(name, "safe")], "services": services });
         self.store.put("config", "main", spec);
     }
 
