--- a/components/edge/src/store.rs
+++ b/components/edge/src/store/mod.rs
@@ -6,6 +6,8 @@
 //! connection. It also registers itself in the member list and probes the store. A host without
 //! live peers reads the member list to find some.
 
+mod contents;
+
 use {
     crate::{
         body::BodyReader,
@@ -17,14 +19,13 @@
     std::net::SocketAddr,
     wigeonramp_platform::{
         http::{self, ResponseHead},
-        objects::{self, CONFIG_OBJECT, ObjectKind, StoredObject},
+        objects::{self, ObjectKind},
     },
     wigeonramp_routing::{
-        changes::Change,
         follow::Origin,
         list_watch::{ListWatch, ListWatchCall},
     },
-    wigeonramp_units::{Instant, LeafId, Revision, Span, StoreEra, ZoneId},
+    wigeonramp_units::{Instant, Revision, Span, StoreEra},
 };
 
 /// Time for which the store holds a watch open without changes.
@@ -39,13 +40,6 @@
 const PROBE_TIMEOUT: Span = Span::millis(1_200);
 /// Maximum length of a response in bytes; a page is about one megabyte at most.
 const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
-/// Minimum share of all registrations that must disappear together to count as lapsed, that is, not
-/// renewed in time. Fewer are taken to have been removed by their leaves.
-const MIN_LAPSED_SHARE: f64 = 0.1;
-/// Minimum number of registrations that must disappear together to count as lapsed, in addition to
-/// the minimum share.
-const MIN_LAPSED_COUNT: usize = 4;
-
 /// Duration of an outage after which other hosts watch the store in place of this one.
 const FAILING_AFTER: Span = Span::millis(1_000);
 /// Time after its start until a host without live peers reads the member list in the store.
@@ -426,187 +420,6 @@
         }
         self.journal.record("store_regained", json!({ "made_again": repeated }), self.now);
     }
-
-    /// Applies a page of a list. After the last page, also removes leaves and evacuations that the
-    /// list no longer has.
-    fn on_page(&mut self, index: usize, call: Call, body: &[u8]) {
-        let page = match objects::parse_page(body) {
-            Ok(page) => page,
-            Err(err) => return self.call_failed(index, call, &err),
-        };
-        self.on_store_available();
-        let kind = self.store.conns[index].kind;
-        self.log_unreadable(kind, page.unreadable);
-        let page_last_change = page.items.iter().map(|object| object.revision).max();
-        for object in &page.items {
-            if let Some(change) = self.read_object(kind, object) {
-                self.apply(&change);
-            }
-        }
-        let names = page.items.iter().map(|object| object.name.clone());
-        let conn = &mut self.store.conns[index];
-        let all_names = conn.list_watch.on_page(names, page.has_more, page.revision, self.now);
-        conn.last_change = conn.last_change.max(page_last_change.unwrap_or_default());
-        let (Some(all_names), last_change) = (all_names, conn.last_change) else { return };
-        // Revision zero would mean that nothing is known. The revisions of the store start above it.
-        let upto = conn.list_watch.revision().unwrap_or_default().max(Revision(1));
-        let fields = json!({
-            "kind": kind.name(), "revision": upto, "objects": all_names.len(),
-            "last_change": last_change,
-        });
-        self.journal.record("store_listed", fields, self.now);
-        match kind {
-            ObjectKind::Leaves => {
-                let missing = |id: &&LeafId| !all_names.contains(id.as_str());
-                let missing: Vec<_> = self.routing.leaves.ids().filter(missing).cloned().collect();
-                for change in self.leaf_removals(index, missing) {
-                    self.apply(&change);
-                }
-                self.replicated.leaves.restart(upto, last_change);
-            }
-            ObjectKind::Evacuations => {
-                let ended = |zone: &&ZoneId| !all_names.contains(zone.as_str());
-                let ended: Vec<_> =
-                    self.routing.leaves.evacuated().filter(ended).cloned().collect();
-                for zone in ended {
-                    self.apply(&Change::Evacuation { zone, out: false });
-                }
-                self.replicated.evacuations.restart(upto, last_change);
-            }
-            ObjectKind::Config => {
-                self.replicated.config_upto = self.replicated.config_upto.max(upto);
-                self.replicated.config_changed = self.replicated.config_changed.max(last_change);
-            }
-            ObjectKind::Members => {}
-        }
-        self.replicated.unsent_changes = true;
-    }
-
-    /// Applies the changes that a watch returned.
-    fn on_changes(&mut self, index: usize, call: Call, body: &[u8]) {
-        let batch = match objects::parse_changes(body) {
-            Ok(batch) => batch,
-            Err(err) => return self.call_failed(index, call, &err),
-        };
-        self.on_store_available();
-        let kind = self.store.conns[index].kind;
-        self.log_unreadable(kind, batch.unreadable);
-        let conn = &mut self.store.conns[index];
-        conn.list_watch.on_changes(!batch.changes.is_empty(), batch.revision, self.now);
-        let mut changes = Vec::new();
-        let mut removed_leaves: Vec<LeafId> = Vec::new();
-        for change in &batch.changes {
-            let name = &change.object.name;
-            if !change.deleted {
-                removed_leaves.retain(|id| id.as_str() != name);
-                changes.extend(self.read_object(kind, &change.object));
-                continue;
-            }
-            match (kind, name.parse::<LeafId>(), name.parse::<ZoneId>()) {
-                (ObjectKind::Leaves, Ok(id), _) => {
-                    // The deletion overrides earlier registrations in the same batch.
-                    changes.retain(|change| !matches!(change, Change::Leaf(leaf) if leaf.id == id));
-                    removed_leaves.push(id);
-                }
-                (ObjectKind::Evacuations, _, Ok(zone)) => {
-                    changes.push(Change::Evacuation { zone, out: false });
-                }
-                _ => {}
-            }
-        }
-        let mut all_changes = self.leaf_removals(index, removed_leaves);
-        all_changes.extend(changes);
-        // Another host may already have sent the same changes.
-        let is_new = match kind {
-            ObjectKind::Leaves => self.replicated.leaves.extend(batch.revision, &all_changes),
-            ObjectKind::Evacuations => {
-                self.replicated.evacuations.extend(batch.revision, &all_changes)
-            }
-            ObjectKind::Config => {
-                self.replicated.config_upto = self.replicated.config_upto.max(batch.revision);
-                if !batch.changes.is_empty() {
-                    self.replicated.config_changed =
-                        self.replicated.config_changed.max(batch.revision);
-                }
-                true
-            }
-            ObjectKind::Members => false,
-        };
-        if is_new {
-            for change in &all_changes {
-                self.apply(change);
-            }
-        }
-        self.replicated.unsent_changes |= !batch.changes.is_empty();
-    }
-
-    /// Returns the change that an object describes, or `None` if the object is ignored.
-    /// Configurations and members are applied here and also yield `None`.
-    fn read_object(&mut self, kind: ObjectKind, object: &StoredObject) -> Option<Change> {
-        match kind {
-            ObjectKind::Config if object.name == CONFIG_OBJECT => {
-                match objects::parse_catalog(object) {
-                    Ok(catalog) => self.adopt(catalog, "store"),
-                    Err(err) => self.log_ignored(kind, object, &err),
-                }
-            }
-            ObjectKind::Config => {}
-            ObjectKind::Leaves => return self.read_leaf(object),
-            ObjectKind::Evacuations => match object.name.parse() {
-                Ok(zone) => return Some(Change::Evacuation { zone, out: true }),
-                Err(_) => self.log_ignored(kind, object, "not the name of a zone"),
-            },
-            ObjectKind::Members => match objects::parse_member(object) {
-                Ok((ip, zone)) => self.members.add_by_address(ip, zone),
-                Err(err) => self.log_ignored(kind, object, &err),
-            },
-        }
-        None
-    }
-
-    /// Logs the number of objects without a readable name.
-    fn log_unreadable(&mut self, kind: ObjectKind, count: usize) {
-        if count > 0 {
-            let fields =
-                json!({ "kind": kind.name(), "count": count, "reason": "no readable name" });
-            self.journal.record("object_ignored", fields, self.now);
-        }
-    }
-
-    fn log_ignored(&mut self, kind: ObjectKind, object: &StoredObject, reason: &str) {
-        let fields = json!({
-            "kind": kind.name(), "name": object.name, "revision": object.revision.0,
-            "reason": reason,
-        });
-        self.journal.record("object_ignored", fields, self.now);
-    }
-
-    /// Returns the change for a leaf's registration. An invalid registration removes the leaf.
-    fn read_leaf(&mut self, object: &StoredObject) -> Option<Change> {
-        match objects::parse_leaf(object) {
-            Ok(registration) => Some(Change::Leaf(registration)),
-            Err(err) => {
-                self.log_ignored(ObjectKind::Leaves, object, &err);
-                let id = object.name.parse().ok()?;
-                Some(Change::LeafGone { id, grace: Span::ZERO })
-            }
-        }
-    }
-
-    /// Returns the removals of leaves whose registrations disappeared. They take effect at once, or
-    /// after a grace period if the registrations may have lapsed and be renewed, which is assumed
-    /// after an outage of the store and if many disappear together.
-    fn leaf_removals(&self, index: usize, ids: Vec<LeafId>) -> Vec<Change> {
-        let min_lapsed = (self.routing.leaves.len() as f64 * MIN_LAPSED_SHARE) as usize;
-        let have_lapsed = ids.len() >= min_lapsed.max(MIN_LAPSED_COUNT);
-        let renewal_deadline = self.store.conns[index].list_watch.renewal_deadline(self.now);
-        let grace = match renewal_deadline {
-            Some(until) => until.since(self.now),
-            None if have_lapsed => ListWatch::renewal_grace(),
-            None => Span::ZERO,
-        };
-        ids.into_iter().map(|id| Change::LeafGone { id, grace }).collect()
-    }
 }
 
 /// Decodes the response to the pending call; returns `None` while it is incomplete.
