Keep what hosts know while the store holds an older copy

Callers and leaves saw that a state of seconds before came back: a leaf that had left got requests again, a zone that operators had taken out got some until they wrote that again, and a zone that was back in service was taken out.

Cause: after the store's return from a copy, hosts list again and took every entry for the newest state. Operators and leaves write again what was lost, but only in the seconds after.

A reconciler now decides on each change after a return, wherever it comes from: entries older than what the host has seen are put off and missing objects are kept for four seconds; what the store still says then is believed. A leaf's entry is older by the start of its process and the number of its heartbeat, which registrations now carry; an evacuation is one of the copy if it has the revision of one that ended in an earlier era. A host without a memory of its own gets what others put off as well.

Found on the way: a leaf whose registration has lapsed was sent to a follower that had to be told everything as one that is registered, so the follower kept it. Its removal is now sent with it.

--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -363,15 +363,23 @@
 
     fn full_leaf_update(&self) -> Update {
         let log = &self.replicated.leaves;
-        let leaves = self.routing.leaves.registrations(self.now).map(Change::Leaf).collect();
-        Update { whole: true, upto: log.upto(), changed: log.changed(), changes: leaves }
+        // Put-off changes come first: what this host knows takes precedence over them.
+        let deferred = self.reconciler.deferred(self.now).filter(|c| c.leaf().is_some());
+        let changes = deferred.chain(self.routing.leaves.registrations(self.now)).collect();
+        Update { whole: true, upto: log.upto(), changed: log.changed(), changes }
     }
 
     fn full_evacuation_update(&self) -> Update {
         let log = &self.replicated.evacuations;
-        let zone = |zone: &ZoneId| Change::Evacuation { zone: zone.clone(), out: true };
-        let zones = self.routing.leaves.evacuated().map(zone).collect();
-        Update { whole: true, upto: log.upto(), changed: log.changed(), changes: zones }
+        let evacuation = |zone: &ZoneId| Change::Evacuation {
+            zone: zone.clone(),
+            out: true,
+            written: self.reconciler.evacuated_at(zone),
+            grace: Span::ZERO,
+        };
+        let deferred = self.reconciler.deferred(self.now).filter(|c| c.leaf().is_none());
+        let changes = self.routing.leaves.evacuated().map(evacuation).chain(deferred).collect();
+        Update { whole: true, upto: log.upto(), changed: log.changed(), changes }
     }
 
     fn apply_replication_update(&mut self, update: ReplicationUpdate) {
@@ -389,21 +397,25 @@
     }
 
     fn apply_leaf_update(&mut self, update: Update) {
+        self.reconciler.enter_era(update.upto.era(), self.now);
         let is_included = |id: &LeafId| {
             update.changes.iter().any(|c| matches!(c, Change::Leaf(leaf) if leaf.id == *id))
         };
         let gone = self.routing.leaves.ids().filter(|id| !is_included(id)).cloned();
-        let gone = gone.map(|id| Change::LeafGone { id, grace: Span::ZERO }).collect();
+        let grace = self.reconciler.grace(self.now);
+        let gone = gone.map(|id| Change::LeafGone { id, grace }).collect();
         self.apply_update(&update, gone, |state| &mut state.leaves);
     }
 
     fn apply_evacuation_update(&mut self, update: Update) {
+        self.reconciler.enter_era(update.upto.era(), self.now);
         let is_included = |zone: &ZoneId| {
             let is_zone = |c: &Change| matches!(c, Change::Evacuation { zone: z, .. } if z == zone);
             update.changes.iter().any(is_zone)
         };
         let ended = self.routing.leaves.evacuated().filter(|zone| !is_included(zone)).cloned();
-        let ended = ended.map(|zone| Change::Evacuation { zone, out: false }).collect();
+        let grace = self.reconciler.grace(self.now);
+        let ended = ended.map(|zone| Change::end_of_evacuation(zone, grace)).collect();
         self.apply_update(&update, ended, |state| &mut state.evacuations);
     }
 
--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -33,6 +33,14 @@
     }
 }
 
+/// Returns a change that was put off as it is applied when it is due.
+fn without_grace(change: Change) -> Change {
+    match change {
+        Change::Evacuation { zone, out: false, .. } => Change::end_of_evacuation(zone, Span::ZERO),
+        change => change,
+    }
+}
+
 impl Node {
     /// Adopts a configuration if it is newer than the active one; `from` is its source for the log.
     pub(crate) fn adopt(&mut self, catalog: Catalog, from: &str) {
@@ -61,8 +69,13 @@
         self.journal.record("config_adopted", fields, self.now);
     }
 
-    /// Applies a change on this host.
+    /// Applies a change on this host, unless it is put off because the store has come back from a
+    /// copy.
     pub(crate) fn apply(&mut self, change: &Change) {
+        if !self.reconciler.admits(change, &self.routing.leaves, self.now) {
+            let fields = json!({ "change": change, "era": self.store.era() });
+            return self.journal.record("change_deferred", fields, self.now);
+        }
         match change {
             Change::Leaf(registration) => self.apply_leaf(registration.clone()),
             Change::LeafGone { id, grace } if *grace == Span::ZERO => {
@@ -71,7 +84,7 @@
             Change::LeafGone { id, grace } => {
                 self.routing.leaves.mark_lapsed(id, self.now + *grace);
             }
-            Change::Evacuation { zone, out } => {
+            Change::Evacuation { zone, out, .. } => {
                 self.routing.leaves.set_evacuated(zone.clone(), *out);
                 let fields = json!({ "zone": zone, "out": out });
                 self.journal.record("evacuation", fields, self.now);
@@ -110,7 +123,12 @@
     }
 
     pub(crate) fn sweep_leaves(&mut self) {
-        for (id, key) in self.routing.leaves.remove_lapsed(self.now) {
+        for change in self.reconciler.take_due(self.now) {
+            self.apply(&without_grace(change));
+        }
+        for (registration, key) in self.routing.leaves.remove_lapsed(self.now) {
+            self.reconciler.on_removed(&registration, self.now);
+            let id = registration.id;
             self.close_idle_conns(key);
             self.routing.limits.forget(&id);
             self.journal.record("leaf", json!({ "leaf": id, "state": "lapsed" }), self.now);
--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -53,7 +53,8 @@
             ObjectKind::Leaves => {
                 let missing = |id: &&LeafId| !all_names.contains(id.as_str());
                 let missing: Vec<_> = self.routing.leaves.ids().filter(missing).cloned().collect();
-                for change in self.leaf_removals(index, missing) {
+                let settling = self.reconciler.grace(self.now);
+                for change in self.leaf_removals(index, missing, settling) {
                     self.apply(&change);
                 }
                 self.replicated.leaves.restart(upto, last_change);
@@ -62,8 +63,9 @@
                 let ended = |zone: &&ZoneId| !all_names.contains(zone.as_str());
                 let ended: Vec<_> =
                     self.routing.leaves.evacuated().filter(ended).cloned().collect();
+                let grace = self.reconciler.grace(self.now);
                 for zone in ended {
-                    self.apply(&Change::Evacuation { zone, out: false });
+                    self.apply(&Change::end_of_evacuation(zone, grace));
                 }
                 self.replicated.evacuations.restart(upto, last_change);
             }
@@ -105,12 +107,12 @@
                     removed_leaves.push(id);
                 }
                 (ObjectKind::Evacuations, _, Ok(zone)) => {
-                    changes.push(Change::Evacuation { zone, out: false });
+                    changes.push(Change::end_of_evacuation(zone, Span::ZERO));
                 }
                 _ => {}
             }
         }
-        let mut all_changes = self.leaf_removals(index, removed_leaves);
+        let mut all_changes = self.leaf_removals(index, removed_leaves, Span::ZERO);
         all_changes.extend(changes);
         // Another host may already have sent the same changes.
         let is_new = match kind {
@@ -143,7 +145,15 @@
             ObjectKind::Config => {}
             ObjectKind::Leaves => return self.read_leaf(object),
             ObjectKind::Evacuations => match object.name.parse() {
-                Ok(zone) => return Some(Change::Evacuation { zone, out: true }),
+                Ok(zone) => {
+                    let written = Position::new(self.store.era(), object.revision);
+                    return Some(Change::Evacuation {
+                        zone,
+                        out: true,
+                        written,
+                        grace: Span::ZERO,
+                    });
+                }
                 Err(_) => self.log_ignored(kind, object, "not the name of a zone"),
             },
             ObjectKind::Members => match objects::parse_member(object) {
@@ -185,8 +195,9 @@
 
     /// Returns the removals of leaves whose registrations disappeared. They take effect at once, or
     /// after a grace period if the registrations may have lapsed and be renewed, which is assumed
-    /// after an outage of the store and if many disappear together.
-    fn leaf_removals(&self, index: usize, ids: Vec<LeafId>) -> Vec<Change> {
+    /// after an outage of the store and if many disappear together, and after `min_grace` at the
+    /// earliest.
+    fn leaf_removals(&self, index: usize, ids: Vec<LeafId>, min_grace: Span) -> Vec<Change> {
         let min_lapsed = (self.routing.leaves.len() as f64 * MIN_LAPSED_SHARE) as usize;
         let have_lapsed = ids.len() >= min_lapsed.max(MIN_LAPSED_COUNT);
         let renewal_deadline = self.store.conns[index].list_watch.renewal_deadline(self.now);
@@ -195,6 +206,7 @@
             None if have_lapsed => ListWatch::renewal_grace(),
             None => Span::ZERO,
         };
+        let grace = grace.max(min_grace);
         ids.into_iter().map(|id| Change::LeafGone { id, grace }).collect()
     }
 }
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -137,6 +137,11 @@
         self.unavailable_since.is_some_and(|since| now.since(since) >= FAILING_AFTER)
     }
 
+    /// Returns the latest known era of the store.
+    pub fn era(&self) -> StoreEra {
+        self.era
+    }
+
     /// Returns the time at which the next call is due or a pending one times out. Unless
     /// `watches_store` is set, only timeouts count.
     pub fn next_at(&self, watches_store: bool) -> Option<Instant> {
@@ -342,6 +347,7 @@
     /// watches that began before are given up and made anew at once.
     fn enter_era(&mut self, index: usize, era: StoreEra) {
         let before = std::mem::replace(&mut self.store.era, era);
+        self.reconciler.enter_era(era, self.now);
         // The copy may be older than this host's registration.
         self.store.registered = false;
         let mut repeated = Vec::new();
--- a/components/routing/src/changes.rs
+++ b/components/routing/src/changes.rs
@@ -25,15 +25,37 @@
         /// Time for which the leaf stays in use.
         grace: Span,
     },
-    /// A zone is out of service, or back in service.
+    /// A zone is out of service, or back in service after `grace`.
     Evacuation {
         /// Availability zone.
         zone: ZoneId,
         /// Whether it is out of service.
         out: bool,
+        /// Position at which the evacuation was written; the default for its end.
+        #[serde(default)]
+        written: Position,
+        /// Time for which the zone stays out of service.
+        #[serde(default)]
+        grace: Span,
     },
 }
 
+impl Change {
+    /// Returns the change that puts a zone back in service after `grace`.
+    pub fn end_of_evacuation(zone: ZoneId, grace: Span) -> Self {
+        Change::Evacuation { zone, out: false, written: Position::default(), grace }
+    }
+
+    /// Returns the leaf that the change is about.
+    pub fn leaf(&self) -> Option<&LeafId> {
+        match self {
+            Change::Leaf(registration) => Some(&registration.id),
+            Change::LeafGone { id, .. } => Some(id),
+            Change::Evacuation { .. } => None,
+        }
+    }
+}
+
 /// Changes to one kind of object that bring another host up to date.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Update {
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -30,6 +30,9 @@
     /// Time of its start, in milliseconds since 1970 on its own clock; distinguishes starts under
     /// the same id.
     pub born: Option<u64>,
+    /// Number of the heartbeat that wrote the registration; rises while the process runs.
+    #[serde(default)]
+    pub sequence: u64,
 }
 
 /// One process of a leaf, which may start again under the same id.
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -2,6 +2,7 @@
 
 use {
     crate::{
+        changes::Change,
         leaf::{HealthSignal, Leaf, LeafRegistration},
         limits::LeafLimits,
     },
@@ -150,14 +151,14 @@
     }
 
     /// Removes the leaves that were not registered again within their grace period.
-    pub fn remove_lapsed(&mut self, now: Instant) -> Vec<(LeafId, LeafKey)> {
+    pub fn remove_lapsed(&mut self, now: Instant) -> Vec<(LeafRegistration, LeafKey)> {
         let is_expired = |leaf: &Leaf| leaf.grace_until.is_some_and(|until| until <= now);
-        let ids: Vec<_> = self.leaves.values().filter(|leaf| is_expired(leaf)).collect();
-        let ids: Vec<_> = ids.into_iter().map(|leaf| leaf.registration.id.clone()).collect();
+        let expired = self.leaves.values().filter(|leaf| is_expired(leaf));
+        let expired: Vec<_> = expired.map(|leaf| leaf.registration.clone()).collect();
         let mut removed = Vec::new();
-        for id in ids {
-            if let LeafChange::Removed(key) = self.remove(&id) {
-                removed.push((id, key));
+        for registration in expired {
+            if let LeafChange::Removed(key) = self.remove(&registration.id) {
+                removed.push((registration, key));
             }
         }
         removed
@@ -183,11 +184,16 @@
         self.evacuated.iter()
     }
 
-    /// Returns all registrations, each with the remaining time for which the leaf is cold.
-    pub fn registrations(&self, now: Instant) -> impl Iterator<Item = LeafRegistration> {
-        self.leaves.values().map(move |leaf| {
+    /// Returns all registrations, each with the remaining time for which the leaf is cold, and the
+    /// removals of those that have lapsed, with the remaining time for which they are used.
+    pub fn registrations(&self, now: Instant) -> impl Iterator<Item = Change> {
+        self.leaves.values().flat_map(move |leaf| {
             let cold_left = leaf.cold_until.since(now);
-            LeafRegistration { cold_left, ..leaf.registration.clone() }
+            let registration = LeafRegistration { cold_left, ..leaf.registration.clone() };
+            let id = leaf.registration.id.clone();
+            let lapse =
+                leaf.grace_until.map(|until| Change::LeafGone { id, grace: until.since(now) });
+            [Some(Change::Leaf(registration)), lapse].into_iter().flatten()
         })
     }
 
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -20,6 +20,7 @@
 pub mod overload;
 pub mod poison;
 pub mod position;
+pub mod reconcile;
 pub mod reply;
 pub mod reply_time;
 pub mod state;
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -37,6 +37,7 @@
         draining: false,
         cold_left: Span::ZERO,
         born: Some(1),
+        sequence: 1,
     }
 }
 
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -6,7 +6,10 @@
         thread,
         time::{Duration, Instant},
     },
-    wigeonramp_platform_standin::store::StoreFault,
+    wigeonramp_platform_standin::{
+        leaf::Leaf,
+        store::{StoreCopy, StoreFault},
+    },
 };
 
 /// Time that callers wait for a response.
@@ -79,3 +82,150 @@
     restore_and_change(&fixture);
     assert!(is_served(&fixture, "restored", Instant::now() + APPLY_TIME));
 }
+
+/// Has the store go away and come back from a copy.
+fn restore(fixture: &Fixture, copy: &StoreCopy) {
+    fixture.store.set_fault(StoreFault::Reset);
+    thread::sleep(OUTAGE);
+    fixture.store.restore(copy);
+    fixture.store.set_fault(StoreFault::None);
+}
+
+/// Sends requests for `time`; returns their statuses.
+fn send_for(fixture: &Fixture, time: Duration) -> Vec<u16> {
+    let end = Instant::now() + time;
+    let mut statuses = Vec::new();
+    while Instant::now() < end {
+        let id = format!("check-{:?}", end - Instant::now());
+        statuses.push(get_status(fixture.caller_address(), "/read/", &id, TIMEOUT));
+        thread::sleep(Duration::from_millis(20));
+    }
+    statuses
+}
+
+/// Sends requests until none reaches `leaf` for a while.
+fn wait_until_unused(fixture: &Fixture, leaf: &Leaf) {
+    let deadline = Instant::now() + APPLY_TIME;
+    loop {
+        let before = fixture.run_times(leaf).len();
+        send_for(fixture, Duration::from_millis(300));
+        if fixture.run_times(leaf).len() == before {
+            return;
+        }
+        assert!(Instant::now() < deadline, "the leaf must no longer be used");
+    }
+}
+
+/// Guards against a leaf that had left or was leaving, and that is used again because the copy of the
+/// store holds its earlier registration.
+#[test]
+fn a_leaf_that_has_left_is_not_used_again() {
+    for (n, leaves) in [(13, false), (14, true)] {
+        let fixture = Fixture::start(n, "connection_limit", 50);
+        let left = fixture.add_leaf("one", Duration::from_millis(1));
+        fixture.add_leaf("one", Duration::from_millis(1));
+        fixture.wait_until_serving();
+        let copy = fixture.store.copy();
+        if leaves {
+            left.unregister()
+        } else {
+            left.register("draining")
+        }
+        wait_until_unused(&fixture, &left);
+        let before = fixture.run_times(&left).len();
+        restore(&fixture, &copy);
+        let statuses = send_for(&fixture, Duration::from_secs(3));
+        assert_eq!(fixture.run_times(&left).len(), before, "has left: {leaves}");
+        assert!(statuses.iter().all(|status| *status == 200));
+    }
+}
+
+/// Guards against requests to a zone that operators took out, because the copy of the store is older
+/// than the evacuation, and against a zone that is taken out again because it is newer.
+#[test]
+fn evacuations_are_kept_until_operators_have_written_them_again() {
+    let fixture = Fixture::start(15, "connection_limit", 50);
+    let evacuated = fixture.add_leaf_in("b", "one", Duration::from_millis(1));
+    fixture.add_leaf_in("c", "one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    let copy = fixture.store.copy();
+    fixture.store.put("evacuations", "b", serde_json::json!({}));
+    wait_until_unused(&fixture, &evacuated);
+    let before = fixture.run_times(&evacuated).len();
+    restore(&fixture, &copy);
+    send_for(&fixture, Duration::from_secs(2));
+    fixture.store.put("evacuations", "b", serde_json::json!({}));
+    send_for(&fixture, Duration::from_secs(4));
+    assert_eq!(fixture.run_times(&evacuated).len(), before);
+}
+
+/// Guards against a zone that is taken out again because the copy of the store holds an evacuation
+/// that has ended.
+#[test]
+fn an_evacuation_that_has_ended_is_not_put_in_force_again() {
+    let fixture = Fixture::start(16, "connection_limit", 50);
+    fixture.add_leaf_in("b", "one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    fixture.store.put("evacuations", "b", serde_json::json!({}));
+    let deadline = Instant::now() + APPLY_TIME;
+    while send_for(&fixture, Duration::from_millis(100)).contains(&200) {
+        assert!(Instant::now() < deadline, "the zone must be out");
+    }
+    let copy = fixture.store.copy();
+    fixture.store.delete("evacuations", "b");
+    fixture.wait_until_serving();
+    restore(&fixture, &copy);
+    let statuses = send_for(&fixture, Duration::from_secs(2));
+    fixture.store.delete("evacuations", "b");
+    let later = send_for(&fixture, Duration::from_secs(4));
+    let failed = statuses.iter().chain(&later).filter(|status| **status != 200).count();
+    assert_eq!(failed, 0, "of {} requests", statuses.len() + later.len());
+}
+
+/// Guards against a host that starts after the store's return and serves an older version than the
+/// other hosts, until operators write the latest one again.
+#[test]
+fn a_host_that_starts_after_the_return_learns_the_version_in_force() {
+    let mut fixture = Fixture::start_fleet(17, 4);
+    fixture.add_leaf("one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    let copy = fixture.store.copy();
+    fixture.replace_routes("later");
+    assert!(is_served(&fixture, "later", Instant::now() + APPLY_TIME));
+    restore(&fixture, &copy);
+    fixture.restart(1);
+    fixture.restart(3);
+    assert!(is_served(&fixture, "later", Instant::now() + APPLY_TIME));
+}
+
+/// Guards against hosts that need the store to tell its era.
+#[test]
+fn a_store_without_an_era_is_served_as_before() {
+    let fixture = Fixture::start(18, "connection_limit", 50);
+    fixture.store.hide_era();
+    fixture.add_leaf("one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    fixture.replace_routes("later");
+    assert!(is_served(&fixture, "later", Instant::now() + APPLY_TIME));
+}
+
+/// Guards against a change that is missed because the store goes back twice, the second time to a
+/// state before all that the host knows, while its watches wait.
+#[test]
+fn a_change_takes_effect_after_two_returns() {
+    let fixture = Fixture::start(19, "connection_limit", 50);
+    let first = fixture.store.copy();
+    fixture.add_leaf("one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    let second = fixture.store.copy();
+    fixture.replace_routes("lost");
+    assert!(is_served(&fixture, "lost", Instant::now() + APPLY_TIME));
+    let known = fixture.store.revision();
+    fixture.store.restore(&second);
+    advance_past(&fixture, known);
+    thread::sleep(Duration::from_millis(100));
+    fixture.store.restore(&first);
+    advance_past(&fixture, known + 5);
+    fixture.replace_routes("restored");
+    assert!(is_served(&fixture, "restored", Instant::now() + APPLY_TIME));
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -132,10 +132,15 @@
         self.store.put("config", "main", spec);
     }
 
-    /// Starts a leaf of `service` and registers it as ready.
+    /// Starts a leaf of `service` in zone `a` and registers it as ready.
     pub fn add_leaf(&self, service: &str, work: Duration) -> Leaf {
+        self.add_leaf_in("a", service, work)
+    }
+
+    /// Starts a leaf of `service` in `zone` and registers it as ready.
+    pub fn add_leaf_in(&self, zone: &str, service: &str, work: Duration) -> Leaf {
         let id = format!("i-{}", self.leaves.fetch_add(1, Ordering::SeqCst));
-        let spec = LeafSpec { id: &id, service, zone: "a", ip: &self.ip, work };
+        let spec = LeafSpec { id: &id, service, zone, ip: &self.ip, work };
         let leaf = Leaf::start(&spec, &self.store, &self.runs).expect("a leaf");
         leaf.register("ready");
         leaf
@@ -180,6 +185,12 @@
         runs.iter().filter(|run| run.id == id).count()
     }
 
+    /// Kills a host and starts it again.
+    pub fn restart(&mut self, host: usize) {
+        self.hosts[host].kill();
+        self.hosts[host].spawn().expect("a host");
+    }
+
     /// Tells the first host to stop by SIGTERM.
     pub fn stop(&mut self) {
         self.hosts[0].signal(rustix::process::Signal::TERM);
