Let the soak restore the store from copies, and leaves name request limits

In every fifth seed the store goes away and comes back from a copy of up to ten seconds before, and operators and leaves write again what was lost up to 1.2 s later. In every other fifth one, one leaf at a time names a limit, and the soak checks the bound in every window of 4 s that is not near a disturbance. Other seeds run as before.

--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         callers::{RequestKind, RequestRecord},
-        fleet::{History, MIN_SHARE_PERCENT, SHARDS, TOP_K, ZoneEvacuation},
+        fleet::{History, MIN_SHARE_PERCENT, NamedLimit, SHARDS, TOP_K, ZoneEvacuation},
     },
     indexmap::{IndexMap, IndexSet},
     std::{
@@ -22,6 +22,12 @@
 /// Invariants with a time limit are not checked for this long, plus `PROPAGATION_LIMIT`, after a
 /// disturbance.
 const DISTURBANCE_GRACE: Duration = Duration::from_millis(4_000);
+/// Length of the windows in which requests to a leaf that names a limit are counted.
+const LIMIT_WINDOW: Duration = Duration::from_secs(4);
+/// Time that hosts have to act on a limit.
+const LIMIT_REACTION: Duration = Duration::from_millis(500);
+/// Requests allowed in a window in addition to one and a half times the limit.
+const LIMIT_SLACK: f64 = 5.0;
 /// Minimum share of requests that must succeed once the fleet has recovered from the last fault.
 const MIN_RECOVERED_SHARE: f64 = 0.9;
 
@@ -64,6 +70,7 @@
     }
     violations.extend(runs.iter().filter_map(|run| check_draining_leaf(run, history)));
     violations.extend(runs.iter().filter_map(|run| check_evacuated_zone(run, history)));
+    violations.extend(history.limits.iter().filter_map(|limit| check_limit(limit, runs, history)));
     violations
 }
 
@@ -208,3 +215,26 @@
         format!("{} after {after_ms} ms", run.leaf),
     )
 }
+
+/// Checks that a leaf that names a limit gets no more requests in any window. Windows near a
+/// disturbance are left out.
+fn check_limit(named: &NamedLimit, runs: &[Run], history: &History) -> Option<Violation> {
+    let start = named.start + LIMIT_REACTION;
+    let is_counted = |run: &&Run| {
+        run.leaf == named.leaf && run.at >= start && named.end.is_none_or(|end| run.at < end)
+    };
+    let mut times: Vec<Instant> = runs.iter().filter(is_counted).map(|run| run.at).collect();
+    times.sort_unstable();
+    let allowed = 1.5 * named.limit * LIMIT_WINDOW.as_secs_f64() + LIMIT_SLACK;
+    let in_window =
+        |from: Instant| times.iter().filter(|at| (from..from + LIMIT_WINDOW).contains(at)).count();
+    let is_calm = |from: &Instant| {
+        !is_near_disturbance(history, *from) && !is_near_disturbance(history, *from + LIMIT_WINDOW)
+    };
+    let busiest = times.iter().copied().filter(is_calm).map(in_window).max()?;
+    if busiest as f64 <= allowed {
+        return None;
+    }
+    let observed = format!("{} got {busiest} of {allowed} requests in a window", named.leaf);
+    violation("a leaf gets no more than the limit that it names", observed)
+}
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -1,7 +1,9 @@
 //! Injection of random faults, one after the other; some overlap.
 
 use {
-    crate::{SoakPlan, fleet::Fleet, proxy::LinkMode},
+    crate::{
+        SoakPlan, fleet::Fleet, limits::LeafLimits, proxy::LinkMode, store_copies::StoreCopies,
+    },
     rand::RngExt,
     rustix::process::Signal,
     std::{
@@ -48,6 +50,8 @@
     let end = Instant::now() + plan.fault_duration;
     let mut injected = Vec::new();
     let mut pending: Vec<(Instant, Undo)> = Vec::new();
+    let mut copies = plan.restores_store().then(|| StoreCopies::new(plan.seed));
+    let mut limits = plan.limits_leaves().then(|| LeafLimits::new(plan.seed));
     while Instant::now() < end {
         let (description, undo) = inject_random_fault(fleet, plan);
         injected.push(description);
@@ -67,9 +71,17 @@
                 let (_, undo) = pending.remove(n);
                 pending.extend(undo_fault(fleet, undo));
             }
+            injected.extend(copies.as_mut().and_then(|copies| copies.advance(fleet)));
+            injected.extend(limits.as_mut().and_then(|limits| limits.advance(fleet)));
             thread::sleep(Duration::from_millis(20));
         }
     }
+    if let Some(mut limits) = limits {
+        limits.finish(fleet);
+    }
+    if let Some(mut copies) = copies {
+        copies.finish(fleet);
+    }
     while let Some((at, undo)) = pending.pop() {
         thread::sleep(at.saturating_duration_since(Instant::now()).min(MAX_FINAL_WAIT));
         pending.extend(undo_fault(fleet, undo));
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -63,6 +63,18 @@
     pub end: Option<Instant>,
 }
 
+/// A request limit that a leaf named.
+#[derive(Clone, Debug)]
+pub(crate) struct NamedLimit {
+    /// Id of the leaf.
+    pub leaf: String,
+    /// Requests per second.
+    pub limit: f64,
+    pub start: Instant,
+    /// Time when the leaf named it no longer, if it did.
+    pub end: Option<Instant>,
+}
+
 /// Changes and disturbances of a run with their times, for the checks.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
@@ -72,6 +84,7 @@
     /// Zones of all leaves by leaf id.
     pub leaf_zones: IndexMap<String, String>,
     pub evacuations: Vec<ZoneEvacuation>,
+    pub limits: Vec<NamedLimit>,
     /// Times of faults after which invariants with a time limit are not checked for a while.
     pub disturbances: Vec<Instant>,
 }
@@ -85,6 +98,8 @@
     pub leaves: Vec<(Leaf, Proxy)>,
     pub history: History,
     version: u64,
+    /// Configuration that was written last.
+    config: Value,
     runs: Runs,
     next_leaf: usize,
     callers: Arc<Callers>,
@@ -106,6 +121,7 @@
             leaves: Vec::new(),
             history: History::default(),
             version: 0,
+            config: Value::Null,
             runs,
             next_leaf: 0,
             callers: Arc::default(),
@@ -222,11 +238,28 @@
             .map(|name| json!({ "name": name, "connection_limit": 100 }))
             .collect();
         let spec = json!({ "version": self.version, "routes": routes, "services": services });
-        self.store.put("config", "main", spec);
+        self.store.put("config", "main", spec.clone());
+        self.config = spec;
         let (written_at, service) = (Instant::now(), service.to_owned());
         self.history.versions.push(ConfigVersion { written_at, service, has_extra_route });
     }
 
+    /// Writes everything again that operators and leaves have written, after the store has come back
+    /// from a copy.
+    pub fn write_again(&mut self) {
+        self.store.put("config", "main", self.config.clone());
+        for zone in ZONES {
+            let is_out = |out: &ZoneEvacuation| out.zone == zone && out.end.is_none();
+            match self.history.evacuations.iter().any(is_out) {
+                true => self.store.put("evacuations", zone, json!({})),
+                false => self.store.delete("evacuations", zone),
+            }
+        }
+        for (leaf, _) in &self.leaves {
+            leaf.register_again();
+        }
+    }
+
     /// Takes a zone out of service. Returns false if a zone is out already, as leaves are in two
     /// zones only and one of them has to serve.
     pub fn evacuate_zone(&mut self, zone: &'static str) -> bool {
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -10,7 +10,9 @@
 mod faults;
 mod fleet;
 pub mod hosts;
+mod limits;
 pub mod proxy;
+mod store_copies;
 
 pub use check::Violation;
 
@@ -35,10 +37,20 @@
 }
 
 impl SoakPlan {
+    /// Returns whether the store comes back from earlier copies.
+    fn restores_store(&self) -> bool {
+        self.seed % 5 == 3
+    }
+
+    /// Returns whether leaves name request limits.
+    fn limits_leaves(&self) -> bool {
+        self.seed % 5 == 4
+    }
+
     /// Returns whether the run has no faults of hosts and store, so that invariants with a time
     /// limit are checked throughout.
     fn spares_hosts_and_store(&self) -> bool {
-        self.seed.is_multiple_of(3)
+        self.seed.is_multiple_of(3) && !self.restores_store()
     }
 }
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -33,6 +33,18 @@
     soak(2);
 }
 
+/// Guards against violated invariants while the store comes back from earlier copies.
+#[test]
+fn seed_with_a_restored_store_violates_no_invariant() {
+    soak(8);
+}
+
+/// Guards against violated invariants while leaves name request limits.
+#[test]
+fn seed_with_request_limits_violates_no_invariant() {
+    soak(9);
+}
+
 /// Guards against watching hosts that learn no change after a lost watch response until the watch
 /// times out. A version was not in force in time in 5 of 16 runs of this seed.
 #[test]
