Remember the limit of a leaf whose registration has lapsed

A registration may lapse while the store is away, though the leaf lives and still names its limit. Hosts forgot the limit with the registration and sent without one when the leaf was back, until its first responses. The limit is now kept for ten minutes without a response, which is also the time for which lost hosts keep their shares; hosts that do not want the leaf send no more requests for permits after a minute.

--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -117,7 +117,6 @@
     fn remove_leaf(&mut self, id: &LeafId, reason: &str) {
         if let LeafChange::Removed(key) = self.routing.leaves.remove(id) {
             self.close_idle_conns(key);
-            self.routing.limits.forget(id);
             self.journal.record("leaf", json!({ "leaf": id, "state": reason }), self.now);
         }
     }
@@ -130,7 +129,6 @@
             self.reconciler.on_removed(&registration, self.now);
             let id = registration.id;
             self.close_idle_conns(key);
-            self.routing.limits.forget(&id);
             self.journal.record("leaf", json!({ "leaf": id, "state": "lapsed" }), self.now);
         }
     }
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -36,8 +36,12 @@
 const RAMP_PER_SECOND: f64 = 2.0;
 /// Time for which the end of a limit is remembered, so that older news does not revive it.
 const ENDED_RETENTION: Span = Span::secs(10);
-/// Time after which a limit that no response has confirmed is forgotten.
-const UNCONFIRMED_RETENTION: Span = Span::secs(60);
+/// Time since the last response of a leaf after which hosts that do not want it send no more requests
+/// for permits.
+const QUIET_AFTER: Span = Span::secs(60);
+/// Time after which a limit that no response has confirmed is forgotten. It is long, as hosts that
+/// had been told would send at once when they want the leaf again.
+const UNCONFIRMED_RETENTION: Span = Span::secs(600);
 /// Time over which hosts spread their first requests after news of a limit.
 const NEWS_SPREAD: Span = Span::millis(150);
 /// Expected time until a permit if none was granted yet.
@@ -203,7 +207,8 @@
         Some(change)
     }
 
-    /// Forgets a leaf that has restarted or is no longer registered.
+    /// Forgets a leaf that has restarted. One that is no longer registered is not forgotten, as its
+    /// registration may only have lapsed.
     pub fn forget(&mut self, id: &LeafId) {
         self.leaves.retain(|leaf, _| leaf.id != *id);
     }
@@ -301,8 +306,9 @@
             return Some(now);
         }
         let next_at = |known: &LimitedLeaf| match known.ended {
-            Some((at, _)) if !known.requests_are_due(now) => at + ENDED_RETENTION,
-            _ => known.permits.next_request(),
+            _ if known.requests_are_due(now) => known.permits.next_request(),
+            Some((at, _)) => at + ENDED_RETENTION,
+            None => known.said.heard + UNCONFIRMED_RETENTION,
         };
         self.leaves.values().map(next_at).min()
     }
--- a/components/routing/src/limits/permits.rs
+++ b/components/routing/src/limits/permits.rs
@@ -100,6 +100,11 @@
         }
     }
 
+    /// Whether a request was denied since the last request for permits.
+    pub fn is_denied(&self) -> bool {
+        self.denied
+    }
+
     fn add_demand(&mut self, now: Instant) {
         self.demand = self.demand(now) + 1.0;
         self.demand_at = now;
--- a/components/routing/src/limits/requester.rs
+++ b/components/routing/src/limits/requester.rs
@@ -2,7 +2,7 @@
 
 use {
     super::{
-        LeafLimits, LimitHosts, LimitedLeaf,
+        LeafLimits, LimitHosts, LimitedLeaf, QUIET_AFTER,
         messages::{LimitMessage, LimitNews, Outgoing, PermitGrant, PermitRequest},
     },
     crate::leaf::LeafInstance,
@@ -71,10 +71,11 @@
 }
 
 impl LimitedLeaf {
-    /// Whether requests for permits are sent: while requests to the leaf are limited, and once more
-    /// after.
+    /// Whether requests for permits are sent: while requests to the leaf are limited and some host
+    /// wants it, and once more after the end of the limit.
     pub(super) fn requests_are_due(&self, now: Instant) -> bool {
-        self.rate(now).is_some() || self.requester.has_news
+        let is_wanted = self.permits.is_denied() || now.since(self.said.heard) < QUIET_AFTER;
+        (self.rate(now).is_some() && is_wanted) || self.requester.has_news
     }
 }
 
