--- a/components/edge/src/upstreams.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -4,12 +4,15 @@
 //! after a complete response, close the connection. A response to another request is read and
 //! dropped; the connection is not reused after it.
 
+mod failures;
+mod responses;
+
 use {
     crate::{
         body::BodyReader,
         node::{EventSource, Node},
         requests::EndedAttempt,
-        sock::{self, OutBuf, ReadEnd},
+        sock::{self, OutBuf},
     },
     indexmap::IndexMap,
     mio::{Interest, net::TcpStream},
@@ -23,7 +26,6 @@
         leaf::HealthSignal,
         leaves::LeafKey,
         poison::CrashDetector,
-        reply::LeafResponse,
     },
     wigeonramp_units::{Fingerprint, Instant, Span},
 };
@@ -33,8 +35,6 @@
 /// Time allowed for a response beyond the deadline given to the leaf, at which the leaf itself
 /// stops.
 const RESPONSE_SLACK: Span = Span::millis(100);
-/// Time before the leaf's idle timeout at which an idle connection is no longer used.
-const IDLE_MARGIN: Span = Span::millis(500);
 /// Idle timeout of a connection if the leaf does not announce one.
 const DEFAULT_IDLE_TIMEOUT: Span = Span::secs(20);
 /// Idle time from which a connection is not used for a non-idempotent request, which opens a new
@@ -43,10 +43,6 @@
 /// Time without bytes on a connection with a request in flight, after which the leaf's idle
 /// connections are suspect too: those that received nothing since the request was sent are closed.
 const SILENT_AFTER: Span = Span::millis(400);
-/// Maximum length of a response in bytes.
-const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
-/// Maximum length of a response head in bytes.
-const MAX_RESPONSE_HEAD: usize = 64 * 1024;
 /// Share of a leaf's connection limit that all hosts together use.
 const CONNECTION_LIMIT_SHARE: f64 = 0.8;
 /// Minimum connection limit of a host to a leaf: one connection in use and one for a second
@@ -279,238 +275,6 @@
         Some(key)
     }
 
-    pub(crate) fn on_leaf(&mut self, key: usize) {
-        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
-        if !conn.connected {
-            match sock::is_connected(&conn.sock) {
-                Ok(true) => conn.connected = true,
-                Ok(false) => return,
-                Err(_) => return self.fail_conn(key, true),
-            }
-        }
-        if conn.out.flush(&mut conn.sock).is_err() {
-            return self.fail_conn(key, true);
-        }
-        let limit = MAX_RESPONSE as usize;
-        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
-        if !conn.inbuf.is_empty() {
-            conn.last_received = self.now;
-        }
-        if self.read_responses(key) && end != ReadEnd::Drained {
-            self.on_leaf_closed(key, end);
-        }
-    }
-
-    fn on_leaf_closed(&mut self, key: usize, end: ReadEnd) {
-        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
-        let complete = end == ReadEnd::Closed
-            && conn.response.as_mut().is_some_and(|(_, reader)| reader.end());
-        if complete && !conn.mismatched {
-            conn.close = true;
-            self.finish_response(key);
-            return;
-        }
-        self.fail_conn(key, end == ReadEnd::Broken);
-    }
-
-    /// Decodes responses from the received bytes; returns false if the connection was closed.
-    fn read_responses(&mut self, key: usize) -> bool {
-        loop {
-            let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
-            let Some(in_flight) = &conn.in_flight else {
-                if conn.inbuf.is_empty() {
-                    return true;
-                }
-                self.close_conn(key);
-                return false;
-            };
-            if conn.response.is_none() {
-                match http::parse_response_head(
-                    &conn.inbuf,
-                    in_flight.keep_headers,
-                    in_flight.no_body,
-                ) {
-                    Ok(None) if conn.inbuf.len() <= MAX_RESPONSE_HEAD => return true,
-                    Ok(Some(head)) if head.status == 101 => {
-                        self.fail_conn(key, false);
-                        return false;
-                    }
-                    Ok(Some(head)) if head.status < 200 => {
-                        conn.inbuf.drain(..head.length);
-                        continue;
-                    }
-                    Ok(Some(head)) => {
-                        conn.inbuf.drain(..head.length);
-                        conn.mismatched = head.id.is_some() && head.id != in_flight.id;
-                        conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
-                        match BodyReader::new(head.framing, MAX_RESPONSE) {
-                            Ok(reader) => conn.response = Some((head, reader)),
-                            Err(_) => {
-                                self.fail_conn(key, false);
-                                return false;
-                            }
-                        }
-                    }
-                    _ => {
-                        self.fail_conn(key, false);
-                        return false;
-                    }
-                }
-            }
-            let Some((_, reader)) = &mut conn.response else { return true };
-            match reader.push(&conn.inbuf) {
-                Ok(used) => {
-                    conn.inbuf.drain(..used);
-                }
-                Err(_) => {
-                    self.fail_conn(key, false);
-                    return false;
-                }
-            }
-            if !reader.is_done() {
-                return true;
-            }
-            if !conn.mismatched {
-                return self.finish_response(key);
-            }
-            conn.response = None;
-            conn.mismatched = false;
-        }
-    }
-
-    /// Handles a complete response; returns false if the connection was closed.
-    fn finish_response(&mut self, key: usize) -> bool {
-        let now = self.now;
-        let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
-        let (Some(in_flight), Some((head, reader))) = (conn.in_flight.take(), conn.response.take())
-        else {
-            return true;
-        };
-        let leaf = conn.leaf;
-        conn.idle_since = now;
-        if let Some(time) = head.idle_time {
-            conn.idle_timeout =
-                (time - IDLE_MARGIN).max(time.percent(50)).min(DEFAULT_IDLE_TIMEOUT);
-        }
-        let reusable = !conn.close && conn.inbuf.is_empty();
-        if conn.inbuf.capacity() > sock::READ_BYTES {
-            conn.inbuf = Vec::new();
-        }
-        if head.status != 421 {
-            self.hear_limit(leaf, &head, in_flight.sent);
-        }
-        let outcome = self.classify_response(leaf, head, reader);
-        self.ended_attempts.push_back(EndedAttempt {
-            request: in_flight.request,
-            serial: in_flight.serial,
-            attempt: in_flight.attempt,
-            outcome,
-        });
-        if reusable && self.routing.leaves.get(leaf).is_some() {
-            self.upstreams.idle.entry(leaf).or_default().push(key);
-            self.send_queued(leaf);
-            return true;
-        }
-        self.close_conn(key);
-        self.send_queued(leaf);
-        false
-    }
-
-    fn classify_response(
-        &mut self,
-        leaf: LeafKey,
-        head: ResponseHead,
-        reader: BodyReader,
-    ) -> AttemptOutcome {
-        if head.status == 421 {
-            // Another leaf uses this address now.
-            if let Some(leaf) = self.routing.leaves.get_mut(leaf) {
-                leaf.address_reused = true;
-                let fields =
-                    json!({ "leaf": leaf.registration.id, "address": leaf.registration.address });
-                self.journal.record("leaf_address_reused", fields, self.now);
-            }
-            return AttemptOutcome::NotRun;
-        }
-        if head.not_run {
-            return AttemptOutcome::NotRun;
-        }
-        if head.encoded || (head.status < 300 && head.stamp.is_none()) {
-            return AttemptOutcome::Lost;
-        }
-        let body = reader.into_body();
-        AttemptOutcome::Response(LeafResponse {
-            status: head.status,
-            stamp: head.stamp,
-            headers: head.headers,
-            body,
-        })
-    }
-
-    /// Closes a failed connection and ends the attempt that it carries; `broken` tells whether the
-    /// socket reported an error.
-    fn fail_conn(&mut self, key: usize, broken: bool) {
-        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
-        let leaf = conn.leaf;
-        let unsent = !conn.connected || (conn.out.is_untouched() && !conn.out.is_empty());
-        let (not_connected, refused) = (!conn.connected, !conn.connected && broken);
-        let no_response = conn.response.is_none() && conn.inbuf.is_empty();
-        let in_flight = conn.in_flight.take();
-        self.close_conn(key);
-        if not_connected {
-            self.on_connect_failed(leaf);
-        }
-        match in_flight {
-            Some(in_flight) => {
-                let outcome = if unsent { AttemptOutcome::Unsent } else { AttemptOutcome::Lost };
-                if !unsent && no_response {
-                    if self.upstreams.crash_detector.on_connection_broken(
-                        in_flight.fingerprint,
-                        leaf,
-                        self.now,
-                    ) {
-                        self.suspect_request(in_flight.fingerprint, leaf);
-                    }
-                } else if refused {
-                    self.record_crash_sign(leaf);
-                }
-                let (request, serial, attempt) =
-                    (in_flight.request, in_flight.serial, in_flight.attempt);
-                self.ended_attempts.push_back(EndedAttempt { request, serial, attempt, outcome });
-            }
-            None => self.record_crash_sign(leaf),
-        }
-    }
-
-    /// Handles that a leaf did not accept a connection. If its service declares a request rate for
-    /// cold leaves, the leaf is treated as one that has just started.
-    fn on_connect_failed(&mut self, leaf: LeafKey) {
-        let service = self.routing.leaves.get(leaf).map(|leaf| &leaf.registration.service);
-        let catalog = self.active_catalog.current();
-        let spec = service.and_then(|service| catalog?.services.get(service));
-        if let Some(spec) = spec.filter(|spec| spec.cold_per_second > 0.0) {
-            let cold_for = spec.cold_for;
-            self.routing.leaves.on_connect_failed(leaf, cold_for, self.now);
-        }
-    }
-
-    /// Records a sign that a leaf crashed; requests whose connections to it broke recently become
-    /// suspects.
-    fn record_crash_sign(&mut self, leaf: LeafKey) {
-        for fingerprint in self.upstreams.crash_detector.on_crash_sign(leaf, self.now) {
-            self.suspect_request(fingerprint, leaf);
-        }
-    }
-
-    /// Counts and logs that a request is suspected of crashing a leaf.
-    fn suspect_request(&mut self, fingerprint: Fingerprint, leaf: LeafKey) {
-        self.poison.record_crash(fingerprint, self.now);
-        let id = self.routing.leaves.get(leaf).map(|leaf| leaf.registration.id.clone());
-        let refused = self.poison.is_refused(fingerprint, self.now);
-        let fields = json!({ "fingerprint": fingerprint, "leaf": id, "refused": refused });
-        self.journal.record("request_suspected", fields, self.now);
-    }
-
     fn close_conn(&mut self, key: usize) {
         let Some(mut conn) = self.upstreams.conns.try_remove(key) else { return };
         // Closing the socket removes it from the event queue anyway.
--- /dev/null
+++ b/components/edge/src/upstreams/responses.rs
@@ -0,0 +1,192 @@
+//! Reading responses of leaves.
+
+use {
+    super::DEFAULT_IDLE_TIMEOUT,
+    crate::{
+        body::BodyReader,
+        node::Node,
+        requests::EndedAttempt,
+        sock::{self, ReadEnd},
+    },
+    serde_json::json,
+    wigeonramp_platform::http::{self, ResponseHead},
+    wigeonramp_routing::{exchange::AttemptOutcome, leaves::LeafKey, reply::LeafResponse},
+    wigeonramp_units::Span,
+};
+
+/// Maximum length of a response in bytes.
+const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
+/// Maximum length of a response head in bytes.
+const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// Time before the leaf's idle timeout at which an idle connection is no longer used.
+const IDLE_MARGIN: Span = Span::millis(500);
+
+impl Node {
+    pub(crate) fn on_leaf(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        if !conn.connected {
+            match sock::is_connected(&conn.sock) {
+                Ok(true) => conn.connected = true,
+                Ok(false) => return,
+                Err(_) => return self.fail_conn(key, true),
+            }
+        }
+        if conn.out.flush(&mut conn.sock).is_err() {
+            return self.fail_conn(key, true);
+        }
+        let limit = MAX_RESPONSE as usize;
+        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
+        if !conn.inbuf.is_empty() {
+            conn.last_received = self.now;
+        }
+        if self.read_responses(key) && end != ReadEnd::Drained {
+            self.on_leaf_closed(key, end);
+        }
+    }
+
+    fn on_leaf_closed(&mut self, key: usize, end: ReadEnd) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let complete = end == ReadEnd::Closed
+            && conn.response.as_mut().is_some_and(|(_, reader)| reader.end());
+        if complete && !conn.mismatched {
+            conn.close = true;
+            self.finish_response(key);
+            return;
+        }
+        self.fail_conn(key, end == ReadEnd::Broken);
+    }
+
+    /// Decodes responses from the received bytes; returns false if the connection was closed.
+    fn read_responses(&mut self, key: usize) -> bool {
+        loop {
+            let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
+            let Some(in_flight) = &conn.in_flight else {
+                if conn.inbuf.is_empty() {
+                    return true;
+                }
+                self.close_conn(key);
+                return false;
+            };
+            if conn.response.is_none() {
+                match http::parse_response_head(
+                    &conn.inbuf,
+                    in_flight.keep_headers,
+                    in_flight.no_body,
+                ) {
+                    Ok(None) if conn.inbuf.len() <= MAX_RESPONSE_HEAD => return true,
+                    Ok(Some(head)) if head.status == 101 => {
+                        self.fail_conn(key, false);
+                        return false;
+                    }
+                    Ok(Some(head)) if head.status < 200 => {
+                        conn.inbuf.drain(..head.length);
+                        continue;
+                    }
+                    Ok(Some(head)) => {
+                        conn.inbuf.drain(..head.length);
+                        conn.mismatched = head.id.is_some() && head.id != in_flight.id;
+                        conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
+                        match BodyReader::new(head.framing, MAX_RESPONSE) {
+                            Ok(reader) => conn.response = Some((head, reader)),
+                            Err(_) => {
+                                self.fail_conn(key, false);
+                                return false;
+                            }
+                        }
+                    }
+                    _ => {
+                        self.fail_conn(key, false);
+                        return false;
+                    }
+                }
+            }
+            let Some((_, reader)) = &mut conn.response else { return true };
+            match reader.push(&conn.inbuf) {
+                Ok(used) => {
+                    conn.inbuf.drain(..used);
+                }
+                Err(_) => {
+                    self.fail_conn(key, false);
+                    return false;
+                }
+            }
+            if !reader.is_done() {
+                return true;
+            }
+            if !conn.mismatched {
+                return self.finish_response(key);
+            }
+            conn.response = None;
+            conn.mismatched = false;
+        }
+    }
+
+    /// Handles a complete response; returns false if the connection was closed.
+    fn finish_response(&mut self, key: usize) -> bool {
+        let now = self.now;
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
+        let (Some(in_flight), Some((head, reader))) = (conn.in_flight.take(), conn.response.take())
+        else {
+            return true;
+        };
+        let leaf = conn.leaf;
+        conn.idle_since = now;
+        if let Some(time) = head.idle_time {
+            conn.idle_timeout =
+                (time - IDLE_MARGIN).max(time.percent(50)).min(DEFAULT_IDLE_TIMEOUT);
+        }
+        let reusable = !conn.close && conn.inbuf.is_empty();
+        if conn.inbuf.capacity() > sock::READ_BYTES {
+            conn.inbuf = Vec::new();
+        }
+        if head.status != 421 {
+            self.hear_limit(leaf, &head, in_flight.sent);
+        }
+        let outcome = self.classify_response(leaf, head, reader);
+        self.ended_attempts.push_back(EndedAttempt {
+            request: in_flight.request,
+            serial: in_flight.serial,
+            attempt: in_flight.attempt,
+            outcome,
+        });
+        if reusable && self.routing.leaves.get(leaf).is_some() {
+            self.upstreams.idle.entry(leaf).or_default().push(key);
+            self.send_queued(leaf);
+            return true;
+        }
+        self.close_conn(key);
+        self.send_queued(leaf);
+        false
+    }
+
+    fn classify_response(
+        &mut self,
+        leaf: LeafKey,
+        head: ResponseHead,
+        reader: BodyReader,
+    ) -> AttemptOutcome {
+        if head.status == 421 {
+            // Another leaf uses this address now.
+            if let Some(leaf) = self.routing.leaves.get_mut(leaf) {
+                leaf.address_reused = true;
+                let fields =
+                    json!({ "leaf": leaf.registration.id, "address": leaf.registration.address });
+                self.journal.record("leaf_address_reused", fields, self.now);
+            }
+            return AttemptOutcome::NotRun;
+        }
+        if head.not_run {
+            return AttemptOutcome::NotRun;
+        }
+        if head.encoded || (head.status < 300 && head.stamp.is_none()) {
+            return AttemptOutcome::Lost;
+        }
+        let body = reader.into_body();
+        AttemptOutcome::Response(LeafResponse {
+            status: head.status,
+            stamp: head.stamp,
+            headers: head.headers,
+            body,
+        })
+    }
+}
--- /dev/null
+++ b/components/routing/src/exchange/conclusion.rs
@@ -0,0 +1,173 @@
+//! When a request ends, and with which reply.
+
+use {
+    super::{Exchange, attempt::Part},
+    crate::{
+        catalog::Target,
+        merge::merge_top_k,
+        overload::PartStatus,
+        reply::{Cause, LeafResponse, Reply},
+        state::RoutingState,
+    },
+    wigeonramp_units::{Instant, Span},
+};
+
+/// Retry delay suggested to the caller when a service has no eligible leaf.
+const RETRY_AFTER_NO_LEAF: Span = Span::millis(500);
+/// Retry delay suggested to the caller when no leaf ran the request, mostly because leaves are
+/// full.
+const RETRY_AFTER_BUSY: Span = Span::millis(100);
+/// Shortest and longest retry delay suggested to the caller when leaves name request limits.
+const RETRY_AFTER_LIMITED: (Span, Span) = (Span::millis(100), Span::millis(2_000));
+
+impl Exchange {
+    pub(super) fn is_gather(&self) -> bool {
+        matches!(self.route.target, Target::Gather { .. })
+    }
+
+    pub(super) fn min_responses(&self) -> usize {
+        match &self.route.target {
+            Target::Gather { min_share, shards, .. } => {
+                // The tolerance, far below one shard, absorbs rounding errors: 0.75 of 20 is 15.
+                let required = (min_share * shards.len() as f64 - 1e-9).ceil();
+                (required.max(1.0) as usize).min(shards.len())
+            }
+            Target::One(_) => 1,
+        }
+    }
+
+    pub(super) fn refuse_unservable(&self, cx: &RoutingState) -> Option<Reply> {
+        let has_leaf = |part: &&Part| cx.leaves.has_eligible_leaf(&part.service, &self.route.homes);
+        let served = self.parts.iter().filter(has_leaf).count();
+        if served >= self.min_responses() && served > 0 {
+            return None;
+        }
+        let cause = if self.is_gather() { Cause::TooFewShards } else { Cause::NoLeaf };
+        Some(Reply::Refused { cause, retry_after: RETRY_AFTER_NO_LEAF })
+    }
+
+    /// Refuses a request at once if there are too few permits for leaves that name limits. Its
+    /// parts without a permit are marked otherwise.
+    pub(super) fn refuse_limited(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
+        if cx.limits.is_empty() {
+            return None;
+        }
+        let mut waits: Vec<Span> = Vec::new();
+        let mut available = 0;
+        for part in &mut self.parts {
+            match cx.permit_wait(&part.service, &self.route, now) {
+                Some(wait) => {
+                    part.limited = true;
+                    waits.push(wait);
+                }
+                None => {
+                    let homes = &self.route.homes;
+                    available += usize::from(cx.leaves.has_eligible_leaf(&part.service, homes));
+                }
+            }
+        }
+        let missing = self.min_responses().saturating_sub(available);
+        if missing == 0 {
+            return None;
+        }
+        for part in self.parts.iter().filter(|part| part.limited) {
+            cx.record_refused(&part.service, &self.route, now);
+        }
+        self.record_late_parts(cx, now);
+        waits.sort_unstable();
+        let (shortest, longest) = RETRY_AFTER_LIMITED;
+        let wait = waits.get(missing - 1).copied().unwrap_or(longest);
+        let retry_after = wait.clamp(shortest, longest);
+        Some(Reply::Refused { cause: Cause::Limited, retry_after })
+    }
+
+    /// Returns the reply once it is decided.
+    pub(super) fn conclude(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
+        if !self.is_gather() {
+            return self.conclude_single();
+        }
+        let reply = self.conclude_gather(now);
+        if !self.late_recorded && (reply.is_some() || now >= self.reply_at) {
+            self.late_recorded = true;
+            self.record_late_parts(cx, now);
+        }
+        reply
+    }
+
+    /// Reports to the overload controller which parts lack a response because their leaves are
+    /// busy.
+    fn record_late_parts(&self, cx: &mut RoutingState, now: Instant) {
+        let Target::Gather { shards, .. } = &self.route.target else { return };
+        let is_due = now >= self.reply_at;
+        let status = |part: &Part| match part.attempts.last() {
+            _ if part.response.is_some() => PartStatus::Settled,
+            Some(last) if last.running && is_due => PartStatus::Late,
+            Some(last) if last.running => PartStatus::Pending,
+            Some(last) if last.declined => PartStatus::Late,
+            None if part.limited => PartStatus::Late,
+            Some(_) | None => PartStatus::Settled,
+        };
+        cx.record_parts(shards, self.parts.iter().map(status), now);
+    }
+
+    pub(super) fn is_overloaded(&self, cx: &RoutingState) -> bool {
+        match &self.route.target {
+            Target::Gather { shards, .. } => cx.is_overloaded(shards),
+            Target::One(_) => false,
+        }
+    }
+
+    fn conclude_gather(&mut self, now: Instant) -> Option<Reply> {
+        let min_responses = self.min_responses();
+        let unresolved = self.parts.iter().filter(|part| part.is_unresolved()).count();
+        if self.responses >= min_responses && (unresolved == 0 || now >= self.reply_at) {
+            return Some(self.merge());
+        }
+        if self.responses + unresolved < min_responses {
+            return Some(self.fail(Cause::TooFewShards));
+        }
+        None
+    }
+
+    fn conclude_single(&mut self) -> Option<Reply> {
+        let part = &mut self.parts[0];
+        if let Some(response) = part.response.take() {
+            return Some(Reply::Relayed(response));
+        }
+        if !part.exhausted {
+            return None;
+        }
+        if let Some(failure) = part.failure.take() {
+            return Some(Reply::Relayed(failure));
+        }
+        Some(self.fail(Cause::Broken))
+    }
+
+    pub(super) fn give_up(&mut self) -> Reply {
+        if self.is_gather() && self.responses >= self.min_responses() {
+            return self.merge();
+        }
+        match self.parts[0].failure.take().filter(|_| !self.is_gather()) {
+            Some(failure) => Reply::Relayed(failure),
+            None => self.fail(Cause::TimeUp),
+        }
+    }
+
+    fn fail(&self, cause: Cause) -> Reply {
+        if self.parts.iter().any(|part| part.possible_runs() > 0) {
+            return Reply::Failed(cause);
+        }
+        Reply::Refused { cause: Cause::NotRun, retry_after: RETRY_AFTER_BUSY }
+    }
+
+    fn merge(&mut self) -> Reply {
+        let Target::Gather { top_k, .. } = &self.route.target else {
+            return Reply::Failed(Cause::Broken);
+        };
+        let responses: Vec<&LeafResponse> =
+            self.parts.iter().filter_map(|part| part.response.as_ref()).collect();
+        let stamps = responses.iter().filter_map(|response| response.stamp.clone()).collect();
+        let body = merge_top_k(responses.iter().map(|response| response.body.as_slice()), *top_k);
+        Reply::Merged { stamps, missing: self.parts.len() - responses.len(), body }
+    }
+}
--- a/components/routing/src/exchange.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -5,16 +5,20 @@
 //! (a retry), within the route's attempts and the budget for extra attempts. A request that is not
 //! idempotent is sent again only when it is certain that no leaf has run it.
 
+mod attempt;
+mod conclusion;
+
+pub use attempt::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace};
+
 use {
     crate::{
-        catalog::{RepeatPolicy, Route, Target},
+        catalog::{RepeatPolicy, Route},
         leaf::HealthSignal,
         leaves::LeafKey,
-        merge::merge_top_k,
-        overload::PartStatus,
         reply::{Cause, LeafResponse, Reply},
         state::RoutingState,
     },
+    attempt::{Attempt, Part},
     std::sync::Arc,
     wigeonramp_units::{Instant, ServiceId, Span},
 };
@@ -23,13 +27,6 @@
 const SPARE_ATTEMPTS: usize = 2;
 /// Time reserved for the reply to reach the caller when a request is given up at its deadline.
 const DEADLINE_MARGIN: Span = Span::millis(5);
-/// Retry delay suggested to the caller when a service has no eligible leaf.
-const RETRY_AFTER_NO_LEAF: Span = Span::millis(500);
-/// Retry delay suggested to the caller when no leaf ran the request, mostly because leaves are
-/// full.
-const RETRY_AFTER_BUSY: Span = Span::millis(100);
-/// Shortest and longest retry delay suggested to the caller when leaves name request limits.
-const RETRY_AFTER_LIMITED: (Span, Span) = (Span::millis(100), Span::millis(2_000));
 /// Retry delay suggested to the caller when the leaves are overloaded.
 const RETRY_AFTER_OVERLOAD: Span = Span::millis(400);
 
@@ -44,117 +41,6 @@
     pub caller_overhead: Span,
 }
 
-/// Identifies one attempt of one part.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct AttemptRef {
-    /// Index of the part.
-    pub part: usize,
-    /// Index of the attempt within the part.
-    pub number: usize,
-}
-
-/// An attempt that is to be sent now.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub struct AttemptSpec {
-    /// Part and index of the attempt.
-    pub attempt: AttemptRef,
-    /// Leaf to send to.
-    pub leaf: LeafKey,
-    /// Time that the leaf has to respond.
-    pub timeout: Span,
-}
-
-/// Outcome of an attempt.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum AttemptOutcome {
-    /// A complete response of the leaf, other than one that says that the request did not run.
-    Response(LeafResponse),
-    /// The leaf said that it did not run the request.
-    NotRun,
-    /// No byte of the request reached the leaf.
-    Unsent,
-    /// The connection broke or the response was invalid; the request may have run.
-    Lost,
-}
-
-impl AttemptOutcome {
-    /// Returns the stable name used in logs.
-    const fn name(&self) -> &'static str {
-        match self {
-            AttemptOutcome::Response(response) if response.status < 400 => "answered",
-            AttemptOutcome::Response(_) => "failed",
-            AttemptOutcome::NotRun => "not_run",
-            AttemptOutcome::Unsent => "unsent",
-            AttemptOutcome::Lost => "lost",
-        }
-    }
-}
-
-#[derive(Clone, Debug)]
-struct Attempt {
-    leaf: LeafKey,
-    sent: Instant,
-    running: bool,
-    reached_leaf: bool,
-    may_have_run: bool,
-    /// Whether the leaf said that it did not run the request.
-    declined: bool,
-    ended: Option<(Instant, &'static str)>,
-}
-
-/// Details of an attempt for the log.
-#[derive(Clone, Copy, Debug)]
-pub struct AttemptTrace<'a> {
-    /// Service of the part: a shard, or the only service of the request.
-    pub service: &'a ServiceId,
-    /// Leaf that it was sent to.
-    pub leaf: LeafKey,
-    /// Time at which it was sent.
-    pub sent: Instant,
-    /// Time and name of its outcome; none while it is running.
-    pub ended: Option<(Instant, &'static str)>,
-}
-
-#[derive(Clone, Debug)]
-struct Part {
-    service: ServiceId,
-    attempts: Vec<Attempt>,
-    response: Option<LeafResponse>,
-    /// Last response with a failure status.
-    failure: Option<LeafResponse>,
-    /// Whether no further attempt is possible.
-    exhausted: bool,
-    /// Whether it was not sent because there was no permit for a leaf that names a limit.
-    limited: bool,
-}
-
-impl Part {
-    fn new(service: ServiceId) -> Self {
-        Self {
-            service,
-            attempts: Vec::new(),
-            response: None,
-            failure: None,
-            exhausted: false,
-            limited: false,
-        }
-    }
-
-    fn is_unresolved(&self) -> bool {
-        self.response.is_none() && !self.exhausted
-    }
-
-    /// Number of attempts that have not ended.
-    fn running(&self) -> usize {
-        self.attempts.iter().filter(|attempt| attempt.running).count()
-    }
-
-    /// Number of attempts that a leaf may have run.
-    fn possible_runs(&self) -> usize {
-        self.attempts.iter().filter(|attempt| attempt.may_have_run).count()
-    }
-}
-
 /// A request in progress.
 #[derive(Clone, Debug)]
 pub struct Exchange {
@@ -486,156 +372,6 @@
         }
         self.give_up_at
     }
-
-    fn is_gather(&self) -> bool {
-        matches!(self.route.target, Target::Gather { .. })
-    }
-
-    fn min_responses(&self) -> usize {
-        match &self.route.target {
-            Target::Gather { min_share, shards, .. } => {
-                // The tolerance, far below one shard, absorbs rounding errors: 0.75 of 20 is 15.
-                let required = (min_share * shards.len() as f64 - 1e-9).ceil();
-                (required.max(1.0) as usize).min(shards.len())
-            }
-            Target::One(_) => 1,
-        }
-    }
-
-    fn refuse_unservable(&self, cx: &RoutingState) -> Option<Reply> {
-        let has_leaf = |part: &&Part| cx.leaves.has_eligible_leaf(&part.service, &self.route.homes);
-        let served = self.parts.iter().filter(has_leaf).count();
-        if served >= self.min_responses() && served > 0 {
-            return None;
-        }
-        let cause = if self.is_gather() { Cause::TooFewShards } else { Cause::NoLeaf };
-        Some(Reply::Refused { cause, retry_after: RETRY_AFTER_NO_LEAF })
-    }
-
-    /// Refuses a request at once if there are too few permits for leaves that name limits. Its
-    /// parts without a permit are marked otherwise.
-    fn refuse_limited(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
-        if cx.limits.is_empty() {
-            return None;
-        }
-        let mut waits: Vec<Span> = Vec::new();
-        let mut available = 0;
-        for part in &mut self.parts {
-            match cx.permit_wait(&part.service, &self.route, now) {
-                Some(wait) => {
-                    part.limited = true;
-                    waits.push(wait);
-                }
-                None => {
-                    let homes = &self.route.homes;
-                    available += usize::from(cx.leaves.has_eligible_leaf(&part.service, homes));
-                }
-            }
-        }
-        let missing = self.min_responses().saturating_sub(available);
-        if missing == 0 {
-            return None;
-        }
-        for part in self.parts.iter().filter(|part| part.limited) {
-            cx.record_refused(&part.service, &self.route, now);
-        }
-        self.record_late_parts(cx, now);
-        waits.sort_unstable();
-        let (shortest, longest) = RETRY_AFTER_LIMITED;
-        let wait = waits.get(missing - 1).copied().unwrap_or(longest);
-        let retry_after = wait.clamp(shortest, longest);
-        Some(Reply::Refused { cause: Cause::Limited, retry_after })
-    }
-
-    /// Returns the reply once it is decided.
-    fn conclude(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
-        if !self.is_gather() {
-            return self.conclude_single();
-        }
-        let reply = self.conclude_gather(now);
-        if !self.late_recorded && (reply.is_some() || now >= self.reply_at) {
-            self.late_recorded = true;
-            self.record_late_parts(cx, now);
-        }
-        reply
-    }
-
-    /// Reports to the overload controller which parts lack a response because their leaves are
-    /// busy.
-    fn record_late_parts(&self, cx: &mut RoutingState, now: Instant) {
-        let Target::Gather { shards, .. } = &self.route.target else { return };
-        let is_due = now >= self.reply_at;
-        let status = |part: &Part| match part.attempts.last() {
-            _ if part.response.is_some() => PartStatus::Settled,
-            Some(last) if last.running && is_due => PartStatus::Late,
-            Some(last) if last.running => PartStatus::Pending,
-            Some(last) if last.declined => PartStatus::Late,
-            None if part.limited => PartStatus::Late,
-            Some(_) | None => PartStatus::Settled,
-        };
-        cx.record_parts(shards, self.parts.iter().map(status), now);
-    }
-
-    fn is_overloaded(&self, cx: &RoutingState) -> bool {
-        match &self.route.target {
-            Target::Gather { shards, .. } => cx.is_overloaded(shards),
-            Target::One(_) => false,
-        }
-    }
-
-    fn conclude_gather(&mut self, now: Instant) -> Option<Reply> {
-        let min_responses = self.min_responses();
-        let unresolved = self.parts.iter().filter(|part| part.is_unresolved()).count();
-        if self.responses >= min_responses && (unresolved == 0 || now >= self.reply_at) {
-            return Some(self.merge());
-        }
-        if self.responses + unresolved < min_responses {
-            return Some(self.fail(Cause::TooFewShards));
-        }
-        None
-    }
-
-    fn conclude_single(&mut self) -> Option<Reply> {
-        let part = &mut self.parts[0];
-        if let Some(response) = part.response.take() {
-            return Some(Reply::Relayed(response));
-        }
-        if !part.exhausted {
-            return None;
-        }
-        if let Some(failure) = part.failure.take() {
-            return Some(Reply::Relayed(failure));
-        }
-        Some(self.fail(Cause::Broken))
-    }
-
-    fn give_up(&mut self) -> Reply {
-        if self.is_gather() && self.responses >= self.min_responses() {
-            return self.merge();
-        }
-        match self.parts[0].failure.take().filter(|_| !self.is_gather()) {
-            Some(failure) => Reply::Relayed(failure),
-            None => self.fail(Cause::TimeUp),
-        }
-    }
-
-    fn fail(&self, cause: Cause) -> Reply {
-        if self.parts.iter().any(|part| part.possible_runs() > 0) {
-            return Reply::Failed(cause);
-        }
-        Reply::Refused { cause: Cause::NotRun, retry_after: RETRY_AFTER_BUSY }
-    }
-
-    fn merge(&mut self) -> Reply {
-        let Target::Gather { top_k, .. } = &self.route.target else {
-            return Reply::Failed(Cause::Broken);
-        };
-        let responses: Vec<&LeafResponse> =
-            self.parts.iter().filter_map(|part| part.response.as_ref()).collect();
-        let stamps = responses.iter().filter_map(|response| response.stamp.clone()).collect();
-        let body = merge_top_k(responses.iter().map(|response| response.body.as_slice()), *top_k);
-        Reply::Merged { stamps, missing: self.parts.len() - responses.len(), body }
-    }
 }
 
 /// Whether another leaf would respond with the same failure.
