--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -295,6 +295,7 @@
     /// Stops callers and hosts; returns the requests, the runs of leaves and the history.
     pub fn finish(mut self) -> (Vec<RequestRecord>, Vec<Run>, History) {
         let requests = self.callers.stop();
+        self.hosts.iter().for_each(|host| host.store_proxy.stop());
         self.hosts.clear();
         // Leaves that still run a request record it before they respond.
         thread::sleep(Duration::from_millis(100));
@@ -302,6 +303,11 @@
             Ok(runs) => runs.clone(),
             Err(poisoned) => poisoned.into_inner().clone(),
         };
+        for (leaf, proxy) in &self.leaves {
+            proxy.stop();
+            leaf.crash();
+        }
+        self.store.stop();
         (requests, runs, self.history)
     }
 }
--- a/components/soak/src/proxy.rs
+++ b/components/soak/src/proxy.rs
@@ -5,7 +5,7 @@
     net::{Shutdown, SocketAddr, TcpListener, TcpStream},
     sync::{
         Arc, Mutex, MutexGuard, PoisonError,
-        atomic::{AtomicU64, Ordering},
+        atomic::{AtomicBool, Ordering},
     },
     thread,
     time::Duration,
@@ -35,8 +35,7 @@
 #[derive(Debug, Default)]
 struct Shared {
     mode: Mutex<LinkMode>,
-    /// Incremented each time that all connections are broken.
-    generation: AtomicU64,
+    stopped: AtomicBool,
     socks: Mutex<Vec<TcpStream>>,
 }
 
@@ -60,6 +59,9 @@
         let serving = proxy.clone();
         thread::spawn(move || {
             for sock in listener.incoming().flatten() {
+                if serving.shared.stopped.load(Ordering::SeqCst) {
+                    return;
+                }
                 let proxy = serving.clone();
                 // An error ends only this connection.
                 thread::spawn(move || proxy.serve(sock, target).ok());
@@ -75,13 +77,20 @@
 
     /// Breaks all open connections.
     pub fn reset_connections(&self) {
-        self.shared.generation.fetch_add(1, Ordering::SeqCst);
         for sock in lock(&self.shared.socks).drain(..) {
             // The peer may have closed the connection already.
             let _ = sock.shutdown(Shutdown::Both);
         }
     }
 
+    /// Breaks all connections and stops listening.
+    pub fn stop(&self) {
+        self.shared.stopped.store(true, Ordering::SeqCst);
+        // Wakes the accepting thread, which then ends and closes the listener.
+        let _ = TcpStream::connect(self.address);
+        self.reset_connections();
+    }
+
     fn serve(&self, client: TcpStream, target: SocketAddr) -> Result<()> {
         if *lock(&self.shared.mode) == LinkMode::Closed {
             return Ok(());
