Enter an era of the store that another host has shown, and tolerate stale probes

Found by reading the fix: a host that learnt of the later era from another host raised its own notion of the era only, so a pending watch of the era before went on until it ended, and no response could show the change of the era any more. All lists and watches of the era before are now given up then, too.

A probe may be answered with data that is seconds old. An earlier era in such an answer would have counted as a failure of the store; it is ignored.

--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -10,7 +10,7 @@
         leaves::LeafChange,
         position::Position,
     },
-    wigeonramp_units::{Instant, LeafId, Span},
+    wigeonramp_units::{Instant, LeafId, Span, StoreEra},
 };
 
 /// Positions and recent changes of the replicated state, from which other hosts are updated.
@@ -27,6 +27,12 @@
 }
 
 impl ReplicatedState {
+    /// Returns the latest era of the store from which the state is.
+    pub fn era(&self) -> StoreEra {
+        let positions = [self.leaves.upto(), self.evacuations.upto(), self.config_upto];
+        positions.map(Position::era).into_iter().max().unwrap_or_default()
+    }
+
     /// Whether complete lists of leaves and evacuations have been received.
     pub fn is_complete(&self) -> bool {
         self.leaves.upto().is_known() && self.evacuations.upto().is_known()
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -161,6 +161,10 @@
     /// Starts the calls that are due, and fails those that have timed out.
     pub(crate) fn start_due_calls(&mut self) {
         let watches_store = self.origin_selector.origin() == Origin::Store;
+        let known_era = self.replicated.era();
+        if known_era > self.store.era {
+            self.enter_era(known_era, "host");
+        }
         for index in 0..self.store.conns.len() {
             let now = self.now;
             let conn = &mut self.store.conns[index];
@@ -184,7 +188,6 @@
                 ObjectKind::Evacuations => self.replicated.evacuations.upto(),
                 ObjectKind::Members => Position::default(),
             };
-            self.store.era = self.store.era.max(upto.era());
             conn.list_watch.advance_to(upto, now);
             let Some(call) = conn.list_watch.start_due_call(now) else { continue };
             let bytes =
@@ -343,27 +346,26 @@
         }
     }
 
-    /// Handles that a response shows a later era: the store has come back from a copy. Lists and
-    /// watches that began before are given up and made anew at once.
-    fn enter_era(&mut self, index: usize, era: StoreEra) {
+    /// Handles that the store is in a later era, as a response or another host has shown: it has come
+    /// back from a copy. Lists and watches that began before are given up and made anew at once.
+    fn enter_era(&mut self, era: StoreEra, from: &str) {
         let before = std::mem::replace(&mut self.store.era, era);
         self.reconciler.enter_era(era, self.now);
         // The copy may be older than this host's registration.
         self.store.registered = false;
         let mut repeated = Vec::new();
-        for other in 0..self.store.conns.len() {
-            let conn = &mut self.store.conns[other];
+        for index in 0..self.store.conns.len() {
+            let conn = &mut self.store.conns[index];
             if !conn.list_watch.enter_era(era) {
                 continue;
             }
             repeated.push(conn.kind.name());
             conn.list_watch.repeat(self.now);
-            if other != index && conn.call.take().is_some() {
-                self.close_store_conn(other);
+            if conn.call.take().is_some() {
+                self.close_store_conn(index);
             }
         }
-        let kind = self.store.conns[index].kind.name();
-        let fields = json!({ "kind": kind, "era": era, "before": before, "made_again": repeated });
+        let fields = json!({ "from": from, "era": era, "before": before, "made_again": repeated });
         self.journal.record("store_era", fields, self.now);
     }
 
@@ -371,10 +373,14 @@
         let Some(call) = self.store.conns[index].call.take() else { return };
         let era = head.era.unwrap_or(FIRST_ERA);
         if era < self.store.era {
-            return self.call_failed(index, call, "response of an earlier era");
+            // A probe may be answered with data that is seconds old.
+            return match call.purpose {
+                CallPurpose::Probe => self.on_store_available(),
+                _ => self.call_failed(index, call, "response of an earlier era"),
+            };
         }
         if era > self.store.era {
-            self.enter_era(index, era);
+            self.enter_era(era, "store");
             if call.purpose.continues_earlier_call() {
                 return self.on_store_available();
             }
