Count the delegation of a share from the response that its request acknowledges

A suspended allocator reads requests that waited at its socket when it wakes, and counted the delegations in them from then on, while their senders had delegated their shares to another allocator meanwhile. Two allocators then granted permits for the same shares for up to 5.5 s.

A delegation now counts from the response that the request acknowledges, so on the allocator's own clock it ends no later than for the host. The first request to an allocator delegates nothing; a second one follows its response at once. The new test of the allocator fails without it: a share counts that ended three seconds before.

--- a/components/edge/src/limits.rs
+++ b/components/edge/src/limits.rs
@@ -59,6 +59,8 @@
     delegation: u32,
     #[prost(uint32, tag = "6")]
     known_hosts: u32,
+    #[prost(uint64, tag = "7")]
+    acknowledged: u64,
 }
 
 /// Granted permits.
@@ -124,6 +126,7 @@
             serial: self.serial,
             wanted: self.wanted,
             unused: self.unused,
+            acknowledged: self.acknowledged,
             delegation: Span::millis(self.delegation.into()),
             known_hosts: self.known_hosts,
         }))
@@ -151,6 +154,7 @@
                 unused: req.unused,
                 delegation: millis(req.delegation),
                 known_hosts: req.known_hosts,
+                acknowledged: req.acknowledged,
             }),
             LimitMessage::Grant(grant) => self.grants.push(GrantMessage {
                 news: (&grant.news).into(),
--- a/components/routing/src/limits/allocator.rs
+++ b/components/routing/src/limits/allocator.rs
@@ -4,7 +4,9 @@
 //! seconds at a time, and sends only with permits meanwhile. The allocator grants permits at the
 //! rate of the shares that are delegated to it. Hosts with different views of the membership may
 //! choose different allocators; together these still grant no more than the limit, because a host
-//! delegates its share to only one at a time. Lost hosts keep their shares.
+//! delegates its share to only one at a time. Lost hosts keep their shares. A delegation counts from
+//! the response that the request acknowledges: a request may have waited at a suspended allocator
+//! or on the way until its sender has delegated its share to another one.
 
 use {
     indexmap::IndexMap,
@@ -61,7 +63,9 @@
     pub permits: u32,
     /// Number of permits that expired unused.
     pub unused: u32,
-    /// Time for which the host delegates its share.
+    /// Number of the last request that it got a response to.
+    pub acknowledged: u64,
+    /// Time for which the host delegates its share, counted from that response.
     pub delegation: Span,
     /// Number of hosts that the host knows.
     pub known_hosts: u32,
@@ -124,9 +128,11 @@
         self.return_unused(wanted.unused);
         let before = self.hosts.get(&host).copied();
         let wants_permits = Some(now).filter(|_| wanted.permits > 0);
+        let acknowledged = before.filter(|host| host.serial == wanted.acknowledged);
+        let until = acknowledged.map(|host| host.last_request + wanted.delegation);
         let delegator = Delegator {
             serial: wanted.serial,
-            delegated_until: now + wanted.delegation,
+            delegated_until: before.map(|host| host.delegated_until).max(until).unwrap_or_default(),
             known_hosts: wanted.known_hosts,
             last_request: now,
             last_wanted: wants_permits.or(before.and_then(|host| host.last_wanted)),
--- a/components/routing/src/limits/messages.rs
+++ b/components/routing/src/limits/messages.rs
@@ -49,7 +49,10 @@
     pub wanted: u32,
     /// Number of permits from the same allocator that expired unused since the last request.
     pub unused: u32,
-    /// Time for which the host leaves its share of the limit to the allocator.
+    /// Number of the last request that the allocator has responded to; zero for none.
+    pub acknowledged: u64,
+    /// Time for which the host leaves its share of the limit to the allocator, counted from that
+    /// response.
     pub delegation: Span,
     /// Number of hosts that the host knows, including itself and lost ones.
     pub known_hosts: u32,
@@ -64,7 +67,7 @@
     pub serial: u64,
     /// Number of permits.
     pub permits: u32,
-    /// Whether the allocator counts the delegation; a stopping one does not.
+    /// Whether the allocator accepts the delegation; a stopping one does not.
     pub delegated: bool,
 }
 
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -422,6 +422,7 @@
             serial: req.serial,
             permits: req.wanted,
             unused: req.unused,
+            acknowledged: req.acknowledged,
             delegation: req.delegation,
             known_hosts: req.known_hosts,
         };
@@ -435,5 +436,9 @@
         let Some(known) = self.leaves.get_mut(&grant.news.leaf) else { return };
         let Some(asked) = known.requester.on_grant(from, grant) else { return };
         known.permits.on_grant(grant.permits, asked.wanted, asked.at, now);
+        if asked.acknowledged == 0 {
+            // The delegation counts only once the allocator's first response is acknowledged.
+            known.permits.request_now(now);
+        }
     }
 }
--- a/components/routing/src/limits/requester.rs
+++ b/components/routing/src/limits/requester.rs
@@ -17,9 +17,6 @@
 const SILENT_TIME: Span = Span::secs(3);
 /// Time for which a share is delegated beyond two intervals of requests.
 const DELEGATION_SLACK: Span = Span::millis(1_500);
-/// Bound on the time that a request takes to the allocator, for which a delegation counts longer
-/// here than there.
-const MAX_TRANSIT: Span = Span::millis(500);
 
 /// A request without a response.
 #[derive(Clone, Copy, Debug)]
@@ -30,6 +27,8 @@
     pub at: Instant,
     /// Number of permits wanted.
     pub wanted: u32,
+    /// Number of the last request that the allocator had responded to; zero for none.
+    pub acknowledged: u64,
 }
 
 /// State of the requests for one leaf's permits.
@@ -41,6 +40,8 @@
     /// Allocator that has this host's share, and the end of the delegation.
     delegated: Option<(Ipv4Addr, Instant)>,
     asked: Option<Asked>,
+    /// Number of the last request that the allocator has responded to; zero for none.
+    acknowledged: u64,
     /// Time of the first request since the last response.
     waiting_since: Option<Instant>,
 }
@@ -51,6 +52,7 @@
         let is_response = |asked: &mut Asked| asked.serial == grant.serial;
         let asked = self.asked.take_if(is_response).filter(|asked| asked.allocator == from)?;
         self.waiting_since = None;
+        self.acknowledged = asked.serial;
         if !grant.delegated {
             self.delegated.take_if(|(allocator, _)| *allocator == from);
         }
@@ -65,7 +67,7 @@
             return Span::ZERO;
         }
         let time = interval * 2 + DELEGATION_SLACK;
-        self.delegated = Some((allocator, now + time + MAX_TRANSIT));
+        self.delegated = Some((allocator, now + time));
         time
     }
 }
@@ -115,6 +117,7 @@
         let allocator = allocator.unwrap_or(self.own);
         if requester.allocator != Some(allocator) {
             requester.allocator = Some(allocator);
+            requester.acknowledged = 0;
             known.permits.forget_unused();
         }
         let (wanted, unused) = known.permits.start_request(now);
@@ -125,13 +128,16 @@
         };
         self.serial += 1;
         requester.has_news = false;
-        requester.asked = Some(Asked { serial: self.serial, allocator, at: now, wanted });
+        let acknowledged = requester.acknowledged;
+        let asked = Asked { serial: self.serial, allocator, at: now, wanted, acknowledged };
+        requester.asked = Some(asked);
         requester.waiting_since.get_or_insert(now);
         let req = PermitRequest {
             news: LimitNews::new(leaf.clone(), &known.said, now),
             serial: self.serial,
             wanted,
             unused,
+            acknowledged,
             delegation,
             known_hosts: hosts.known,
         };
--- a/components/routing/tests/limits/fleet.rs
+++ b/components/routing/tests/limits/fleet.rs
@@ -77,6 +77,8 @@
     tokens_at: Instant,
     /// Distinguishes the processes of the host.
     process: u64,
+    /// Messages that arrived while the host was suspended, with their senders.
+    buffered: Vec<(usize, LimitMessage)>,
 }
 
 enum Event {
@@ -150,6 +152,7 @@
                 tokens: 0.0,
                 tokens_at: now,
                 process: 0,
+                buffered: Vec::new(),
             });
             fleet.schedule_request(n);
         }
@@ -210,6 +213,9 @@
         self.hosts[host].is_frozen = is_frozen;
         self.hosts[host].changed_at = self.now;
         if !is_frozen {
+            for (from, message) in std::mem::take(&mut self.hosts[host].buffered) {
+                self.deliver(from, host, message);
+            }
             self.schedule_request(host);
             self.schedule_poll(host);
         }
@@ -336,13 +342,11 @@
                 self.hosts[host].limits.on_response(&leaf, named, asked, now);
                 self.schedule_poll(host);
             }
-            Event::Message { from, to, message } if !self.hosts[to].is_frozen => {
-                if !self.hosts[to].is_up {
-                    return;
+            Event::Message { from, to, message } if self.hosts[to].is_up => {
+                match self.hosts[to].is_frozen {
+                    true => self.hosts[to].buffered.push((from, message)),
+                    false => self.deliver(from, to, message),
                 }
-                let (known, ip, now) = (self.hosts.len() as u32, self.hosts[from].ip, self.now);
-                self.hosts[to].limits.on_message(ip, message, known, now);
-                self.schedule_poll(to);
             }
             Event::Poll { host, process } if self.is_running(host, process) => {
                 let due = self.hosts[host].limits.next_at(self.now);
@@ -360,6 +364,12 @@
         }
     }
 
+    fn deliver(&mut self, from: usize, to: usize, message: LimitMessage) {
+        let (known, ip, now) = (self.hosts.len() as u32, self.hosts[from].ip, self.now);
+        self.hosts[to].limits.on_message(ip, message, known, now);
+        self.schedule_poll(to);
+    }
+
     fn request(&mut self, host: usize) {
         if !self.may_send(host) {
             self.denied += 1;
--- a/components/routing/tests/limits/main.rs
+++ b/components/routing/tests/limits/main.rs
@@ -2,6 +2,7 @@
 //!
 //! All checks of the bound count the requests of all hosts, also of those that a fault hits.
 
+mod allocation;
 mod fleet;
 mod statements;
 
@@ -94,7 +95,7 @@
 /// other, among them the allocator.
 #[test]
 fn limits_hold_through_faults() {
-    let faults: [(&str, Fault); 6] = [
+    let faults: [(&str, Fault); 7] = [
         ("allocator killed", |fleet, _| {
             let allocator = fleet.allocator();
             fleet.kill(allocator);
@@ -107,6 +108,15 @@
             fleet.run_for(Span::secs(3));
             fleet.set_frozen(allocator, false);
         }),
+        ("allocators suspended in turn", |fleet, _| {
+            for _ in 0..4 {
+                let allocator = fleet.allocator();
+                fleet.set_frozen(allocator, true);
+                fleet.run_for(Span::millis(3_500));
+                fleet.set_frozen(allocator, false);
+                fleet.run_for(Span::millis(500));
+            }
+        }),
         ("restarts in turn", |fleet, hosts| {
             for host in 0..hosts.min(20) {
                 fleet.stop(host);
