Let parts wait some milliseconds for a permit if no leaf can be sent to

What callers saw: where all leaves of a shard name limits that are low for the number of hosts, most requests lacked the shard though the leaves could have taken them.

A part now waits at most 20 ms, and a third of the time until the reply, while a request for permits is due or under way. A request that lacks permits for too many parts sends nothing until then; where the allocator has just had none, it is refused at once, as before. Permits are requested in advance only from 1.7 requests a second on.

Ruled out: permits that are valid for longer, as a held permit is used at the rate of its holder's demand, however long that is.

--- a/components/edge/src/limits.rs
+++ b/components/edge/src/limits.rs
@@ -222,6 +222,8 @@
             }
         }
         self.log_limit_changes();
+        self.resume_awaiting_permits();
+        self.process_ended_attempts();
     }
 
     /// Tells a host that has just started of all limits.
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -149,6 +149,8 @@
     pub(crate) upstreams: Upstreams,
     pub(crate) requests: Slab<Request>,
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
+    /// Keys and serial numbers of requests that wait for permits.
+    pub(crate) awaiting_permits: Vec<(usize, u64)>,
     pub(crate) timers: Timers,
     pub(crate) routing: RoutingState,
     pub(crate) active_catalog: ActiveCatalog,
@@ -231,6 +233,7 @@
             upstreams: Upstreams::default(),
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
+            awaiting_permits: Vec::new(),
             timers: Timers::default(),
             routing,
             active_catalog: ActiveCatalog::new(),
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -123,6 +123,7 @@
         if let Some(conn) = self.callers.get_mut(caller) {
             conn.phase = Phase::Waiting(key);
         }
+        self.note_permit_wait(key);
         self.start_attempts(key, &attempts);
         match reply {
             // The connection that delivered this request reads the next one itself, so no resume is
@@ -134,6 +135,34 @@
         }
     }
 
+    fn note_permit_wait(&mut self, key: usize) {
+        let Some(req) = self.requests.get(key) else { return };
+        if req.exchange.awaits_permits() {
+            self.awaiting_permits.push((key, req.serial));
+        }
+    }
+
+    /// Continues the requests for which permits have arrived.
+    pub(crate) fn resume_awaiting_permits(&mut self) {
+        for (key, serial) in std::mem::take(&mut self.awaiting_permits) {
+            let Some(req) = self.requests.get_mut(key) else { continue };
+            if req.serial != serial || req.replied || !req.exchange.awaits_permits() {
+                continue;
+            }
+            let mut attempts = Vec::new();
+            let reply = req.exchange.on_permits(&mut self.routing, self.now, &mut attempts);
+            self.start_attempts(key, &attempts);
+            match reply {
+                Some(reply) => self.finish_and_resume(key, reply),
+                None if attempts.is_empty() => self.note_permit_wait(key),
+                None => {
+                    self.note_permit_wait(key);
+                    self.set_timer(key);
+                }
+            }
+        }
+    }
+
     fn set_timer(&mut self, key: usize) {
         let Some(req) = self.requests.get(key) else { return };
         let at = req.exchange.next_timer_at(self.now);
--- a/components/routing/src/exchange/conclusion.rs
+++ b/components/routing/src/exchange/conclusion.rs
@@ -17,8 +17,6 @@
 /// Retry delay suggested to the caller when no leaf ran the request, mostly because leaves are
 /// full.
 const RETRY_AFTER_BUSY: Span = Span::millis(100);
-/// Shortest and longest retry delay suggested to the caller when leaves name request limits.
-const RETRY_AFTER_LIMITED: (Span, Span) = (Span::millis(100), Span::millis(2_000));
 
 impl Exchange {
     pub(super) fn is_gather(&self) -> bool {
@@ -46,41 +44,6 @@
         Some(Reply::Refused { cause, retry_after: RETRY_AFTER_NO_LEAF })
     }
 
-    /// Refuses a request at once if there are too few permits for leaves that name limits. Its
-    /// parts without a permit are marked otherwise.
-    pub(super) fn refuse_limited(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
-        if cx.limits.is_empty() {
-            return None;
-        }
-        let mut waits: Vec<Span> = Vec::new();
-        let mut available = 0;
-        for part in &mut self.parts {
-            match cx.permit_wait(&part.service, &self.route, now) {
-                Some(wait) => {
-                    part.limited = true;
-                    waits.push(wait);
-                }
-                None => {
-                    let homes = &self.route.homes;
-                    available += usize::from(cx.leaves.has_eligible_leaf(&part.service, homes));
-                }
-            }
-        }
-        let missing = self.min_responses().saturating_sub(available);
-        if missing == 0 {
-            return None;
-        }
-        for part in self.parts.iter().filter(|part| part.limited) {
-            cx.record_refused(&part.service, &self.route, now);
-        }
-        self.record_late_parts(cx, now);
-        waits.sort_unstable();
-        let (shortest, longest) = RETRY_AFTER_LIMITED;
-        let wait = waits.get(missing - 1).copied().unwrap_or(longest);
-        let retry_after = wait.clamp(shortest, longest);
-        Some(Reply::Refused { cause: Cause::Limited, retry_after })
-    }
-
     /// Returns the reply once it is decided.
     pub(super) fn conclude(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
         if !self.is_gather() {
@@ -96,7 +59,7 @@
 
     /// Reports to the overload controller which parts lack a response because their leaves are
     /// busy.
-    fn record_late_parts(&self, cx: &mut RoutingState, now: Instant) {
+    pub(super) fn record_late_parts(&self, cx: &mut RoutingState, now: Instant) {
         let Target::Gather { shards, .. } = &self.route.target else { return };
         let is_due = now >= self.reply_at;
         let status = |part: &Part| match part.attempts.last() {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -7,6 +7,7 @@
 
 mod attempt;
 mod conclusion;
+mod permits;
 
 pub use attempt::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace};
 
@@ -54,6 +55,10 @@
     responses: usize,
     /// Whether the late parts were reported to the overload controller.
     late_recorded: bool,
+    /// Whether parts were sent, as there were permits for enough of them.
+    started: bool,
+    /// Time until which parts wait for permits; none if no part does.
+    permits_until: Option<Instant>,
 }
 
 impl Exchange {
@@ -79,6 +84,8 @@
             hedged: false,
             responses: 0,
             late_recorded: false,
+            started: false,
+            permits_until: None,
             route,
         };
         if let Some(reply) = this.refuse_unservable(cx) {
@@ -88,17 +95,39 @@
             let cause = Cause::Overload;
             return (this, Some(Reply::Refused { cause, retry_after: RETRY_AFTER_OVERLOAD }));
         }
-        if let Some(reply) = this.refuse_limited(cx, now) {
-            return (this, Some(reply));
+        this.record_permit_demand(cx, now);
+        let reply = this.start_or_wait(cx, now, new_attempts);
+        (this, reply)
+    }
+
+    /// Starts all parts that can be sent.
+    fn start_parts(
+        &mut self,
+        cx: &mut RoutingState,
+        now: Instant,
+        new_attempts: &mut Vec<AttemptSpec>,
+    ) {
+        self.started = true;
+        for index in 0..self.parts.len() {
+            cx.count_request(self.parts[index].service.clone(), now);
+            self.start_part(index, cx, now, new_attempts);
         }
-        for part in 0..this.parts.len() {
-            cx.count_request(this.parts[part].service.clone(), now);
-            if !this.start_attempt(part, cx, now, new_attempts) {
-                this.parts[part].exhausted = true;
-            }
+    }
+
+    /// Sends a part, unless it waits for a permit. Without a leaf or a permit it is exhausted.
+    fn start_part(
+        &mut self,
+        index: usize,
+        cx: &mut RoutingState,
+        now: Instant,
+        new_attempts: &mut Vec<AttemptSpec>,
+    ) {
+        if self.awaits_permit(index, cx, now) {
+            return;
+        }
+        if self.lacks_permit(index, cx, now) || !self.start_attempt(index, cx, now, new_attempts) {
+            self.parts[index].exhausted = true;
         }
-        let reply = this.conclude(cx, now);
-        (this, reply)
     }
 
     /// Returns the route.
@@ -133,9 +162,10 @@
 
     /// Returns the time at which `on_timer` is to be called next.
     pub fn next_timer_at(&self, now: Instant) -> Instant {
-        let hedge = (!self.hedged).then_some(self.hedge_at);
+        let hedge = (!self.hedged && self.started).then_some(self.hedge_at);
         let reply = Some(self.reply_at).filter(|at| self.is_gather() && *at > now);
-        hedge.into_iter().chain(reply).fold(self.give_up_at, Instant::min)
+        let times = hedge.into_iter().chain(reply).chain(self.permits_until);
+        times.fold(self.give_up_at, Instant::min)
     }
 
     /// Records the outcome of an attempt. Retries the part if `may_retry`, the route and the
@@ -238,6 +268,12 @@
         if now >= self.give_up_at {
             return Some(self.give_up());
         }
+        if self.permits_until.is_some() {
+            let reply = self.on_permits(cx, now, new_attempts);
+            if reply.is_some() || !self.started {
+                return reply;
+            }
+        }
         if !self.hedged && now >= self.hedge_at {
             self.hedged = true;
             self.hedge_parts(cx, now, new_attempts);
@@ -269,7 +305,7 @@
         new_attempts: &mut Vec<AttemptSpec>,
     ) {
         let part = &self.parts[index];
-        if part.attempts.len() >= self.route.attempts {
+        if part.attempts.is_empty() || part.attempts.len() >= self.route.attempts {
             return;
         }
         let service = part.service.clone();
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -248,6 +248,14 @@
         known.sends.denied += 1;
     }
 
+    /// Whether a permit may arrive within moments: a request for permits is due, or has just been sent.
+    pub fn is_permit_expected(&self, leaf: &LeafInstance, now: Instant) -> bool {
+        let is_expected = |known: &LimitedLeaf| {
+            known.permits.next_request() <= now || known.requester.is_waiting(now)
+        };
+        self.limited(leaf, now).is_some_and(is_expected)
+    }
+
     /// Records that a request is sent to the leaf, which uses a permit.
     pub fn on_sent(&mut self, leaf: &LeafInstance, priority: u32, is_extra: bool, now: Instant) {
         let Some(known) = self.limited_mut(leaf, now) else { return };
--- a/components/routing/src/limits/permits.rs
+++ b/components/routing/src/limits/permits.rs
@@ -149,7 +149,7 @@
         self.drop_expired(now);
         let ahead = self.demand_rate(now) * (ADVANCE.0 as f64 / 1e6);
         let denied = std::mem::take(&mut self.denied);
-        let wanted = (ahead.round() as u32).max(denied.into());
+        let wanted = (ahead as u32).max(denied.into());
         self.asked_at = Some(now);
         self.next_request = now + self.interval(now).max(self.min_interval());
         (wanted.saturating_sub(self.available(now)), std::mem::take(&mut self.unused))
--- a/components/routing/src/limits/requester.rs
+++ b/components/routing/src/limits/requester.rs
@@ -13,6 +13,8 @@
 
 /// Time without a response after which another host is asked.
 const SILENT_AFTER: Span = Span::millis(500);
+/// Time within which a request for permits is usually responded to.
+const RESPONSE_TIME: Span = Span::millis(50);
 /// Time for which a host that did not respond is not asked.
 const SILENT_TIME: Span = Span::secs(3);
 /// Time for which a share is delegated beyond two intervals of requests.
@@ -59,6 +61,11 @@
         Some(asked)
     }
 
+    /// Whether the response to a request that was just sent is awaited.
+    pub fn is_waiting(&self, now: Instant) -> bool {
+        self.asked.is_some_and(|asked| now.since(asked.at) < RESPONSE_TIME)
+    }
+
     /// Delegates this host's share to the allocator if no other one has it; returns the time for
     /// which it has it.
     fn delegate(&mut self, allocator: Ipv4Addr, interval: Span, now: Instant) -> Span {
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -132,25 +132,49 @@
         }
     }
 
+    /// Returns the limited leaves of the service for which this host has no permit; none if one of
+    /// its leaves can be sent a request of the route now.
+    fn without_permits(&self, service: &ServiceId, route: &Route, now: Instant) -> Vec<LeafKey> {
+        let (limits, priority) = (&self.limits, route.priority);
+        self.leaves.without_permits(service, &route.homes, limits, priority, now)
+    }
+
     /// Returns the expected time until a request of the route can be sent to a leaf of the service;
     /// `None` if it can be sent now.
     pub(crate) fn permit_wait(
-        &mut self,
+        &self,
         service: &ServiceId,
         route: &Route,
         now: Instant,
     ) -> Option<Span> {
-        let denied =
-            self.leaves.without_permits(service, &route.homes, &self.limits, route.priority, now);
+        if self.limits.is_empty() {
+            return None;
+        }
+        let denied = self.without_permits(service, route, now);
         let limited = denied.iter().filter_map(|key| self.leaves.get(*key));
         limited.map(|leaf| self.limits.expected_wait(&leaf.registration.instance(), now)).min()
     }
 
-    /// Records that a request of the route was refused although permits for a leaf of the service
-    /// would have allowed it.
-    pub(crate) fn record_refused(&mut self, service: &ServiceId, route: &Route, now: Instant) {
-        let denied =
-            self.leaves.without_permits(service, &route.homes, &self.limits, route.priority, now);
+    /// Whether a permit for a leaf of the service may arrive within moments.
+    pub(crate) fn is_permit_expected(
+        &self,
+        service: &ServiceId,
+        route: &Route,
+        now: Instant,
+    ) -> bool {
+        let denied = self.without_permits(service, route, now);
+        let mut limited = denied.iter().filter_map(|key| self.leaves.get(*key));
+        limited.any(|leaf| self.limits.is_permit_expected(&leaf.registration.instance(), now))
+    }
+
+    /// Records that a request of the route wants permits for the leaves of the service.
+    pub(crate) fn record_permit_demand(
+        &mut self,
+        service: &ServiceId,
+        route: &Route,
+        now: Instant,
+    ) {
+        let denied = self.without_permits(service, route, now);
         self.record_denied(&denied, route.priority, now);
     }
 
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -117,6 +117,12 @@
         self.reply = self.reply.take().or(reply);
     }
 
+    /// Continues after permits may have arrived.
+    pub fn resume(&mut self, ms: u64) {
+        let reply = self.exchange.on_permits(&mut self.cx, at(ms), &mut self.attempts);
+        self.reply = self.reply.take().or(reply);
+    }
+
     pub fn advance_to(&mut self, ms: u64) {
         let reply = self.exchange.on_timer(&mut self.cx, at(ms), &mut self.attempts);
         self.reply = self.reply.take().or(reply);
--- a/components/routing/tests/limited_requests.rs
+++ b/components/routing/tests/limited_requests.rs
@@ -5,11 +5,16 @@
 use {
     common::{Run, at, gather, response, routing_state, single},
     insta::assert_snapshot,
+    std::net::Ipv4Addr,
     wigeonramp_routing::{
         catalog::RepeatPolicy,
         exchange::{AttemptOutcome, RequestTimes},
         leaf::LeafInstance,
-        limits::{LimitHosts, statement::NamedLimit},
+        limits::{
+            LeafLimits, LimitHosts,
+            messages::{LimitMessage, PermitGrant},
+            statement::NamedLimit,
+        },
         state::RoutingState,
     },
     wigeonramp_units::{RequestRate, Span},
@@ -54,7 +59,7 @@
 type Case<'a> = (&'a str, usize, f64, &'a [&'a str], &'a [&'a str]);
 
 /// Guards against requests for a limited leaf that are not sent to the service's other leaf, that
-/// wait until their deadline, or that take the permits of others although they are hopeless.
+/// wait longer than a permit takes, or that take the permits of others although they are hopeless.
 #[test]
 fn requests_without_permits() {
     let all_of_four = ["l0a", "l0b", "l1a", "l1b", "l2a", "l2b", "l3a", "l3b"];
@@ -77,7 +82,10 @@
             1 => single(RepeatPolicy::Idempotent),
             _ => gather(shards, min_share),
         };
-        lines.push(format!("{name}: {}", begin(route, cx).summary()));
+        let mut run = begin(route, cx);
+        let first = run.summary();
+        run.advance_to(START_MS + 20);
+        lines.push(format!("{name}: {first}; after 20 ms {}", run.summary()));
     }
     assert_snapshot!(lines.join("\n"));
 }
@@ -119,7 +127,8 @@
         cx.cold_share = if has_allowance { 1.0 } else { 0.0 };
         name_limits(&mut cx, &[("l0a", 10.0), ("l0b", 10.0)]);
         grant_permits(&mut cx, if has_permit { &["l0a", "l0b"] } else { &[] }, 50);
-        let run = begin(single(RepeatPolicy::Idempotent), cx);
+        let mut run = begin(single(RepeatPolicy::Idempotent), cx);
+        run.advance_to(START_MS + 20);
         lines.push(format!("allowance {has_allowance}, permit {has_permit}: {}", run.summary()));
     }
     assert_snapshot!(lines.join("\n"));
@@ -134,7 +143,8 @@
     name_limits(&mut cx, &all);
     for _ in 0..40 {
         let mut run = begin(gather(4, 0.75), cx);
-        run.attempts.clear();
+        run.advance_to(START_MS + 20);
+        assert!(run.attempts.is_empty());
         cx = run.cx;
     }
     let times = RequestTimes {
@@ -145,3 +155,64 @@
     let cx = Run::begin_at(gather(4, 0.75), times, cx).cx;
     assert!(cx.min_admitted_share() < 1.0);
 }
+
+/// Guards against a request that is not sent when its permit arrives, and against one that is sent
+/// although its other shards have none.
+#[test]
+fn a_waiting_request_is_sent_when_its_permits_arrive() {
+    let mut lines = Vec::new();
+    let all = ["l0a", "l0b", "l1a", "l1b"];
+    for (name, min_share, permitted) in [
+        ("for one of two shards, both are needed", 1.0, &["l0a"][..]),
+        ("for both shards", 1.0, &["l0b", "l1a"]),
+        ("for one of two shards, one is enough", 0.5, &["l1b"]),
+    ] {
+        let mut cx = routing_state(2);
+        name_limits(&mut cx, &all.map(|leaf| (leaf, 10.0)));
+        let mut run = begin(gather(2, min_share), cx);
+        let first = run.summary();
+        let mut limits = run.cx.limits.clone();
+        for leaf in permitted {
+            limits.on_denied(&instance(leaf), 1, at(START_MS));
+        }
+        grant_from_other_host(&mut limits, permitted, 1, START_MS);
+        run.cx.limits = limits;
+        run.resume(START_MS + 5);
+        let resumed = run.summary();
+        run.advance_to(START_MS + 20);
+        lines.push(format!("permits {name}: {first}; {resumed}; {}", run.summary()));
+    }
+    assert_snapshot!(lines.join("\n"));
+}
+
+/// Guards against requests that wait for a permit although the allocator has just had none.
+#[test]
+fn a_request_is_refused_at_once_if_there_were_no_permits_a_moment_ago() {
+    let mut cx = routing_state(1);
+    name_limits(&mut cx, &[("l0a", 10.0), ("l0b", 10.0)]);
+    for leaf in ["l0a", "l0b"] {
+        cx.limits.on_denied(&instance(leaf), 1, at(START_MS - 20));
+    }
+    // The first response is acknowledged by a second request.
+    for ms in [START_MS - 20, START_MS - 10] {
+        grant_from_other_host(&mut cx.limits, &["l0a", "l0b"], 0, ms);
+    }
+    assert_snapshot!(begin(single(RepeatPolicy::Idempotent), cx).summary());
+}
+
+/// Has another host respond to the requests for permits of these leaves.
+fn grant_from_other_host(limits: &mut LeafLimits, leaves: &[&str], permits: u32, ms: u64) {
+    let other = Ipv4Addr::new(10, 0, 0, 2);
+    let hosts = LimitHosts { candidates: vec![other], known: 2, ..LimitHosts::default() };
+    for out in limits.poll(&hosts, at(ms)) {
+        let LimitMessage::Request(req) = out.message else { continue };
+        let is_granted = leaves.iter().any(|leaf| *leaf == req.news.leaf.id.as_str());
+        let grant = PermitGrant {
+            news: req.news,
+            serial: req.serial,
+            permits: if is_granted { permits } else { 0 },
+            delegated: true,
+        };
+        limits.on_message(other, LimitMessage::Grant(grant), 2, at(ms + 3));
+    }
+}
--- a/components/routing/tests/limits/fleet.rs
+++ b/components/routing/tests/limits/fleet.rs
@@ -34,6 +34,8 @@
 const CANDIDATES: usize = 18;
 /// Shortest and longest time of a message, in microseconds.
 const TRANSIT_US: std::ops::Range<u64> = 200..3_000;
+/// Time for which a request waits for a permit.
+const PATIENCE: Span = Span::millis(20);
 /// Share of messages that are lost.
 const LOSS: f64 = 0.005;
 
@@ -77,6 +79,8 @@
     tokens_at: Instant,
     /// Distinguishes the processes of the host.
     process: u64,
+    /// Numbers of requests that wait for a permit.
+    waiting: Vec<u64>,
     /// Messages that arrived while the host was suspended, with their senders.
     buffered: Vec<(usize, LimitMessage)>,
 }
@@ -86,6 +90,7 @@
     Response { host: usize, process: u64, asked: Instant, named: NamedLimit },
     Message { from: usize, to: usize, message: LimitMessage },
     Poll { host: usize, process: u64 },
+    GiveUp { host: usize, process: u64, number: u64 },
 }
 
 /// Hosts that send to one limited leaf.
@@ -153,6 +158,7 @@
                 tokens_at: now,
                 process: 0,
                 buffered: Vec::new(),
+                waiting: Vec::new(),
             });
             fleet.schedule_request(n);
         }
@@ -189,6 +195,7 @@
         known.changed_at = now;
         known.process += 1;
         known.limits = LeafLimits::new(known.ip, now.0);
+        known.waiting.clear();
         self.schedule_request(host);
         // Hosts that hear of a new host tell it of the limits that they know.
         let mut news = Vec::new();
@@ -355,11 +362,19 @@
                 }
                 let (view, now) = (self.view(host), self.now);
                 let messages = self.hosts[host].limits.poll(&view, now);
+                self.resume_waiting(host);
                 for Outgoing { to, message } in messages {
                     self.send(host, host_number(to), message);
                 }
                 self.schedule_poll(host);
             }
+            Event::GiveUp { host, process, number } if self.is_running(host, process) => {
+                let waiting = &mut self.hosts[host].waiting;
+                if let Some(at) = waiting.iter().position(|known| *known == number) {
+                    waiting.remove(at);
+                    self.denied += 1;
+                }
+            }
             _ => {}
         }
     }
@@ -367,15 +382,41 @@
     fn deliver(&mut self, from: usize, to: usize, message: LimitMessage) {
         let (known, ip, now) = (self.hosts.len() as u32, self.hosts[from].ip, self.now);
         self.hosts[to].limits.on_message(ip, message, known, now);
+        self.resume_waiting(to);
         self.schedule_poll(to);
     }
 
+    fn resume_waiting(&mut self, host: usize) {
+        for number in std::mem::take(&mut self.hosts[host].waiting) {
+            let (leaf, now) = (self.leaf.clone(), self.now);
+            if !self.hosts[host].limits.may_send(&leaf, 0, now) {
+                self.hosts[host].waiting.push(number);
+                continue;
+            }
+            self.hosts[host].limits.on_sent(&leaf, 0, false, now);
+            self.arrive(host);
+        }
+    }
+
     fn request(&mut self, host: usize) {
         if !self.may_send(host) {
-            self.denied += 1;
+            let expected = self.sharing == Sharing::Permits
+                && self.hosts[host].limits.is_permit_expected(&self.leaf, self.now);
+            if expected {
+                self.next_event += 1;
+                let (number, process) = (self.next_event, self.hosts[host].process);
+                self.hosts[host].waiting.push(number);
+                self.push(self.now + PATIENCE, Event::GiveUp { host, process, number });
+            } else {
+                self.denied += 1;
+            }
             self.schedule_poll(host);
             return;
         }
+        self.arrive(host);
+    }
+
+    fn arrive(&mut self, host: usize) {
         let (asked, process) = (self.now, self.hosts[host].process);
         self.arrivals.push((asked, host));
         let named = match self.limit {
