--- a/components/edge/src/limits.rs
+++ b/components/edge/src/limits.rs
@@ -11,6 +11,7 @@
         leaf::LeafInstance,
         leaves::LeafKey,
         limits::{
+            LeafUsage, LimitedSends,
             messages::{LimitMessage, LimitNews, PermitGrant, PermitRequest},
             statement::{LimitChange, NamedLimit},
         },
@@ -254,21 +255,21 @@
             return;
         }
         self.next_limit_usage = self.now + USAGE_INTERVAL;
-        let used = self.routing.limits.take_sends(self.now);
+        let used = self.routing.limits.take_usage(self.now);
         if used.is_empty() {
             return;
         }
-        let mut total = wigeonramp_routing::limits::LimitedSends::default();
-        for (_, _, sends) in &used {
-            total.first += sends.first;
-            total.extra += sends.extra;
-            total.denied += sends.denied;
+        let mut total = LimitedSends::default();
+        for usage in &used {
+            total.first += usage.sends.first;
+            total.extra += usage.sends.extra;
+            total.denied += usage.sends.denied;
         }
         self.metrics.count_limited_sends(total);
         let leaves: Vec<Value> = used
             .iter()
             .take(MAX_LOGGED)
-            .map(|(leaf, rate, sends)| {
+            .map(|LeafUsage { leaf, rate, sends }| {
                 json!({
                     "leaf": leaf.id, "limit": rate, "first": sends.first, "extra": sends.extra,
                     "denied": sends.denied,
--- a/components/routing/src/exchange/permits.rs
+++ b/components/routing/src/exchange/permits.rs
@@ -16,8 +16,10 @@
 const MAX_PERMIT_WAIT: Span = Span::millis(20);
 /// Part of the time until the reply that a gathered request waits at most, in percent.
 const MAX_PERMIT_WAIT_PERCENT: u64 = 33;
-/// Shortest and longest retry delay suggested to the caller.
-const RETRY_AFTER: (Span, Span) = (Span::millis(100), Span::millis(2_000));
+/// Shortest retry delay suggested to the caller.
+const MIN_RETRY_AFTER: Span = Span::millis(100);
+/// Longest retry delay suggested to the caller.
+const MAX_RETRY_AFTER: Span = Span::millis(2_000);
 
 /// Permits that a request lacks.
 struct Shortage {
@@ -143,8 +145,8 @@
 
     fn refuse_limited(&self, shortage: &Shortage, cx: &mut RoutingState, now: Instant) -> Reply {
         self.record_late_parts(cx, now);
-        let (shortest, longest) = RETRY_AFTER;
-        let wait = shortage.waits.get(shortage.missing - 1).copied().unwrap_or(longest);
-        Reply::Refused { cause: Cause::Limited, retry_after: wait.clamp(shortest, longest) }
+        let wait = shortage.waits.get(shortage.missing - 1).copied().unwrap_or(MAX_RETRY_AFTER);
+        let retry_after = wait.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER);
+        Reply::Refused { cause: Cause::Limited, retry_after }
     }
 }
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -58,6 +58,17 @@
     pub denied: u64,
 }
 
+/// Requests that were meant for a limited leaf.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct LeafUsage {
+    /// The leaf.
+    pub leaf: LeafInstance,
+    /// Rate that is kept for it.
+    pub rate: RequestRate,
+    /// Number of requests.
+    pub sends: LimitedSends,
+}
+
 /// Other hosts, as far as limits depend on them.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct LimitHosts {
@@ -84,11 +95,18 @@
     stopping: bool,
 }
 
+/// End of a limit.
+#[derive(Clone, Copy, Debug)]
+struct EndedLimit {
+    at: Instant,
+    rate: RequestRate,
+}
+
 #[derive(Clone, Debug)]
 struct LimitedLeaf {
     said: LimitStatement,
-    /// Time at which the leaf was first heard to name no limit any more, and its last limit.
-    ended: Option<(Instant, RequestRate)>,
+    /// The last limit, since the leaf was first heard to name none any more.
+    ended: Option<EndedLimit>,
     sends: LimitedSends,
     permits: Permits,
     precedence: Precedence,
@@ -118,14 +136,14 @@
         if self.said.rate.is_some() {
             return self.said.rate;
         }
-        let (at, last) = self.ended.filter(|(at, _)| now.since(*at) < RAMP_TIME)?;
-        let factor = RAMP_PER_SECOND.powf(now.since(at).0 as f64 / 1e6);
-        RequestRate::new(last.per_second().max(MIN_RATE) * factor)
+        let ended = self.ended.filter(|ended| now.since(ended.at) < RAMP_TIME)?;
+        let factor = RAMP_PER_SECOND.powf(now.since(ended.at).0 as f64 / 1e6);
+        RequestRate::new(ended.rate.per_second().max(MIN_RATE) * factor)
     }
 
     fn is_outdated(&self, now: Instant) -> bool {
         match self.ended {
-            Some((at, _)) => now.since(at) >= ENDED_RETENTION,
+            Some(ended) => now.since(ended.at) >= ENDED_RETENTION,
             None => now.since(self.said.heard) >= UNCONFIRMED_RETENTION,
         }
     }
@@ -197,7 +215,8 @@
         if !was_limited {
             known.permits = Permits::new(first_request, now);
         }
-        known.ended = before.rate.filter(|_| said.rate.is_none()).map(|last| (now, last));
+        let ended = before.rate.filter(|_| said.rate.is_none());
+        known.ended = ended.map(|rate| EndedLimit { at: now, rate });
         let delegators = known.allocator.iter().flat_map(|allocator| allocator.delegators(now));
         let news = LimitMessage::News(LimitNews::new(leaf.clone(), &said, now));
         let own = self.own;
@@ -272,13 +291,12 @@
         known.map_or(Span::ZERO, |known| interval(known).unwrap_or(DEFAULT_PERMIT_INTERVAL))
     }
 
-    /// Returns the limited leaves that requests were meant for since the last call, each with its
-    /// limit and the number of requests.
-    pub fn take_sends(&mut self, now: Instant) -> Vec<(LeafInstance, RequestRate, LimitedSends)> {
+    /// Returns the limited leaves that requests were meant for since the last call.
+    pub fn take_usage(&mut self, now: Instant) -> Vec<LeafUsage> {
         let taken = self.leaves.iter_mut().filter_map(|(leaf, known)| {
             let sends = std::mem::take(&mut known.sends);
             let rate = known.rate(now).filter(|_| sends != LimitedSends::default())?;
-            Some((leaf.clone(), rate, sends))
+            Some(LeafUsage { leaf: leaf.clone(), rate, sends })
         });
         taken.collect()
     }
@@ -315,7 +333,7 @@
         }
         let next_at = |known: &LimitedLeaf| match known.ended {
             _ if known.requests_are_due(now) => known.permits.next_request(),
-            Some((at, _)) => at + ENDED_RETENTION,
+            Some(ended) => ended.at + ENDED_RETENTION,
             None => known.said.heard + UNCONFIRMED_RETENTION,
         };
         self.leaves.values().map(next_at).min()
--- a/components/routing/src/limits/permits.rs
+++ b/components/routing/src/limits/permits.rs
@@ -34,6 +34,15 @@
     permits: u32,
 }
 
+/// What a host tells an allocator when it requests permits.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Need {
+    /// Number of permits wanted.
+    pub wanted: u32,
+    /// Number of permits that expired unused since the last request.
+    pub unused: u32,
+}
+
 /// Permits of one leaf on one host.
 #[derive(Clone, Debug)]
 pub struct Permits {
@@ -144,15 +153,18 @@
         if active { ACTIVE_INTERVAL } else { IDLE_INTERVAL }
     }
 
-    /// Starts a request; returns the number of permits wanted, and of those that expired unused.
-    pub fn start_request(&mut self, now: Instant) -> (u32, u32) {
+    /// Starts a request for permits.
+    pub fn start_request(&mut self, now: Instant) -> Need {
         self.drop_expired(now);
         let ahead = self.demand_rate(now) * (ADVANCE.0 as f64 / 1e6);
         let denied = std::mem::take(&mut self.denied);
         let wanted = (ahead as u32).max(denied.into());
         self.asked_at = Some(now);
         self.next_request = now + self.interval(now).max(self.min_interval());
-        (wanted.saturating_sub(self.available(now)), std::mem::take(&mut self.unused))
+        Need {
+            wanted: wanted.saturating_sub(self.available(now)),
+            unused: std::mem::take(&mut self.unused),
+        }
     }
 
     /// Adds the permits that the request sent at `asked_at` got. `wanted` is the number that it
--- a/components/routing/src/limits/priority.rs
+++ b/components/routing/src/limits/priority.rs
@@ -7,11 +7,17 @@
 /// One in this many permits goes to less urgent requests even then, so that they are not starved.
 const FLOOR: u32 = 4;
 
+/// Denial of the most urgent requests.
+#[derive(Clone, Copy, Debug)]
+struct Denial {
+    priority: u32,
+    at: Instant,
+}
+
 /// Decides which requests may use a permit while permits are scarce.
 #[derive(Clone, Copy, Debug, Default)]
 pub struct Precedence {
-    /// Priority and time of the last denial of the most urgent requests.
-    denied: Option<(u32, Instant)>,
+    denied: Option<Denial>,
     /// Permits used by urgent requests since a less urgent one used one.
     urgent_uses: u32,
 }
@@ -23,14 +29,14 @@
     }
 
     fn stands_back(&self, priority: u32, now: Instant) -> bool {
-        let denied = self.denied.filter(|(_, at)| now.since(*at) < PRECEDENCE_TIME);
-        denied.is_some_and(|(urgent, _)| priority > urgent)
+        let denied = self.denied.filter(|denial| now.since(denial.at) < PRECEDENCE_TIME);
+        denied.is_some_and(|denial| priority > denial.priority)
     }
 
     /// Records that a request got no permit because there was none.
     pub fn on_denied(&mut self, priority: u32, now: Instant) {
         if !self.stands_back(priority, now) {
-            self.denied = Some((priority, now));
+            self.denied = Some(Denial { priority, at: now });
         }
     }
 
--- a/components/routing/src/limits/requester.rs
+++ b/components/routing/src/limits/requester.rs
@@ -4,6 +4,7 @@
     super::{
         LeafLimits, LimitHosts, LimitedLeaf, QUIET_AFTER,
         messages::{LimitMessage, LimitNews, Outgoing, PermitGrant, PermitRequest},
+        permits::Need,
     },
     crate::leaf::LeafInstance,
     std::net::Ipv4Addr,
@@ -33,14 +34,20 @@
     pub acknowledged: u64,
 }
 
+/// This host's share of a limit at an allocator.
+#[derive(Clone, Copy, Debug)]
+struct Delegation {
+    allocator: Ipv4Addr,
+    until: Instant,
+}
+
 /// State of the requests for one leaf's permits.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct Requester {
     /// Whether the allocator is to hear of a change at once.
     pub has_news: bool,
     allocator: Option<Ipv4Addr>,
-    /// Allocator that has this host's share, and the end of the delegation.
-    delegated: Option<(Ipv4Addr, Instant)>,
+    delegation: Option<Delegation>,
     asked: Option<Asked>,
     /// Number of the last request that the allocator has responded to; zero for none.
     acknowledged: u64,
@@ -56,7 +63,7 @@
         self.waiting_since = None;
         self.acknowledged = asked.serial;
         if !grant.delegated {
-            self.delegated.take_if(|(allocator, _)| *allocator == from);
+            self.delegation.take_if(|delegation| delegation.allocator == from);
         }
         Some(asked)
     }
@@ -69,12 +76,12 @@
     /// Delegates this host's share to the allocator if no other one has it; returns the time for
     /// which it has it.
     fn delegate(&mut self, allocator: Ipv4Addr, interval: Span, now: Instant) -> Span {
-        let delegated = self.delegated.filter(|(_, until)| now < *until);
-        if delegated.is_some_and(|(other, _)| other != allocator) {
+        let is_elsewhere = |other: Delegation| other.allocator != allocator && now < other.until;
+        if self.delegation.is_some_and(is_elsewhere) {
             return Span::ZERO;
         }
         let time = interval * 2 + DELEGATION_SLACK;
-        self.delegated = Some((allocator, now + time));
+        self.delegation = Some(Delegation { allocator, until: now + time });
         time
     }
 }
@@ -118,7 +125,7 @@
             self.silent.insert(asked.allocator, now + SILENT_TIME);
             requester.waiting_since = None;
         }
-        requester.delegated.take_if(|(allocator, _)| hosts.stopping.contains(allocator));
+        requester.delegation.take_if(|delegation| hosts.stopping.contains(&delegation.allocator));
         let silent = &self.silent;
         let allocator = hosts.allocator(&leaf.id, |ip| silent.contains_key(&ip));
         let allocator = allocator.unwrap_or(self.own);
@@ -127,7 +134,7 @@
             requester.acknowledged = 0;
             known.permits.forget_unused();
         }
-        let (wanted, unused) = known.permits.start_request(now);
+        let Need { wanted, unused } = known.permits.start_request(now);
         let interval = known.permits.interval(now);
         let delegation = match is_limited {
             true => requester.delegate(allocator, interval, now),
--- a/components/routing/src/reconcile.rs
+++ b/components/routing/src/reconcile.rs
@@ -20,9 +20,21 @@
 /// Maximum number of ended evacuations that are remembered of each zone.
 const MAX_ENDED: usize = 16;
 
-/// Version of a leaf's registration: start of the leaf's process, and the number of the heartbeat
-/// that wrote it.
-type EntryVersion = (Option<u64>, u64);
+/// Version of a leaf's registration; that of a later process is higher.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+struct EntryVersion {
+    /// Start of the leaf's process.
+    born: Option<u64>,
+    /// Number of the heartbeat that wrote it.
+    sequence: u64,
+}
+
+/// A change that is put off.
+#[derive(Clone, Debug)]
+struct Deferred {
+    until: Instant,
+    change: Change,
+}
 
 /// A removed leaf.
 #[derive(Clone, Copy, Debug)]
@@ -47,12 +59,11 @@
     settles_at: Option<Instant>,
     removed: IndexMap<LeafId, Removed>,
     zones: IndexMap<ZoneId, ZoneHistory>,
-    /// Changes that are put off, each with the time at which it is applied.
-    deferred: Vec<(Instant, Change)>,
+    deferred: Vec<Deferred>,
 }
 
 fn version(registration: &LeafRegistration) -> EntryVersion {
-    (registration.born, registration.sequence)
+    EntryVersion { born: registration.born, sequence: registration.sequence }
 }
 
 /// Whether two changes are about the same leaf or zone.
@@ -104,9 +115,9 @@
             }
             _ => None,
         };
-        self.deferred.retain(|(_, deferred)| !is_same_object(deferred, change));
+        self.deferred.retain(|deferred| !is_same_object(&deferred.change, change));
         if let Some(until) = defer_until {
-            self.deferred.push((until, change.clone()));
+            self.deferred.push(Deferred { until, change: change.clone() });
             return false;
         }
         self.record(change, leaves, now);
@@ -172,14 +183,14 @@
 
     /// Returns the changes that were put off until now.
     pub fn take_due(&mut self, now: Instant) -> Vec<Change> {
-        let is_due = |(at, _): &mut (Instant, Change)| *at <= now;
-        self.deferred.extract_if(.., is_due).map(|(_, change)| change).collect()
+        let is_due = |deferred: &mut Deferred| deferred.until <= now;
+        self.deferred.extract_if(.., is_due).map(|deferred| deferred.change).collect()
     }
 
     /// Returns the changes that are put off, for hosts that do not know what this one has seen. The
     /// end of an evacuation has the time that is left until it.
     pub fn deferred(&self, now: Instant) -> impl Iterator<Item = Change> {
-        self.deferred.iter().map(move |(until, change)| match change {
+        self.deferred.iter().map(move |Deferred { until, change }| match change {
             Change::Evacuation { zone, out: false, written, .. } => {
                 let grace = until.since(now);
                 Change::Evacuation { zone: zone.clone(), out: false, written: *written, grace }
