Bound the messages about limits in each datagram by host

Found by reading: the count of messages was taken over all hosts, so a datagram to one of several hosts could hold more than sixteen. No run has shown a datagram that was too long.

--- a/components/edge/src/limits.rs
+++ b/components/edge/src/limits.rs
@@ -206,18 +206,14 @@
     pub(crate) fn send_limit_messages(&mut self) {
         if self.next_limit_message().is_some_and(|at| at <= self.now) {
             let hosts = self.members.limit_hosts(self.now);
-            let mut by_host: IndexMap<Ipv4Addr, Vec<LimitsMessage>> = IndexMap::new();
-            for (n, out) in self.routing.limits.poll(&hosts, self.now).iter().enumerate() {
-                let datagrams = by_host.entry(out.to).or_default();
-                if datagrams.is_empty() || n % MESSAGES_PER_DATAGRAM == 0 {
-                    datagrams.push(LimitsMessage::default());
-                }
-                if let Some(datagram) = datagrams.last_mut() {
-                    datagram.add(&out.message);
-                }
+            let mut by_host: IndexMap<Ipv4Addr, Vec<LimitMessage>> = IndexMap::new();
+            for out in self.routing.limits.poll(&hosts, self.now) {
+                by_host.entry(out.to).or_default().push(out.message);
             }
-            for (to, datagrams) in by_host {
-                for datagram in datagrams {
+            for (to, messages) in by_host {
+                for chunk in messages.chunks(MESSAGES_PER_DATAGRAM) {
+                    let mut datagram = LimitsMessage::default();
+                    chunk.iter().for_each(|message| datagram.add(message));
                     self.send_limits(to, datagram);
                 }
             }
