Send requests for permits of several leaves together

When leaves of many shards name limits, a host sent a datagram for each of them, as their requests fall due at different moments. Requests that are due within 100 ms now go with the first one; after a few rounds all idle ones are sent together. The new test fails without it (1 message in place of 3).

--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -44,6 +44,8 @@
 const UNCONFIRMED_RETENTION: Span = Span::secs(600);
 /// Time over which hosts spread their first requests after news of a limit.
 const NEWS_SPREAD: Span = Span::millis(150);
+/// Time by which requests for permits are sent early to share a datagram with one that is due.
+const COALESCE_TIME: Span = Span::millis(100);
 /// Expected time until a permit if none was granted yet.
 const DEFAULT_PERMIT_INTERVAL: Span = Span::millis(500);
 
@@ -349,10 +351,12 @@
     pub fn poll(&mut self, hosts: &LimitHosts, now: Instant) -> Vec<Outgoing> {
         self.silent.retain(|_, until| now < *until);
         self.drop_outdated(now);
-        let due = |known: &LimitedLeaf| {
-            known.requests_are_due(now) && known.permits.next_request() <= now
+        let is_due_by = |known: &LimitedLeaf, at: Instant| {
+            known.requests_are_due(now) && known.permits.next_request() <= at
         };
-        let leaves = self.leaves.iter().filter(|(_, known)| due(known));
+        let is_any_due = self.leaves.values().any(|known| is_due_by(known, now));
+        let horizon = if is_any_due { now + COALESCE_TIME } else { now };
+        let leaves = self.leaves.iter().filter(|(_, known)| is_due_by(known, horizon));
         let leaves: Vec<LeafInstance> = leaves.map(|(leaf, _)| leaf.clone()).collect();
         for leaf in leaves {
             self.request_permits(&leaf, hosts, now);
--- a/components/routing/tests/limits/statements.rs
+++ b/components/routing/tests/limits/statements.rs
@@ -4,10 +4,13 @@
     super::fleet::leaf,
     insta::assert_snapshot,
     std::net::Ipv4Addr,
-    wigeonramp_routing::limits::{
-        LeafLimits, LimitHosts,
-        messages::{LimitMessage, LimitNews, Outgoing},
-        statement::NamedLimit,
+    wigeonramp_routing::{
+        leaf::LeafInstance,
+        limits::{
+            LeafLimits, LimitHosts,
+            messages::{LimitMessage, LimitNews, Outgoing, PermitGrant},
+            statement::NamedLimit,
+        },
     },
     wigeonramp_units::{Instant, RequestRate, Span},
 };
@@ -174,3 +177,37 @@
     limits.on_denied(&leaf(), 0, at(200_000));
     assert_eq!(limits.poll(&hosts, at(200_000)).len(), 1);
 }
+
+/// Guards against a datagram for each limited leaf, when many leaves name limits at once.
+#[test]
+fn requests_that_are_due_soon_are_sent_together() {
+    let mut limits = limits();
+    let other = Ipv4Addr::new(10, 0, 0, 2);
+    let hosts =
+        LimitHosts { candidates: vec![other], alive: vec![other], stopping: Vec::new(), known: 2 };
+    let leaves = ["i-1", "i-2", "i-3"]
+        .map(|id| LeafInstance { id: id.parse().expect("a leaf id"), born: Some(1) });
+    for (n, leaf) in leaves.iter().enumerate() {
+        let heard = 20 + 30 * n as u64;
+        limits.on_response(leaf, named(5.0), at(0), at(heard));
+        // The second request acknowledges the response to the first one.
+        for ms in [heard, heard + 1] {
+            let sent = limits.poll(&hosts, at(ms));
+            assert_eq!(sent.len(), 1, "sent at once");
+            respond(&mut limits, &sent, at(ms));
+        }
+    }
+    let sent = limits.poll(&hosts, at(2_021));
+    let requests = sent.iter().filter(|out| matches!(out.message, LimitMessage::Request(_)));
+    assert_eq!(requests.count(), 3);
+}
+
+/// Has the allocator respond to requests without granting a permit.
+fn respond(limits: &mut LeafLimits, sent: &[Outgoing], now: Instant) {
+    for out in sent {
+        let LimitMessage::Request(req) = &out.message else { continue };
+        let (news, serial) = (req.news.clone(), req.serial);
+        let grant = PermitGrant { news, serial, permits: 0, delegated: true };
+        limits.on_message(out.to, LimitMessage::Grant(grant), 2, now);
+    }
+}
