--- a/review/2/run.sh
+++ b/review/2/run.sh
@@ -1,3 +1,3 @@
 #!/usr/bin/env bash
 # See claim.txt. TROUBLE=0 leaves the disruption out.
-exec "$(dirname "$0")/../run-case" "review/2" stopped-without-manifest
+exec "$(dirname "$0")/../run-case" "review/2" watchers-limited
