--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -260,7 +260,7 @@
 }
 
 /// The store turns away the machines that watch it, a third of all: it answers with 429, or not at
-/// all. Then a route is added and a leaf leaves.
+/// all, the latter four times. Then a route is added and a leaf leaves.
 fn watchers_turned_away(
     daemon: &str,
     work: &str,
@@ -269,62 +269,88 @@
     by_429: bool,
 ) -> Result<Outcome, String> {
     let size =
-        Size { hosts: 12, leaves: 6, slots: 3, work_ms: 20, timeout_ms: 5_000, crashes_at: None };
+        Size { hosts: 12, leaves: 9, slots: 3, work_ms: 20, timeout_ms: 5_000, crashes_at: None };
     let fleet = Fleet::start(&size, daemon, work, record)?;
     for (n, zone) in ZONES.into_iter().enumerate() {
         fleet.clients.start(zone, n, "/docs/", secs(0.1), secs(5.0));
     }
-    fleet.wait_until(14.0);
+    let occasions = if by_429 { 1 } else { 4 };
+    let mut broken = false;
+    for number in 0..occasions {
+        let begin = 14.0 + 24.0 * number as f64;
+        let turned_away = if trouble { Some(by_429) } else { None };
+        broken |= turn_watchers_away(&fleet, &size, begin, number, turned_away)?;
+    }
+    fleet.clients.stop();
+    fleet.report_answers();
+    Ok(if broken { Outcome::Broken } else { Outcome::Held })
+}
+
+/// One occasion; `turned_away` tells whether by 429. Returns whether a rule was broken.
+fn turn_watchers_away(
+    fleet: &Fleet,
+    size: &Size,
+    begin: f64,
+    number: usize,
+    turned_away: Option<bool>,
+) -> Result<bool, String> {
+    let record = &fleet.record;
+    fleet.wait_until(begin);
     let watching = fleet.store.watched();
     record.say(&format!("machines that watch the store: {watching:?}"));
     if watching.len() * 100 > size.hosts * 35 {
         return Err("more machines than 0.35 of all watch the store".to_owned());
     }
-    match (trouble, by_429) {
-        (true, true) => fleet.store.set_limited(&watching),
-        (true, false) => fleet.store.set_silent(&watching),
-        (false, _) => {}
+    match turned_away {
+        Some(true) => fleet.store.set_limited(&watching),
+        Some(false) => fleet.store.set_silent(&watching),
+        None => {}
     }
-    fleet.wait_until(14.05);
-    let routes = manifest(4, &["docs", "extra"], size.timeout_ms);
+    fleet.wait_until(begin + 0.05);
+    let new_routes: Vec<String> = (0..=number).map(|n| format!("extra-{n}")).collect();
+    let mut names: Vec<&str> = new_routes.iter().map(String::as_str).collect();
+    names.push("docs");
+    let routes = manifest(4 + 3 * number as u32, &names, size.timeout_ms);
     let added = fleet.store.put("config", "main", routes.as_bytes());
     record.say("a manifest with one more route is acknowledged");
-    let leaf = fleet.leaves[0].clone();
+    let leaf = fleet.leaves[number].clone();
     let drained = leaf.register("draining");
     record.say(&format!("leaf {} is draining, acknowledged", leaf.id()));
-    // Requests on the new route go to each machine that the store answers, and to the others.
+    // Requests on the new route and on the old one go directly to each machine.
+    let prefix = format!("/extra-{number}/");
     for (n, host) in fleet.hosts.iter().enumerate() {
         let (clients, front, start) = (fleet.clients.clone(), host.front, fleet.start);
+        let target = format!("{prefix}{n}");
         thread::spawn(move || {
-            while start.elapsed() < secs(24.0) {
-                clients.send(front, &format!("/extra/{n}"), secs(5.0));
+            while start.elapsed() < secs(begin + 10.0) {
+                clients.send(front, &target, secs(5.0));
                 clients.send(front, &format!("/docs/direct-{n}"), secs(5.0));
                 thread::sleep(secs(0.1));
             }
         });
     }
-    fleet.wait_until(23.0);
-    fleet.store.set_silent(&BTreeSet::new());
-    fleet.store.set_limited(&BTreeSet::new());
-    fleet.wait_until(25.0);
-    fleet.clients.stop();
-    fleet.report_answers();
+    fleet.wait_until(begin + 9.0);
+    if turned_away.is_some() {
+        fleet.store.set_silent(&BTreeSet::new());
+        fleet.store.set_limited(&BTreeSet::new());
+    }
+    fleet.wait_until(begin + 11.0);
     // Only machines that the store answers are in touch.
     let in_touch: BTreeSet<SocketAddr> = (1..=fleet.hosts.len())
-        .filter(|number| !trouble || !watching.contains(number))
+        .filter(|number| turned_away.is_none() || !watching.contains(number))
         .map(|number| fleet.hosts[number - 1].front)
         .collect();
     let answers = fleet.clients.answers();
     let known = answers.iter().filter(|a| in_touch.contains(&a.address));
     let old: Vec<_> = known
         .clone()
-        .filter(|a| a.target.starts_with("/extra/") && a.status == 404)
+        .filter(|a| a.target.starts_with(&prefix) && a.status == 404)
         .filter(|a| a.sent > added + CONFIG_APPLY)
         .collect();
     let latest = old.iter().map(|a| a.sent - added).max();
     record.say(&format!(
         "CONFIG: 404 from machines in touch to requests sent over {CONFIG_APPLY:?} after the ack: \
-         {}, the last one sent {latest:?} after it",
+         {}, the last one {latest:?} after it",
         old.len()
     ));
     let sent: BTreeSet<&str> = known.map(|a| a.id.as_str()).collect();
@@ -340,7 +366,9 @@
          {}, the last one {latest:?} after it",
         late.len()
     ));
-    Ok(if old.is_empty() && late.is_empty() { Outcome::Held } else { Outcome::Broken })
+    leaf.unregister();
+    leaf.end();
+    Ok(!old.is_empty() || !late.is_empty())
 }
 
 /// A request that crashes each leaf that begins to run it comes again and again.
