--- a/review/standin/cases.rs
+++ b/review/standin/cases.rs
@@ -166,12 +166,21 @@
     }
     fleet.wait_until(13.0);
     if trouble {
-        // A string whose bytes were not text: JSON by its grammar, but no Unicode text.
-        let escaped: &[u8] = b"{\"service\":\"docs\",\"note\":\"\\udcff\\udcfe\"}";
-        let raw: &[u8] = b"{\"service\":\"docs\",\"note\":\"\xff\xfe\"}";
-        let is_raw = std::env::var("VARIANT").as_deref() == Ok("raw");
+        let entry = match std::env::var("VARIANT").as_deref() {
+            // The bytes themselves.
+            Ok("raw") => b"{\"service\":\"docs\",\"note\":\"\xff\xfe\"}".to_vec(),
+            // A field of another type: a number that no floating-point number holds.
+            Ok("number") => b"{\"service\":\"docs\",\"slots\":1e400}".to_vec(),
+            // A field of another type: lists within lists.
+            Ok("nested") => {
+                let (open, close) = ("[".repeat(200), "]".repeat(200));
+                format!("{{\"service\":\"docs\",\"slots\":{open}{close}}}").into_bytes()
+            }
+            // A string whose bytes were not text: JSON by its grammar, but no Unicode text.
+            _ => b"{\"service\":\"docs\",\"note\":\"\\udcff\\udcfe\"}".to_vec(),
+        };
         record.say("another writer's entry appears");
-        fleet.store.put("servers", "x-9c41", if is_raw { raw } else { escaped });
+        fleet.store.put("servers", "x-9c41", &entry);
     }
     fleet.wait_until(18.0);
     let leaf = fleet.leaves[0].clone();
--- a/review/standin/store.rs
+++ b/review/standin/store.rs
@@ -36,8 +36,9 @@
     silent: BTreeSet<usize>,
     /// Doors whose calls get 429, other than stale reads, which do not count toward the rate.
     limited: BTreeSet<usize>,
-    /// Doors through which a watch of leaves was last called.
-    watched: BTreeMap<usize, Instant>,
+    /// When a watch of leaves was last called or answered through each door, and the number of those
+    /// that wait.
+    watched: BTreeMap<usize, (Instant, usize)>,
 }
 
 struct Shared {
@@ -88,13 +89,21 @@
         self.shared.changed.notify_all();
     }
 
-    /// Doors through which leaves have been watched in the last 25 seconds.
+    /// Doors through which leaves are being watched, or were within the last second.
     pub fn watched(&self) -> BTreeSet<usize> {
         let state = self.shared.state.lock().unwrap();
-        let recent = state.watched.iter().filter(|(_, at)| at.elapsed() < Duration::from_secs(25));
+        let is_recent = |at: &Instant| at.elapsed() < Duration::from_secs(1);
+        let recent = state.watched.iter().filter(|(_, (at, n))| *n > 0 || is_recent(at));
         recent.map(|(door, _)| *door).collect()
     }
 
+    fn count_watch(&self, door: usize, begins: bool) {
+        let mut state = self.shared.state.lock().unwrap();
+        let (at, waiting) = state.watched.entry(door).or_insert((Instant::now(), 0));
+        *at = Instant::now();
+        *waiting = if begins { *waiting + 1 } else { *waiting - 1 };
+    }
+
     fn is_silent(&self, door: usize) -> bool {
         self.shared.state.lock().unwrap().silent.contains(&door)
     }
@@ -177,7 +186,7 @@
 
     /// Returns status and body; `None` if the store is down.
     fn answer(&self, call: &http::Message, door: usize) -> Option<(u16, Vec<u8>)> {
-        let mut state = self.shared.state.lock().unwrap();
+        let state = self.shared.state.lock().unwrap();
         if state.down || state.silent.contains(&door) {
             return None;
         }
@@ -192,9 +201,6 @@
             return Some((429, b"{}".to_vec()));
         }
         let since = value("watch").and_then(|since| since.parse().ok());
-        if since.is_some() && kind == "servers" {
-            state.watched.insert(door, Instant::now());
-        }
         drop(state);
         if call.method() == "POST" {
             return Some(self.create(kind, &call.body));
@@ -202,7 +208,15 @@
         match since {
             Some(since) => {
                 let wait = value("wait_ms").and_then(|ms| ms.parse().ok()).unwrap_or(0);
-                self.watch(kind, since, Duration::from_millis(wait), door)
+                let counts = kind == "servers";
+                if counts {
+                    self.count_watch(door, true);
+                }
+                let answer = self.watch(kind, since, Duration::from_millis(wait), door);
+                if counts {
+                    self.count_watch(door, false);
+                }
+                answer
             }
             None => Some(self.list(kind, &value("after").unwrap_or_default())),
         }
