Give each host its own address at the store's stand-in

A store may turn some hosts away and serve the others. The stand-in could fail for all hosts or for none.

--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -14,7 +14,7 @@
     wigeonramp_platform_standin::{
         caller::{Caller, CallerRequest},
         leaf::{Leaf, LeafSpec, Runs},
-        store::Store,
+        store::{Door, Store},
     },
     wigeonramp_soak::{
         hosts::{HostProcess, HostSpec, Ports},
@@ -29,6 +29,8 @@
 /// A host, the store and the leaves that run requests for it.
 pub struct Fixture {
     pub store: Store,
+    /// The addresses of the store that the hosts use, one each.
+    pub doors: Vec<Door>,
     hosts: Vec<HostProcess>,
     /// The daemon process with an output that nobody reads, used instead of the first process in `hosts`.
     stalled_process: Option<Child>,
@@ -98,6 +100,8 @@
         fs::create_dir_all(&directory).expect("a directory");
         let ports = Ports::find_free(&ip).expect("free ports");
         let daemon = PathBuf::from(env!("CARGO_BIN_EXE_wigeonrampd"));
+        let open_door = |_| store.open_door(&format!("{prefix}.254")).expect("an address");
+        let doors: Vec<Door> = (0..host_count).map(open_door).collect();
         let start_host = |number: u8| {
             let spec = HostSpec {
                 name: format!("host-{n}-{number}"),
@@ -106,7 +110,8 @@
                 ports,
                 seeds: std::slice::from_ref(&ip),
             };
-            let proxy = Proxy::start(&format!("{prefix}.253"), store.address()).expect("a proxy");
+            let store = doors[usize::from(number) - 1].address();
+            let proxy = Proxy::start(&format!("{prefix}.253"), store).expect("a proxy");
             HostProcess::start(spec, proxy, &daemon, &directory).expect("a host")
         };
         let mut hosts: Vec<HostProcess> = (1..=host_count).map(start_host).collect();
@@ -120,7 +125,7 @@
                 .expect("a host")
         });
         let (runs, leaves) = (Runs::default(), AtomicU32::new(0));
-        Self { store, hosts, stalled_process, runs, leaves, version: AtomicU64::new(1), ip }
+        Self { store, doors, hosts, stalled_process, runs, leaves, version: AtomicU64::new(1), ip }
     }
 
     /// Writes the next version of the configuration, with `name` as the only route.
