Take only answers that are not stale as proof that the store tells of changes

Callers got 404 on a new route, and requests reached a leaf that had left, up to 9.9 s after the ack, while the store limited the calls of the hosts that watch it and served all others.

Cause: the only check of the store was a stale read each second, which the store answers outside its limits, and any answer ended the outage. The logs of the new test show it: each watching host writes store_lost (status 429) and store_regained in turn, once a second, and no host writes following. Ruled out by the same logs: followers that were told and stayed, and hosts that took over and were refused.

Now a watching host polls one kind of object each 0.8 s, the one confirmed longest ago; an outage ends when no kind of call is lost; after 0.6 s without an answer it tells all hosts at once and the next in order watch. A poll also shows what a mute watch has missed. The first call after a failure does not wait. A host that has stopped watching asks each 5 s and counts as failing only until it is answered.

--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -391,6 +391,7 @@
     }
 
     fn sweep(&mut self) {
+        self.check_store_health();
         self.select_origin();
         self.send_keepalives();
         self.sweep_callers();
@@ -432,7 +433,7 @@
             leaving: self.stopping.is_some(),
             rate,
             load: attempts * ATTEMPT_COST.0 as f64 / 1e6,
-            store_failing: self.store.is_failing(self.now),
+            store_failing: self.store.is_failing(),
         });
         self.routing.traffic_share = self.members.traffic_share(self.now);
         self.routing.cold_share = self.members.cold_share(self.now);
--- a/components/edge/src/store/calls.rs
+++ b/components/edge/src/store/calls.rs
@@ -9,22 +9,24 @@
     mio::Interest,
     serde_json::json,
     wigeonramp_platform::objects::{self, ObjectKind},
-    wigeonramp_routing::{follow::Origin, list_watch::ListWatchCall, position::Position},
+    wigeonramp_routing::{
+        follow::Origin,
+        list_watch::{ListWatch, ListWatchCall},
+    },
     wigeonramp_units::Span,
 };
 
 /// Time for which the store holds a watch open without changes.
 const WATCH_WAIT: Span = Span::secs(25);
-/// Timeout of a call other than a probe. For a watch, the time that the store may hold it open is
-/// added.
+/// Timeout of a list or watch. For a watch, the time that the store may hold it open is added.
 const CALL_TIMEOUT: Span = Span::millis(2_500);
-/// Interval of probes of the store. A pending watch does not show whether the store works, and its
-/// response can be lost while its connection stays open.
-pub(super) const PROBE_INTERVAL: Span = Span::millis(1_000);
-/// Timeout of a probe; a slow store responds within half a second.
-const PROBE_TIMEOUT: Span = Span::millis(1_200);
+/// Timeout of a probe and of the registration; a slow store responds within half a second.
+const PROBE_TIMEOUT: Span = Span::millis(700);
 /// Time after its start until a host without live peers reads the member list in the store.
 const ALONE_AFTER: Span = Span::millis(1_000);
+/// Interval of attempts to register in the member list. Their failures do not count against the
+/// store: it may limit writes only.
+const REGISTRATION_INTERVAL: Span = Span::secs(2);
 /// Interval of reading the member list.
 const MEMBER_LIST_INTERVAL: Span = Span::secs(3);
 
@@ -32,78 +34,112 @@
     /// Starts the calls that are due, and fails those that have timed out.
     pub(crate) fn start_due_calls(&mut self) {
         let watches_store = self.origin_selector.origin() == Origin::Store;
+        if self.store.health.set_watches(watches_store, self.now) && !watches_store {
+            self.release_watches();
+        }
         let known_era = self.replicated.era();
         if known_era > self.store.era {
             self.enter_era(known_era, "host");
         }
         for index in 0..self.store.conns.len() {
-            let now = self.now;
-            let conn = &mut self.store.conns[index];
+            let conn = &self.store.conns[index];
             if let Some(call) = &conn.call {
-                if now >= call.deadline {
+                if self.now >= call.deadline {
                     self.store_failed(index, "no answer");
                 }
-                continue;
-            }
-            if conn.kind == ObjectKind::Members {
+            } else if conn.kind == ObjectKind::Members {
                 self.start_due_member_call(index, watches_store);
-                continue;
-            }
-            if !watches_store {
-                continue;
+            } else if watches_store {
+                self.start_due_list_watch(index);
             }
-            // Skip the changes that were received from another host.
-            let upto = match conn.kind {
-                ObjectKind::Config => self.replicated.config_upto,
-                ObjectKind::Leaves => self.replicated.leaves.upto(),
-                ObjectKind::Evacuations => self.replicated.evacuations.upto(),
-                ObjectKind::Members => Position::default(),
-            };
-            conn.list_watch.advance_to(upto, now);
-            let Some(call) = conn.list_watch.start_due_call(now) else { continue };
-            let bytes =
-                objects::list_watch_request(conn.kind, &call, WATCH_WAIT, self.store.address);
-            if let ListWatchCall::Watch { since } = call {
+        }
+    }
+
+    fn start_due_list_watch(&mut self, index: usize) {
+        let now = self.now;
+        self.skip_replicated(index);
+        let conn = &mut self.store.conns[index];
+        let Some(call) = conn.list_watch.start_due_call(now) else { return };
+        let bytes = objects::list_watch_request(conn.kind, &call, WATCH_WAIT, self.store.address);
+        let wait = match call {
+            ListWatchCall::Watch { since } => {
                 let fields = json!({ "kind": conn.kind.name(), "since": since });
                 self.journal.record("store_watch", fields, now);
+                WATCH_WAIT
+            }
+            ListWatchCall::List { .. } | ListWatchCall::Poll { .. } => Span::ZERO,
+        };
+        self.start_call(index, bytes, CallPurpose::ListWatch(call), wait);
+    }
+
+    /// Skips the changes that were received from another host.
+    fn skip_replicated(&mut self, index: usize) {
+        let conn = &mut self.store.conns[index];
+        let upto = match conn.kind {
+            ObjectKind::Config => self.replicated.config_upto,
+            ObjectKind::Leaves => self.replicated.leaves.upto(),
+            ObjectKind::Evacuations => self.replicated.evacuations.upto(),
+            ObjectKind::Members => return,
+        };
+        conn.list_watch.advance_to(upto, self.now);
+    }
+
+    /// Gives up the pending lists and watches, as another host watches the store now.
+    fn release_watches(&mut self) {
+        for index in 0..self.store.conns.len() {
+            if self.store.conns[index].kind == ObjectKind::Members {
+                continue;
+            }
+            if self.store.conns[index].call.take().is_some() {
+                self.close_store_conn(index);
             }
-            let wait = match call {
-                ListWatchCall::Watch { .. } => WATCH_WAIT,
-                ListWatchCall::List { .. } => Span::ZERO,
-            };
-            self.start_call(index, bytes, CallPurpose::ListWatch(call), wait);
+            self.store.conns[index].list_watch.release(self.now);
         }
     }
 
     /// Starts the call that is due on the connection for members. A host that watches the store
-    /// first registers itself, so that other hosts find it in the member list, and then probes the
-    /// store at intervals. Any host without live peers reads the member list.
+    /// first registers itself, so that other hosts find it in the member list. It probes the store at
+    /// intervals, as does a host that stopped watching because the store failed for it. Any host
+    /// without live peers reads the member list.
     fn start_due_member_call(&mut self, index: usize, watches_store: bool) {
         let now = self.now;
-        let alone = !self.members.has_live_peers(now) && now.since(self.started) >= ALONE_AFTER;
-        let conn = &mut self.store.conns[index];
-        if conn.list_watch.next_at().is_none_or(|at| at > now) {
+        if self.store.conns[index].list_watch.next_at().is_none_or(|at| at > now) {
             return;
         }
-        if watches_store && !self.store.registered {
+        if watches_store && !self.store.registered && now >= self.store.next_registration {
             return self.register_self(index);
         }
-        if watches_store && now >= self.store.next_probe {
-            self.store.next_probe = now + PROBE_INTERVAL;
-            let bytes = objects::probe_request(self.store.address);
-            return self.start_call(index, bytes, CallPurpose::Probe, Span::ZERO);
+        if let Some((watch, call)) = self.due_probe() {
+            let kind = self.store.conns[watch].kind;
+            let bytes = objects::list_watch_request(kind, &call, Span::ZERO, self.store.address);
+            return self.start_call(index, bytes, CallPurpose::Probe { watch }, Span::ZERO);
         }
+        let alone = !self.members.has_live_peers(now) && now.since(self.started) >= ALONE_AFTER;
         if !alone || now < self.store.next_member_list {
             return;
         }
         self.store.next_member_list = now + MEMBER_LIST_INTERVAL;
         let call = ListWatchCall::List { after: None };
         let bytes =
-            objects::list_watch_request(ObjectKind::Members, &call, WATCH_WAIT, self.store.address);
+            objects::list_watch_request(ObjectKind::Members, &call, Span::ZERO, self.store.address);
         self.start_call(index, bytes, CallPurpose::ListWatch(call), Span::ZERO);
     }
 
+    /// Returns the probe that is due and the index of the connection whose watch it confirms.
+    fn due_probe(&mut self) -> Option<(usize, ListWatchCall)> {
+        if self.store.health.next_probe().is_none_or(|at| self.now < at) {
+            return None;
+        }
+        for index in 0..self.store.conns.len() {
+            self.skip_replicated(index);
+        }
+        let kinds: Vec<&ListWatch> = self.store.conns.iter().map(|conn| &conn.list_watch).collect();
+        let watch = self.store.health.start_due_probe(&kinds, self.now)?;
+        Some((watch, kinds[watch].probe()?))
+    }
+
     fn register_self(&mut self, index: usize) {
+        self.store.next_registration = self.now + REGISTRATION_INTERVAL;
         let settings = &self.settings;
         let call = objects::register_request(
             settings.host.as_str(),
@@ -132,8 +168,14 @@
         let address = self.store.address;
         let conn = &mut self.store.conns[index];
         self.metrics.count_store_call(conn.kind.name());
-        let timeout = if purpose == CallPurpose::Probe { PROBE_TIMEOUT } else { CALL_TIMEOUT };
-        conn.call = Some(Call { purpose, deadline: now + timeout + wait });
+        let timeout = match purpose {
+            CallPurpose::ListWatch(_) => CALL_TIMEOUT,
+            CallPurpose::Probe { .. } | CallPurpose::Register => PROBE_TIMEOUT,
+        };
+        if matches!(purpose, CallPurpose::Probe { .. }) {
+            conn.list_watch.begin_call(now);
+        }
+        conn.call = Some(Call { purpose, started: now, deadline: now + timeout + wait });
         conn.out.push(bytes);
         if conn.sock.is_none() {
             let opened = sock::connect(address).and_then(|mut sock| {
--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -4,7 +4,7 @@
     super::Call,
     crate::node::Node,
     serde_json::json,
-    wigeonramp_platform::objects::{self, CONFIG_OBJECT, ObjectKind, StoredObject},
+    wigeonramp_platform::objects::{self, CONFIG_OBJECT, ObjectChanges, ObjectKind, StoredObject},
     wigeonramp_routing::{changes::Change, list_watch::ListWatch, position::Position},
     wigeonramp_units::{LeafId, Revision, Span, ZoneId},
 };
@@ -24,7 +24,6 @@
             Ok(page) => page,
             Err(err) => return self.call_failed(index, call, &err),
         };
-        self.on_store_available();
         let kind = self.store.conns[index].kind;
         self.log_unreadable(kind, page.unreadable);
         let page_last_change = page.items.iter().map(|object| object.revision).max();
@@ -37,6 +36,8 @@
         let conn = &mut self.store.conns[index];
         let position = Position::new(self.store.era, page.revision);
         let all_names = conn.list_watch.on_page(names, page.has_more, position, self.now);
+        self.on_store_answered();
+        let conn = &mut self.store.conns[index];
         let page_last_change = page_last_change.unwrap_or_default();
         let page_last_change = Position::new(self.store.era, page_last_change);
         conn.last_change = conn.last_change.max(page_last_change);
@@ -77,20 +78,25 @@
         self.replicated.unsent_changes = true;
     }
 
-    /// Applies the changes that a watch returned.
+    /// Applies the changes that a watch or poll returned.
     pub(super) fn on_changes(&mut self, index: usize, call: Call, body: &[u8]) {
         let batch = match objects::parse_changes(body) {
             Ok(batch) => batch,
             Err(err) => return self.call_failed(index, call, &err),
         };
-        self.on_store_available();
-        let kind = self.store.conns[index].kind;
-        self.log_unreadable(kind, batch.unreadable);
-        let conn = &mut self.store.conns[index];
         let position = Position::new(self.store.era, batch.revision);
-        if !conn.list_watch.on_changes(!batch.changes.is_empty(), position, self.now) {
-            return;
+        let changed = !batch.changes.is_empty();
+        let continues = self.store.conns[index].list_watch.on_changes(changed, position, self.now);
+        self.on_store_answered();
+        if continues {
+            self.apply_batch(index, &batch, position);
         }
+    }
+
+    /// Applies the changes of the kind that connection `index` watches, complete up to `position`.
+    pub(super) fn apply_batch(&mut self, index: usize, batch: &ObjectChanges, position: Position) {
+        let kind = self.store.conns[index].kind;
+        self.log_unreadable(kind, batch.unreadable);
         let mut changes = Vec::new();
         let mut removed_leaves: Vec<LeafId> = Vec::new();
         for change in &batch.changes {
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -16,7 +16,6 @@
         node::Node,
         sock::{self, OutBuf, ReadEnd},
     },
-    calls::PROBE_INTERVAL,
     mio::net::TcpStream,
     std::net::SocketAddr,
     wigeonramp_platform::{
@@ -26,28 +25,33 @@
     wigeonramp_routing::{
         list_watch::{ListWatch, ListWatchCall},
         position::Position,
+        store_health::StoreHealth,
     },
-    wigeonramp_units::{Instant, Span, StoreEra},
+    wigeonramp_units::{Instant, StoreEra},
 };
 
 /// Maximum length of a response in bytes; a page is about one megabyte at most.
 const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
-/// Duration of an outage after which other hosts watch the store in place of this one.
-const FAILING_AFTER: Span = Span::millis(1_000);
 
 /// Purpose of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum CallPurpose {
     ListWatch(ListWatchCall),
     Register,
-    Probe,
+    /// A poll that shows whether the watch on another connection has missed a change.
+    Probe {
+        /// Index of the connection with the watch.
+        watch: usize,
+    },
 }
 
 impl CallPurpose {
     /// Whether the response is of use only in the era in which an earlier call was answered.
     fn continues_earlier_call(&self) -> bool {
-        use ListWatchCall::{List, Watch};
-        matches!(self, Self::ListWatch(List { after: Some(_) } | Watch { .. }))
+        use ListWatchCall::{List, Poll, Watch};
+        let continues =
+            matches!(self, Self::ListWatch(List { after: Some(_) } | Poll { .. } | Watch { .. }));
+        continues || matches!(self, Self::Probe { .. })
     }
 }
 
@@ -55,6 +59,7 @@
 #[derive(Debug)]
 struct Call {
     purpose: CallPurpose,
+    started: Instant,
     deadline: Instant,
 }
 
@@ -64,7 +69,8 @@
 struct StoreConn {
     kind: ObjectKind,
     /// Decides which list or watch is due, and when to retry after failures. For
-    /// [`ObjectKind::Members`], only its backoff counts, which delays every call.
+    /// [`ObjectKind::Members`], only its backoff counts, which delays every call, and whether the last
+    /// call was answered.
     list_watch: ListWatch,
     sock: Option<TcpStream>,
     connected: bool,
@@ -84,8 +90,9 @@
     conns: Vec<StoreConn>,
     /// Whether this host has registered itself in the member list, or cannot.
     registered: bool,
+    next_registration: Instant,
     next_member_list: Instant,
-    next_probe: Instant,
+    health: StoreHealth,
     /// Latest known era of the store; zero before the first response.
     era: StoreEra,
     /// Time of the first failed call of the current outage; `None` while the store answers.
@@ -111,17 +118,17 @@
             address,
             conns,
             registered: false,
+            next_registration: now,
             next_member_list: now,
-            next_probe: now + PROBE_INTERVAL,
+            health: StoreHealth::new(now),
             era: StoreEra(0),
             unavailable_since: None,
         }
     }
 
-    /// Whether the current outage is so long that other hosts should watch the store in place of
-    /// this one.
-    pub fn is_failing(&self, now: Instant) -> bool {
-        self.unavailable_since.is_some_and(|since| now.since(since) >= FAILING_AFTER)
+    /// Whether the store fails for this host, so that another one has to watch it.
+    pub fn is_failing(&self) -> bool {
+        self.health.is_failing()
     }
 
     /// Returns the latest known era of the store.
@@ -129,15 +136,16 @@
         self.era
     }
 
-    /// Returns the time at which the next call is due or a pending one times out. Unless
-    /// `watches_store` is set, only timeouts count.
+    /// Returns the time at which the next call is due or a pending one times out. Lists and watches
+    /// count only if `watches_store` is set.
     pub fn next_at(&self, watches_store: bool) -> Option<Instant> {
         let due = self.conns.iter().filter_map(|conn| match &conn.call {
             Some(call) => Some(call.deadline),
-            None if !watches_store => None,
             None if conn.kind == ObjectKind::Members => {
-                conn.list_watch.next_at().map(|at| at.max(self.next_probe))
+                let probe = self.health.next_probe()?;
+                conn.list_watch.next_at().map(|at| at.max(probe))
             }
+            None if !watches_store => None,
             None => conn.list_watch.next_at(),
         });
         due.min()
--- a/components/edge/src/store/outcomes.rs
+++ b/components/edge/src/store/outcomes.rs
@@ -6,6 +6,7 @@
     serde_json::json,
     wigeonramp_platform::{http::ResponseHead, objects},
     wigeonramp_routing::{
+        follow::Origin,
         list_watch::ListWatchCall,
         position::{FIRST_ERA, Position},
     },
@@ -17,11 +18,13 @@
     pub(super) fn store_failed(&mut self, index: usize, reason: &str) {
         self.close_store_conn(index);
         let conn = &mut self.store.conns[index];
-        if conn.call.take().is_none() {
-            return;
+        let Some(call) = conn.call.take() else { return };
+        self.metrics.count_store_failure(conn.kind.name());
+        if call.purpose == CallPurpose::Register {
+            let fields = json!({ "error": reason });
+            return self.journal.record("register_failed", fields, self.now);
         }
         conn.list_watch.on_error(self.now, &mut self.rng);
-        self.metrics.count_store_failure(conn.kind.name());
         if self.store.unavailable_since.is_none() {
             self.store.unavailable_since = Some(self.now);
             let kind = self.store.conns[index].kind.name();
@@ -53,47 +56,43 @@
     }
 
     pub(super) fn on_store_response(&mut self, index: usize, head: &ResponseHead, body: &[u8]) {
+        use ListWatchCall::{List, Poll, Watch};
         let Some(call) = self.store.conns[index].call.take() else { return };
         let era = head.era.unwrap_or(FIRST_ERA);
         if era < self.store.era {
-            // A probe may be answered with data that is seconds old.
-            return match call.purpose {
-                CallPurpose::Probe => self.on_store_available(),
-                _ => self.call_failed(index, call, "response of an earlier era"),
-            };
+            return self.call_failed(index, call, "response of an earlier era");
         }
         if era > self.store.era {
             self.enter_era(era, "store");
             if call.purpose.continues_earlier_call() {
-                return self.on_store_available();
+                self.store.conns[index].list_watch.on_answered(self.now);
+                return self.on_store_answered();
             }
         }
-        let conn = &mut self.store.conns[index];
         match (&call.purpose, head.status) {
             // Conflict: this host is already registered.
             (CallPurpose::Register, 200..=299 | 409) => {
                 self.store.registered = true;
-                self.on_store_available();
             }
-            (CallPurpose::Probe, 200) => self.on_probe(index, call, body),
-            // Not found: the store works, but has no objects of the probed kind.
-            (CallPurpose::Probe, 404) => self.on_store_available(),
-            (CallPurpose::ListWatch(ListWatchCall::List { .. }), 200) => {
-                self.on_page(index, call, body)
+            (CallPurpose::Probe { watch }, 200) => self.on_probe(index, *watch, call, body),
+            // Gone: the store has discarded the changes that the watch waits for.
+            (CallPurpose::Probe { watch }, 410) => {
+                self.store.conns[index].list_watch.on_answered(self.now);
+                self.drop_store_call(*watch);
+                self.on_history_gone(*watch);
             }
+            (CallPurpose::ListWatch(List { .. }), 200) => self.on_page(index, call, body),
             // Not found: there are no objects of this kind.
-            (CallPurpose::ListWatch(ListWatchCall::List { .. }), 404) => {
+            (CallPurpose::ListWatch(List { .. }), 404) => {
                 let page = b"{\"items\":[],\"current_rev\":0}";
                 self.on_page(index, call, page);
             }
-            (CallPurpose::ListWatch(ListWatchCall::Watch { .. }), 200) => {
+            (CallPurpose::ListWatch(Poll { .. } | Watch { .. }), 200) => {
                 self.on_changes(index, call, body)
             }
             // Gone: the store has discarded the changes since the watched revision.
-            (CallPurpose::ListWatch(ListWatchCall::Watch { .. }), 410) => {
-                conn.list_watch.on_history_gone(self.now, &mut self.rng);
-                let fields = json!({ "kind": conn.kind.name() });
-                self.journal.record("store_history_gone", fields, self.now);
+            (CallPurpose::ListWatch(Poll { .. } | Watch { .. }), 410) => {
+                self.on_history_gone(index)
             }
             (_, status) => self.call_failed(index, call, &format!("status {status}")),
         }
@@ -106,45 +105,90 @@
         self.store_failed(index, reason);
     }
 
-    /// Handles the response to a probe: makes the watches again that may have missed a change.
-    fn on_probe(&mut self, index: usize, call: Call, body: &[u8]) {
-        let position = match objects::parse_probe(body) {
-            Ok(revision) => Position::new(self.store.era, revision),
+    fn on_history_gone(&mut self, index: usize) {
+        let conn = &mut self.store.conns[index];
+        conn.list_watch.on_history_gone(self.now, &mut self.rng);
+        let fields = json!({ "kind": conn.kind.name() });
+        self.journal.record("store_history_gone", fields, self.now);
+        self.on_store_answered();
+    }
+
+    /// Closes the connection of a pending call whose response is no longer wanted.
+    pub(super) fn drop_store_call(&mut self, index: usize) {
+        if self.store.conns[index].call.take().is_some() {
+            self.close_store_conn(index);
+        }
+    }
+
+    /// Handles the response to a probe. Changes that the watch has missed are applied, and it is made
+    /// again.
+    fn on_probe(&mut self, index: usize, watch: usize, call: Call, body: &[u8]) {
+        let batch = match objects::parse_changes(body) {
+            Ok(batch) => batch,
             Err(err) => return self.call_failed(index, call, &err),
         };
-        self.on_store_available();
-        let now = self.now;
-        for index in 0..self.store.conns.len() {
-            let conn = &mut self.store.conns[index];
-            if conn.call.is_none() || !conn.list_watch.is_doubtful(position, now) {
-                continue;
-            }
-            conn.call = None;
-            conn.list_watch.repeat(now);
-            self.close_store_conn(index);
+        self.store.conns[index].list_watch.on_answered(self.now);
+        let position = Position::new(self.store.era, batch.revision);
+        let watched = &mut self.store.conns[watch].list_watch;
+        let has_missed = watched.on_probe(!batch.changes.is_empty(), position, call.started);
+        self.on_store_answered();
+        if !has_missed {
+            return;
         }
+        let kind = self.store.conns[watch].kind.name();
+        let fields = json!({ "kind": kind, "changes": batch.changes.len(), "upto": position });
+        self.journal.record("store_watch_behind", fields, self.now);
+        self.drop_store_call(watch);
+        self.store.conns[watch].list_watch.repeat(self.now);
+        self.apply_batch(watch, &batch, position);
     }
 
-    /// Ends the current outage, if any. Repeats the pending lists and watches, whose responses may
-    /// have been lost.
-    pub(super) fn on_store_available(&mut self) {
-        if self.store.unavailable_since.take().is_none() {
+    /// Handles that the store has answered a call. It serves this host again once no call is lost.
+    pub(super) fn on_store_answered(&mut self) {
+        if self.store.conns.iter().any(|conn| conn.list_watch.is_lost()) {
             return;
         }
+        if self.store.health.on_proof() {
+            self.journal.record("store_serves", json!({}), self.now);
+            self.announce_store_health();
+        }
+        if self.store.unavailable_since.take().is_some() {
+            self.repeat_after_outage();
+        }
+    }
+
+    /// Repeats the pending lists and watches, whose responses may have been lost in the outage that
+    /// has ended.
+    fn repeat_after_outage(&mut self) {
         let mut repeated = Vec::new();
         for index in 0..self.store.conns.len() {
             let conn = &mut self.store.conns[index];
-            if conn
-                .call
-                .as_ref()
-                .is_some_and(|call| matches!(call.purpose, CallPurpose::ListWatch(_)))
-            {
-                conn.call = None;
-                conn.list_watch.retry_after_outage(self.now);
-                repeated.push(conn.kind.name());
-                self.close_store_conn(index);
+            let is_list_watch = |call: &Call| matches!(call.purpose, CallPurpose::ListWatch(_));
+            if !conn.call.as_ref().is_some_and(is_list_watch) {
+                continue;
             }
+            conn.list_watch.retry_after_outage(self.now);
+            repeated.push(conn.kind.name());
+            self.drop_store_call(index);
         }
         self.journal.record("store_regained", json!({ "made_again": repeated }), self.now);
     }
+
+    /// Checks whether the store has begun to fail for this host, and has other hosts watch it in that
+    /// case.
+    pub(crate) fn check_store_health(&mut self) {
+        let calls = self.store.conns.iter().map(|conn| &conn.list_watch);
+        if self.store.health.check(calls, self.now) {
+            self.journal.record("store_failing", json!({}), self.now);
+            self.announce_store_health();
+        }
+    }
+
+    /// Tells all hosts at once whether the store serves this one, on which depends who watches.
+    fn announce_store_health(&mut self) {
+        self.refresh_shares();
+        if self.origin_selector.origin() == Origin::Store {
+            self.announce_changes();
+        }
+    }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -24,3 +24,4 @@
 pub mod reply;
 pub mod reply_time;
 pub mod state;
+pub mod store_health;
--- a/components/routing/src/list_watch.rs
+++ b/components/routing/src/list_watch.rs
@@ -2,10 +2,11 @@
 //!
 //! A kind is listed page by page and then watched from the revision of the list. `ListWatch`
 //! decides which call is due; the event loop makes the call and reports its result. A watch that
-//! waits does not show whether its response was lost, so its age is bounded: probes tell how far
-//! the store has moved on, and a watch that has shown nothing meanwhile is made again. A list or
-//! watch is of use only in the era of the store in which it began; in a later one the kind is listed
-//! again.
+//! waits does not show whether its response was lost or whether the store still answers this host.
+//! Only a call that is answered at once shows it: a page of a list, or a poll, which gets the
+//! changes without waiting for any. So a kind is polled from time to time while its watch waits, and
+//! first of all after a failure. A list or watch is of use only in the era of the store in which it
+//! began; in a later one the kind is listed again.
 
 use {
     crate::position::Position,
@@ -26,9 +27,6 @@
 /// renewed.
 const RENEWAL_GRACE: Span = Span::millis(2_000);
 
-/// Time after which a pending watch is made again if the store has moved on meanwhile.
-const CONFIRM_AFTER: Span = Span::millis(2_000);
-
 /// A call to the store that is due.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ListWatchCall {
@@ -37,7 +35,12 @@
         /// Last name of the previous page; none for the first page.
         after: Option<String>,
     },
-    /// Gets the changes since a revision.
+    /// Gets the changes since a revision without waiting for any.
+    Poll {
+        /// Revision up to which all changes are known.
+        since: Revision,
+    },
+    /// Gets the changes since a revision, and waits for one if there is none.
     Watch {
         /// Revision up to which all changes are known.
         since: Revision,
@@ -54,13 +57,17 @@
     era: StoreEra,
     next_at: Instant,
     calling: bool,
+    /// Whether the call in progress waits for a change.
+    waiting: bool,
     /// Time at which the call in progress was started.
     called_at: Instant,
-    /// Position of the store that was known when the call in progress was started.
-    confirmed: Position,
-    /// Highest known position of the store, which also counts changes to other kinds of objects.
-    store_position: Position,
+    /// Start of the latest answered call that did not wait: all changes before it are known.
+    confirmed_at: Option<Instant>,
+    /// Whether the next call must not wait, as it is not known whether the store answers.
+    polls_next: bool,
     failures: u32,
+    /// Time since which no call was answered; none if the last one was.
+    lost_since: Option<Instant>,
     /// End of the last store outage.
     recovered_at: Option<Instant>,
     /// Highest position from which a watch failed because the store no longer had the changes.
@@ -69,6 +76,8 @@
 
 #[derive(Clone, Debug, Default)]
 struct Listing {
+    /// Start of the first call.
+    started: Instant,
     after: Option<String>,
     /// Position of the first page.
     position: Option<Position>,
@@ -84,10 +93,12 @@
             era: StoreEra(0),
             next_at: start,
             calling: false,
+            waiting: false,
             called_at: start,
-            confirmed: Position::default(),
-            store_position: Position::default(),
+            confirmed_at: None,
+            polls_next: true,
             failures: 0,
+            lost_since: None,
             recovered_at: None,
             compacted: Position::default(),
         }
@@ -98,18 +109,77 @@
         if self.calling || now < self.next_at {
             return None;
         }
-        self.calling = true;
-        self.called_at = now;
-        self.confirmed = self.store_position;
+        self.begin_call(now);
         Some(match self.since {
-            Some(since) => ListWatchCall::Watch { since: since.revision() },
+            Some(since) if self.polls_next => ListWatchCall::Poll { since: since.revision() },
+            Some(since) => {
+                self.waiting = true;
+                ListWatchCall::Watch { since: since.revision() }
+            }
             None => {
-                let listing = self.listing.get_or_insert_default();
+                let first = || Listing { started: now, ..Listing::default() };
+                let listing = self.listing.get_or_insert_with(first);
                 ListWatchCall::List { after: listing.after.clone() }
             }
         })
     }
 
+    /// Records that a call was started which is answered without waiting for a change.
+    pub fn begin_call(&mut self, now: Instant) {
+        self.calling = true;
+        self.waiting = false;
+        self.called_at = now;
+    }
+
+    /// Records that the call in progress was answered.
+    pub fn on_answered(&mut self, now: Instant) {
+        self.succeeded(now);
+    }
+
+    /// Returns the poll that shows whether a watch that waits has missed a change; none while the
+    /// kind is being listed.
+    pub fn probe(&self) -> Option<ListWatchCall> {
+        self.since.map(|since| ListWatchCall::Poll { since: since.revision() })
+    }
+
+    /// Records the answer to a probe that was started at `started`: changes up to `position`, or
+    /// none. Returns whether there were changes that are not known yet, so that the watch has to be
+    /// made again.
+    pub fn on_probe(&mut self, changed: bool, position: Position, started: Instant) -> bool {
+        self.confirmed_at = self.confirmed_at.max(Some(started));
+        if self.since.is_none_or(|since| !position.continues(since)) {
+            return false;
+        }
+        let is_behind = changed && self.since != Some(position);
+        self.since = Some(position);
+        is_behind
+    }
+
+    /// Returns the start of the latest answered call that did not wait; none before the first.
+    pub fn confirmed_at(&self) -> Option<Instant> {
+        self.confirmed_at
+    }
+
+    /// Returns the time since which the store owes an answer: the start of a pending call that does
+    /// not wait, or the first failure since the last answer.
+    pub fn unanswered_since(&self) -> Option<Instant> {
+        let pending = (self.calling && !self.waiting).then_some(self.called_at);
+        self.lost_since.or(pending)
+    }
+
+    /// Whether no call was answered since the first one that failed.
+    pub fn is_lost(&self) -> bool {
+        self.lost_since.is_some()
+    }
+
+    /// Gives up the call in progress, as this host no longer watches the store. When it does again,
+    /// its first call does not wait.
+    pub fn release(&mut self, now: Instant) {
+        self.repeat(now);
+        self.lost_since = None;
+        self.polls_next = true;
+    }
+
     /// Returns the time at which the next call is due; none while one is in progress.
     pub fn next_at(&self) -> Option<Instant> {
         (!self.calling).then_some(self.next_at)
@@ -128,7 +198,9 @@
         if self.enter_era(position.era()) {
             return None;
         }
-        let listing = self.listing.get_or_insert_default();
+        let called_at = self.called_at;
+        let first_call = || Listing { started: called_at, ..Listing::default() };
+        let listing = self.listing.get_or_insert_with(first_call);
         // The watch starts from the position of the first page, so that it covers changes made
         // between the pages.
         let first = *listing.position.get_or_insert(position);
@@ -139,6 +211,7 @@
             return None;
         }
         self.since = Some(first);
+        self.confirmed_at = self.confirmed_at.max(Some(listing.started));
         self.listing.take().map(|listing| listing.names)
     }
 
@@ -146,12 +219,16 @@
     /// whether the changes continue what is known; if the store has come back from a copy meanwhile,
     /// they do not.
     pub fn on_changes(&mut self, changed: bool, position: Position, now: Instant) -> bool {
+        let ended_early = self.waiting && now.since(self.called_at) < BATCH_DELAY;
         self.succeeded(now);
         if self.enter_era(position.era()) {
             return false;
         }
+        if !self.waiting {
+            self.confirmed_at = self.confirmed_at.max(Some(self.called_at));
+        }
         self.since = Some(position.max(self.since.unwrap_or(position)));
-        if changed {
+        if changed || ended_early {
             self.next_at = now + BATCH_DELAY;
         }
         true
@@ -181,6 +258,8 @@
 
     /// Records a call that failed or got no response.
     pub fn on_error(&mut self, now: Instant, rng: &mut impl Rng) {
+        self.lost_since.get_or_insert(if self.waiting { now } else { self.called_at });
+        self.polls_next = true;
         self.calling = false;
         let backoff = FIRST_BACKOFF * (1 << self.failures.min(MAX_DOUBLINGS));
         self.failures += 1;
@@ -197,19 +276,6 @@
         self.recovered_at = Some(now);
     }
 
-    /// Records that the store has reached `position`. Returns whether the response to the pending
-    /// watch may have been lost while its connection stayed open: the store has moved on since the
-    /// watch was started, but the watch has shown nothing for `CONFIRM_AFTER`. The changes can also
-    /// be to other kinds of objects, so this is not a failure of the store.
-    pub fn is_doubtful(&mut self, position: Position, now: Instant) -> bool {
-        self.store_position = self.store_position.max(position);
-        let known = self.since.unwrap_or_default().max(self.confirmed);
-        self.calling
-            && self.since.is_some()
-            && self.store_position > known
-            && now.since(self.called_at) >= CONFIRM_AFTER
-    }
-
     /// Makes the call in progress again at once.
     pub fn repeat(&mut self, now: Instant) {
         self.calling = false;
@@ -218,6 +284,8 @@
 
     fn succeeded(&mut self, now: Instant) {
         self.calling = false;
+        self.polls_next = false;
+        self.lost_since = None;
         if self.failures > 0 {
             self.recovered_at = Some(now);
         }
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -11,7 +11,7 @@
 /// microseconds.
 const CONTEXT_WINDOW_US: u64 = 6_000_000;
 /// Kinds of log events that report a change of a host's state or of its view of the cluster.
-const CONTEXT_EVENTS: [&str; 14] = [
+const CONTEXT_EVENTS: [&str; 17] = [
     "config_adopted",
     "evacuation",
     "following",
@@ -24,8 +24,11 @@
     "started",
     "stopping",
     "store_era",
+    "store_failing",
     "store_lost",
     "store_regained",
+    "store_serves",
+    "store_watch_behind",
 ];
 /// Maximum number of context lines in an explanation.
 const MAX_CONTEXT: usize = 30;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod request_limits;
 mod restored_store;
 mod support;
+mod turned_away;
 
 use {
     std::{
