Say that a route does not exist only with a configuration

Cause: the check "no configuration" depended on whether the host is ready and left stopping hosts out. Ruled out by the lines of the reproduction ("refused" with cause no_route and config null): a host that drops its configuration as it stops, and one that adopts an empty one.

Now the search for a route tells "no such route" and "no configuration" apart, and only the former is a 404.

Tests that failed before: a_stopping_host_without_a_configuration_does_not_ deny_routes (404 on 16 of 16 requests).

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -5,7 +5,7 @@
     serde_json::{Value, json},
     wigeonramp_platform::http::{self, RequestHead},
     wigeonramp_routing::{
-        catalog::RepeatPolicy,
+        catalog::{RepeatPolicy, RouteLookup},
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace, Exchange, RequestTimes},
         leaf::HealthSignal,
         reply::{Cause, Reply},
@@ -81,15 +81,14 @@
         let path = conn.path(head.time_left);
         let fingerprint = fingerprint(&head, &body);
         let url_path = head.target.split('?').next().unwrap_or_default();
-        let route = match self.active_catalog.route(&head.host, url_path) {
-            Some(_) if self.poison.is_refused(fingerprint, self.now) => {
+        let route = match self.active_catalog.find_route(&head.host, url_path) {
+            RouteLookup::NoConfig => Err((Cause::NoConfig, RETRY_AFTER_NO_CONFIG)),
+            _ if !self.replicated.is_complete() => Err((Cause::NoConfig, RETRY_AFTER_NO_CONFIG)),
+            RouteLookup::NoRoute => Err((Cause::NoRoute, Span::ZERO)),
+            RouteLookup::Found(_) if self.poison.is_refused(fingerprint, self.now) => {
                 Err((Cause::Poison, RETRY_AFTER_POISON))
             }
-            _ if !self.is_ready() && self.stopping.is_none() => {
-                Err((Cause::NoConfig, RETRY_AFTER_NO_CONFIG))
-            }
-            Some(route) => Ok(route.clone()),
-            None => Err((Cause::NoRoute, Span::ZERO)),
+            RouteLookup::Found(route) => Ok(route.clone()),
         };
         let route = match route {
             Ok(route) => route,
--- a/components/routing/src/catalog.rs
+++ b/components/routing/src/catalog.rs
@@ -120,6 +120,17 @@
     Older,
 }
 
+/// What a host knows of the route of a request.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum RouteLookup<'a> {
+    /// The route.
+    Found(&'a Arc<Route>),
+    /// The configuration in force has no such route.
+    NoRoute,
+    /// There is no configuration, so the route may exist.
+    NoConfig,
+}
+
 /// The configuration in force on one host.
 #[derive(Clone, Debug, Default)]
 pub struct ActiveCatalog {
@@ -178,13 +189,17 @@
         Some(homes)
     }
 
-    /// Returns the route of `host` with the longest prefix that matches `path`.
-    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
-        let routes = match self.by_host.get(host) {
-            Some(routes) => routes,
-            None => self.by_host.get(&normalize_host(host))?,
-        };
-        routes.iter().find(|route| path.starts_with(route.prefix.as_str()))
+    /// Looks up the route of `host` with the longest prefix that matches `path`.
+    pub fn find_route(&self, host: &str, path: &str) -> RouteLookup<'_> {
+        if self.current.is_none() {
+            return RouteLookup::NoConfig;
+        }
+        let routes = self.by_host.get(host).or_else(|| self.by_host.get(&normalize_host(host)));
+        let mut matching = routes.into_iter().flatten();
+        match matching.find(|route| path.starts_with(route.prefix.as_str())) {
+            Some(route) => RouteLookup::Found(route),
+            None => RouteLookup::NoRoute,
+        }
     }
 }
 
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -5,10 +5,10 @@
 use {
     common::{SEED, at, registration},
     rand::{SeedableRng, rngs::SmallRng},
-    std::{collections::BTreeSet, net::Ipv4Addr, sync::Arc},
+    std::{collections::BTreeSet, net::Ipv4Addr},
     wigeonramp_routing::{
         budget::{ExtraAttemptBudget, ExtraAttemptLimit},
-        catalog::{CallerLimits, Catalog},
+        catalog::{ActiveCatalog, CallerLimits, Catalog, OfferOutcome, RouteLookup},
         entry::{EntryQuery, select_entry_hosts},
         follow::{Origin, OriginSelector},
         leaves::Leaves,
@@ -399,7 +399,6 @@
 /// Guards against a configuration that goes back to a lower version.
 #[test]
 fn lower_version_is_never_adopted() {
-    use wigeonramp_routing::catalog::{ActiveCatalog, OfferOutcome};
     let mut active = ActiveCatalog::new();
     let version = |n| Catalog { version: ConfigVersion(n), ..catalog() };
     let offers: Vec<OfferOutcome> =
@@ -412,8 +411,18 @@
         OfferOutcome::Newer,
     ];
     assert_eq!(offers, expected);
-    let route: Option<&Arc<_>> = active.route("H:80", "/x");
-    assert!(route.is_some(), "host names match without port and in any case");
+    let route = active.find_route("H:80", "/x");
+    let found = matches!(route, RouteLookup::Found(_));
+    assert!(found, "host names match without port and in any case");
+}
+
+/// Guards against a route that is said not to exist by a host that knows no configuration.
+#[test]
+fn only_a_configuration_tells_that_a_route_does_not_exist() {
+    let mut active = ActiveCatalog::new();
+    assert_eq!(active.find_route("h", "/x"), RouteLookup::NoConfig);
+    active.offer(Catalog { routes: Vec::new(), ..catalog() });
+    assert_eq!(active.find_route("h", "/x"), RouteLookup::NoRoute);
 }
 
 /// Guards against random choices that do not depend on the seed alone, so that tests are not
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod restored_store;
 mod support;
 mod turned_away;
+mod without_config;
 
 use {
     std::{
--- /dev/null
+++ b/tests/platform/without_config.rs
@@ -0,0 +1,47 @@
+//! A host that knows no configuration: it was killed and started again while the store is away.
+
+use {
+    crate::support::{Fixture, get_status, request_status},
+    std::{collections::BTreeMap, thread, time::Duration},
+    wigeonramp_platform_standin::store::StoreFault,
+};
+
+/// Time that callers wait for a response.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Starts a host and kills it while the store is away, so that it starts again without a
+/// configuration.
+fn start_without_config(n: u64) -> Fixture {
+    let mut fixture = Fixture::start(n, "connection_limit", 50);
+    fixture.add_leaf("one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    fixture.store.set_fault(StoreFault::Reset);
+    fixture.restart(0);
+    // The host listens soon after its start.
+    while request_status(fixture.caller_address(), "GET", "up", TIMEOUT) == 0 {
+        thread::sleep(Duration::from_millis(20));
+    }
+    fixture
+}
+
+/// Returns the number of responses by status to requests sent over `time`.
+fn statuses(fixture: &Fixture, time: Duration) -> BTreeMap<u16, usize> {
+    let mut count = BTreeMap::new();
+    for n in 0..time.as_millis() / 50 {
+        let status = get_status(fixture.caller_address(), "/read/", &format!("s{n}"), TIMEOUT);
+        *count.entry(status).or_default() += 1;
+        thread::sleep(Duration::from_millis(50));
+    }
+    count
+}
+
+/// Guards against a host that says that a route does not exist although it knows no route at all,
+/// because it is stopping.
+#[test]
+fn a_stopping_host_without_a_configuration_does_not_deny_routes() {
+    let mut fixture = start_without_config(22);
+    assert_eq!(statuses(&fixture, Duration::from_millis(200)), BTreeMap::from([(503, 4)]));
+    fixture.stop();
+    let statuses = statuses(&fixture, Duration::from_millis(800));
+    assert_eq!(statuses.keys().copied().collect::<Vec<_>>(), [503], "{statuses:?}");
+}
