Refuse long requests only for a time without a configuration

A host without a configuration measured requests by the default limits and answered 431 or 413, which callers do not repeat, although the configuration may allow more. It answers 503 now. Shown by a test of a real host that failed before (431 in place of 503); no caller is known to have met it, as today's configurations allow no more than the defaults.

--- a/components/edge/src/callers.rs
+++ b/components/edge/src/callers.rs
@@ -4,6 +4,7 @@
     crate::{
         body::{BodyError, BodyReader},
         node::{EventSource, ListenerPurpose, Node},
+        requests::RETRY_AFTER_NO_CONFIG,
         sock::{self, OutBuf, ReadEnd},
         tcp_info,
     },
@@ -268,7 +269,14 @@
 
     /// Responds to a request that cannot be read, and closes the connection.
     fn refuse_caller(&mut self, key: usize, cause: Cause) {
-        let reply = Reply::Refused { cause, retry_after: Span::ZERO };
+        let exceeds_limit = matches!(cause, Cause::HeadTooLong | Cause::BodyTooLong);
+        let has_config = self.active_catalog.current().is_some();
+        let reply = if exceeds_limit && !has_config {
+            // The configuration may allow more than the default limits.
+            Reply::Refused { cause: Cause::NoConfig, retry_after: RETRY_AFTER_NO_CONFIG }
+        } else {
+            Reply::Refused { cause, retry_after: Span::ZERO }
+        };
         self.metrics.count_reply(None, http::reply_status(&reply), cause.name());
         self.journal.record("unreadable_request", json!({ "cause": cause.name() }), self.now);
         let bytes = http::encode_reply(&reply, false, true);
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -20,7 +20,7 @@
 /// Maximum number of shards and of attempts listed in a log line.
 const MAX_LOGGED: usize = 12;
 /// Retry-After time of a host that has no configuration yet.
-const RETRY_AFTER_NO_CONFIG: Span = Span::millis(500);
+pub(crate) const RETRY_AFTER_NO_CONFIG: Span = Span::millis(500);
 /// Retry-After time for a request that is refused because it crashes leaves.
 const RETRY_AFTER_POISON: Span = Span::secs(5);
 
--- a/tests/platform/without_config.rs
+++ b/tests/platform/without_config.rs
@@ -45,3 +45,11 @@
     let statuses = statuses(&fixture, Duration::from_millis(800));
     assert_eq!(statuses.keys().copied().collect::<Vec<_>>(), [503], "{statuses:?}");
 }
+
+/// Guards against a final refusal of a long request by limits that the configuration may not have.
+#[test]
+fn long_requests_are_not_refused_for_good_without_a_configuration() {
+    let fixture = start_without_config(23);
+    let path = format!("/read/{}/", "x".repeat(100 * 1024));
+    assert_eq!(get_status(fixture.caller_address(), &path, "long", TIMEOUT), 503);
+}
