Let each host know how old its news of the store is

While the store gave no answers to the hosts that watch it and served the others, these answered 404 on a new route and sent to a leaf that had left up to 4.5 s after the ack; 3 s are allowed.

Cause: noticing (up to 2.2 s), counting as failing (1 s more), telling by heartbeats from host to host and waiting for a follower's lag (0.6 s) were each reasonable and never summed; a follower could not tell keepalives from news, so only the host that had failed could notice.

Now the age of the news goes with every frame and heartbeat. A host whose news is 1.6 s old follows a host with fresher news or, if it knows none, takes over in waves: eight hosts, twice as many each 0.3 s.

A test of the silent origin now says when the news was current.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -101,6 +101,9 @@
     leaves_era: u64,
     #[prost(uint64, tag = "9")]
     evacuations_era: u64,
+    /// Age of the sender's news in milliseconds; none if it has none.
+    #[prost(uint32, optional, tag = "10")]
+    news_age: Option<u32>,
 }
 
 impl From<&MemberInfo> for MemberMessage {
@@ -235,6 +238,7 @@
             config_version: self.active_catalog.version().unwrap_or_default().0,
             leaves_era: leaves.era().0,
             evacuations_era: evacuations.era().0,
+            news_age: self.origin_selector.news_age(self.now).map(|age| age.as_millis() as u32),
         };
         let kind = if heartbeat.limits.is_some() { "limits" } else { "heartbeat" };
         let bytes = heartbeat.encode_to_vec();
@@ -280,6 +284,7 @@
         };
         let Some(sender) = heartbeat.members.first().and_then(MemberMessage::info) else { return };
         let is_new = !self.members.has_heard(sender.ip, sender.incarnation);
+        let was_failing = self.members.is_store_failing(sender.ip);
         for info in heartbeat.members.iter().filter_map(MemberMessage::info) {
             let (ip, ready, leaving) = (info.ip, info.ready, info.leaving);
             if self.members.merge(info, self.now) {
@@ -287,6 +292,16 @@
                 self.journal.record("member", fields, self.now);
             }
         }
+        if let Some(age) = heartbeat.news_age {
+            let age = Span::millis(u64::from(age));
+            self.origin_selector.on_news_age(sender.ip, age, self.now);
+        }
+        // Who watches the store may have changed.
+        if self.members.is_store_failing(sender.ip) != was_failing
+            || self.origin_selector.is_outdated()
+        {
+            self.next_sweep = self.now;
+        }
         for fingerprint in heartbeat.refused {
             self.poison.add_refused(Fingerprint(fingerprint), self.now);
         }
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -80,6 +80,7 @@
     admitted_share: Gauge<f64, AtomicU64>,
     traffic_share: Gauge<f64, AtomicU64>,
     config_age: Gauge<f64, AtomicU64>,
+    news_age: Gauge<f64, AtomicU64>,
     serving_hosts: Gauge,
     config_version: Gauge,
     leaves: Gauge,
@@ -114,6 +115,7 @@
             admitted_share: Gauge::default(),
             traffic_share: Gauge::default(),
             config_age: Gauge::default(),
+            news_age: Gauge::default(),
             serving_hosts: Gauge::default(),
             config_version: Gauge::default(),
             leaves: Gauge::default(),
@@ -153,6 +155,8 @@
         registry.register("traffic_share", help, this.traffic_share.clone());
         let help = "Seconds since the configuration in force was adopted";
         registry.register("config_age_seconds", help, this.config_age.clone());
+        let help = "Age of the latest time up to which this host knows all changes of the store";
+        registry.register("news_age_seconds", help, this.news_age.clone());
         let help = "Hosts that callers can be sent to";
         registry.register("serving_hosts", help, this.serving_hosts.clone());
         registry.register(
@@ -267,6 +271,9 @@
         if let Some(at) = self.replicated.config_adopted_at {
             self.metrics.config_age.set(self.now.since(at).0 as f64 / 1e6);
         }
+        if let Some(age) = self.origin_selector.news_age(self.now) {
+            self.metrics.news_age.set(age.0 as f64 / 1e6);
+        }
         let mut text = String::new();
         match encode(&mut text, &self.metrics.registry) {
             Ok(()) => text,
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -49,8 +49,8 @@
 const MAX_EVENTS: usize = 256;
 /// Interval of the sweep, which handles everything without its own timer.
 const SWEEP_INTERVAL: Span = Span::millis(200);
-/// Interval of the sweep while the host has no origin to receive changes from.
-const NO_ORIGIN_SWEEP_INTERVAL: Span = Span::millis(50);
+/// Interval of the sweep while the host seeks an origin to receive changes from.
+const SEEKING_SWEEP_INTERVAL: Span = Span::millis(50);
 /// CPU time of an attempt and its response, including its share of all other work.
 const ATTEMPT_COST: Span = Span(60);
 /// Serial numbers of requests for permits per millisecond of the incarnation number.
@@ -172,7 +172,7 @@
     pub(crate) stopping: Option<Stopping>,
     stop_signal: Arc<AtomicBool>,
     reload_signal: Arc<AtomicBool>,
-    next_sweep: Instant,
+    pub(crate) next_sweep: Instant,
     pub(crate) next_limit_usage: Instant,
 }
 
@@ -367,9 +367,10 @@
         self.send_due_heartbeat();
         self.send_limit_messages();
         if self.now >= self.next_sweep {
-            let no_origin = self.origin_selector.origin() == Origin::Nobody;
+            let seeks_origin = self.origin_selector.origin() == Origin::Nobody
+                || self.origin_selector.is_outdated();
             self.next_sweep =
-                self.now + if no_origin { NO_ORIGIN_SWEEP_INTERVAL } else { SWEEP_INTERVAL };
+                self.now + if seeks_origin { SEEKING_SWEEP_INTERVAL } else { SWEEP_INTERVAL };
             self.sweep();
             self.process_ended_attempts();
         }
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -30,6 +30,9 @@
 const MAX_FRAME: usize = 16 * 1024 * 1024;
 /// Size of the length prefix in bytes.
 const LENGTH_BYTES: usize = 4;
+/// Minimum progress of the news, and time since the last frame, with which followers are told of it
+/// before the next keepalive.
+const MIN_NEWS_STEP: Span = Span::millis(100);
 /// Timeout of the first update from a followed host.
 const FIRST_UPDATE_TIMEOUT: Span = Span::millis(800);
 
@@ -53,11 +56,18 @@
 /// Changes sent to a follower; without any, the frame is a keepalive.
 #[derive(Debug, Default, Deserialize, Serialize)]
 struct ReplicationUpdate {
+    /// Age of the sender's news; none if it has none. Hosts of earlier versions do not send it.
+    #[serde(default = "no_age")]
+    age: Option<Span>,
     config: Option<ConfigUpdate>,
     leaves: Option<Update>,
     evacuations: Option<Update>,
 }
 
+const fn no_age() -> Option<Span> {
+    Some(Span::ZERO)
+}
+
 /// A replication stream.
 #[derive(Debug)]
 struct PeerConn {
@@ -114,8 +124,14 @@
             self.origin_selector.on_caught_up();
         }
         let before = self.origin_selector.origin();
+        let was_outdated = self.origin_selector.is_outdated();
         let fetch_from = self.origin_selector.select(&self.members, self.now);
         let origin = self.origin_selector.origin();
+        if !was_outdated && self.origin_selector.is_outdated() {
+            let age = self.origin_selector.news_age(self.now).map(|age| age.0);
+            let fields = json!({ "origin": format!("{before:?}"), "age_us": age });
+            self.journal.record("news_outdated", fields, self.now);
+        }
         if origin != before {
             let fields =
                 json!({ "origin": format!("{origin:?}"), "before": format!("{before:?}") });
@@ -258,7 +274,11 @@
                 return Ok(false);
             };
             conn.has_update = true;
+            let current_until = update.age.map(|age| self.now - age);
             self.apply_replication_update(update);
+            if let Some(until) = current_until {
+                self.on_news_current(until);
+            }
             return Ok(true);
         }
         let Some(positions) = take_frame::<KnownPositions>(&mut conn.inbuf)? else {
@@ -300,14 +320,15 @@
         let Some(conn) = self.peers.conns.get_mut(key) else { return };
         conn.follower = Some(current);
         if !is_empty || first {
-            self.send_update(key, &update);
+            self.send_update(key, update);
         }
     }
 
-    fn send_update(&mut self, key: usize, update: &ReplicationUpdate) {
+    fn send_update(&mut self, key: usize, mut update: ReplicationUpdate) {
         let Some(conn) = self.peers.conns.get_mut(key) else { return };
         conn.last_sent = self.now;
-        match encode_frame(update) {
+        update.age = self.origin_selector.news_age(self.now);
+        match encode_frame(&update) {
             Ok(bytes) => conn.out.push(bytes),
             Err(err) => {
                 let fields = json!({ "error": err.to_string() });
@@ -322,15 +343,36 @@
 
     /// Sends a keepalive to followers that have not been sent a frame for `KEEP_ALIVE`.
     pub(crate) fn send_keepalives(&mut self) {
+        self.send_keepalives_after(KEEP_ALIVE);
+    }
+
+    fn send_keepalives_after(&mut self, interval: Span) {
         let is_due = |conn: &PeerConn| {
             conn.follower.is_some()
                 && conn.out.is_empty()
-                && self.now.since(conn.last_sent) >= KEEP_ALIVE
+                && self.now.since(conn.last_sent) >= interval
         };
         let conns = self.peers.conns.iter().filter(|(_, conn)| is_due(conn));
         let keys: Vec<usize> = conns.map(|(key, _)| key).collect();
         for key in keys {
-            self.send_update(key, &ReplicationUpdate::default());
+            self.send_update(key, ReplicationUpdate::default());
+        }
+    }
+
+    /// Records that all changes that the store acknowledged before `until` have been received, and
+    /// tells the followers, whose news is as old as this host's. If the news was out of date, a host
+    /// that watches the store tells all others, so that they can follow it.
+    pub(crate) fn on_news_current(&mut self, until: Instant) {
+        let before = self.origin_selector.current_until();
+        if self.origin_selector.on_current(until, self.now) {
+            let fields = json!({ "age_us": self.now.since(until).0 });
+            self.journal.record("news_current", fields, self.now);
+            if self.origin_selector.origin() == Origin::Store {
+                self.announce_changes();
+            }
+        }
+        if before.is_none_or(|before| until.since(before) >= MIN_NEWS_STEP) {
+            self.send_keepalives_after(MIN_NEWS_STEP);
         }
     }
 
@@ -355,6 +397,7 @@
         };
         let newer = |update: &Update, known: Position| update.upto > known;
         ReplicationUpdate {
+            age: None,
             config,
             leaves: leaves.filter(|update| newer(update, known.leaves)),
             evacuations: evacuations.filter(|update| newer(update, known.evacuations)),
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -131,6 +131,15 @@
         self.health.is_failing()
     }
 
+    /// Returns the time before which all acknowledged changes have been received, as the calls to the
+    /// store show.
+    fn current_until(&self) -> Option<Instant> {
+        let is_watched = |conn: &&StoreConn| conn.kind != ObjectKind::Members;
+        let watched = self.conns.iter().filter(is_watched);
+        let kinds: Vec<&ListWatch> = watched.map(|conn| &conn.list_watch).collect();
+        self.health.current_until(&kinds)
+    }
+
     /// Returns the latest known era of the store.
     pub fn era(&self) -> StoreEra {
         self.era
--- a/components/edge/src/store/outcomes.rs
+++ b/components/edge/src/store/outcomes.rs
@@ -148,6 +148,9 @@
         if self.store.conns.iter().any(|conn| conn.list_watch.is_lost()) {
             return;
         }
+        if let Some(until) = self.store.current_until() {
+            self.on_news_current(until);
+        }
         if self.store.health.on_proof() {
             self.journal.record("store_serves", json!({}), self.now);
             self.announce_store_health();
--- a/components/routing/src/follow.rs
+++ b/components/routing/src/follow.rs
@@ -1,24 +1,25 @@
 //! Selection of the origin of changes: the store itself or another host.
 //!
-//! If every host watched the store, each change would cost store calls in proportion to the number
-//! of hosts. Instead a few hosts watch the store and the others follow one of them. All hosts rank
-//! the live hosts by the same order, so no agreement is needed: different views of the membership
-//! only lead to a few more or fewer watches.
+//! Each host knows how old its news is: all changes that the store acknowledged before some point in
+//! time have been received. A host that watches the store knows it from calls that the store
+//! answers; a follower from the host that it follows, whose every message says it. So a follower
+//! needs no sign of a failure, and data from an origin that gets no changes itself is no sign of
+//! life. A host whose news is out of date goes over to a host with fresher news. If it knows none, it
+//! takes over as a watcher, in waves with the others.
 
 use {
-    crate::members::{MemberInfo, Membership, entry_order},
-    indexmap::{IndexMap, IndexSet},
+    crate::{
+        members::{MemberInfo, Membership},
+        sources::{takes_over, watchers},
+    },
+    indexmap::IndexMap,
     std::net::Ipv4Addr,
-    wigeonramp_units::{Instant, Span, ZoneId},
+    wigeonramp_units::{Instant, Span},
 };
 
-/// Minimum number of hosts that watch the store; there is at least one in each zone.
-const MIN_WATCHERS: usize = 4;
 /// Time after the start in which a host does not watch the store, so that hosts that start together
 /// learn of each other first and do not all call the store.
 const DISCOVERY_TIME: Span = Span::millis(250);
-/// Time without an origin after which a host watches the store itself.
-const NO_ORIGIN_TIMEOUT: Span = Span::millis(1_200);
 /// Time for which a host without an origin waits for the watcher of its own zone to become ready.
 const SAME_ZONE_WAIT: Span = Span::millis(450);
 /// Interval without changes after which a host sends a keepalive to its followers.
@@ -27,11 +28,13 @@
 /// time after which a killed or suspended host counts as lost, because changes have to take effect
 /// within seconds.
 const SILENCE_TIMEOUT: Span = Span::millis(900);
-/// Number of followed hosts that fail in a row before this host watches the store itself; all
-/// watchers may be lost together.
-const MAX_FAILURES: u32 = 2;
-/// Time for which a host that failed as an origin is not followed, and for which this host watches
-/// the store itself after `MAX_FAILURES`.
+/// Age from which news is out of date. Between two probes of the store it reaches half of this, or
+/// three quarters with a slow store.
+pub const MAX_NEWS_AGE: Span = Span::millis(1_600);
+/// Minimum difference in age from which another host's news counts as fresher.
+const FRESHER_BY: Span = Span::millis(300);
+/// Time for which a host that failed as an origin is not followed, and for which a host that has
+/// taken over watches the store.
 const EXCLUSION_TIME: Span = Span::secs(4);
 /// Time for which a follower may lag behind another host before it fetches from that one. It is
 /// longer than the lag between watchers that pause between their calls to the store.
@@ -57,15 +60,19 @@
     origin: Origin,
     /// Time since which there is no origin.
     no_origin_since: Option<Instant>,
+    /// Time before which all changes that the store acknowledged have been received.
+    current_until: Option<Instant>,
+    /// Time since which this host has known its news to be out of date.
+    outdated_since: Option<Instant>,
+    /// What other hosts have said of their own news, as `current_until`.
+    others: IndexMap<Ipv4Addr, Instant>,
     /// Hosts that are not followed, each with the end of its exclusion.
     excluded: IndexMap<Ipv4Addr, Instant>,
     /// Time since which this host lags behind another one, and that host.
     behind: Option<(Instant, Ipv4Addr)>,
     /// Time at which the followed host was chosen or data from it last arrived.
     last_data_at: Instant,
-    /// Number of followed hosts that failed since data last arrived.
-    failures: u32,
-    /// Time until which this host watches the store itself because the followed hosts failed.
+    /// Time until which this host watches the store because it has taken over.
     direct_until: Instant,
 }
 
@@ -76,10 +83,12 @@
             started: now,
             origin: Origin::Nobody,
             no_origin_since: Some(now),
+            current_until: None,
+            outdated_since: None,
+            others: IndexMap::new(),
             excluded: IndexMap::new(),
             behind: None,
             last_data_at: now,
-            failures: 0,
             direct_until: now,
         }
     }
@@ -89,17 +98,36 @@
         self.origin
     }
 
+    /// Returns the time before which all changes that the store acknowledged have been received;
+    /// none before the first.
+    pub fn current_until(&self) -> Option<Instant> {
+        self.current_until
+    }
+
+    /// Returns the age of this host's news; none before the first.
+    pub fn news_age(&self, now: Instant) -> Option<Span> {
+        self.current_until.map(|until| now.since(until))
+    }
+
+    /// Whether this host's news has been found out of date.
+    pub fn is_outdated(&self) -> bool {
+        self.outdated_since.is_some()
+    }
+
+    /// Records that all changes that the store acknowledged before `until` have been received.
+    /// Returns whether the news was out of date and is not any more.
+    pub fn on_current(&mut self, until: Instant, now: Instant) -> bool {
+        self.current_until = self.current_until.max(Some(until));
+        let is_recent = now.since(until) < MAX_NEWS_AGE;
+        is_recent && self.outdated_since.take().is_some()
+    }
+
     /// Records that the host failed as an origin.
     pub fn on_failure(&mut self, host: Ipv4Addr, now: Instant) {
         self.excluded.insert(host, now + EXCLUSION_TIME);
-        if self.origin != Origin::Host(host) {
-            return;
-        }
-        self.origin = Origin::Nobody;
-        self.failures += 1;
-        if self.failures >= MAX_FAILURES {
-            self.failures = 0;
-            self.direct_until = now + EXCLUSION_TIME;
+        self.others.swap_remove(&host);
+        if self.origin == Origin::Host(host) {
+            self.origin = Origin::Nobody;
         }
     }
 
@@ -107,10 +135,14 @@
     pub fn on_data(&mut self, host: Ipv4Addr, now: Instant) {
         if self.origin == Origin::Host(host) {
             self.last_data_at = now;
-            self.failures = 0;
         }
     }
 
+    /// Records the age of another host's news, as that host has just said it.
+    pub fn on_news_age(&mut self, host: Ipv4Addr, age: Span, now: Instant) {
+        self.others.insert(host, now - age);
+    }
+
     /// Records that another host has changes that this one does not have.
     pub fn on_lag(&mut self, host: Ipv4Addr, now: Instant) {
         self.behind.get_or_insert((now, host));
@@ -125,11 +157,15 @@
     /// it.
     pub fn select(&mut self, members: &Membership, now: Instant) -> Option<Ipv4Addr> {
         self.excluded.retain(|_, until| now < *until);
+        self.others.retain(|_, until| now.since(*until) < MAX_NEWS_AGE);
         if let Origin::Host(host) = self.origin
             && now.since(self.last_data_at) >= SILENCE_TIMEOUT
         {
             self.on_failure(host, now);
         }
+        if now.since(self.current_until.unwrap_or(self.started)) >= MAX_NEWS_AGE {
+            self.outdated_since.get_or_insert(now);
+        }
         let before = self.origin;
         let ahead = self.host_ahead(now);
         if let (Some(host), Origin::Host(slow)) = (ahead, self.origin) {
@@ -161,16 +197,25 @@
         Some(host)
     }
 
-    fn choose(&self, members: &Membership, now: Instant) -> Origin {
+    fn choose(&mut self, members: &Membership, now: Instant) -> Origin {
         let own = members.own();
         let discovery_over = now.since(self.started) >= DISCOVERY_TIME;
         let watchers = watchers(members, now);
         if discovery_over && !own.leaving && watchers.contains(&own.ip) {
             return Origin::Store;
         }
-        if now < self.direct_until && !own.leaving {
+        if now < self.direct_until && !own.leaving && !own.store_failing {
             return Origin::Store;
         }
+        if let Some(since) = self.outdated_since {
+            if let Some(host) = self.freshest(members, now) {
+                return Origin::Host(host);
+            }
+            if takes_over(members, now.since(since), now) {
+                self.direct_until = now + EXCLUSION_TIME;
+                return Origin::Store;
+            }
+        }
         let usable = |info: &&MemberInfo| {
             info.ready && !info.store_failing && !self.excluded.contains_key(&info.ip)
         };
@@ -196,34 +241,21 @@
         let is_watcher = |info: &&&MemberInfo| watchers.contains(&info.ip);
         let in_zone = ready.iter().filter(is_watcher).find(|info| info.zone == own.zone);
         let watcher = in_zone.or_else(|| ready.iter().find(is_watcher));
-        if let Some(info) = watcher {
-            return Origin::Host(info.ip);
-        }
-        let timed_out =
-            self.no_origin_since.is_none_or(|since| now.since(since) >= NO_ORIGIN_TIMEOUT);
-        if timed_out && !own.leaving { Origin::Store } else { Origin::Nobody }
+        watcher.map_or(Origin::Nobody, |info| Origin::Host(info.ip))
     }
-}
 
-/// Returns the hosts that watch the store: the first of each zone and further ones up to the
-/// minimum, in the order in which callers get addresses, because every host knows the state of the
-/// first ones best. Hosts whose calls to the store fail come last, so that others take over from
-/// them.
-fn watchers(members: &Membership, now: Instant) -> IndexSet<Ipv4Addr> {
-    let own = members.own();
-    let mut all: Vec<&MemberInfo> = members.alive(now).collect();
-    if !own.leaving {
-        all.push(own);
-    }
-    all.sort_by(|a, b| a.store_failing.cmp(&b.store_failing).then_with(|| entry_order(a, b)));
-    let mut zones: IndexSet<&ZoneId> = IndexSet::new();
-    let mut chosen: IndexSet<Ipv4Addr> =
-        all.iter().filter(|info| zones.insert(&info.zone)).map(|info| info.ip).collect();
-    for info in all {
-        if chosen.len() >= MIN_WATCHERS {
-            break;
-        }
-        chosen.insert(info.ip);
+    /// Returns the host whose news is known to be fresher than this one's: the followed one if it is,
+    /// preferably one of this zone otherwise, and among those the one with the latest news.
+    fn freshest(&self, members: &Membership, now: Instant) -> Option<Ipv4Addr> {
+        let zone = &members.own().zone;
+        let own = self.current_until.unwrap_or(self.started);
+        let usable = |info: &&MemberInfo| info.ready && !self.excluded.contains_key(&info.ip);
+        let usable = members.alive(now).filter(usable);
+        let known = usable.filter_map(|info| Some((info, *self.others.get(&info.ip)?)));
+        let fresher = known.filter(|(_, until)| *until > own + FRESHER_BY);
+        let best = fresher.max_by_key(|(info, until)| {
+            (self.origin == Origin::Host(info.ip), info.zone == *zone, *until)
+        });
+        best.map(|(info, _)| info.ip)
     }
-    chosen
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,5 +23,6 @@
 pub mod reconcile;
 pub mod reply;
 pub mod reply_time;
+pub mod sources;
 pub mod state;
 pub mod store_health;
--- a/components/routing/src/list_watch.rs
+++ b/components/routing/src/list_watch.rs
@@ -167,6 +167,12 @@
         self.lost_since.or(pending)
     }
 
+    /// Whether all changes of the kind are known and the store has answered since this host began to
+    /// watch it or a call last failed.
+    pub fn is_current(&self) -> bool {
+        self.since.is_some() && !self.polls_next
+    }
+
     /// Whether no call was answered since the first one that failed.
     pub fn is_lost(&self) -> bool {
         self.lost_since.is_some()
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -308,6 +308,11 @@
         known.is_some_and(|m| m.last_heartbeat.is_some() && m.info.incarnation == incarnation)
     }
 
+    /// Whether the store fails for another host, as that host last said.
+    pub fn is_store_failing(&self, ip: Ipv4Addr) -> bool {
+        self.others.get(&ip).is_some_and(|member| member.info.store_failing)
+    }
+
     /// Whether any other host is alive.
     pub fn has_live_peers(&self, now: Instant) -> bool {
         self.alive(now).next().is_some()
--- a/components/routing/src/store_health.rs
+++ b/components/routing/src/store_health.rs
@@ -59,6 +59,15 @@
         has_begun
     }
 
+    /// Returns the time before which all acknowledged changes have been received, as the calls for
+    /// `kinds` show; none unless this host watches the store and has got an answer for each kind.
+    pub fn current_until(&self, kinds: &[&ListWatch]) -> Option<Instant> {
+        if !self.watches || !kinds.iter().all(|kind| kind.is_current()) {
+            return None;
+        }
+        kinds.iter().filter_map(|kind| kind.confirmed_at()).max()
+    }
+
     /// Records an answer that proves that the store serves this host. Returns whether it was failing.
     pub fn on_proof(&mut self) -> bool {
         std::mem::take(&mut self.failing)
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -143,6 +143,7 @@
     let (members, mut selector, first) =
         (0..9).find_map(follower).expect("some hosts follow others");
     selector.on_data(first, at(1_500));
+    selector.on_current(at(1_500), at(1_500));
     selector.select(&members, at(2_300));
     assert_eq!(selector.origin(), Origin::Host(first), "its data arrived recently");
     selector.select(&members, at(2_400));
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -11,13 +11,15 @@
 /// microseconds.
 const CONTEXT_WINDOW_US: u64 = 6_000_000;
 /// Kinds of log events that report a change of a host's state or of its view of the cluster.
-const CONTEXT_EVENTS: [&str; 17] = [
+const CONTEXT_EVENTS: [&str; 19] = [
     "config_adopted",
     "evacuation",
     "following",
     "leaf",
     "leaf_address_reused",
     "leaf_limit",
+    "news_current",
+    "news_outdated",
     "overload",
     "reloaded",
     "request_suspected",
