Count the grace of vanished registrations from their removal

Requests reached leaves that had left without notice up to 3.07 s after the ack.

Now the time counts from the last moment of which the host knew all changes, within the drain time of the settings, unless the store was away for all hosts; the log of changes sends what is left of it. The decision moves from the event loop to routing/lapse.rs.

--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -383,12 +383,12 @@
             changed: self.replicated.config_upto,
             catalog: catalog.as_ref().clone(),
         });
-        let leaves = match self.replicated.leaves.since(known.leaves) {
+        let leaves = match self.replicated.leaves.since(known.leaves, self.now) {
             Some(update) => Some(update),
             None if self.replicated.leaves.upto() > known.leaves => Some(self.full_leaf_update()),
             None => None,
         };
-        let evacuations = match self.replicated.evacuations.since(known.evacuations) {
+        let evacuations = match self.replicated.evacuations.since(known.evacuations, self.now) {
             Some(update) => Some(update),
             None if self.replicated.evacuations.upto() > known.evacuations => {
                 Some(self.full_evacuation_update())
@@ -477,11 +477,12 @@
         for change in removals.iter().filter(|_| update.whole).chain(&update.changes) {
             self.apply(change);
         }
+        let now = self.now;
         let log = log(&mut self.replicated);
         if update.whole {
             log.restart(update.upto, update.changed);
         } else {
-            log.extend(update.upto, &update.changes);
+            log.extend(update.upto, &update.changes, now);
         }
         self.replicated.unsent_changes = true;
     }
--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -5,17 +5,10 @@
     crate::node::Node,
     serde_json::json,
     wigeonramp_platform::objects::{self, CONFIG_OBJECT, ObjectChanges, ObjectKind, StoredObject},
-    wigeonramp_routing::{changes::Change, list_watch::ListWatch, position::Position},
-    wigeonramp_units::{LeafId, Revision, Span, ZoneId},
+    wigeonramp_routing::{changes::Change, lapse::Vanished, position::Position},
+    wigeonramp_units::{Instant, LeafId, Revision, Span, ZoneId},
 };
 
-/// Minimum share of all registrations that must disappear together to count as lapsed, that is, not
-/// renewed in time. Fewer are taken to have been removed by their leaves.
-const MIN_LAPSED_SHARE: f64 = 0.1;
-/// Minimum number of registrations that must disappear together to count as lapsed, in addition to
-/// the minimum share.
-const MIN_LAPSED_COUNT: usize = 4;
-
 impl Node {
     /// Applies a page of a list. After the last page, also removes leaves and evacuations that the
     /// list no longer has.
@@ -33,6 +26,7 @@
             }
         }
         let names = page.items.iter().map(|object| object.name.clone());
+        let known_until = self.origin_selector.current_until();
         let conn = &mut self.store.conns[index];
         let position = Position::new(self.store.era, page.revision);
         let all_names = conn.list_watch.on_page(names, page.has_more, position, self.now);
@@ -55,7 +49,7 @@
                 let missing = |id: &&LeafId| !all_names.contains(id.as_str());
                 let missing: Vec<_> = self.routing.leaves.ids().filter(missing).cloned().collect();
                 let settling = self.reconciler.grace(self.now);
-                for change in self.leaf_removals(index, missing, settling) {
+                for change in self.leaf_removals(index, missing, known_until, settling) {
                     self.apply(&change);
                 }
                 self.replicated.leaves.restart(upto, last_change);
@@ -84,17 +78,25 @@
             Ok(batch) => batch,
             Err(err) => return self.call_failed(index, call, &err),
         };
+        let known_until = self.origin_selector.current_until();
         let position = Position::new(self.store.era, batch.revision);
         let changed = !batch.changes.is_empty();
         let continues = self.store.conns[index].list_watch.on_changes(changed, position, self.now);
         self.on_store_answered();
         if continues {
-            self.apply_batch(index, &batch, position);
+            self.apply_batch(index, &batch, position, known_until);
         }
     }
 
-    /// Applies the changes of the kind that connection `index` watches, complete up to `position`.
-    pub(super) fn apply_batch(&mut self, index: usize, batch: &ObjectChanges, position: Position) {
+    /// Applies the changes of the kind that connection `index` watches, complete up to `position`, which
+    /// the store has made since `known_until`.
+    pub(super) fn apply_batch(
+        &mut self,
+        index: usize,
+        batch: &ObjectChanges,
+        position: Position,
+        known_until: Option<Instant>,
+    ) {
         let kind = self.store.conns[index].kind;
         self.log_unreadable(kind, batch.unreadable);
         let mut changes = Vec::new();
@@ -118,12 +120,14 @@
                 _ => {}
             }
         }
-        let mut all_changes = self.leaf_removals(index, removed_leaves, Span::ZERO);
+        let mut all_changes = self.leaf_removals(index, removed_leaves, known_until, Span::ZERO);
         all_changes.extend(changes);
         // Another host may already have sent the same changes.
         let is_new = match kind {
-            ObjectKind::Leaves => self.replicated.leaves.extend(position, &all_changes),
-            ObjectKind::Evacuations => self.replicated.evacuations.extend(position, &all_changes),
+            ObjectKind::Leaves => self.replicated.leaves.extend(position, &all_changes, self.now),
+            ObjectKind::Evacuations => {
+                self.replicated.evacuations.extend(position, &all_changes, self.now)
+            }
             ObjectKind::Config => {
                 self.replicated.config_upto = self.replicated.config_upto.max(position);
                 true
@@ -199,20 +203,23 @@
         }
     }
 
-    /// Returns the removals of leaves whose registrations disappeared. They take effect at once, or
-    /// after a grace period if the registrations may have lapsed and be renewed, which is assumed
-    /// after an outage of the store and if many disappear together, and after `min_grace` at the
-    /// earliest.
-    fn leaf_removals(&self, index: usize, ids: Vec<LeafId>, min_grace: Span) -> Vec<Change> {
-        let min_lapsed = (self.routing.leaves.len() as f64 * MIN_LAPSED_SHARE) as usize;
-        let have_lapsed = ids.len() >= min_lapsed.max(MIN_LAPSED_COUNT);
-        let renewal_deadline = self.store.conns[index].list_watch.renewal_deadline(self.now);
-        let grace = match renewal_deadline {
-            Some(until) => until.since(self.now),
-            None if have_lapsed => ListWatch::renewal_grace(),
-            None => Span::ZERO,
+    /// Returns the removals of leaves whose registrations vanished since `known_until`, which take effect
+    /// after `min_grace` at the earliest.
+    fn leaf_removals(
+        &self,
+        index: usize,
+        ids: Vec<LeafId>,
+        known_until: Option<Instant>,
+        min_grace: Span,
+    ) -> Vec<Change> {
+        let vanished = Vanished {
+            count: ids.len(),
+            leaves: self.routing.leaves.len(),
+            renewed_until: self.store.conns[index].list_watch.renewal_deadline(self.now),
+            known_until,
         };
-        let grace = grace.max(min_grace);
+        let used_until = vanished.used_until(self.settings.drain_time, self.now);
+        let grace = used_until.since(self.now).max(min_grace);
         ids.into_iter().map(|id| Change::LeafGone { id, grace }).collect()
     }
 }
--- a/components/edge/src/store/outcomes.rs
+++ b/components/edge/src/store/outcomes.rs
@@ -128,6 +128,7 @@
             Err(err) => return self.call_failed(index, call, &err),
         };
         self.store.conns[index].list_watch.on_answered(self.now);
+        let known_until = self.origin_selector.current_until();
         let position = Position::new(self.store.era, batch.revision);
         let watched = &mut self.store.conns[watch].list_watch;
         let has_missed = watched.on_probe(!batch.changes.is_empty(), position, call.started);
@@ -140,7 +141,7 @@
         self.journal.record("store_watch_behind", fields, self.now);
         self.drop_store_call(watch);
         self.store.conns[watch].list_watch.repeat(self.now);
-        self.apply_batch(watch, &batch, position);
+        self.apply_batch(watch, &batch, position, known_until);
     }
 
     /// Handles that the store has answered a call. It serves this host again once no call is lost.
--- a/components/routing/src/changes.rs
+++ b/components/routing/src/changes.rs
@@ -7,7 +7,7 @@
     crate::{leaf::LeafRegistration, position::Position},
     serde::{Deserialize, Serialize},
     std::collections::VecDeque,
-    wigeonramp_units::{LeafId, Span, ZoneId},
+    wigeonramp_units::{Instant, LeafId, Span, ZoneId},
 };
 
 /// Maximum number of changes in the log; a host that is further behind gets all objects.
@@ -76,7 +76,31 @@
     floor: Position,
     upto: Position,
     changed: Position,
-    entries: VecDeque<(Position, Change)>,
+    entries: VecDeque<Entry>,
+}
+
+/// A change in the log.
+#[derive(Clone, Debug)]
+struct Entry {
+    position: Position,
+    /// Time at which the change was learnt, from which its grace period counts.
+    learnt_at: Instant,
+    change: Change,
+}
+
+impl Entry {
+    /// Returns the change with the rest of its grace period.
+    fn change_at(&self, now: Instant) -> Change {
+        let passed = now.since(self.learnt_at);
+        let mut change = self.change.clone();
+        match &mut change {
+            Change::LeafGone { grace, .. } | Change::Evacuation { grace, .. } => {
+                *grace = *grace - passed;
+            }
+            Change::Leaf(_) => {}
+        }
+        change
+    }
 }
 
 impl ChangeLog {
@@ -100,7 +124,7 @@
 
     /// Appends changes that are complete up to `upto`; returns false if they are already known or do
     /// not continue what is known.
-    pub fn extend(&mut self, upto: Position, changes: &[Change]) -> bool {
+    pub fn extend(&mut self, upto: Position, changes: &[Change], now: Instant) -> bool {
         if upto == self.upto || !upto.continues(self.upto) {
             return false;
         }
@@ -110,26 +134,30 @@
         }
         for change in changes {
             if self.entries.len() == CAPACITY
-                && let Some((position, _)) = self.entries.pop_front()
+                && let Some(oldest) = self.entries.pop_front()
             {
-                self.floor = position;
+                self.floor = oldest.position;
             }
-            self.entries.push_back((upto, change.clone()));
+            self.entries.push_back(Entry {
+                position: upto,
+                learnt_at: now,
+                change: change.clone(),
+            });
         }
         true
     }
 
     /// Returns the changes after `known`; none if the log does not go back that far.
-    pub fn since(&self, known: Position) -> Option<Update> {
+    pub fn since(&self, known: Position, now: Instant) -> Option<Update> {
         if !known.is_known() || !known.continues(self.floor) {
             return None;
         }
-        let later = self.entries.iter().filter(|(position, _)| *position > known);
+        let later = self.entries.iter().filter(|entry| entry.position > known);
         Some(Update {
             whole: false,
             upto: self.upto,
             changed: self.changed,
-            changes: later.map(|(_, change)| change.clone()).collect(),
+            changes: later.map(|entry| entry.change_at(now)).collect(),
         })
     }
 }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod entry;
 pub mod exchange;
 pub mod follow;
+pub mod lapse;
 pub mod latency;
 pub mod leaf;
 pub mod leaves;
--- a/components/routing/src/list_watch.rs
+++ b/components/routing/src/list_watch.rs
@@ -9,7 +9,7 @@
 //! began; in a later one the kind is listed again.
 
 use {
-    crate::position::Position,
+    crate::{lapse::RENEWAL_TIME, position::Position},
     indexmap::IndexSet,
     rand::{Rng, RngExt},
     wigeonramp_units::{Instant, Revision, Span, StoreEra},
@@ -23,9 +23,6 @@
 const MAX_BACKOFF: Span = Span::millis(1_200);
 /// Maximum number of doublings of the backoff.
 const MAX_DOUBLINGS: u32 = 3;
-/// Time after the end of a store outage within which registrations that lapsed in the outage may be
-/// renewed.
-const RENEWAL_GRACE: Span = Span::millis(2_000);
 
 /// A call to the store that is due.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -320,12 +317,7 @@
     /// Returns the time until which a missing registration may be renewed; none unless a store
     /// outage has ended recently.
     pub fn renewal_deadline(&self, now: Instant) -> Option<Instant> {
-        let until = self.recovered_at? + RENEWAL_GRACE;
+        let until = self.recovered_at? + RENEWAL_TIME;
         (now < until).then_some(until)
     }
-
-    /// Returns the time for which a registration that vanishes together with many others is kept.
-    pub const fn renewal_grace() -> Span {
-        RENEWAL_GRACE
-    }
 }
--- a/components/routing/tests/list_watch.rs
+++ b/components/routing/tests/list_watch.rs
@@ -223,18 +223,18 @@
 #[test]
 fn followers_get_what_they_miss_or_everything() {
     let mut log = ChangeLog::default();
-    assert!(log.since(Position::default()).is_none(), "the log is empty");
+    assert!(log.since(Position::default(), at(0)).is_none(), "the log is empty");
     log.restart(position(10), position(8));
-    assert!(log.extend(position(12), &[change("x")]));
-    assert!(!log.extend(position(12), &[change("x")]), "known already");
-    assert!(log.extend(position(15), &[]));
-    assert!(log.since(position(9)).is_none(), "before the list");
-    let update = log.since(position(10)).expect("changes");
+    assert!(log.extend(position(12), &[change("x")], at(0)));
+    assert!(!log.extend(position(12), &[change("x")], at(0)), "known already");
+    assert!(log.extend(position(15), &[], at(0)));
+    assert!(log.since(position(9), at(0)).is_none(), "before the list");
+    let update = log.since(position(10), at(0)).expect("changes");
     assert_eq!((update.changes.len(), update.upto), (1, position(15)));
     assert_eq!(log.changed(), position(12), "an empty batch changes nothing");
     let gone = Change::LeafGone { id: "x".parse().expect("an id"), grace: Span::ZERO };
-    log.extend(position(16), &[gone]);
-    assert_eq!(log.since(position(12)).expect("changes").changes.len(), 1);
+    log.extend(position(16), &[gone], at(0));
+    assert_eq!(log.since(position(12), at(0)).expect("changes").changes.len(), 1);
 }
 
 /// Guards against a follower that gets the changes since a revision of an earlier era, and against
@@ -243,12 +243,15 @@
 fn changes_do_not_continue_across_eras() {
     let mut log = ChangeLog::default();
     log.restart(position(83), position(80));
-    assert!(!log.extend(later_era(90), &[change("x")]), "the changes since its start are missing");
+    assert!(
+        !log.extend(later_era(90), &[change("x")], at(0)),
+        "the changes since its start are missing"
+    );
     log.restart(later_era(60), later_era(55));
     assert_eq!((log.upto(), log.changed()), (later_era(60), later_era(55)));
-    assert!(log.extend(later_era(61), &[change("x")]));
-    assert!(log.since(position(83)).is_none(), "it gets everything");
-    assert_eq!(log.since(later_era(60)).expect("changes").changes.len(), 1);
+    assert!(log.extend(later_era(61), &[change("x")], at(0)));
+    assert!(log.since(position(83), at(0)).is_none(), "it gets everything");
+    assert_eq!(log.since(later_era(60), at(0)).expect("changes").changes.len(), 1);
 }
 
 /// Guards against hosts of different versions that do not read each other's positions.
