Have two hosts watch the store, and the first of each zone pass its news on

The polls that prove that the store tells a host of changes cost calls in proportion to the hosts that watch: one a zone and at least four. As hosts now notice within two seconds that their news is out of date, two in different zones are enough. The first host of each other zone follows one of them, all others follow the first of their zone; hosts follow only hosts before them, so no circle forms. A host with fresher news is kept for three seconds whatever its place. Frames leave out what they don't hold, which makes a keepalive 20 bytes long in place of 52.

--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -59,8 +59,11 @@
     /// Age of the sender's news; none if it has none. Hosts of earlier versions do not send it.
     #[serde(default = "no_age")]
     age: Option<Span>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     config: Option<ConfigUpdate>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     leaves: Option<Update>,
+    #[serde(skip_serializing_if = "Option::is_none")]
     evacuations: Option<Update>,
 }
 
--- a/components/routing/src/follow.rs
+++ b/components/routing/src/follow.rs
@@ -10,7 +10,7 @@
 use {
     crate::{
         members::{MemberInfo, Membership},
-        sources::{takes_over, watchers},
+        sources::{preceding_in_zone, ranked, takes_over, watchers},
     },
     indexmap::IndexMap,
     std::net::Ipv4Addr,
@@ -20,7 +20,7 @@
 /// Time after the start in which a host does not watch the store, so that hosts that start together
 /// learn of each other first and do not all call the store.
 const DISCOVERY_TIME: Span = Span::millis(250);
-/// Time for which a host without an origin waits for the watcher of its own zone to become ready.
+/// Time for which a host without an origin waits for the first host of its own zone to become ready.
 const SAME_ZONE_WAIT: Span = Span::millis(450);
 /// Interval without changes after which a host sends a keepalive to its followers.
 pub const KEEP_ALIVE: Span = Span::millis(300);
@@ -36,6 +36,9 @@
 /// Time for which a host that failed as an origin is not followed, and for which a host that has
 /// taken over watches the store.
 const EXCLUSION_TIME: Span = Span::secs(4);
+/// Time for which a host that was chosen for its fresher news is followed, whatever its place in the
+/// order. It is shorter than the time for which that host watches the store.
+const FRESHER_TIME: Span = Span::secs(3);
 /// Time for which a follower may lag behind another host before it fetches from that one. It is
 /// longer than the lag between watchers that pause between their calls to the store.
 const MAX_FOLLOWER_LAG: Span = Span::millis(600);
@@ -74,6 +77,8 @@
     last_data_at: Instant,
     /// Time until which this host watches the store because it has taken over.
     direct_until: Instant,
+    /// Time until which the followed host is kept because it had fresher news.
+    kept_until: Instant,
 }
 
 impl OriginSelector {
@@ -90,6 +95,7 @@
             behind: None,
             last_data_at: now,
             direct_until: now,
+            kept_until: now,
         }
     }
 
@@ -169,11 +175,7 @@
         let before = self.origin;
         let ahead = self.host_ahead(now);
         if let (Some(host), Origin::Host(slow)) = (ahead, self.origin) {
-            if slow != host {
-                self.excluded.insert(slow, now + EXCLUSION_TIME);
-            }
-            self.origin = Origin::Host(host);
-            self.last_data_at = now;
+            self.replace_origin(slow, host, now);
             return ahead;
         }
         self.origin = self.choose(members, now);
@@ -189,6 +191,17 @@
         ahead
     }
 
+    /// Follows a host with fresher news in place of the followed one.
+    fn replace_origin(&mut self, old: Ipv4Addr, new: Ipv4Addr, now: Instant) {
+        self.kept_until = now + FRESHER_TIME;
+        if new == old {
+            return;
+        }
+        self.excluded.insert(old, now + EXCLUSION_TIME);
+        self.origin = Origin::Host(new);
+        self.last_data_at = now;
+    }
+
     /// Returns the host that this one lagged behind for too long, once.
     fn host_ahead(&mut self, now: Instant) -> Option<Ipv4Addr> {
         let max_lag = if self.origin == Origin::Store { MAX_WATCH_LAG } else { MAX_FOLLOWER_LAG };
@@ -198,17 +211,15 @@
     }
 
     fn choose(&mut self, members: &Membership, now: Instant) -> Origin {
-        let own = members.own();
-        let discovery_over = now.since(self.started) >= DISCOVERY_TIME;
-        let watchers = watchers(members, now);
-        if discovery_over && !own.leaving && watchers.contains(&own.ip) {
-            return Origin::Store;
-        }
-        if now < self.direct_until && !own.leaving && !own.store_failing {
+        if self.must_watch(members, now) {
             return Origin::Store;
         }
         if let Some(since) = self.outdated_since {
             if let Some(host) = self.freshest(members, now) {
+                if let Origin::Host(old) = self.origin {
+                    self.replace_origin(old, host, now);
+                }
+                self.kept_until = now + FRESHER_TIME;
                 return Origin::Host(host);
             }
             if takes_over(members, now.since(since), now) {
@@ -216,32 +227,50 @@
                 return Origin::Store;
             }
         }
+        self.choose_host(members, now)
+    }
+
+    /// Whether this host watches the store, because of its place in the order or because it has taken
+    /// over.
+    fn must_watch(&self, members: &Membership, now: Instant) -> bool {
+        let own = members.own();
+        if own.leaving {
+            return false;
+        }
+        let discovery_over = now.since(self.started) >= DISCOVERY_TIME;
+        let has_taken_over = now < self.direct_until && !own.store_failing;
+        has_taken_over || (discovery_over && watchers(members, now).contains(&own.ip))
+    }
+
+    /// Chooses the host to follow: the first usable one before this host in its zone, or one that
+    /// watches the store.
+    fn choose_host(&self, members: &Membership, now: Instant) -> Origin {
         let usable = |info: &&MemberInfo| {
             info.ready && !info.store_failing && !self.excluded.contains_key(&info.ip)
         };
-        let ready: Vec<&MemberInfo> = members.alive(now).filter(usable).collect();
+        let in_zone = preceding_in_zone(members, now);
+        let is_kept = now < self.kept_until;
+        let may_stay = |info: &&MemberInfo| is_kept || in_zone.iter().any(|i| i.ip == info.ip);
         if let Origin::Host(ip) = self.origin
-            && ready.iter().any(|info| info.ip == ip && info.zone == own.zone)
+            && members.alive(now).filter(usable).filter(may_stay).any(|info| info.ip == ip)
         {
             return self.origin;
         }
-        // Waits for a watcher of this zone that is not ready yet: the first update from a followed
-        // host carries its whole state, which costs least to transfer within the zone.
-        let watcher_in_zone = members.alive(now).any(|info| {
-            info.zone == own.zone
-                && watchers.contains(&info.ip)
-                && !info.ready
-                && !info.store_failing
-        });
-        if watcher_in_zone
+        if let Some(info) = in_zone.iter().copied().find(usable) {
+            return Origin::Host(info.ip);
+        }
+        // Waits for a host of this zone that is not ready yet: the first update from a followed host
+        // carries its whole state, which costs least to transfer within the zone.
+        let is_starting = |info: &&MemberInfo| !info.ready && !info.store_failing;
+        if in_zone.iter().any(is_starting)
             && self.no_origin_since.is_some_and(|since| now.since(since) < SAME_ZONE_WAIT)
         {
             return Origin::Nobody;
         }
-        let is_watcher = |info: &&&MemberInfo| watchers.contains(&info.ip);
-        let in_zone = ready.iter().filter(is_watcher).find(|info| info.zone == own.zone);
-        let watcher = in_zone.or_else(|| ready.iter().find(is_watcher));
-        watcher.map_or(Origin::Nobody, |info| Origin::Host(info.ip))
+        let watchers = watchers(members, now);
+        let others = ranked(members, now).into_iter().filter(|info| info.ip != members.own().ip);
+        let mut watching = others.filter(|info| watchers.contains(&info.ip));
+        watching.find(usable).map_or(Origin::Nobody, |info| Origin::Host(info.ip))
     }
 
     /// Returns the host whose news is known to be fresher than this one's: the followed one if it is,
