Saturate durations that are too long

The new test fails without the change (multiplication overflow). No caller is known to have sent such a value.

--- a/components/units/src/time.rs
+++ b/components/units/src/time.rs
@@ -65,12 +65,12 @@
 
     /// Creates a duration of `n` milliseconds.
     pub const fn millis(n: u64) -> Span {
-        Span(n * 1_000)
+        Span(n.saturating_mul(1_000))
     }
 
     /// Creates a duration of `n` seconds.
     pub const fn secs(n: u64) -> Span {
-        Span(n * 1_000_000)
+        Span(n.saturating_mul(1_000_000))
     }
 
     /// Returns the number of whole milliseconds.
@@ -85,7 +85,7 @@
 
     /// Returns `percent` percent of this duration.
     pub const fn percent(self, percent: u64) -> Span {
-        Span(self.0 * percent / 100)
+        Span(self.0.saturating_mul(percent) / 100)
     }
 }
 
--- a/components/units/tests/text_forms.rs
+++ b/components/units/tests/text_forms.rs
@@ -53,3 +53,12 @@
         .collect();
     insta::assert_json_snapshot!(rates);
 }
+
+/// Guards against a duration of another system that is too long and becomes a short one, or ends the
+/// process.
+#[test]
+fn durations_that_are_too_long_stay_the_longest() {
+    let longest = Span(u64::MAX);
+    assert_eq!([Span::millis(u64::MAX), Span::secs(u64::MAX)], [longest; 2]);
+    assert_eq!(longest.percent(50), Span(u64::MAX / 100));
+}
