--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -176,14 +176,18 @@
 
     /// Logs the number of objects without a readable name.
     fn log_unreadable(&mut self, kind: ObjectKind, count: usize) {
-        if count > 0 {
+        if self.store.ignored.is_new_count(kind, count) && count > 0 {
             let fields =
                 json!({ "kind": kind.name(), "count": count, "reason": "no readable name" });
             self.journal.record("object_ignored", fields, self.now);
         }
     }
 
+    /// Logs an object that cannot be read, unless it is the same as before.
     fn log_ignored(&mut self, kind: ObjectKind, object: &StoredObject, reason: &str) {
+        if !self.store.ignored.is_new(kind, &object.name, object.revision) {
+            return;
+        }
         let fields = json!({
             "kind": kind.name(), "name": object.name, "revision": object.revision.0,
             "reason": reason,
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -8,6 +8,7 @@
 
 mod calls;
 mod contents;
+mod ignored;
 mod outcomes;
 
 use {
@@ -16,6 +17,7 @@
         node::Node,
         sock::{self, OutBuf, ReadEnd},
     },
+    ignored::IgnoredObjects,
     mio::net::TcpStream,
     std::net::SocketAddr,
     wigeonramp_platform::{
@@ -93,6 +95,7 @@
     next_registration: Instant,
     next_member_list: Instant,
     health: StoreHealth,
+    ignored: IgnoredObjects,
     /// Latest known era of the store; zero before the first response.
     era: StoreEra,
     /// Time of the first failed call of the current outage; `None` while the store answers.
@@ -121,6 +124,7 @@
             next_registration: now,
             next_member_list: now,
             health: StoreHealth::new(now),
+            ignored: IgnoredObjects::default(),
             era: StoreEra(0),
             unavailable_since: None,
         }
--- a/components/soak/src/hosts.rs
+++ b/components/soak/src/hosts.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Returns what the process has logged.
+    pub fn log_text(&self) -> Result<String> {
+        fs::read_to_string(&self.log)
+    }
+
     /// Returns the address at which callers look up host addresses.
     pub fn directory_address(&self) -> Option<SocketAddr> {
         Some(SocketAddr::new(self.ip.parse().ok()?, self.ports.directory))
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -6,10 +6,7 @@
         thread,
         time::{Duration, Instant},
     },
-    wigeonramp_platform_standin::{
-        leaf::Leaf,
-        store::{StoreCopy, StoreFault},
-    },
+    wigeonramp_platform_standin::store::{StoreCopy, StoreFault},
 };
 
 /// Time that callers wait for a response.
@@ -102,31 +99,6 @@
     fixture.store.set_fault(StoreFault::None);
 }
 
-/// Sends requests for `time`; returns their statuses.
-fn send_for(fixture: &Fixture, time: Duration) -> Vec<u16> {
-    let end = Instant::now() + time;
-    let mut statuses = Vec::new();
-    while Instant::now() < end {
-        let id = format!("check-{:?}", end - Instant::now());
-        statuses.push(get_status(fixture.caller_address(), "/read/", &id, TIMEOUT));
-        thread::sleep(Duration::from_millis(20));
-    }
-    statuses
-}
-
-/// Sends requests until none reaches `leaf` for a while.
-fn wait_until_unused(fixture: &Fixture, leaf: &Leaf) {
-    let deadline = Instant::now() + APPLY_TIME;
-    loop {
-        let before = fixture.run_times(leaf).len();
-        send_for(fixture, Duration::from_millis(300));
-        if fixture.run_times(leaf).len() == before {
-            return;
-        }
-        assert!(Instant::now() < deadline, "the leaf must no longer be used");
-    }
-}
-
 /// Guards against a leaf that had left or was leaving, and that is used again because the copy of the
 /// store holds its earlier registration.
 #[test]
@@ -142,10 +114,10 @@
         } else {
             left.register("draining")
         }
-        wait_until_unused(&fixture, &left);
+        fixture.wait_until_unused(&left);
         let before = fixture.run_times(&left).len();
         restore(&fixture, &copy);
-        let statuses = send_for(&fixture, Duration::from_secs(3));
+        let statuses = fixture.send_for(Duration::from_secs(3));
         assert_eq!(fixture.run_times(&left).len(), before, "has left: {leaves}");
         assert!(statuses.iter().all(|status| *status == 200));
     }
@@ -161,12 +133,12 @@
     fixture.wait_until_serving();
     let copy = fixture.store.copy();
     fixture.store.put("evacuations", "b", serde_json::json!({}));
-    wait_until_unused(&fixture, &evacuated);
+    fixture.wait_until_unused(&evacuated);
     let before = fixture.run_times(&evacuated).len();
     restore(&fixture, &copy);
-    send_for(&fixture, Duration::from_secs(2));
+    fixture.send_for(Duration::from_secs(2));
     fixture.store.put("evacuations", "b", serde_json::json!({}));
-    send_for(&fixture, Duration::from_secs(4));
+    fixture.send_for(Duration::from_secs(4));
     assert_eq!(fixture.run_times(&evacuated).len(), before);
 }
 
@@ -179,16 +151,16 @@
     fixture.wait_until_serving();
     fixture.store.put("evacuations", "b", serde_json::json!({}));
     let deadline = Instant::now() + APPLY_TIME;
-    while send_for(&fixture, Duration::from_millis(100)).contains(&200) {
+    while fixture.send_for(Duration::from_millis(100)).contains(&200) {
         assert!(Instant::now() < deadline, "the zone must be out");
     }
     let copy = fixture.store.copy();
     fixture.store.delete("evacuations", "b");
     fixture.wait_until_serving();
     restore(&fixture, &copy);
-    let statuses = send_for(&fixture, Duration::from_secs(2));
+    let statuses = fixture.send_for(Duration::from_secs(2));
     fixture.store.delete("evacuations", "b");
-    let later = send_for(&fixture, Duration::from_secs(4));
+    let later = fixture.send_for(Duration::from_secs(4));
     let failed = statuses.iter().chain(&later).filter(|status| **status != 200).count();
     assert_eq!(failed, 0, "of {} requests", statuses.len() + later.len());
 }
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -25,6 +25,10 @@
 const HOST: &str = "h.example";
 /// Time within which a started host must serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
+/// Time that callers wait for a response.
+const TIMEOUT: Duration = Duration::from_secs(2);
+/// Time within which a change must take effect.
+const APPLY_TIME: Duration = Duration::from_secs(4);
 
 /// A host, the store and the leaves that run requests for it.
 pub struct Fixture {
@@ -97,6 +101,8 @@
         let spec = json!({ "version": 1, "routes": routes, "services": [service] });
         store.put("config", "main", spec);
         let directory = PathBuf::from(env!("CARGO_TARGET_TMPDIR")).join(format!("platform-{n}"));
+        // An earlier run may have left its logs.
+        let _ = fs::remove_dir_all(&directory);
         fs::create_dir_all(&directory).expect("a directory");
         let ports = Ports::find_free(&ip).expect("free ports");
         let daemon = PathBuf::from(env!("CARGO_BIN_EXE_wigeonrampd"));
@@ -167,10 +173,9 @@
     /// Waits until all hosts serve requests.
     pub fn wait_until_serving(&self) {
         let deadline = Instant::now() + START_TIMEOUT;
-        let timeout = Duration::from_secs(2);
         for address in self.caller_addresses() {
             let mut n = 0;
-            while request_status(address, "GET", &format!("first-{n}"), timeout) != 200 {
+            while request_status(address, "GET", &format!("first-{n}"), TIMEOUT) != 200 {
                 assert!(Instant::now() < deadline, "a host must serve within {START_TIMEOUT:?}");
                 thread::sleep(Duration::from_millis(50));
                 n += 1;
@@ -184,6 +189,37 @@
         runs.iter().filter(|run| run.leaf == leaf.id()).map(|run| run.at).collect()
     }
 
+    /// Sends requests to the first host for `time`; returns their statuses.
+    pub fn send_for(&self, time: Duration) -> Vec<u16> {
+        let end = Instant::now() + time;
+        let mut statuses = Vec::new();
+        while Instant::now() < end {
+            let id = format!("check-{:?}", end - Instant::now());
+            statuses.push(get_status(self.caller_address(), "/read/", &id, TIMEOUT));
+            thread::sleep(Duration::from_millis(20));
+        }
+        statuses
+    }
+
+    /// Sends requests until none reaches `leaf` for a while.
+    pub fn wait_until_unused(&self, leaf: &Leaf) {
+        let deadline = Instant::now() + APPLY_TIME;
+        loop {
+            let before = self.run_times(leaf).len();
+            self.send_for(Duration::from_millis(300));
+            if self.run_times(leaf).len() == before {
+                return;
+            }
+            assert!(Instant::now() < deadline, "the leaf must no longer be used");
+        }
+    }
+
+    /// Returns the number of lines that the first host has logged and that contain all of `parts`.
+    pub fn count_log_lines(&self, parts: &[&str]) -> usize {
+        let log = self.hosts[0].log_text().expect("a log");
+        log.lines().filter(|line| parts.iter().all(|part| line.contains(part))).count()
+    }
+
     /// Returns the number of times that leaves ran the request.
     pub fn runs_of(&self, id: &str) -> usize {
         let runs = self.runs.lock().expect("no leaf has failed");
