Cut a leaf's answer at each byte, and check what callers get

It does not happen here: a real host gets answers with a length, after interim responses, in chunks and without a length, cut after each byte by a close or a reset, and after each 13th by silence, for requests that may and may not be repeated. No cut answer is a success, none is said not to have run, none runs twice, and the connection is not used again.

Not tried: the product's own interface, whose answers of leaves are read by ureq.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! One host process between stand-ins of the platform's store and leaves.
 
+mod cut_answers;
 mod odd_entries;
 mod request_limits;
 mod restored_store;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -13,7 +13,7 @@
     },
     wigeonramp_platform_standin::{
         caller::{Caller, CallerRequest},
-        leaf::{Leaf, LeafSpec, Runs},
+        leaf::{Leaf, LeafSpec, Run, Runs},
         store::{Door, Store},
     },
     wigeonramp_soak::{
@@ -220,6 +220,12 @@
         log.lines().filter(|line| parts.iter().all(|part| line.contains(part))).count()
     }
 
+    /// Returns the last run of the request.
+    pub fn run_of(&self, id: &str) -> Run {
+        let runs = self.runs.lock().expect("no leaf has failed");
+        runs.iter().rfind(|run| run.id == id).expect("the request ran").clone()
+    }
+
     /// Returns the number of times that leaves ran the request.
     pub fn runs_of(&self, id: &str) -> usize {
         let runs = self.runs.lock().expect("no leaf has failed");
