Refuse requests in a planned stop that may not end within it

Requests that came late in the grace period were passed on and got 502 at its end, also those that must not run twice; none was left without an answer.

Cause: the host decided until when it accepts connections and until when it waits for replies, but not whether a request that it takes can end before that.

Now a stopping host takes a request only if its caller or route gives it up before the final replies; otherwise another host serves it (503, not run, Retry-After 0), or, if none is known, it takes what usually ends in time. Requests still being read at the end get 503, and the process waits for callers to read the last replies.

Test: a_stopping_host_answers_what_it_takes_and_refuses_the_rest failed before (8 of 120 requests ran and got 502). stops_of_all_hosts_in_turn_lose_no_request passed before too. The stand-in's leaves accept 400 connections by default now: with 50 the test's own load waited for connections.

--- a/components/edge/src/callers.rs
+++ b/components/edge/src/callers.rs
@@ -364,6 +364,16 @@
         }
     }
 
+    /// Refuses the requests that are still being read, because the process ends.
+    pub(crate) fn refuse_unread_requests(&mut self) {
+        let is_reading = |conn: &CallerConn| matches!(conn.phase, Phase::Head | Phase::Body(..));
+        let reading = self.callers.iter().filter(|(_, conn)| is_reading(conn));
+        let reading: Vec<usize> = reading.map(|(key, _)| key).collect();
+        for key in reading {
+            self.refuse_caller(key, Cause::Stopping);
+        }
+    }
+
     /// Closes all connections that are idle between requests.
     pub(crate) fn close_idle_callers(&mut self) {
         let idle =
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -49,8 +49,8 @@
 const MAX_EVENTS: usize = 256;
 /// Interval of the sweep, which handles everything without its own timer.
 const SWEEP_INTERVAL: Span = Span::millis(200);
-/// Interval of the sweep while the host seeks an origin to receive changes from.
-const SEEKING_SWEEP_INTERVAL: Span = Span::millis(50);
+/// Interval of the sweep while the host seeks an origin to receive changes from, or stops.
+const URGENT_SWEEP_INTERVAL: Span = Span::millis(50);
 /// CPU time of an attempt and its response, including its share of all other work.
 const ATTEMPT_COST: Span = Span(60);
 /// Serial numbers of requests for permits per millisecond of the incarnation number.
@@ -367,10 +367,11 @@
         self.send_due_heartbeat();
         self.send_limit_messages();
         if self.now >= self.next_sweep {
-            let seeks_origin = self.origin_selector.origin() == Origin::Nobody
+            let is_urgent = self.stopping.is_some()
+                || self.origin_selector.origin() == Origin::Nobody
                 || self.origin_selector.is_outdated();
             self.next_sweep =
-                self.now + if seeks_origin { SEEKING_SWEEP_INTERVAL } else { SWEEP_INTERVAL };
+                self.now + if is_urgent { URGENT_SWEEP_INTERVAL } else { SWEEP_INTERVAL };
             self.sweep();
             self.process_ended_attempts();
         }
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -90,6 +90,11 @@
             }
             RouteLookup::Found(route) => Ok(route.clone()),
         };
+        let time_left = head.time_left;
+        let route = route.and_then(|route| {
+            let deadline = arrived + time_left.unwrap_or(route.timeout);
+            self.refusal_by_stop(&route, deadline).map_or(Ok(route), Err)
+        });
         let route = match route {
             Ok(route) => route,
             Err((cause, retry_after)) => {
--- a/components/routing/src/latency.rs
+++ b/components/routing/src/latency.rs
@@ -48,6 +48,16 @@
         measured.p50.max(Span::millis(1))
     }
 
+    /// Returns the time that a request usually takes at most: the target latency, or twice the 95th
+    /// percentile of recent responses if that is longer.
+    pub fn usual_longest(&mut self, now: Instant) -> Span {
+        let measured = self.window.percentiles(now);
+        if measured.samples < MIN_SAMPLES {
+            return self.target;
+        }
+        (measured.p95 * 2).max(self.target)
+    }
+
     /// Returns the time after which an unanswered part is hedged.
     pub fn hedge_delay(&mut self, now: Instant) -> Span {
         let delay = self.typical(now).percent(HEDGE_PERCENT);
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -26,4 +26,5 @@
 pub mod reply_time;
 pub mod sources;
 pub mod state;
+pub mod stop;
 pub mod store_health;
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -98,6 +98,11 @@
         &mut self.latencies[&route.name]
     }
 
+    /// Returns the time that a request of the route usually takes at most.
+    pub fn usual_time(&mut self, route: &Route, now: Instant) -> Span {
+        self.latency(route).usual_longest(now)
+    }
+
     /// Returns the leaf that is expected to respond first to a request of the route, except those
     /// already tried.
     pub(crate) fn choose_leaf(
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod odd_entries;
 mod request_limits;
 mod restored_store;
+mod stopping;
 mod support;
 mod turned_away;
 mod without_config;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -1,6 +1,7 @@
 //! A host process with stand-ins for store and leaves on loopback addresses.
 
 use {
+    rustix::process::Signal,
     serde_json::{Value, json},
     std::{
         fs,
@@ -23,6 +24,8 @@
 };
 
 const HOST: &str = "h.example";
+/// Connections that each leaf accepts, unless a test says otherwise.
+const CONNECTION_LIMIT: u32 = 400;
 /// Time within which a started host must serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time that callers wait for a response.
@@ -93,7 +96,7 @@
         let ip = format!("{prefix}.1");
         let store = Store::start(&format!("{prefix}.254")).expect("a store");
         let mut service = json!({ "name": "one" });
-        service["connection_limit"] = json!(50);
+        service["connection_limit"] = json!(CONNECTION_LIMIT);
         for (field, value) in fields {
             service[*field] = json!(value);
         }
@@ -136,7 +139,7 @@
 
     /// Writes the next version of the configuration, with `name` as the only route.
     pub fn replace_routes(&self, name: &str) {
-        let services = json!([{ "name": "one", "connection_limit": 50 }]);
+        let services = json!([{ "name": "one", "connection_limit": CONNECTION_LIMIT }]);
         let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
         let spec =
             json!({ "version": version, "routes": [route(name, "safe")], "services": services });
@@ -240,7 +243,29 @@
 
     /// Tells the first host to stop by SIGTERM.
     pub fn stop(&mut self) {
-        self.hosts[0].signal(rustix::process::Signal::TERM);
+        self.signal(Signal::TERM);
+    }
+
+    /// Sends a signal to the first host.
+    pub fn signal(&mut self, signal: Signal) {
+        self.hosts[0].signal(signal);
+    }
+
+    /// Tells a host to stop, and starts it again once it has ended.
+    pub fn stop_and_start(&mut self, host: usize) {
+        self.hosts[host].signal(Signal::TERM);
+        let deadline = Instant::now() + START_TIMEOUT;
+        while !self.hosts[host].has_ended() {
+            assert!(Instant::now() < deadline, "a host must end");
+            thread::sleep(Duration::from_millis(20));
+        }
+        self.hosts[host].spawn().expect("a host");
+        thread::sleep(Duration::from_secs(1));
+    }
+
+    /// Returns the addresses at which callers resolve the hosts to connect to.
+    pub fn directory_addresses(&self) -> Vec<SocketAddr> {
+        self.hosts.iter().filter_map(HostProcess::directory_address).collect()
     }
 
     /// Returns whether the first host's process has ended.
