Deny a route for good only while the news of the store is recent

The new test failed before (404 in place of 503).

While the store is away for all hosts nothing can have been added; callers of a route that does not exist get 503 all the same, as a host cannot tell the two apart.

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -84,6 +84,10 @@
         let route = match self.active_catalog.find_route(&head.host, url_path) {
             RouteLookup::NoConfig => Err((Cause::NoConfig, RETRY_AFTER_NO_CONFIG)),
             _ if !self.replicated.is_complete() => Err((Cause::NoConfig, RETRY_AFTER_NO_CONFIG)),
+            // The route may have been added since, and callers do not repeat a request after 404.
+            RouteLookup::NoRoute if self.origin_selector.is_outdated() => {
+                Err((Cause::ConfigOutdated, RETRY_AFTER_NO_CONFIG))
+            }
             RouteLookup::NoRoute => Err((Cause::NoRoute, Span::ZERO)),
             RouteLookup::Found(_) if self.poison.is_refused(fingerprint, self.now) => {
                 Err((Cause::Poison, RETRY_AFTER_POISON))
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -48,6 +48,8 @@
     Poison,
     /// This host has no configuration yet.
     NoConfig,
+    /// The configuration has no route for the request, but may be out of date.
+    ConfigOutdated,
     /// The host is stopping.
     Stopping,
     /// The configuration has no route for the request.
@@ -75,6 +77,7 @@
             Cause::TimeUp => "time_up",
             Cause::Poison => "poison",
             Cause::NoConfig => "no_config",
+            Cause::ConfigOutdated => "config_outdated",
             Cause::Stopping => "stopping",
             Cause::NoRoute => "no_route",
             Cause::Malformed => "malformed",
--- a/tests/platform/without_config.rs
+++ b/tests/platform/without_config.rs
@@ -1,8 +1,13 @@
-//! A host that knows no configuration: it was killed and started again while the store is away.
+//! A host that knows no configuration, as it was killed and started again while the store is away, or
+//! none that it can rely on.
 
 use {
     crate::support::{Fixture, get_status, request_status},
-    std::{collections::BTreeMap, thread, time::Duration},
+    std::{
+        collections::BTreeMap,
+        thread,
+        time::{Duration, Instant},
+    },
     wigeonramp_platform_standin::store::StoreFault,
 };
 
@@ -53,3 +58,23 @@
     let path = format!("/read/{}/", "x".repeat(100 * 1024));
     assert_eq!(get_status(fixture.caller_address(), &path, "long", TIMEOUT), 503);
 }
+
+/// Guards against a host that says that a route does not exist although it may have been added while the
+/// host could not hear of it.
+#[test]
+fn a_host_with_old_news_does_not_deny_routes() {
+    let fixture = Fixture::start(34, "connection_limit", 50);
+    fixture.add_leaf("one", Duration::from_millis(1));
+    fixture.wait_until_serving();
+    let status = |path: &str, id: &str| get_status(fixture.caller_address(), path, id, TIMEOUT);
+    assert_eq!((status("/read/", "a"), status("/none/", "a")), (200, 404));
+    fixture.store.set_fault(StoreFault::Silent);
+    thread::sleep(Duration::from_secs(3));
+    assert_eq!((status("/read/", "b"), status("/none/", "b")), (200, 503), "its news is old");
+    fixture.store.set_fault(StoreFault::None);
+    let deadline = Instant::now() + Duration::from_secs(10);
+    while status("/none/", "c") != 404 {
+        assert!(Instant::now() < deadline, "the store has said again which routes there are");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
