--- a/components/routing/src/lapse.rs
+++ b/components/routing/src/lapse.rs
@@ -18,8 +18,9 @@
 const MIN_LAPSED_COUNT: usize = 4;
 /// Time after the return of the store within which registrations that lapsed are renewed.
 pub const RENEWAL_TIME: Span = Span::millis(2_000);
-/// Part of the drain time that is left for passing the removal on and for requests on their way.
-const DRAIN_MARGIN: Span = Span::millis(300);
+/// Part of the drain time that is left for what follows the end of the use: the sweep that removes the
+/// leaf, requests that wait for a connection to it, and their way.
+const DRAIN_MARGIN: Span = Span::millis(700);
 
 /// Registrations that vanished together.
 #[derive(Clone, Copy, Debug)]
