Send no more requests to a leaf that says that it is leaving

The notice is kept by process (routing/notices.rs): a later answer without it, a registration as ready, one that vanishes and comes back, or another address of the same process change nothing; another start under the id ends it. It counts from the head of any answer to the request in flight, failures, refusals and lost hedges included. Attempts that wait for a connection go to another leaf.

--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -121,7 +121,7 @@
     }
 
     fn remove_leaf(&mut self, id: &LeafId, reason: &str) {
-        if let LeafChange::Removed(key) = self.routing.leaves.remove(id) {
+        if let LeafChange::Removed(key) = self.routing.leaves.remove(id, self.now) {
             self.close_idle_conns(key);
             self.journal.record("leaf", json!({ "leaf": id, "state": reason }), self.now);
         }
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -23,7 +23,7 @@
     wigeonramp_routing::{
         catalog::RepeatPolicy,
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec},
-        leaf::HealthSignal,
+        leaf::{HealthSignal, LeafInstance, LeafRegistration},
         leaves::LeafKey,
         poison::CrashDetector,
     },
@@ -74,6 +74,8 @@
 pub(crate) struct LeafConn {
     sock: TcpStream,
     leaf: LeafKey,
+    /// The leaf's process that was registered when the connection was opened.
+    process: LeafInstance,
     connected: bool,
     opened: Instant,
     /// Time at which bytes last arrived.
@@ -119,20 +121,20 @@
         let Some(req) = self.requests.get(request) else { return };
         let serial = req.serial;
         let at_most_once = req.exchange.route().repeat == RepeatPolicy::AtMostOnce;
-        let leaf = self.routing.leaves.get(spec.leaf);
-        let leaf = leaf.map(|leaf| (leaf.registration.address, leaf.registration.service.clone()));
-        let Some((address, service)) = leaf else {
+        // The leaf may have said since it was chosen that it is leaving.
+        let leaf = self.routing.leaves.get(spec.leaf).filter(|leaf| !leaf.notice.is_leaving());
+        let Some(leaf) = leaf.map(|leaf| leaf.registration.clone()) else {
             return self.report_unsent(request, serial, spec);
         };
         if let Some(conn) = self.take_idle(spec.leaf, at_most_once) {
             return self.send_on_conn(conn, request, spec);
         }
         let open = self.upstreams.open.get(&spec.leaf).copied().unwrap_or(0);
-        if open >= self.connection_limit(&service) {
+        if open >= self.connection_limit(&leaf.service) {
             let attempt = QueuedAttempt { request, serial, spec: *spec, since: self.now };
             return self.upstreams.queued.entry(spec.leaf).or_default().push_back(attempt);
         }
-        match self.open_conn(spec.leaf, address) {
+        match self.open_conn(spec.leaf, &leaf) {
             Some(conn) => self.send_on_conn(conn, request, spec),
             None => self.report_unsent(request, serial, spec),
         }
@@ -241,11 +243,11 @@
         (share as usize).max(MIN_CONNECTIONS)
     }
 
-    fn open_conn(&mut self, leaf: LeafKey, address: std::net::SocketAddr) -> Option<usize> {
-        let mut sock = match sock::connect(address) {
+    fn open_conn(&mut self, leaf: LeafKey, registration: &LeafRegistration) -> Option<usize> {
+        let mut sock = match sock::connect(registration.address) {
             Ok(sock) => sock,
             Err(err) => {
-                let fields = json!({ "address": address, "error": err.to_string() });
+                let fields = json!({ "address": registration.address, "error": err.to_string() });
                 self.journal.record("connect_failed", fields, self.now);
                 return None;
             }
@@ -258,6 +260,7 @@
         entry.insert(LeafConn {
             sock,
             leaf,
+            process: registration.instance(),
             connected: false,
             opened: self.now,
             last_received: self.now,
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -86,6 +86,7 @@
                         conn.inbuf.drain(..head.length);
                         conn.mismatched = head.id.is_some() && head.id != in_flight.id;
                         conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
+                        let is_leaving = head.leaving && head.status != 421 && !conn.mismatched;
                         match BodyReader::new(head.framing, MAX_RESPONSE) {
                             Ok(reader) => conn.response = Some((head, reader)),
                             Err(_) => {
@@ -93,6 +94,10 @@
                                 return false;
                             }
                         }
+                        if is_leaving {
+                            self.hear_leaving(key);
+                        }
+                        continue;
                     }
                     _ => {
                         self.fail_conn(key, false);
@@ -121,6 +126,20 @@
         }
     }
 
+    /// Handles that a response says that its leaf is leaving: requests that wait for a connection go to
+    /// other leaves.
+    fn hear_leaving(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get(key) else { return };
+        let (leaf, process) = (conn.leaf, conn.process.clone());
+        if !self.routing.leaves.on_leaving(leaf, &process) {
+            return;
+        }
+        let fields = json!({ "leaf": process.id, "state": "leaving", "from": "response" });
+        self.journal.record("leaf", fields, self.now);
+        self.close_idle_conns(leaf);
+        self.send_queued(leaf);
+    }
+
     /// Handles a complete response; returns false if the connection was closed.
     fn finish_response(&mut self, key: usize) -> bool {
         let now = self.now;
@@ -149,7 +168,7 @@
             attempt: in_flight.attempt,
             outcome,
         });
-        if reusable && self.routing.leaves.get(leaf).is_some() {
+        if reusable && self.routing.leaves.get(leaf).is_some_and(|l| !l.notice.is_leaving()) {
             self.upstreams.idle.entry(leaf).or_default().push(key);
             self.send_queued(leaf);
             return true;
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -5,6 +5,7 @@
 //! are not used.
 
 use {
+    crate::notices::Notice,
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     wigeonramp_units::{Instant, LeafId, ServiceId, Span, ZoneId},
@@ -97,6 +98,8 @@
     pub grace_until: Option<Instant>,
     /// Whether another leaf responded at its address.
     pub address_reused: bool,
+    /// What its process has said of itself.
+    pub notice: Notice,
     pending: Vec<Pending>,
     /// Moving average of latency divided by typical latency.
     latency_ratio: f64,
@@ -123,6 +126,7 @@
             cold_until,
             grace_until: None,
             address_reused: false,
+            notice: Notice::default(),
             pending: Vec::new(),
             latency_ratio: 1.0,
             latency_ratio_at: now,
@@ -141,8 +145,10 @@
             || registration.service != self.registration.service;
         if restarted {
             let pending = std::mem::take(&mut self.pending);
-            *self = Leaf::new(registration, now);
-            self.pending = pending;
+            let is_same_process = registration.born.is_some()
+                && registration.instance() == self.registration.instance();
+            let notice = if is_same_process { self.notice } else { Notice::default() };
+            *self = Leaf { pending, notice, ..Leaf::new(registration, now) };
             return true;
         }
         self.cold_until = now + registration.cold_left;
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -3,8 +3,9 @@
 use {
     crate::{
         changes::Change,
-        leaf::{HealthSignal, Leaf, LeafRegistration},
+        leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         limits::LeafLimits,
+        notices::RememberedNotices,
     },
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, RngExt},
@@ -80,6 +81,7 @@
     by_service: IndexMap<ServiceId, Vec<LeafKey>>,
     evacuated: IndexSet<ZoneId>,
     regions: IndexMap<ZoneId, RegionId>,
+    remembered: RememberedNotices,
 }
 
 impl Leaves {
@@ -93,6 +95,7 @@
             by_service: IndexMap::new(),
             evacuated: IndexSet::new(),
             regions: IndexMap::new(),
+            remembered: RememberedNotices::default(),
         }
     }
 
@@ -115,7 +118,9 @@
         self.next += 1;
         self.by_id.insert(registration.id.clone(), key);
         self.by_service.entry(registration.service.clone()).or_default().push(key);
-        self.leaves.insert(key, Leaf::new(registration, now));
+        let mut leaf = Leaf::new(registration, now);
+        leaf.notice = self.remembered.take(&leaf.registration.instance());
+        self.leaves.insert(key, leaf);
         LeafChange::Added(key)
     }
 
@@ -134,14 +139,23 @@
     }
 
     /// Removes the leaf with this id.
-    pub fn remove(&mut self, id: &LeafId) -> LeafChange {
+    pub fn remove(&mut self, id: &LeafId, now: Instant) -> LeafChange {
         let Some(key) = self.by_id.swap_remove(id) else { return LeafChange::Kept };
         if let Some(leaf) = self.leaves.swap_remove(&key) {
             self.unlist(&leaf.registration.service, key);
+            self.remembered.remember(leaf.registration.instance(), leaf.notice, now);
         }
         LeafChange::Removed(key)
     }
 
+    /// Records that a response of this process said that it is leaving. Returns whether that is new; it
+    /// is not if another process is registered by now.
+    pub fn on_leaving(&mut self, key: LeafKey, process: &LeafInstance) -> bool {
+        let leaf = self.leaves.get_mut(&key);
+        let leaf = leaf.filter(|leaf| leaf.registration.instance() == *process);
+        leaf.is_some_and(|leaf| leaf.notice.on_leaving())
+    }
+
     /// Marks the registration of a leaf as lapsed. The leaf stays in use until `until`, as it may
     /// be registered again.
     pub fn mark_lapsed(&mut self, id: &LeafId, until: Instant) {
@@ -157,7 +171,7 @@
         let expired: Vec<_> = expired.map(|leaf| leaf.registration.clone()).collect();
         let mut removed = Vec::new();
         for registration in expired {
-            if let LeafChange::Removed(key) = self.remove(&registration.id) {
+            if let LeafChange::Removed(key) = self.remove(&registration.id, now) {
                 removed.push((registration, key));
             }
         }
@@ -207,6 +221,11 @@
         self.leaves.len()
     }
 
+    /// Returns the number of leaves that have said in a response that they are leaving.
+    pub fn leaving_count(&self) -> usize {
+        self.leaves.values().filter(|leaf| leaf.notice.is_leaving()).count()
+    }
+
     /// Whether there are no leaves.
     pub fn is_empty(&self) -> bool {
         self.leaves.is_empty()
@@ -230,6 +249,7 @@
     /// Whether the leaf is eligible for requests.
     pub fn is_eligible(&self, leaf: &Leaf) -> bool {
         !leaf.registration.draining
+            && !leaf.notice.is_leaving()
             && !leaf.address_reused
             && !self.evacuated.contains(&leaf.registration.zone)
     }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -18,6 +18,7 @@
 pub mod list_watch;
 pub mod members;
 pub mod merge;
+pub mod notices;
 pub mod overload;
 pub mod poison;
 pub mod position;
--- a/components/routing/tests/exchange.rs
+++ b/components/routing/tests/exchange.rs
@@ -116,7 +116,7 @@
     let mut cx = routing_state(4);
     for id in ["l0a", "l0b", "l1a", "l1b"] {
         assert!(matches!(
-            cx.leaves.remove(&id.parse().expect("a leaf id")),
+            cx.leaves.remove(&id.parse().expect("a leaf id"), at(0)),
             LeafChange::Removed(_)
         ));
     }
--- a/components/routing/tests/reconcile.rs
+++ b/components/routing/tests/reconcile.rs
@@ -34,7 +34,7 @@
                 self.leaves.register(registration.clone(), now);
             }
             Change::LeafGone { id, grace } if *grace == Span::ZERO => {
-                self.leaves.remove(id);
+                self.leaves.remove(id, now);
             }
             Change::LeafGone { id, grace } => self.leaves.mark_lapsed(id, now + *grace),
             Change::Evacuation { zone, out, .. } => self.leaves.set_evacuated(zone.clone(), *out),
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! One host process between stand-ins of the platform's store and leaves.
 
 mod cut_answers;
+mod leaving;
 mod odd_entries;
 mod request_limits;
 mod restored_store;
