Keep to the pause that a leaf asks for as it turns requests away

The header was not read: such a leaf got the usual flow.

Nothing is sent within it, of any kind; attempts that wait for a connection go elsewhere. After it one request goes at a time, one more for each that is answered. A gathered request goes without the shard if its minimum share allows; otherwise requests are refused at once with the time until enough leaves are back. 429 with Retry-After is treated alike.

--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -75,6 +75,7 @@
     limited_sends: Family<SendLabels, Counter>,
     limited_leaves: Gauge,
     leaving_leaves: Gauge,
+    pausing_leaves: Gauge,
     datagram_bytes: Family<SendLabels, Counter>,
     /// Attempt counts at the last export; the counters grow by the difference.
     last_counts: AttemptCounts,
@@ -112,6 +113,7 @@
             limited_sends: Family::default(),
             limited_leaves: Gauge::default(),
             leaving_leaves: Gauge::default(),
+            pausing_leaves: Gauge::default(),
             datagram_bytes: Family::default(),
             last_counts: AttemptCounts::default(),
             admitted_share: Gauge::default(),
@@ -153,6 +155,8 @@
         registry.register("limited_leaves", help, this.limited_leaves.clone());
         let help = "Registered leaves that have said in a response that they are leaving";
         registry.register("leaving_leaves", help, this.leaving_leaves.clone());
+        let help = "Leaves that have asked for a pause which is not over";
+        registry.register("pausing_leaves", help, this.pausing_leaves.clone());
         let help = "Least share of the most urgent requests that is taken, over groups of shards";
         registry.register("taken_share", help, this.admitted_share.clone());
         let help = "Share of all hosts' traffic that this host counts with";
@@ -267,6 +271,8 @@
         self.metrics.leaves.set(self.routing.leaves.len() as i64);
         self.metrics.limited_leaves.set(self.routing.limits.count() as i64);
         self.metrics.leaving_leaves.set(self.routing.leaves.leaving_count() as i64);
+        let pausing = self.routing.leaves.pausing_count(self.now);
+        self.metrics.pausing_leaves.set(pausing as i64);
         self.metrics.hosts.set(self.members.known_count() as i64);
         self.metrics.serving_hosts.set(self.members.serving(self.now).count() as i64);
         self.metrics.add_attempts(self.routing.counts);
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -23,7 +23,7 @@
     wigeonramp_routing::{
         catalog::RepeatPolicy,
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec},
-        leaf::{HealthSignal, LeafInstance, LeafRegistration},
+        leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         leaves::LeafKey,
         poison::CrashDetector,
     },
@@ -121,8 +121,9 @@
         let Some(req) = self.requests.get(request) else { return };
         let serial = req.serial;
         let at_most_once = req.exchange.route().repeat == RepeatPolicy::AtMostOnce;
-        // The leaf may have said since it was chosen that it is leaving.
-        let leaf = self.routing.leaves.get(spec.leaf).filter(|leaf| !leaf.notice.is_leaving());
+        // The leaf may have said since it was chosen that it wants no requests.
+        let wants_none = |leaf: &Leaf| leaf.notice.is_leaving() || leaf.notice.is_pausing(self.now);
+        let leaf = self.routing.leaves.get(spec.leaf).filter(|leaf| !wants_none(leaf));
         let Some(leaf) = leaf.map(|leaf| leaf.registration.clone()) else {
             return self.report_unsent(request, serial, spec);
         };
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -1,7 +1,7 @@
 //! Reading responses of leaves.
 
 use {
-    super::DEFAULT_IDLE_TIMEOUT,
+    super::{DEFAULT_IDLE_TIMEOUT, LeafConn},
     crate::{
         body::BodyReader,
         node::Node,
@@ -18,6 +18,26 @@
 const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
 /// Maximum length of a response head in bytes.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// What a response says of its leaf.
+#[derive(Clone, Copy, Debug, Default)]
+struct Notices {
+    leaving: bool,
+    /// Time for which the leaf wants no requests.
+    pause: Option<Span>,
+}
+
+impl LeafConn {
+    /// Returns what a response says of the leaf of this connection: nothing if it is the response of
+    /// another leaf or to another request.
+    fn notices(&self, head: &ResponseHead) -> Notices {
+        if head.status == 421 || self.mismatched {
+            return Notices::default();
+        }
+        let turns_away = matches!(head.status, 429 | 503);
+        Notices { leaving: head.leaving, pause: head.retry_after.filter(|_| turns_away) }
+    }
+}
+
 /// Time before the leaf's idle timeout at which an idle connection is no longer used.
 const IDLE_MARGIN: Span = Span::millis(500);
 
@@ -86,7 +106,7 @@
                         conn.inbuf.drain(..head.length);
                         conn.mismatched = head.id.is_some() && head.id != in_flight.id;
                         conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
-                        let is_leaving = head.leaving && head.status != 421 && !conn.mismatched;
+                        let notices = conn.notices(&head);
                         match BodyReader::new(head.framing, MAX_RESPONSE) {
                             Ok(reader) => conn.response = Some((head, reader)),
                             Err(_) => {
@@ -94,9 +114,7 @@
                                 return false;
                             }
                         }
-                        if is_leaving {
-                            self.hear_leaving(key);
-                        }
+                        self.hear_notices(key, notices);
                         continue;
                     }
                     _ => {
@@ -126,17 +144,23 @@
         }
     }
 
-    /// Handles that a response says that its leaf is leaving: requests that wait for a connection go to
-    /// other leaves.
-    fn hear_leaving(&mut self, key: usize) {
+    /// Handles what a leaf says of itself in a response. If it wants no requests, those that wait for a
+    /// connection to it go to other leaves.
+    fn hear_notices(&mut self, key: usize, notices: Notices) {
         let Some(conn) = self.upstreams.conns.get(key) else { return };
         let (leaf, process) = (conn.leaf, conn.process.clone());
-        if !self.routing.leaves.on_leaving(leaf, &process) {
-            return;
+        let leaves = &mut self.routing.leaves;
+        if notices.leaving && leaves.on_leaving(leaf, &process) {
+            let fields = json!({ "leaf": process.id, "state": "leaving", "from": "response" });
+            self.journal.record("leaf", fields, self.now);
+            self.close_idle_conns(leaf);
+            self.send_queued(leaf);
+        }
+        let Some(pause) = notices.pause else { return };
+        if self.routing.leaves.on_pause(leaf, &process, pause, self.now, &mut self.rng) {
+            let fields = json!({ "leaf": process.id, "state": "paused", "for_us": pause.0 });
+            self.journal.record("leaf", fields, self.now);
         }
-        let fields = json!({ "leaf": process.id, "state": "leaving", "from": "response" });
-        self.journal.record("leaf", fields, self.now);
-        self.close_idle_conns(leaf);
         self.send_queued(leaf);
     }
 
--- a/components/routing/src/exchange/conclusion.rs
+++ b/components/routing/src/exchange/conclusion.rs
@@ -34,22 +34,31 @@
         }
     }
 
-    pub(super) fn refuse_unservable(&self, cx: &RoutingState) -> Option<Reply> {
-        let has_leaf = |part: &&Part| cx.leaves.has_eligible_leaf(&part.service, &self.route.homes);
-        let served = self.parts.iter().filter(has_leaf).count();
-        if served >= self.min_responses() && served > 0 {
-            return None;
-        }
-        let cause = if self.is_gather() { Cause::TooFewShards } else { Cause::NoLeaf };
-        Some(Reply::Refused { cause, retry_after: RETRY_AFTER_NO_LEAF })
+    pub(super) fn refuse_unservable(&self, cx: &RoutingState, now: Instant) -> Option<Reply> {
+        let (cause, retry_after) = match self.wait_for_leaves(cx, now) {
+            Some(Span::ZERO) => return None,
+            Some(wait) => (Cause::Paused, wait),
+            None if self.is_gather() => (Cause::TooFewShards, RETRY_AFTER_NO_LEAF),
+            None => (Cause::NoLeaf, RETRY_AFTER_NO_LEAF),
+        };
+        Some(Reply::Refused { cause, retry_after })
+    }
+
+    /// Returns the time until enough parts have a leaf that can be sent them, as leaves may pause; none
+    /// if too many have no leaf at all.
+    fn wait_for_leaves(&self, cx: &RoutingState, now: Instant) -> Option<Span> {
+        let wait = |part: &Part| cx.leaves.wait(&part.service, &self.route.homes, now);
+        let mut waits: Vec<Span> = self.parts.iter().filter_map(wait).collect();
+        waits.sort_unstable();
+        waits.get(self.min_responses().max(1) - 1).copied()
     }
 
     /// Returns the reply once it is decided.
     pub(super) fn conclude(&mut self, cx: &mut RoutingState, now: Instant) -> Option<Reply> {
         if !self.is_gather() {
-            return self.conclude_single();
+            return self.conclude_single(cx, now);
         }
-        let reply = self.conclude_gather(now);
+        let reply = self.conclude_gather(cx, now);
         if !self.late_recorded && (reply.is_some() || now >= self.reply_at) {
             self.late_recorded = true;
             self.record_late_parts(cx, now);
@@ -80,19 +89,19 @@
         }
     }
 
-    fn conclude_gather(&mut self, now: Instant) -> Option<Reply> {
+    fn conclude_gather(&mut self, cx: &RoutingState, now: Instant) -> Option<Reply> {
         let min_responses = self.min_responses();
         let unresolved = self.parts.iter().filter(|part| part.is_unresolved()).count();
         if self.responses >= min_responses && (unresolved == 0 || now >= self.reply_at) {
             return Some(self.merge());
         }
         if self.responses + unresolved < min_responses {
-            return Some(self.fail(Cause::TooFewShards));
+            return Some(self.fail(Cause::TooFewShards, cx, now));
         }
         None
     }
 
-    fn conclude_single(&mut self) -> Option<Reply> {
+    fn conclude_single(&mut self, cx: &RoutingState, now: Instant) -> Option<Reply> {
         let part = &mut self.parts[0];
         if let Some(response) = part.response.take() {
             return Some(Reply::Relayed(response));
@@ -103,24 +112,25 @@
         if let Some(failure) = part.failure.take() {
             return Some(Reply::Relayed(failure));
         }
-        Some(self.fail(Cause::Broken))
+        Some(self.fail(Cause::Broken, cx, now))
     }
 
-    pub(super) fn give_up(&mut self) -> Reply {
+    pub(super) fn give_up(&mut self, cx: &RoutingState, now: Instant) -> Reply {
         if self.is_gather() && self.responses >= self.min_responses() {
             return self.merge();
         }
         match self.parts[0].failure.take().filter(|_| !self.is_gather()) {
             Some(failure) => Reply::Relayed(failure),
-            None => self.fail(Cause::TimeUp),
+            None => self.fail(Cause::TimeUp, cx, now),
         }
     }
 
-    fn fail(&self, cause: Cause) -> Reply {
+    fn fail(&self, cause: Cause, cx: &RoutingState, now: Instant) -> Reply {
         if self.parts.iter().any(|part| part.possible_runs() > 0) {
             return Reply::Failed(cause);
         }
-        Reply::Refused { cause: Cause::NotRun, retry_after: RETRY_AFTER_BUSY }
+        let wait = self.wait_for_leaves(cx, now).unwrap_or(RETRY_AFTER_NO_LEAF);
+        Reply::Refused { cause: Cause::NotRun, retry_after: wait.max(RETRY_AFTER_BUSY) }
     }
 
     fn merge(&mut self) -> Reply {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -88,7 +88,7 @@
             permits_until: None,
             route,
         };
-        if let Some(reply) = this.refuse_unservable(cx) {
+        if let Some(reply) = this.refuse_unservable(cx, now) {
             return (this, Some(reply));
         }
         if !cx.admits(&this.route, now) {
@@ -266,7 +266,7 @@
         new_attempts: &mut Vec<AttemptSpec>,
     ) -> Option<Reply> {
         if now >= self.give_up_at {
-            return Some(self.give_up());
+            return Some(self.give_up(cx, now));
         }
         if self.permits_until.is_some() {
             let reply = self.on_permits(cx, now, new_attempts);
--- a/components/routing/src/exchange/permits.rs
+++ b/components/routing/src/exchange/permits.rs
@@ -133,7 +133,7 @@
                 }
                 None => {
                     let homes = &self.route.homes;
-                    let is_served = cx.leaves.has_eligible_leaf(&part.service, homes);
+                    let is_served = cx.leaves.wait(&part.service, homes, now) == Some(Span::ZERO);
                     available += usize::from(is_served);
                 }
             }
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -178,6 +178,7 @@
         match signal {
             HealthSignal::Answered => {
                 self.backoffs = 0;
+                self.notice.on_answered(now);
                 self.record_ratio(ratio, now);
             }
             HealthSignal::Failed => self.record_ratio(ratio.max(FAILED_RATIO), now),
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -226,6 +226,11 @@
         self.leaves.values().filter(|leaf| leaf.notice.is_leaving()).count()
     }
 
+    /// Returns the number of leaves that pause.
+    pub fn pausing_count(&self, now: Instant) -> usize {
+        self.leaves.values().filter(|leaf| leaf.notice.is_pausing(now)).count()
+    }
+
     /// Whether there are no leaves.
     pub fn is_empty(&self) -> bool {
         self.leaves.is_empty()
@@ -246,7 +251,37 @@
         self.by_id.get(id).copied()
     }
 
-    /// Whether the leaf is eligible for requests.
+    /// Records that a response of this process asked for a pause. Returns whether it was not pausing; it
+    /// is not paused if another process is registered by now.
+    pub fn on_pause(
+        &mut self,
+        key: LeafKey,
+        process: &LeafInstance,
+        time: Span,
+        now: Instant,
+        rng: &mut impl Rng,
+    ) -> bool {
+        let leaf = self.leaves.get_mut(&key);
+        let leaf = leaf.filter(|leaf| leaf.registration.instance() == *process);
+        leaf.is_some_and(|leaf| leaf.notice.on_pause(time, now, rng))
+    }
+
+    /// Returns the time until a leaf of the service in these regions can be sent a request; none if the
+    /// service has no eligible leaf.
+    pub fn wait(&self, service: &ServiceId, homes: &[RegionId], now: Instant) -> Option<Span> {
+        let usable = |leaf: &&Leaf| {
+            self.is_eligible(leaf) && self.is_in_regions(&leaf.registration.zone, homes)
+        };
+        let leaves = self.of_service(service).map(|(_, leaf)| leaf).filter(usable);
+        leaves.filter_map(|leaf| leaf.notice.wait(leaf.pending(), now)).min()
+    }
+
+    /// Whether the leaf can be sent a request now.
+    pub fn is_available(&self, leaf: &Leaf, now: Instant) -> bool {
+        self.is_eligible(leaf) && leaf.notice.wait(leaf.pending(), now) == Some(Span::ZERO)
+    }
+
+    /// Whether the leaf is eligible for requests, now or after a pause.
     pub fn is_eligible(&self, leaf: &Leaf) -> bool {
         !leaf.registration.draining
             && !leaf.notice.is_leaving()
@@ -254,14 +289,6 @@
             && !self.evacuated.contains(&leaf.registration.zone)
     }
 
-    /// Whether the service has an eligible leaf in these regions.
-    pub fn has_eligible_leaf(&self, service: &ServiceId, homes: &[RegionId]) -> bool {
-        let usable = |leaf: &Leaf| {
-            self.is_eligible(leaf) && self.is_in_regions(&leaf.registration.zone, homes)
-        };
-        self.of_service(service).any(|(_, leaf)| usable(leaf))
-    }
-
     /// Returns the zone of each eligible leaf of the service, with repetitions.
     pub fn eligible_zones(&self, service: &ServiceId) -> impl Iterator<Item = &ZoneId> {
         self.of_service(service)
@@ -274,7 +301,7 @@
         keys.iter().filter_map(|key| Some((*key, self.leaves.get(key)?)))
     }
 
-    /// Selects the eligible leaf that is expected to respond first. A cold leaf with a declared rate
+    /// Selects the available leaf that is expected to respond first. A cold leaf with a declared rate
     /// is chosen only if it has a token, which is then taken. A leaf that names a limit is chosen
     /// only if this host has a permit.
     pub fn choose(
@@ -286,7 +313,7 @@
         let mut best: Option<(f64, LeafKey)> = None;
         let mut denied: Vec<(f64, LeafKey)> = Vec::new();
         for (key, leaf) in self.of_service(criteria.service) {
-            if !self.is_eligible(leaf) || criteria.tried.contains(&key) {
+            if !self.is_available(leaf, now) || criteria.tried.contains(&key) {
                 continue;
             }
             if !self.is_in_regions(&leaf.registration.zone, criteria.homes) {
@@ -316,7 +343,7 @@
         Selection { leaf: Some(key), denied }
     }
 
-    /// Returns the eligible leaves of a service that name a limit and for which this host has no
+    /// Returns the available leaves of a service that name a limit and for which this host has no
     /// permit; none if one of its leaves can be sent a request of this priority now.
     pub fn without_permits(
         &self,
@@ -327,7 +354,7 @@
         now: Instant,
     ) -> Vec<LeafKey> {
         let eligible = self.of_service(service).filter(|(_, leaf)| {
-            self.is_eligible(leaf) && self.is_in_regions(&leaf.registration.zone, homes)
+            self.is_available(leaf, now) && self.is_in_regions(&leaf.registration.zone, homes)
         });
         let mut denied = Vec::new();
         for (key, leaf) in eligible {
--- a/components/routing/src/notices.rs
+++ b/components/routing/src/notices.rs
@@ -1,12 +1,14 @@
 //! What the processes of leaves say of themselves in their responses, beside what the store says.
 //!
 //! A process that is leaving stays so until it ends: a response without the notice, or a registration
-//! that does not mention it, changes nothing. Its successor under the same id is another process. So a
-//! notice is kept by process, also while the leaf is not registered.
+//! that does not mention it, changes nothing. A process that asks for a pause gets nothing until the
+//! pause is over, and a few requests first after it. Its successor under the same id is another process.
+//! So a notice is kept by process, also while the leaf is not registered.
 
 use {
     crate::leaf::LeafInstance,
     indexmap::IndexMap,
+    rand::{Rng, RngExt},
     wigeonramp_units::{Instant, Span},
 };
 
@@ -15,11 +17,32 @@
 /// Maximum number of processes that are remembered.
 const MAX_REMEMBERED: usize = 1_024;
 
+/// Longest pause; a leaf that asks for a longer one gets this.
+const MAX_PAUSE: Span = Span::secs(24 * 3_600);
+/// Longest random time that is added to a pause, so that hosts do not all come back at once.
+const MAX_JITTER: Span = Span::millis(150);
+/// Number of requests at the same time after a pause; one more for each that is answered.
+const FIRST_REQUESTS: u32 = 1;
+/// Number of requests at the same time from which a leaf is used as before.
+const ALL_REQUESTS: u32 = 16;
+/// Time after which a leaf that has all requests that it gets for the moment may take another.
+const REOPENING_WAIT: Span = Span::millis(100);
+
 /// What a process has said of itself.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub struct Notice {
     /// Whether it is leaving.
     leaving: bool,
+    /// The last pause, until the leaf is used as before.
+    pause: Option<Pause>,
+}
+
+/// A pause that a process has asked for.
+#[derive(Clone, Copy, Debug, PartialEq)]
+struct Pause {
+    until: Instant,
+    /// Number of requests at the same time that it gets after the pause.
+    requests: u32,
 }
 
 impl Notice {
@@ -33,6 +56,43 @@
         !std::mem::replace(&mut self.leaving, true)
     }
 
+    /// Records that a response which turned a request away asked for a pause, which counts from now. A
+    /// later response does not shorten an earlier pause. Returns whether the process was not pausing.
+    pub fn on_pause(&mut self, time: Span, now: Instant, rng: &mut impl Rng) -> bool {
+        let until = now + time.min(MAX_PAUSE) + Span(rng.random_range(0..MAX_JITTER.0));
+        let is_new = !self.is_pausing(now);
+        let before = self.pause.map_or(until, |pause| pause.until);
+        self.pause = Some(Pause { until: until.max(before), requests: FIRST_REQUESTS });
+        is_new
+    }
+
+    /// Whether the process pauses.
+    pub fn is_pausing(&self, now: Instant) -> bool {
+        self.pause.is_some_and(|pause| now < pause.until)
+    }
+
+    /// Records that the process has answered a request.
+    pub fn on_answered(&mut self, now: Instant) {
+        let Some(pause) = self.pause.as_mut().filter(|pause| pause.until <= now) else { return };
+        pause.requests += 1;
+        if pause.requests >= ALL_REQUESTS {
+            self.pause = None;
+        }
+    }
+
+    /// Returns the time until the process, which has `pending` requests, can be sent one; none if it
+    /// is leaving.
+    pub fn wait(&self, pending: usize, now: Instant) -> Option<Span> {
+        if self.leaving {
+            return None;
+        }
+        Some(match self.pause {
+            Some(pause) if now < pause.until => pause.until.since(now),
+            Some(pause) if pending >= pause.requests as usize => REOPENING_WAIT,
+            Some(_) | None => Span::ZERO,
+        })
+    }
+
     fn is_empty(&self) -> bool {
         *self == Self::default()
     }
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -38,6 +38,8 @@
     Overload,
     /// Leaves name request limits, and there are no permits for enough of them.
     Limited,
+    /// The leaves have asked for a pause.
+    Paused,
     /// Too few shards can respond.
     TooFewShards,
     /// A leaf broke the connection or sent an invalid response.
@@ -72,6 +74,7 @@
             Cause::NotRun => "not_run",
             Cause::Overload => "overload",
             Cause::Limited => "limited",
+            Cause::Paused => "paused",
             Cause::TooFewShards => "too_few_shards",
             Cause::Broken => "broken",
             Cause::TimeUp => "time_up",
--- a/components/routing/tests/leaves.rs
+++ b/components/routing/tests/leaves.rs
@@ -69,7 +69,8 @@
     assert_eq!(leaves.choose(&criteria, at(1), &mut rng).leaf, Some(far));
     leaves.set_evacuated("b".parse().expect("a zone"), true);
     assert_eq!(leaves.choose(&criteria, at(2), &mut rng).leaf, None);
-    assert!(!leaves.has_eligible_leaf(&service, &east) && leaves.has_eligible_leaf(&service, &[]));
+    assert_eq!(leaves.wait(&service, &east, at(0)), None);
+    assert_eq!(leaves.wait(&service, &[], at(0)), Some(Span::ZERO));
 }
 
 /// Makes a leaf unhealthy.
--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -172,6 +172,7 @@
                     part_stamps: Vec::new(),
                     missing: 0,
                     close: true,
+                    retry_after: None,
                     body: Vec::new(),
                 })
             }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -3,6 +3,7 @@
 mod cut_answers;
 mod leaving;
 mod odd_entries;
+mod pausing;
 mod request_limits;
 mod restored_store;
 mod stopping;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -204,6 +204,17 @@
         statuses
     }
 
+    /// Sends a request that the first host refuses; returns the time in seconds after which the caller may
+    /// come back.
+    pub fn retry_after(&self, id: &str) -> f64 {
+        let path = format!("/read/{id}");
+        let req = CallerRequest { method: "GET", host: HOST, path: &path, id, wait: TIMEOUT };
+        let response = Caller::connect(self.caller_address()).and_then(|mut c| c.send(&req));
+        let response = response.expect("a response");
+        assert_eq!(response.status, 503);
+        response.retry_after.expect("a time to come back")
+    }
+
     /// Sends requests until none reaches `leaf` for a while.
     pub fn wait_until_unused(&self, leaf: &Leaf) {
         let deadline = Instant::now() + APPLY_TIME;
