Draw notices of leaves and turned-away hosts in the soak

Cause: no run of the soak had leaves that say they are leaving or ask for a pause, nor a store that turns some hosts away while it serves the others. Change: the soak draws both beside its other faults and checks what leaves get after a notice; hosts reach the store through an address of their own, and a host that the store turns away is not judged by changes that it cannot know.

--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -41,6 +41,8 @@
 #[derive(Clone, Debug)]
 pub(crate) struct RequestRecord {
     pub id: String,
+    /// Address of the host that it was sent to.
+    pub host: SocketAddr,
     pub kind: RequestKind,
     pub sent_at: Instant,
     pub ended_at: Instant,
@@ -177,6 +179,6 @@
                 })
             }
         };
-        RequestRecord { id, kind, sent_at, ended_at: Instant::now(), response }
+        RequestRecord { id, host, kind, sent_at, ended_at: Instant::now(), response }
     }
 }
--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -1,9 +1,13 @@
 //! Checks of the invariants: compares what callers received with what leaves ran.
 
+mod notices;
+
 use {
     crate::{
         callers::{RequestKind, RequestRecord},
-        fleet::{History, MIN_SHARE_PERCENT, NamedLimit, SHARDS, TOP_K, ZoneEvacuation},
+        fleet::{
+            History, MIN_SHARE_PERCENT, NamedLimit, SHARDS, TOP_K, TurnedAway, ZoneEvacuation,
+        },
     },
     indexmap::{IndexMap, IndexSet},
     std::{
@@ -68,8 +72,16 @@
         violations.extend(check_response(req, runs));
         violations.extend(check_config_version(req, runs, history));
     }
-    violations.extend(runs.iter().filter_map(|run| check_draining_leaf(run, history)));
-    violations.extend(runs.iter().filter_map(|run| check_evacuated_zone(run, history)));
+    let hosts: IndexMap<&str, String> =
+        requests.iter().map(|req| (req.id.as_str(), req.host.ip().to_string())).collect();
+    let is_judged = |run: &&Run| {
+        hosts.get(run.id.as_str()).is_none_or(|host| !is_turned_away(history, host, run.at))
+    };
+    let judged: Vec<&Run> = runs.iter().filter(is_judged).collect();
+    violations.extend(judged.iter().filter_map(|run| check_draining_leaf(run, history)));
+    violations.extend(judged.iter().filter_map(|run| check_evacuated_zone(run, history)));
+    violations.extend(notices::check_leaving(requests, &by_id, history));
+    violations.extend(notices::check_pauses(requests, history));
     violations.extend(history.limits.iter().filter_map(|limit| check_limit(limit, runs, history)));
     violations
 }
@@ -143,6 +155,16 @@
     })
 }
 
+/// Whether the store turned a host away at the moment or shortly before, so that it need not know of changes.
+fn is_turned_away(history: &History, host: &str, at: Instant) -> bool {
+    let covers = |away: &TurnedAway| {
+        let is_over = |end| at >= end + DISTURBANCE_GRACE + PROPAGATION_LIMIT;
+        at >= away.start && !away.end.is_some_and(is_over)
+    };
+    let of_host = history.turned_away.iter().filter(|a| a.hosts.iter().any(|ip| ip == host));
+    of_host.into_iter().any(covers)
+}
+
 /// Checks that the response was given under a configuration version that may be in force: the
 /// newest one written at least `PROPAGATION_LIMIT` before the request, or any one written after
 /// that.
@@ -151,7 +173,8 @@
     runs: &[&Run],
     history: &History,
 ) -> Option<Violation> {
-    if is_near_disturbance(history, req.sent_at) {
+    let host = req.host.ip().to_string();
+    if is_near_disturbance(history, req.sent_at) || is_turned_away(history, &host, req.sent_at) {
         return None;
     }
     let old = history
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -2,7 +2,8 @@
 
 use {
     crate::{
-        SoakPlan, fleet::Fleet, limits::LeafLimits, proxy::LinkMode, store_copies::StoreCopies,
+        SoakPlan, fleet::Fleet, limits::LeafLimits, notices::LeafNotices, proxy::LinkMode,
+        store_copies::StoreCopies,
     },
     rand::RngExt,
     rustix::process::Signal,
@@ -14,14 +15,16 @@
 };
 
 /// Number of fault kinds, which are numbered as in `inject_random_fault`.
-const KINDS: usize = 16;
+const KINDS: usize = 17;
 /// Fault kinds that leave hosts and store running, so that invariants with a time limit hold
 /// throughout. Kinds listed twice are drawn more often.
-const MILD_KINDS: [usize; 10] = [3, 4, 5, 7, 9, 11, 13, 14, 15, 15];
+const MILD_KINDS: [usize; 12] = [3, 4, 5, 7, 9, 11, 13, 14, 15, 15, 16, 16];
 /// Time from a leaf's registration as draining to its end; longer than hosts may still use it.
 const DRAIN_TIME: Duration = Duration::from_millis(4_500);
 /// Time for which a zone is out; longer than hosts may still use the zone.
 const EVACUATION_TIME: Duration = Duration::from_millis(6_500);
+/// Time for which the store turns some hosts away; longer than changes may take.
+const TURNED_AWAY_TIME: Duration = Duration::from_millis(5_000);
 /// Pause between faults, in milliseconds.
 const PAUSE_MS: std::ops::Range<u64> = 150..900;
 /// Duration of other faults that end, in milliseconds.
@@ -43,6 +46,7 @@
     ReplaceLeaf(String, String),
     EndDrainingLeaf(usize),
     EndEvacuation,
+    ServeAllHosts,
 }
 
 /// Injects faults until the plan's time is over and then undoes them; returns their descriptions.
@@ -51,6 +55,7 @@
     let mut injected = Vec::new();
     let mut pending: Vec<(Instant, Undo)> = Vec::new();
     let mut copies = plan.restores_store().then(|| StoreCopies::new(plan.seed));
+    let mut notices = plan.notifies().then(|| LeafNotices::new(plan.seed));
     let mut limits = plan.limits_leaves().then(|| LeafLimits::new(plan.seed));
     while Instant::now() < end {
         let (description, undo) = inject_random_fault(fleet, plan);
@@ -59,6 +64,7 @@
             let duration = match undo {
                 Undo::EndDrainingLeaf(_) => DRAIN_TIME,
                 Undo::EndEvacuation => EVACUATION_TIME,
+                Undo::ServeAllHosts => TURNED_AWAY_TIME,
                 _ => Duration::from_millis(fleet.rng.random_range(FAULT_LENGTH_MS)),
             };
             pending.push((Instant::now() + duration, undo));
@@ -72,10 +78,14 @@
                 pending.extend(undo_fault(fleet, undo));
             }
             injected.extend(copies.as_mut().and_then(|copies| copies.advance(fleet)));
+            injected.extend(notices.as_mut().and_then(|notices| notices.advance(fleet)));
             injected.extend(limits.as_mut().and_then(|limits| limits.advance(fleet)));
             thread::sleep(Duration::from_millis(20));
         }
     }
+    if let Some(mut notices) = notices {
+        notices.finish(fleet);
+    }
     if let Some(mut limits) = limits {
         limits.finish(fleet);
     }
@@ -102,16 +112,19 @@
     match kind {
         0 => {
             fleet.record_disturbance();
+            fleet.record_interruption(host);
             fleet.hosts[host].kill();
             (format!("kill {name}"), Some(Undo::StartHost(host)))
         }
         1 => {
             fleet.record_disturbance();
+            fleet.record_interruption(host);
             fleet.hosts[host].signal(Signal::STOP);
             fleet.hosts[host].is_paused = true;
             (format!("pause {name}"), Some(Undo::ResumeHost(host)))
         }
         2 => {
+            fleet.record_interruption(host);
             fleet.hosts[host].signal(Signal::TERM);
             fleet.hosts[host].is_stopping = true;
             (format!("stop {name}"), Some(Undo::RestartWhenEnded(host)))
@@ -190,6 +203,15 @@
                 false => ("another zone is out already".to_owned(), None),
             }
         }
+        16 => {
+            let faults =
+                [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent, StoreFault::Limited];
+            let fault = faults[fleet.rng.random_range(0..faults.len())];
+            match fleet.turn_hosts_away(fault) {
+                true => (format!("store {fault:?} for some"), Some(Undo::ServeAllHosts)),
+                false => ("the store turns hosts away already".to_owned(), None),
+            }
+        }
         _ => {
             fleet.leaves[leaf].0.register("draining");
             fleet.history.draining.push((id.clone(), Instant::now()));
@@ -220,6 +242,7 @@
         }
         Undo::ResumeHost(host) => {
             fleet.record_disturbance();
+            fleet.record_interruption(host);
             fleet.hosts[host].signal(Signal::CONT);
             fleet.hosts[host].is_paused = false;
         }
@@ -234,6 +257,7 @@
             fleet.store.set_fault(StoreFault::None);
         }
         Undo::EndEvacuation => fleet.end_evacuation(),
+        Undo::ServeAllHosts => fleet.serve_all_hosts(),
         Undo::ReplaceLeaf(service, zone) => add_leaf(fleet, &service, &zone),
         Undo::EndDrainingLeaf(leaf) => {
             // The leaf served until now, for hosts that had not yet seen that it is draining.
@@ -247,6 +271,7 @@
 
 fn start_host(fleet: &mut Fleet, host: usize) {
     fleet.record_disturbance();
+    fleet.record_interruption(host);
     if let Err(err) = fleet.hosts[host].spawn() {
         eprintln!("cannot start host {}: {err}", fleet.hosts[host].name);
     }
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -20,7 +20,7 @@
     },
     wigeonramp_platform_standin::{
         leaf::{Leaf, LeafSpec, Run, Runs},
-        store::Store,
+        store::{Door, Store, StoreFault},
     },
 };
 
@@ -37,6 +37,8 @@
 const ZONES: [&str; 3] = ["a", "b", "c"];
 /// Number of threads that send requests.
 const CALLER_THREADS: usize = 5;
+/// Share of the hosts that the store turns away while it serves the others, in percent.
+const MAX_TURNED_AWAY_PERCENT: usize = 35;
 /// Longest wait for all hosts to become ready after their start.
 const READY_TIMEOUT: Duration = Duration::from_secs(15);
 /// Time after the last fault until the recovery is measured.
@@ -75,6 +77,28 @@
     pub end: Option<Instant>,
 }
 
+/// A time in which a leaf turned all requests away and asked for pauses.
+#[derive(Clone, Debug)]
+pub(crate) struct LeafPause {
+    /// Id of the leaf.
+    pub leaf: String,
+    /// Length of each pause.
+    pub pause: Duration,
+    pub start: Instant,
+    /// Time when the leaf took requests again, if it did.
+    pub end: Option<Instant>,
+}
+
+/// A time in which the store turned some hosts away.
+#[derive(Clone, Debug)]
+pub(crate) struct TurnedAway {
+    /// IP addresses of the hosts.
+    pub hosts: Vec<String>,
+    pub start: Instant,
+    /// Time when the store served them again, if it did.
+    pub end: Option<Instant>,
+}
+
 /// Changes and disturbances of a run with their times, for the checks.
 #[derive(Clone, Debug, Default)]
 pub(crate) struct History {
@@ -85,6 +109,17 @@
     pub leaf_zones: IndexMap<String, String>,
     pub evacuations: Vec<ZoneEvacuation>,
     pub limits: Vec<NamedLimit>,
+    /// Ids of leaves that said that they were leaving, and the time when they began to.
+    pub leaving: Vec<(String, Instant)>,
+    pub pauses: Vec<LeafPause>,
+    /// Requests that arrived at leaves which asked for pauses, also those that were turned away: leaf,
+    /// request and time.
+    pub arrivals: Vec<(String, String, Instant)>,
+    /// IP addresses of hosts that were killed, paused or stopped, and started or resumed again, with the
+    /// time.
+    pub interruptions: Vec<(String, Instant)>,
+    /// Times in which the store turned hosts away and served the others.
+    pub turned_away: Vec<TurnedAway>,
     /// Times of faults after which invariants with a time limit are not checked for a while.
     pub disturbances: Vec<Instant>,
 }
@@ -94,6 +129,8 @@
     pub rng: SmallRng,
     pub store: Store,
     pub hosts: Vec<HostProcess>,
+    /// The addresses of the store that the hosts use, one each.
+    pub doors: Vec<Door>,
     /// Leaves, each with the proxy through which hosts reach it.
     pub leaves: Vec<(Leaf, Proxy)>,
     pub history: History,
@@ -118,6 +155,7 @@
         let mut fleet = Self {
             rng: SmallRng::seed_from_u64(plan.seed),
             hosts: Vec::new(),
+            doors: Vec::new(),
             leaves: Vec::new(),
             history: History::default(),
             version: 0,
@@ -152,7 +190,9 @@
                 ports,
                 seeds: &ips[..ips.len().min(3)],
             };
-            let proxy = Proxy::start(&format!("{}.253", self.prefix), self.store.address())?;
+            let door = self.store.open_door(&format!("{}.254", self.prefix))?;
+            let proxy = Proxy::start(&format!("{}.253", self.prefix), door.address())?;
+            self.doors.push(door);
             self.hosts.push(HostProcess::start(spec, proxy, &plan.daemon, &plan.directory)?);
         }
         Ok(())
@@ -279,6 +319,36 @@
         }
     }
 
+    /// Has the store turn away a third of the hosts, those that watch it first. Returns false if it turns
+    /// some away already, or if there are too few hosts.
+    pub fn turn_hosts_away(&mut self, fault: StoreFault) -> bool {
+        let count = self.hosts.len() * MAX_TURNED_AWAY_PERCENT / 100;
+        if count == 0 || self.history.turned_away.iter().any(|away| away.end.is_none()) {
+            return false;
+        }
+        let mut order: Vec<usize> = (0..self.hosts.len()).collect();
+        order.sort_by_key(|host| !self.doors[*host].is_watched());
+        order.truncate(count);
+        order.iter().for_each(|host| self.doors[*host].set_fault(fault));
+        let hosts = order.iter().map(|host| self.hosts[*host].ip.clone()).collect();
+        let (start, end) = (Instant::now(), None);
+        self.history.turned_away.push(TurnedAway { hosts, start, end });
+        true
+    }
+
+    /// Has the store serve all hosts.
+    pub fn serve_all_hosts(&mut self) {
+        self.doors.iter().for_each(|door| door.set_fault(StoreFault::None));
+        for away in self.history.turned_away.iter_mut().filter(|away| away.end.is_none()) {
+            away.end = Some(Instant::now());
+        }
+    }
+
+    /// Records that a host was killed, paused or stopped, or started or resumed again.
+    pub fn record_interruption(&mut self, host: usize) {
+        self.history.interruptions.push((self.hosts[host].ip.clone(), Instant::now()));
+    }
+
     /// Suspends the checks of invariants with a time limit for a while from now on.
     pub fn record_disturbance(&mut self) {
         self.history.disturbances.push(Instant::now());
@@ -303,6 +373,11 @@
             Ok(runs) => runs.clone(),
             Err(poisoned) => poisoned.into_inner().clone(),
         };
+        let asked = |leaf: &Leaf| self.history.pauses.iter().any(|pause| pause.leaf == leaf.id());
+        let arrivals = self.leaves.iter().filter(|(leaf, _)| asked(leaf)).flat_map(|(leaf, _)| {
+            leaf.arrivals().into_iter().map(|(req, at)| (leaf.id().to_owned(), req, at))
+        });
+        self.history.arrivals = arrivals.collect();
         for (leaf, proxy) in &self.leaves {
             proxy.stop();
             leaf.crash();
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -11,6 +11,7 @@
 mod fleet;
 pub mod hosts;
 mod limits;
+mod notices;
 pub mod proxy;
 mod store_copies;
 
@@ -42,6 +43,11 @@
         self.seed % 5 == 3
     }
 
+    /// Returns whether leaves say that they are leaving or want pauses.
+    fn notifies(&self) -> bool {
+        self.seed % 5 == 2
+    }
+
     /// Returns whether leaves name request limits.
     fn limits_leaves(&self) -> bool {
         self.seed % 5 == 4
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -51,3 +51,9 @@
 fn seed_with_lost_watch_responses_violates_no_invariant() {
     soak(7_000);
 }
+
+/// Guards against requests to leaves that say that they are leaving, or that ask for a pause.
+#[test]
+fn seed_with_notices_of_leaves_violates_no_invariant() {
+    soak(7);
+}
