Keep a reserve for delays on the way that no measurement shows

The kernel's round-trip time was constant while acknowledgements of replies took up to 7 ms longer. Ruled out: replies that need two round trips (all were acknowledged after one), a blocked socket (none), time spent before the request (announced and counted). Change: a twentieth of the target latency is a reserve.

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -344,7 +344,7 @@
             "status": status, "cause": cause, "took_us": latency.0,
             "target_us": route.target_latency.0, "timeout_us": route.timeout.0,
             "before_us": req.overhead.before.0, "way_us": req.overhead.way.0,
-            "own_us": req.overhead.own.0,
+            "own_us": req.overhead.own.0, "reserve_us": req.overhead.reserve.0,
             "may_repeat": route.repeat == RepeatPolicy::Idempotent,
             "answered": answered, "parts": parts, "missing": missing, "tries": attempts,
             "config": self.active_catalog.version().map(|v| v.0),
--- a/components/routing/src/reply_time.rs
+++ b/components/routing/src/reply_time.rs
@@ -12,7 +12,10 @@
 //! - in this host: its event loop notices a due timer late, and encoding and writing the reply
 //!   takes processor time. Both grow with the load and shrink with the host's share of a core.
 //!
-//! Each is measured; this module holds the estimates and adds them up.
+//! Each is measured; this module holds the estimates and adds them up. A reserve is added for delays
+//! that no measurement of this host shows, such as queues on the links and at the caller. It answers
+//! the load under which nearly every gathered request waits for a paused or slow leaf until its reply
+//! is due: without a reserve each of these replies arrives around the target latency, and many after it.
 
 use {indexmap::IndexMap, std::collections::VecDeque, wigeonramp_units::Span};
 
@@ -42,6 +45,10 @@
 /// would otherwise give up most parts and still be late.
 const MAX_OWN_PERCENT: u64 = 25;
 
+/// Reserve for delays that are not measured, in percent of the target latency. A late reply is worth
+/// little to its caller, while only few parts arrive in this last part of the wait.
+const RESERVE_PERCENT: u64 = 5;
+
 /// Round-trip time of one connection, as its acknowledgements show it.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RoundTrip {
@@ -83,12 +90,14 @@
     pub way: Span,
     /// Time from the moment at which the reply is due until it is written.
     pub own: Span,
+    /// Reserve for delays that are not measured.
+    pub reserve: Span,
 }
 
 impl Overhead {
     /// Returns the sum of all parts.
     pub fn total(&self) -> Span {
-        Span(self.before.0 + self.way.0 + self.own.0)
+        Span(self.before.0 + self.way.0 + self.own.0 + self.reserve.0)
     }
 
     /// Returns the time between the caller's first attempt and its receipt of a reply that is
@@ -185,7 +194,8 @@
         let way = self.way(path);
         let own = self.own_delay().min(target_latency.percent(MAX_OWN_PERCENT));
         let before = self.before(route, path, way).filter(|before| *before < target_latency);
-        Overhead { before: before.unwrap_or_default(), way, own }
+        let reserve = target_latency.percent(RESERVE_PERCENT);
+        Overhead { before: before.unwrap_or_default(), way, own, reserve }
     }
 
     /// Returns the time that the caller spent before the request, if it can be told.
--- a/components/routing/tests/reply_time.rs
+++ b/components/routing/tests/reply_time.rs
@@ -48,11 +48,12 @@
     })
 }
 
-/// Sends a request at `start` from a caller `distance` away; one shard of four never responds.
-/// Returns the time from the caller's first attempt to its receipt of the reply.
+/// Sends a request at `start` from a caller `distance` away, whose reply is queued on the way for
+/// `queued`, which no round-trip time shows; one shard of four never responds. Returns the time from the caller's first attempt to its receipt of the reply.
 fn time_to_reply(
     cx: RoutingState,
     distance: Span,
+    queued: Span,
     preparation: Preparation,
     start: Instant,
 ) -> (Span, RoutingState) {
@@ -81,7 +82,7 @@
         run.cx.reply_timing.record_timer_delay(HOST_DELAY.percent(50));
     }
     run.cx.reply_timing.record_write_delay(HOST_DELAY.percent(50));
-    let received = due + HOST_DELAY + distance;
+    let received = due + HOST_DELAY + distance + queued;
     (received.since(start), run.cx)
 }
 
@@ -101,7 +102,7 @@
                 if round % 4 != 0 && !matches!(preparation, Preparation::None) || spent >= TARGET {
                     continue;
                 }
-                let (time, after) = time_to_reply(cx, distance, preparation, start);
+                let (time, after) = time_to_reply(cx, distance, Span::ZERO, preparation, start);
                 cx = after;
                 start = start + Span::secs(1);
                 // The first requests show which wait is common.
@@ -121,6 +122,22 @@
     assert!(early.is_empty(), "replies that gave up parts long before the target: {early:?}");
 }
 
+/// Guards against replies that are late by a delay that the round-trip time does not show, because
+/// they leave at the last moment at which a reply without it would be in time. On a calm day, 22 of
+/// 220 urgent requests were late by up to 4 ms of 120 ms.
+#[test]
+fn replies_that_are_queued_on_the_way_are_not_late() {
+    let mut cx = routing_state(4);
+    let mut late = 0;
+    for round in 0..40 {
+        let (start, queued) = (at(1_000 * round), Span(round % 6 * 500));
+        let time;
+        (time, cx) = time_to_reply(cx, Span::millis(5), queued, Preparation::None, start);
+        late += usize::from(round >= 8 && time > TARGET);
+    }
+    assert_eq!(late, 0, "late replies of 32");
+}
+
 /// Guards against overheads derived from what a request does not show: a delayed acknowledgement,
 /// a caller with a shorter wait of its own, or a connection without a measured round trip.
 #[test]
@@ -144,7 +161,10 @@
     let mut table = String::new();
     let mut row = |name: &str, path: &CallerPath| {
         let o = timing.overhead("r", TARGET, path);
-        table += &format!("{name}: before {}, way {}, own {}\n", o.before, o.way, o.own);
+        table += &format!(
+            "{name}: before {}, way {}, own {}, reserve {}\n",
+            o.before, o.way, o.own, o.reserve
+        );
     };
     row("first request of the route", &path(near, false, 586));
     row("new connection, common wait unknown", &path(near, true, 598));
