Answer requests that nothing has left the host of with 503

Cause: an attempt counted as one that a leaf may run from the moment it was decided, also while it waited for a connection. Gathered requests that found too few cold leaves with an allowance had their other parts sent, got 502, and had spent the allowances.

Change: the host tells the exchange when the first byte of an attempt is written. When the reply is decided, attempts that were not written are withdrawn: queued ones are dropped, a connection that is being opened is emptied and kept. New attempts of a decided request are not started. A connection that the leaf has closed is noticed before a request is written to it (one peek per attempt). Allowances of cold leaves are checked before any is spent (cause cold). Requests past their deadline are refused at once. The time to come back covers the backoff of unreachable leaves, up to 500 ms. An attempt on a connection that was never established ends as unsent, not as lost.

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -132,8 +132,7 @@
             conn.phase = Phase::Waiting(key);
         }
         self.note_permit_wait(key);
-        self.start_attempts(key, &attempts);
-        match reply {
+        match self.start_unless_replied(key, &attempts, reply) {
             // The connection that delivered this request reads the next one itself, so no resume is
             // needed.
             Some(reply) => {
@@ -159,8 +158,7 @@
             }
             let mut attempts = Vec::new();
             let reply = req.exchange.on_permits(&mut self.routing, self.now, &mut attempts);
-            self.start_attempts(key, &attempts);
-            match reply {
+            match self.start_unless_replied(key, &attempts, reply) {
                 Some(reply) => self.finish_and_resume(key, reply),
                 None if attempts.is_empty() => self.note_permit_wait(key),
                 None => {
@@ -186,13 +184,34 @@
         self.routing.reply_timing.record_timer_delay(delay);
         let mut attempts = Vec::new();
         let reply = req.exchange.on_timer(&mut self.routing, self.now, &mut attempts);
-        self.start_attempts(timer.key, &attempts);
-        match reply {
+        match self.start_unless_replied(timer.key, &attempts, reply) {
             Some(reply) => self.finish_and_resume(timer.key, reply),
             None => self.set_timer(timer.key),
         }
     }
 
+    /// Starts the attempts, unless the reply is decided: it may say that the request never runs.
+    fn start_unless_replied(
+        &mut self,
+        key: usize,
+        attempts: &[AttemptSpec],
+        reply: Option<Reply>,
+    ) -> Option<Reply> {
+        match &reply {
+            Some(_) => self.discard_attempts(key, attempts),
+            None => self.start_attempts(key, attempts),
+        }
+        reply
+    }
+
+    fn discard_attempts(&mut self, key: usize, attempts: &[AttemptSpec]) {
+        let Some(req) = self.requests.get_mut(key) else { return };
+        for spec in attempts {
+            let (signal, cx) = (HealthSignal::Abandoned, &mut self.routing);
+            req.exchange.on_discarded_outcome(spec.attempt, signal, cx, self.now);
+        }
+    }
+
     fn start_attempts(&mut self, key: usize, attempts: &[AttemptSpec]) {
         for attempt in attempts {
             if let Some(req) = self.requests.get_mut(key) {
@@ -233,8 +252,7 @@
             self.now,
             &mut attempts,
         );
-        self.start_attempts(ended.request, &attempts);
-        if let Some(reply) = reply {
+        if let Some(reply) = self.start_unless_replied(ended.request, &attempts, reply) {
             self.finish_and_resume(ended.request, reply);
         }
     }
@@ -279,6 +297,7 @@
             let delay = clock::now().since(decided);
             self.routing.reply_timing.record_write_delay(delay);
         }
+        self.withdraw_unwritten(key);
         self.remove_if_done(key);
         caller.map(|(caller, _)| caller)
     }
@@ -383,6 +402,7 @@
         req.caller_closed_at = Some(now);
         if req.exchange.route().repeat == RepeatPolicy::Idempotent {
             req.replied = true;
+            self.withdraw_unwritten(key);
             self.remove_if_done(key);
         }
     }
@@ -408,7 +428,8 @@
         let open: Vec<usize> =
             self.requests.iter().filter(|(_, req)| !req.replied).map(|(key, _)| key).collect();
         for key in open {
-            self.finish_and_resume(key, Reply::Failed(Cause::Stopping));
+            let reply = self.requests[key].exchange.stop();
+            self.finish_and_resume(key, reply);
         }
     }
 }
--- a/components/edge/src/sock.rs
+++ b/components/edge/src/sock.rs
@@ -55,6 +55,15 @@
     }
 }
 
+/// Whether the peer has neither closed nor reset an established connection, as far as this host has
+/// been told.
+pub(crate) fn is_open(stream: &TcpStream) -> bool {
+    match stream.peek(&mut [0]) {
+        Ok(received) => received > 0,
+        Err(err) => matches!(err.kind(), ErrorKind::WouldBlock | ErrorKind::Interrupted),
+    }
+}
+
 /// Enables TCP keepalive and the TCP user timeout, so that a connection to an unresponsive peer
 /// fails.
 pub(crate) fn enable_keepalive(stream: &TcpStream) -> Result<()> {
@@ -128,6 +137,11 @@
         self.written == 0
     }
 
+    /// Drops all bytes.
+    pub fn clear(&mut self) {
+        *self = Self::default();
+    }
+
     /// Writes as much as the socket accepts; after an error the connection cannot be used.
     pub fn flush(&mut self, stream: &mut TcpStream) -> Result<()> {
         while !self.is_empty() {
--- a/components/edge/src/upstreams/failures.rs
+++ b/components/edge/src/upstreams/failures.rs
@@ -13,7 +13,7 @@
     pub(super) fn fail_conn(&mut self, key: usize, broken: bool) {
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
         let leaf = conn.leaf;
-        let unsent = !conn.connected || (conn.out.is_untouched() && !conn.out.is_empty());
+        let unsent = conn.is_unwritten();
         let (not_connected, refused) = (!conn.connected, !conn.connected && broken);
         let no_response = conn.response.is_none() && conn.inbuf.is_empty();
         let in_flight = conn.in_flight.take();
@@ -39,6 +39,7 @@
                     (in_flight.request, in_flight.serial, in_flight.attempt);
                 self.ended_attempts.push_back(EndedAttempt { request, serial, attempt, outcome });
             }
+            None if not_connected && !refused => {}
             None => self.record_crash_sign(leaf),
         }
     }
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -6,6 +6,7 @@
 
 mod failures;
 mod responses;
+mod withdrawal;
 
 use {
     crate::{
@@ -67,6 +68,10 @@
     no_body: bool,
     keep_headers: bool,
     fingerprint: Fingerprint,
+    /// Whether bytes of it were written.
+    written: bool,
+    /// Whether it was withdrawn before that and must not be sent.
+    withdrawn: bool,
 }
 
 /// A connection to a leaf.
@@ -166,13 +171,35 @@
             no_body: req.head.is_head,
             keep_headers: req.exchange.coverage().1 == 1,
             fingerprint: req.fingerprint,
+            written: false,
+            withdrawn: false,
         });
         self.metrics.count_attempt(self.now);
-        if conn.connected && conn.out.flush(&mut conn.sock).is_err() {
-            self.fail_conn(conn_key, true);
+        if conn.connected {
+            self.flush_conn(conn_key);
         }
     }
 
+    /// Writes as much of a request as the connection accepts; returns false if it failed.
+    fn flush_conn(&mut self, key: usize) -> bool {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
+        let is_flushed = conn.out.flush(&mut conn.sock).is_ok();
+        let is_written = !conn.has_unwritten_request();
+        if let Some(in_flight) = conn.in_flight.as_mut().filter(|i| is_written && !i.written) {
+            in_flight.written = true;
+            let (request, serial, attempt) =
+                (in_flight.request, in_flight.serial, in_flight.attempt);
+            let req = self.requests.get_mut(request).filter(|req| req.serial == serial);
+            if let Some(req) = req {
+                req.exchange.on_written(attempt);
+            }
+        }
+        if !is_flushed {
+            self.fail_conn(key, true);
+        }
+        is_flushed
+    }
+
     /// Starts the queued attempts to a leaf as far as there are connections; ends those that timed
     /// out in the queue or are no longer needed.
     fn send_queued(&mut self, leaf: LeafKey) {
@@ -220,7 +247,8 @@
             let key = self.upstreams.idle.get_mut(&leaf)?.pop()?;
             let conn = self.upstreams.conns.get(key)?;
             let idle = now.since(conn.idle_since);
-            if idle >= conn.idle_timeout {
+            // The leaf may have closed the connection while its event is not read yet.
+            if idle >= conn.idle_timeout || !sock::is_open(&conn.sock) {
                 self.close_conn(key);
                 continue;
             }
@@ -365,6 +393,9 @@
     /// Closes a connection whose response did not arrive before the deadline.
     fn time_out_conn(&mut self, key: usize) {
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        if conn.is_unwritten() {
+            return self.fail_conn(key, false);
+        }
         let Some(in_flight) = conn.in_flight.take() else { return };
         let open =
             self.requests.get(in_flight.request).filter(|req| req.serial == in_flight.serial);
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -50,10 +50,15 @@
                 Ok(false) => return,
                 Err(_) => return self.fail_conn(key, true),
             }
+            // A leaf that closed the connection at once gets nothing on it.
+            if !sock::is_open(&conn.sock) {
+                return self.fail_conn(key, true);
+            }
         }
-        if conn.out.flush(&mut conn.sock).is_err() {
-            return self.fail_conn(key, true);
+        if self.release_withdrawn(key) || !self.flush_conn(key) {
+            return;
         }
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
         let limit = MAX_RESPONSE as usize;
         let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
         if !conn.inbuf.is_empty() {
@@ -192,7 +197,7 @@
             attempt: in_flight.attempt,
             outcome,
         });
-        if reusable && self.routing.leaves.get(leaf).is_some_and(|l| !l.notice.is_leaving()) {
+        if reusable && self.is_wanted(leaf) {
             self.upstreams.idle.entry(leaf).or_default().push(key);
             self.send_queued(leaf);
             return true;
--- a/components/routing/src/exchange/conclusion.rs
+++ b/components/routing/src/exchange/conclusion.rs
@@ -17,6 +17,12 @@
 /// Retry delay suggested to the caller when no leaf ran the request, mostly because leaves are
 /// full.
 const RETRY_AFTER_BUSY: Span = Span::millis(100);
+/// Longest retry delay suggested because leaves are cold: this host's allowance follows its share of
+/// the traffic and may rise before the leaves are warm.
+const MAX_RETRY_AFTER_COLD: Span = Span::millis(500);
+/// Longest retry delay suggested because of connections that failed. Backoffs last longer, but leaves
+/// in backoff are used when the service has no others.
+const MAX_RETRY_AFTER_BROKEN: Span = Span::millis(500);
 
 impl Exchange {
     pub(super) fn is_gather(&self) -> bool {
@@ -37,6 +43,9 @@
     pub(super) fn refuse_unservable(&self, cx: &RoutingState, now: Instant) -> Option<Reply> {
         let (cause, retry_after) = match self.wait_for_leaves(cx, now) {
             Some(Span::ZERO) => return None,
+            Some(wait) if self.wait_for_pauses(cx, now) == Some(Span::ZERO) => {
+                (Cause::Cold, wait.clamp(RETRY_AFTER_BUSY, MAX_RETRY_AFTER_COLD))
+            }
             Some(wait) => (Cause::Paused, wait),
             None if self.is_gather() => (Cause::TooFewShards, RETRY_AFTER_NO_LEAF),
             None => (Cause::NoLeaf, RETRY_AFTER_NO_LEAF),
@@ -44,10 +53,24 @@
         Some(Reply::Refused { cause, retry_after })
     }
 
-    /// Returns the time until enough parts have a leaf that can be sent them, as leaves may pause; none
-    /// if too many have no leaf at all.
+    /// Returns the time until enough parts have a leaf that can be sent them, as leaves may pause or be
+    /// cold; none if too many have no leaf at all.
     fn wait_for_leaves(&self, cx: &RoutingState, now: Instant) -> Option<Span> {
-        let wait = |part: &Part| cx.leaves.wait(&part.service, &self.route.homes, now);
+        self.wait_of_enough(|part| cx.wait(&part.service, &self.route, now))
+    }
+
+    fn wait_for_pauses(&self, cx: &RoutingState, now: Instant) -> Option<Span> {
+        self.wait_of_enough(|part| cx.leaves.wait(&part.service, &self.route.homes, now))
+    }
+
+    /// Returns the time until enough parts have a leaf that is not in backoff.
+    fn wait_for_connections(&self, cx: &RoutingState, now: Instant) -> Option<Span> {
+        self.wait_of_enough(|part| Some(cx.leaves.backoff(&part.service, &self.route.homes, now)))
+    }
+
+    /// Returns the time until enough parts can be sent, from the time of each part; none if too many
+    /// have none.
+    fn wait_of_enough(&self, wait: impl Fn(&Part) -> Option<Span>) -> Option<Span> {
         let mut waits: Vec<Span> = self.parts.iter().filter_map(wait).collect();
         waits.sort_unstable();
         waits.get(self.min_responses().max(1) - 1).copied()
@@ -126,11 +149,34 @@
     }
 
     fn fail(&self, cause: Cause, cx: &RoutingState, now: Instant) -> Reply {
-        if self.parts.iter().any(|part| part.possible_runs() > 0) {
+        if self.may_have_run() {
             return Reply::Failed(cause);
         }
         let wait = self.wait_for_leaves(cx, now).unwrap_or(RETRY_AFTER_NO_LEAF);
-        Reply::Refused { cause: Cause::NotRun, retry_after: wait.max(RETRY_AFTER_BUSY) }
+        let backoff = self.wait_for_connections(cx, now).unwrap_or(Span::ZERO);
+        let retry_after = wait.max(backoff.min(MAX_RETRY_AFTER_BROKEN)).max(RETRY_AFTER_BUSY);
+        Reply::Refused { cause: Cause::NotRun, retry_after }
+    }
+
+    /// Whether a leaf may run or have run a part.
+    fn may_have_run(&self) -> bool {
+        self.parts.iter().any(|part| part.possible_runs() > 0)
+    }
+
+    /// Returns the reply to a request that ends because this host stops. The caller may come back at
+    /// once, to another host.
+    pub fn stop(&self) -> Reply {
+        let cause = Cause::Stopping;
+        if self.may_have_run() {
+            return Reply::Failed(cause);
+        }
+        Reply::Refused { cause, retry_after: Span::ZERO }
+    }
+
+    /// Refuses a request whose time is up before it starts.
+    pub(super) fn refuse_late(&self, now: Instant) -> Option<Reply> {
+        let (cause, retry_after) = (Cause::NotRun, RETRY_AFTER_BUSY);
+        (now >= self.give_up_at).then_some(Reply::Refused { cause, retry_after })
     }
 
     fn merge(&mut self) -> Reply {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -88,7 +88,7 @@
             permits_until: None,
             route,
         };
-        if let Some(reply) = this.refuse_unservable(cx, now) {
+        if let Some(reply) = this.refuse_late(now).or_else(|| this.refuse_unservable(cx, now)) {
             return (this, Some(reply));
         }
         if !cx.admits(&this.route, now) {
@@ -168,6 +168,23 @@
         times.fold(self.give_up_at, Instant::min)
     }
 
+    /// Records that bytes of an attempt were written to a connection, so that the leaf may run it.
+    pub fn on_written(&mut self, at: AttemptRef) {
+        self.parts[at.part].attempts[at.number].may_have_run = true;
+    }
+
+    /// Returns the attempts of which nothing was written yet. They must be withdrawn when the reply is
+    /// sent, as it may say that the request never runs.
+    pub fn unwritten(&self) -> Vec<AttemptRef> {
+        let parts = self.parts.iter().enumerate();
+        let attempts = parts.flat_map(|(part, state)| {
+            let of_part = state.attempts.iter().enumerate();
+            of_part.map(move |(number, attempt)| (AttemptRef { part, number }, attempt))
+        });
+        let unwritten = attempts.filter(|(_, attempt)| attempt.running && !attempt.may_have_run);
+        unwritten.map(|(at, _)| at).collect()
+    }
+
     /// Records the outcome of an attempt. Retries the part if `may_retry`, the route and the
     /// budget allow it; returns the reply once it is decided.
     pub fn on_outcome(
@@ -388,7 +405,7 @@
             sent: now,
             running: true,
             reached_leaf: true,
-            may_have_run: true,
+            may_have_run: false,
             declined: false,
             ended: None,
         });
--- a/components/routing/src/exchange/permits.rs
+++ b/components/routing/src/exchange/permits.rs
@@ -132,8 +132,7 @@
                     shortage.expected += usize::from(is_expected);
                 }
                 None => {
-                    let homes = &self.route.homes;
-                    let is_served = cx.leaves.wait(&part.service, homes, now) == Some(Span::ZERO);
+                    let is_served = cx.wait(&part.service, &self.route, now) == Some(Span::ZERO);
                     available += usize::from(is_served);
                 }
             }
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -252,6 +252,18 @@
         self.cold_tokens(per_second, now) >= 1.0
     }
 
+    /// Returns the time until this host may send the leaf a request as far as its being cold matters.
+    pub fn cold_wait(&self, per_second: Option<f64>, now: Instant) -> Span {
+        let Some(per_second) = per_second.filter(|_| self.is_cold(now)) else { return Span::ZERO };
+        let missing = 1.0 - self.cold_tokens(per_second, now);
+        if missing <= 0.0 {
+            return Span::ZERO;
+        }
+        // A rate of zero gives an infinite time, which the conversion bounds.
+        let refill = Span((missing / per_second * 1e6).ceil() as u64);
+        refill.min(self.cold_until.since(now))
+    }
+
     /// Takes the token for one request to the cold leaf.
     pub fn take_cold_token(&mut self, per_second: f64, now: Instant) {
         self.cold_tokens = self.cold_tokens(per_second, now) - 1.0;
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -269,11 +269,37 @@
     /// Returns the time until a leaf of the service in these regions can be sent a request; none if the
     /// service has no eligible leaf.
     pub fn wait(&self, service: &ServiceId, homes: &[RegionId], now: Instant) -> Option<Span> {
+        self.wait_with_allowance(service, homes, None, now)
+    }
+
+    /// Like `wait`, for a host that may send `cold_per_second` requests per second to a cold leaf.
+    pub fn wait_with_allowance(
+        &self,
+        service: &ServiceId,
+        homes: &[RegionId],
+        cold_per_second: Option<f64>,
+        now: Instant,
+    ) -> Option<Span> {
+        let wait = |leaf: &Leaf| {
+            let pause = leaf.notice.wait(leaf.pending(), now)?;
+            Some(pause.max(leaf.cold_wait(cold_per_second, now)))
+        };
+        self.usable(service, homes).filter_map(wait).min()
+    }
+
+    /// Returns the time until a leaf of the service in these regions is out of backoff; zero if the
+    /// service has no eligible leaf.
+    pub fn backoff(&self, service: &ServiceId, homes: &[RegionId], now: Instant) -> Span {
+        let backoffs = self.usable(service, homes).map(|leaf| leaf.backoff_until().since(now));
+        backoffs.min().unwrap_or(Span::ZERO)
+    }
+
+    /// Returns the eligible leaves of the service in these regions.
+    fn usable(&self, service: &ServiceId, homes: &[RegionId]) -> impl Iterator<Item = &Leaf> {
         let usable = |leaf: &&Leaf| {
             self.is_eligible(leaf) && self.is_in_regions(&leaf.registration.zone, homes)
         };
-        let leaves = self.of_service(service).map(|(_, leaf)| leaf).filter(usable);
-        leaves.filter_map(|leaf| leaf.notice.wait(leaf.pending(), now)).min()
+        self.of_service(service).map(|(_, leaf)| leaf).filter(usable)
     }
 
     /// Whether the leaf can be sent a request now.
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -40,6 +40,8 @@
     Limited,
     /// The leaves have asked for a pause.
     Paused,
+    /// The leaves have started recently, and this host may not send them more for the moment.
+    Cold,
     /// Too few shards can respond.
     TooFewShards,
     /// A leaf broke the connection or sent an invalid response.
@@ -75,6 +77,7 @@
             Cause::Overload => "overload",
             Cause::Limited => "limited",
             Cause::Paused => "paused",
+            Cause::Cold => "cold",
             Cause::TooFewShards => "too_few_shards",
             Cause::Broken => "broken",
             Cause::TimeUp => "time_up",
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -113,8 +113,7 @@
         typical_latency: Span,
         now: Instant,
     ) -> Option<LeafKey> {
-        let rate = self.cold_rates.get(service).filter(|rate| **rate > 0.0);
-        let cold_per_second = rate.map(|rate| rate * self.cold_share);
+        let cold_per_second = self.cold_per_second(service);
         let criteria = LeafCriteria {
             service,
             homes: &route.homes,
@@ -130,6 +129,20 @@
         selection.leaf
     }
 
+    /// Returns the requests per second that this host may send to a cold leaf of the service; none
+    /// without a declared limit.
+    fn cold_per_second(&self, service: &ServiceId) -> Option<f64> {
+        let rate = self.cold_rates.get(service).filter(|rate| **rate > 0.0);
+        rate.map(|rate| rate * self.cold_share)
+    }
+
+    /// Returns the time until a request of the route can be sent to a leaf of the service; none if the
+    /// service has no eligible leaf.
+    pub(crate) fn wait(&self, service: &ServiceId, route: &Route, now: Instant) -> Option<Span> {
+        let cold_per_second = self.cold_per_second(service);
+        self.leaves.wait_with_allowance(service, &route.homes, cold_per_second, now)
+    }
+
     /// Records that a request would have been sent to these leaves with permits.
     fn record_denied(&mut self, leaves: &[LeafKey], priority: u32, now: Instant) {
         for leaf in leaves.iter().filter_map(|key| self.leaves.get(*key)) {
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -87,6 +87,8 @@
     pub cx: RoutingState,
     pub attempts: Vec<AttemptSpec>,
     pub reply: Option<Reply>,
+    /// Whether attempts are written to their leaves as soon as they are started.
+    writes: bool,
 }
 
 impl Run {
@@ -97,11 +99,30 @@
         Self::begin_at(route, times, cx)
     }
 
-    pub fn begin_at(route: Arc<Route>, times: RequestTimes, mut cx: RoutingState) -> Self {
+    pub fn begin_at(route: Arc<Route>, times: RequestTimes, cx: RoutingState) -> Self {
+        let mut this = Self::begin_unwritten(route, times, cx);
+        this.writes = true;
+        this.write_attempts();
+        this
+    }
+
+    /// Starts a request whose attempts wait for connections; the test calls `write`.
+    pub fn begin_unwritten(route: Arc<Route>, times: RequestTimes, mut cx: RoutingState) -> Self {
         let mut attempts = Vec::new();
         let (exchange, reply) =
             Exchange::begin(route, times, &mut cx, times.arrived, &mut attempts);
-        Self { exchange, cx, attempts, reply }
+        Self { exchange, cx, attempts, reply, writes: false }
+    }
+
+    /// Reports that bytes of an attempt were written to its connection.
+    pub fn write(&mut self, part: usize, number: usize) {
+        self.exchange.on_written(AttemptRef { part, number });
+    }
+
+    fn write_attempts(&mut self) {
+        if self.writes && self.reply.is_none() {
+            self.exchange.unwritten().into_iter().for_each(|at| self.exchange.on_written(at));
+        }
     }
 
     pub fn end(&mut self, part: usize, number: usize, outcome: AttemptOutcome, ms: u64) {
@@ -115,17 +136,20 @@
             &mut self.attempts,
         );
         self.reply = self.reply.take().or(reply);
+        self.write_attempts();
     }
 
     /// Continues after permits may have arrived.
     pub fn resume(&mut self, ms: u64) {
         let reply = self.exchange.on_permits(&mut self.cx, at(ms), &mut self.attempts);
         self.reply = self.reply.take().or(reply);
+        self.write_attempts();
     }
 
     pub fn advance_to(&mut self, ms: u64) {
         let reply = self.exchange.on_timer(&mut self.cx, at(ms), &mut self.attempts);
         self.reply = self.reply.take().or(reply);
+        self.write_attempts();
     }
 
     /// Returns the attempts as `part.number>leaf` and the reply.
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -9,6 +9,7 @@
 mod stopping;
 mod support;
 mod turned_away;
+mod unsent;
 mod without_config;
 
 use {
