Order attempts that wait for a connection by priority and due time

Cause: attempts that waited for a connection to the same leaf were sent in the order of arrival. One that was put back started its wait anew and went to the end.

Change: the queue is a decision of its own in routing (queue.rs): by priority, then by the time at which the reply is due, overdue ones last within their priority. An attempt with less than half of the typical latency left is withheld, which says nothing of the leaf; so is a retry, and a request that arrives so late is refused at once. A failed connection lets the queue go on at once.

Attempts that were written go on: the leaf ends them at the deadline that it was given, which is the target while leaves are overloaded, and a closed connection costs the next request a new one.

Result: the order test fails with the order of arrival and passes now. Routing tests pass, platform tests 38 of 38.

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -228,13 +228,7 @@
         }
         req.pending -= 1;
         if req.replied {
-            let signal = match ended.outcome {
-                AttemptOutcome::Response(response) if response.status < 500 => {
-                    HealthSignal::Answered
-                }
-                AttemptOutcome::Response(_) | AttemptOutcome::NotRun => HealthSignal::Failed,
-                AttemptOutcome::Lost | AttemptOutcome::Unsent => HealthSignal::Broken,
-            };
+            let signal = ended.outcome.health();
             req.exchange.on_discarded_outcome(ended.attempt, signal, &mut self.routing, self.now);
             return self.remove_if_done(ended.request);
         }
--- a/components/edge/src/upstreams/failures.rs
+++ b/components/edge/src/upstreams/failures.rs
@@ -42,6 +42,7 @@
             None if not_connected && !refused => {}
             None => self.record_crash_sign(leaf),
         }
+        self.send_queued(leaf);
     }
 
     /// Handles that a leaf did not accept a connection. If its service declares a request rate for
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -19,7 +19,7 @@
     mio::{Interest, net::TcpStream},
     serde_json::json,
     slab::Slab,
-    std::collections::{HashMap, VecDeque},
+    std::collections::HashMap,
     wigeonramp_platform::http::{self, ResponseHead},
     wigeonramp_routing::{
         catalog::RepeatPolicy,
@@ -27,6 +27,7 @@
         leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         leaves::LeafKey,
         poison::CrashDetector,
+        queue::ConnectionQueue,
     },
     wigeonramp_units::{Fingerprint, Instant, Span},
 };
@@ -51,10 +52,6 @@
 const MIN_CONNECTIONS: usize = 2;
 /// Connection limit of a leaf whose service declares none.
 const DEFAULT_CONNECTIONS: u32 = 50;
-/// Timeout of an attempt that is queued for a connection: the leaf may be unresponsive on all of
-/// them while another leaf is free.
-const QUEUE_TIMEOUT: Span = Span::millis(200);
-
 /// A request that was sent on a connection and has no response yet.
 #[derive(Debug)]
 struct InFlightRequest {
@@ -103,14 +100,26 @@
     /// Key of the request.
     request: usize,
     serial: u64,
+    /// Whether the request is not idempotent.
+    at_most_once: bool,
     spec: AttemptSpec,
-    since: Instant,
+}
+
+/// Connection for a request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Connection {
+    /// Key of a connection that can carry it.
+    Ready(usize),
+    /// The host has reached its limit, and all connections are in use.
+    Busy,
+    /// The leaf is not available.
+    None,
 }
 
 /// All connections to leaves.
 #[derive(Debug, Default)]
 pub(crate) struct Upstreams {
-    queued: HashMap<LeafKey, VecDeque<QueuedAttempt>>,
+    queued: HashMap<LeafKey, ConnectionQueue<QueuedAttempt>>,
     conns: Slab<LeafConn>,
     /// Keys of idle connections, the most recently used last.
     idle: HashMap<LeafKey, Vec<usize>>,
@@ -126,48 +135,36 @@
         let Some(req) = self.requests.get(request) else { return };
         let serial = req.serial;
         let at_most_once = req.exchange.route().repeat == RepeatPolicy::AtMostOnce;
-        // The leaf may have said since it was chosen that it wants no requests.
-        let wants_none = |leaf: &Leaf| leaf.notice.is_leaving() || leaf.notice.is_pausing(self.now);
-        let leaf = self.routing.leaves.get(spec.leaf).filter(|leaf| !wants_none(leaf));
-        let Some(leaf) = leaf.map(|leaf| leaf.registration.clone()) else {
-            return self.report_unsent(request, serial, spec);
-        };
-        if let Some(conn) = self.take_idle(spec.leaf, at_most_once) {
-            return self.send_on_conn(conn, request, spec);
-        }
-        let open = self.upstreams.open.get(&spec.leaf).copied().unwrap_or(0);
-        if open >= self.connection_limit(&leaf.service) {
-            let attempt = QueuedAttempt { request, serial, spec: *spec, since: self.now };
-            return self.upstreams.queued.entry(spec.leaf).or_default().push_back(attempt);
-        }
-        match self.open_conn(spec.leaf, &leaf) {
-            Some(conn) => self.send_on_conn(conn, request, spec),
-            None => self.report_unsent(request, serial, spec),
-        }
+        let attempt = QueuedAttempt { request, serial, at_most_once, spec: *spec };
+        let queue = self.upstreams.queued.entry(spec.leaf).or_default();
+        queue.push(spec.urgency, attempt, self.now);
+        self.send_queued(spec.leaf);
     }
 
-    fn report_unsent(&mut self, request: usize, serial: u64, spec: &AttemptSpec) {
-        let outcome = AttemptOutcome::Unsent;
-        let ended = EndedAttempt { request, serial, attempt: spec.attempt, outcome };
-        self.ended_attempts.push_back(ended);
+    fn end_queued(&mut self, queued: &QueuedAttempt, outcome: AttemptOutcome) {
+        let attempt = queued.spec.attempt;
+        let (request, serial) = (queued.request, queued.serial);
+        self.ended_attempts.push_back(EndedAttempt { request, serial, attempt, outcome });
     }
 
     /// Sends a request on a connection.
-    fn send_on_conn(&mut self, conn_key: usize, request: usize, spec: &AttemptSpec) {
+    fn send_on_conn(&mut self, conn_key: usize, queued: &QueuedAttempt) {
+        let (request, spec) = (queued.request, &queued.spec);
+        let timeout = spec.urgency.deadline.since(self.now);
         let id = self.routing.leaves.get(spec.leaf).map(|leaf| leaf.registration.id.clone());
         let (Some(id), Some(req), Some(conn)) =
             (id, self.requests.get(request), self.upstreams.conns.get_mut(conn_key))
         else {
             return;
         };
-        conn.out.push(http::encode_leaf_request(&req.head, &req.body, id.as_str(), spec.timeout));
+        conn.out.push(http::encode_leaf_request(&req.head, &req.body, id.as_str(), timeout));
         conn.in_flight = Some(InFlightRequest {
             request,
             serial: req.serial,
             attempt: spec.attempt,
             id: req.head.id.clone(),
             sent: self.now,
-            deadline: self.now + spec.timeout + RESPONSE_SLACK,
+            deadline: self.now + timeout + RESPONSE_SLACK,
             no_body: req.head.is_head,
             keep_headers: req.exchange.coverage().1 == 1,
             fingerprint: req.fingerprint,
@@ -200,44 +197,48 @@
         is_flushed
     }
 
-    /// Starts the queued attempts to a leaf as far as there are connections; ends those that timed
-    /// out in the queue or are no longer needed.
+    /// Sends the queued attempts to a leaf as far as there are connections; ends those that have waited
+    /// too long.
     fn send_queued(&mut self, leaf: LeafKey) {
-        while let Some(next) = self.pop_queued(leaf) {
-            let timeout = next.spec.timeout - self.now.since(next.since);
-            let open = self.requests.get(next.request).filter(|req| req.serial == next.serial);
-            if open.is_none_or(crate::requests::Request::is_replied) {
-                self.abandon_attempt(
-                    next.request,
-                    next.serial,
-                    next.spec.attempt,
-                    HealthSignal::Abandoned,
-                );
-                continue;
-            }
-            if timeout == Span::ZERO || self.now.since(next.since) >= QUEUE_TIMEOUT {
-                self.report_unsent(next.request, next.serial, &next.spec);
-                continue;
-            }
-            let before = self.queued_for(leaf);
-            self.start_attempt(next.request, &AttemptSpec { timeout, ..next.spec });
-            if self.queued_for(leaf) > before {
+        let Some(mut queue) = self.upstreams.queued.remove(&leaf) else { return };
+        for late in queue.take_late(self.now) {
+            self.end_queued(&late, AttemptOutcome::Withheld);
+        }
+        for overdue in queue.take_overdue(self.now) {
+            self.end_queued(&overdue, AttemptOutcome::Unsent);
+        }
+        while let Some(at_most_once) = queue.peek(self.now).map(|next| next.at_most_once) {
+            let connection = self.connection(leaf, at_most_once);
+            if connection == Connection::Busy {
+                self.upstreams.queued.insert(leaf, queue);
                 return;
             }
+            let Some(next) = queue.pop(self.now) else { return };
+            match connection {
+                Connection::Ready(conn) => self.send_on_conn(conn, &next),
+                Connection::Busy | Connection::None => {
+                    self.end_queued(&next, AttemptOutcome::Unsent)
+                }
+            }
         }
     }
 
-    fn pop_queued(&mut self, leaf: LeafKey) -> Option<QueuedAttempt> {
-        let queue = self.upstreams.queued.get_mut(&leaf)?;
-        let next = queue.pop_front();
-        if queue.is_empty() {
-            self.upstreams.queued.remove(&leaf);
+    /// Returns a connection to a leaf that can carry a request now.
+    fn connection(&mut self, leaf: LeafKey, at_most_once: bool) -> Connection {
+        // The leaf may have said since it was chosen that it wants no requests.
+        let wants_none = |leaf: &Leaf| leaf.notice.is_leaving() || leaf.notice.is_pausing(self.now);
+        let registered = self.routing.leaves.get(leaf).filter(|leaf| !wants_none(leaf));
+        let Some(registration) = registered.map(|leaf| leaf.registration.clone()) else {
+            return Connection::None;
+        };
+        if let Some(conn) = self.take_idle(leaf, at_most_once) {
+            return Connection::Ready(conn);
         }
-        next
-    }
-
-    fn queued_for(&self, leaf: LeafKey) -> usize {
-        self.upstreams.queued.get(&leaf).map_or(0, VecDeque::len)
+        let open = self.upstreams.open.get(&leaf).copied().unwrap_or(0);
+        if open >= self.connection_limit(&registration.service) {
+            return Connection::Busy;
+        }
+        self.open_conn(leaf, &registration).map_or(Connection::None, Connection::Ready)
     }
 
     /// Takes an idle connection to a leaf that can still be used.
--- a/components/edge/src/upstreams/withdrawal.rs
+++ b/components/edge/src/upstreams/withdrawal.rs
@@ -37,14 +37,11 @@
     fn withdraw_queued(&mut self, request: usize, serial: u64) {
         let mut withdrawn = Vec::new();
         self.upstreams.queued.retain(|_, queue| {
-            queue.retain(|queued| {
-                let belongs = (queued.request, queued.serial) == (request, serial);
-                withdrawn.extend(belongs.then_some(queued.spec.attempt));
-                !belongs
-            });
+            withdrawn.extend(queue.withdraw(|q| (q.request, q.serial) == (request, serial)));
             !queue.is_empty()
         });
-        for attempt in withdrawn {
+        for queued in withdrawn {
+            let attempt = queued.spec.attempt;
             self.abandon_attempt(request, serial, attempt, HealthSignal::Abandoned);
         }
     }
--- a/components/routing/src/exchange/attempt.rs
+++ b/components/routing/src/exchange/attempt.rs
@@ -1,7 +1,7 @@
 //! Parts of a request and their attempts.
 
 use {
-    crate::{leaves::LeafKey, reply::LeafResponse},
+    crate::{leaf::HealthSignal, leaves::LeafKey, queue::Urgency, reply::LeafResponse},
     wigeonramp_units::{Instant, ServiceId, Span},
 };
 
@@ -21,8 +21,10 @@
     pub attempt: AttemptRef,
     /// Leaf to send to.
     pub leaf: LeafKey,
-    /// Time that the leaf has to respond.
+    /// Time that the leaf has to respond if it is sent now; less after a wait for a connection.
     pub timeout: Span,
+    /// Urgency among the attempts that wait for a connection.
+    pub urgency: Urgency,
 }
 
 /// Outcome of an attempt.
@@ -34,6 +36,8 @@
     NotRun,
     /// No byte of the request reached the leaf.
     Unsent,
+    /// This host did not send it, for a reason that says nothing of the leaf.
+    Withheld,
     /// The connection broke or the response was invalid; the request may have run.
     Lost,
 }
@@ -46,6 +50,7 @@
             AttemptOutcome::Response(_) => "failed",
             AttemptOutcome::NotRun => "not_run",
             AttemptOutcome::Unsent => "unsent",
+            AttemptOutcome::Withheld => "withheld",
             AttemptOutcome::Lost => "lost",
         }
     }
@@ -66,6 +71,18 @@
     pub ended: Option<(Instant, &'static str)>,
 }
 
+impl AttemptOutcome {
+    /// Returns what the outcome says of the health of the leaf.
+    pub fn health(&self) -> HealthSignal {
+        match self {
+            AttemptOutcome::Response(response) if response.status < 500 => HealthSignal::Answered,
+            AttemptOutcome::Response(_) | AttemptOutcome::NotRun => HealthSignal::Failed,
+            AttemptOutcome::Unsent | AttemptOutcome::Lost => HealthSignal::Broken,
+            AttemptOutcome::Withheld => HealthSignal::Abandoned,
+        }
+    }
+}
+
 /// Details of an attempt for the log.
 #[derive(Clone, Copy, Debug)]
 pub struct AttemptTrace<'a> {
--- a/components/routing/src/exchange/conclusion.rs
+++ b/components/routing/src/exchange/conclusion.rs
@@ -173,10 +173,10 @@
         Reply::Refused { cause, retry_after: Span::ZERO }
     }
 
-    /// Refuses a request whose time is up before it starts.
+    /// Refuses a request that cannot be answered in time when it starts.
     pub(super) fn refuse_late(&self, now: Instant) -> Option<Reply> {
         let (cause, retry_after) = (Cause::NotRun, RETRY_AFTER_BUSY);
-        (now >= self.give_up_at).then_some(Reply::Refused { cause, retry_after })
+        self.is_too_late(now).then_some(Reply::Refused { cause, retry_after })
     }
 
     fn merge(&mut self) -> Reply {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -16,6 +16,7 @@
         catalog::{RepeatPolicy, Route},
         leaf::HealthSignal,
         leaves::LeafKey,
+        queue::Urgency,
         reply::{Cause, LeafResponse, Reply},
         state::RoutingState,
     },
@@ -31,6 +32,10 @@
 /// Retry delay suggested to the caller when the leaves are overloaded.
 const RETRY_AFTER_OVERLOAD: Span = Span::millis(400);
 
+/// Time before its deadline until which an attempt may leave a queue, in percent of the typical
+/// latency. Few responses take less than half of the median.
+const MIN_TIME_LEFT_PERCENT: u64 = 50;
+
 /// Times of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestTimes {
@@ -200,10 +205,11 @@
         let idempotent = self.route.repeat == RepeatPolicy::Idempotent;
         let is_gather = self.is_gather();
         let part = &mut self.parts[at.part];
-        let may_have_run = !matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::Unsent);
-        part.attempts[at.number].may_have_run = may_have_run;
-        part.attempts[at.number].declined = outcome == AttemptOutcome::NotRun;
-        part.attempts[at.number].reached_leaf = outcome != AttemptOutcome::Unsent;
+        let attempt = &mut part.attempts[at.number];
+        attempt.reached_leaf =
+            !matches!(outcome, AttemptOutcome::Unsent | AttemptOutcome::Withheld);
+        attempt.declined = outcome == AttemptOutcome::NotRun;
+        attempt.may_have_run = attempt.reached_leaf && !attempt.declined;
         if !part.is_unresolved() {
             return None;
         }
@@ -223,13 +229,16 @@
             }
             AttemptOutcome::Response(response) => part.failure = Some(response),
             AttemptOutcome::Lost if !idempotent => return Some(Reply::Failed(Cause::Broken)),
-            AttemptOutcome::Lost | AttemptOutcome::NotRun | AttemptOutcome::Unsent => {}
+            AttemptOutcome::Lost
+            | AttemptOutcome::NotRun
+            | AttemptOutcome::Unsent
+            | AttemptOutcome::Withheld => {}
         }
         if part.running() > 0 {
             return None;
         }
         let retried =
-            may_retry && now < self.give_up_at && self.retry(at.part, cx, now, new_attempts);
+            may_retry && !self.is_too_late(now) && self.retry(at.part, cx, now, new_attempts);
         if !retried {
             self.parts[at.part].exhausted = true;
         }
@@ -247,11 +256,7 @@
         attempt.running = false;
         attempt.ended = Some((now, outcome.name()));
         let (leaf, since) = (attempt.leaf, attempt.sent);
-        let health = match outcome {
-            AttemptOutcome::Response(response) if response.status < 500 => HealthSignal::Answered,
-            AttemptOutcome::Response(_) | AttemptOutcome::NotRun => HealthSignal::Failed,
-            AttemptOutcome::Unsent | AttemptOutcome::Lost => HealthSignal::Broken,
-        };
+        let health = outcome.health();
         if health == HealthSignal::Answered {
             cx.latency(&self.route).record(now.since(since), now);
         }
@@ -409,11 +414,23 @@
             declined: false,
             ended: None,
         });
-        new_attempts.push(AttemptSpec {
-            attempt,
-            leaf,
-            timeout: self.attempt_deadline(cx, now).since(now),
-        });
+        let deadline = self.attempt_deadline(cx, now);
+        let urgency = Urgency {
+            priority: self.route.priority,
+            due: self.reply_at,
+            deadline,
+            latest_start: deadline - self.min_time_left(),
+        };
+        new_attempts.push(AttemptSpec { attempt, leaf, timeout: deadline.since(now), urgency });
+    }
+
+    fn min_time_left(&self) -> Span {
+        self.typical_latency.percent(MIN_TIME_LEFT_PERCENT)
+    }
+
+    /// Whether an attempt that is sent now cannot be answered before the request is given up.
+    fn is_too_late(&self, now: Instant) -> bool {
+        now + self.min_time_left() > self.give_up_at
     }
 
     /// Returns the time until which a leaf may work on a part that is sent now. While leaves are
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod overload;
 pub mod poison;
 pub mod position;
+pub mod queue;
 pub mod reconcile;
 pub mod reply;
 pub mod reply_time;
