--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -16,6 +16,7 @@
         catalog::{RepeatPolicy, Route},
         leaf::HealthSignal,
         leaves::LeafKey,
+        queue::Urgency,
         reply::{Cause, LeafResponse, Reply},
         state::RoutingState,
     },
@@ -31,6 +32,10 @@
 /// Retry delay suggested to the caller when the leaves are overloaded.
 const RETRY_AFTER_OVERLOAD: Span = Span::millis(400);
 
+/// Time before its deadline until which an attempt may leave a queue, in percent of the typical
+/// latency. Few responses take less than half of the median.
+const MIN_TIME_LEFT_PERCENT: u64 = 50;
+
 /// Times of one request.
 #[derive(Clone, Copy, Debug)]
 pub struct RequestTimes {
@@ -88,7 +93,7 @@
             permits_until: None,
             route,
         };
-        if let Some(reply) = this.refuse_unservable(cx, now) {
+        if let Some(reply) = this.refuse_late(now).or_else(|| this.refuse_unservable(cx, now)) {
             return (this, Some(reply));
         }
         if !cx.admits(&this.route, now) {
@@ -168,6 +173,23 @@
         times.fold(self.give_up_at, Instant::min)
     }
 
+    /// Records that bytes of an attempt were written to a connection, so that the leaf may run it.
+    pub fn on_written(&mut self, at: AttemptRef) {
+        self.parts[at.part].attempts[at.number].may_have_run = true;
+    }
+
+    /// Returns the attempts of which nothing was written yet. They must be withdrawn when the reply is
+    /// sent, as it may say that the request never runs.
+    pub fn unwritten(&self) -> Vec<AttemptRef> {
+        let parts = self.parts.iter().enumerate();
+        let attempts = parts.flat_map(|(part, state)| {
+            let of_part = state.attempts.iter().enumerate();
+            of_part.map(move |(number, attempt)| (AttemptRef { part, number }, attempt))
+        });
+        let unwritten = attempts.filter(|(_, attempt)| attempt.running && !attempt.may_have_run);
+        unwritten.map(|(at, _)| at).collect()
+    }
+
     /// Records the outcome of an attempt. Retries the part if `may_retry`, the route and the
     /// budget allow it; returns the reply once it is decided.
     pub fn on_outcome(
@@ -183,10 +205,11 @@
         let idempotent = self.route.repeat == RepeatPolicy::Idempotent;
         let is_gather = self.is_gather();
         let part = &mut self.parts[at.part];
-        let may_have_run = !matches!(outcome, AttemptOutcome::NotRun | AttemptOutcome::Unsent);
-        part.attempts[at.number].may_have_run = may_have_run;
-        part.attempts[at.number].declined = outcome == AttemptOutcome::NotRun;
-        part.attempts[at.number].reached_leaf = outcome != AttemptOutcome::Unsent;
+        let attempt = &mut part.attempts[at.number];
+        attempt.reached_leaf =
+            !matches!(outcome, AttemptOutcome::Unsent | AttemptOutcome::Withheld);
+        attempt.declined = outcome == AttemptOutcome::NotRun;
+        attempt.may_have_run = attempt.reached_leaf && !attempt.declined;
         if !part.is_unresolved() {
             return None;
         }
@@ -206,13 +229,16 @@
             }
             AttemptOutcome::Response(response) => part.failure = Some(response),
             AttemptOutcome::Lost if !idempotent => return Some(Reply::Failed(Cause::Broken)),
-            AttemptOutcome::Lost | AttemptOutcome::NotRun | AttemptOutcome::Unsent => {}
+            AttemptOutcome::Lost
+            | AttemptOutcome::NotRun
+            | AttemptOutcome::Unsent
+            | AttemptOutcome::Withheld => {}
         }
         if part.running() > 0 {
             return None;
         }
         let retried =
-            may_retry && now < self.give_up_at && self.retry(at.part, cx, now, new_attempts);
+            may_retry && !self.is_too_late(now) && self.retry(at.part, cx, now, new_attempts);
         if !retried {
             self.parts[at.part].exhausted = true;
         }
@@ -230,11 +256,7 @@
         attempt.running = false;
         attempt.ended = Some((now, outcome.name()));
         let (leaf, since) = (attempt.leaf, attempt.sent);
-        let health = match outcome {
-            AttemptOutcome::Response(response) if response.status < 500 => HealthSignal::Answered,
-            AttemptOutcome::Response(_) | AttemptOutcome::NotRun => HealthSignal::Failed,
-            AttemptOutcome::Unsent | AttemptOutcome::Lost => HealthSignal::Broken,
-        };
+        let health = outcome.health();
         if health == HealthSignal::Answered {
             cx.latency(&self.route).record(now.since(since), now);
         }
@@ -388,15 +410,27 @@
             sent: now,
             running: true,
             reached_leaf: true,
-            may_have_run: true,
+            may_have_run: false,
             declined: false,
             ended: None,
         });
-        new_attempts.push(AttemptSpec {
-            attempt,
-            leaf,
-            timeout: self.attempt_deadline(cx, now).since(now),
-        });
+        let deadline = self.attempt_deadline(cx, now);
+        let urgency = Urgency {
+            priority: self.route.priority,
+            due: self.reply_at,
+            deadline,
+            latest_start: deadline - self.min_time_left(),
+        };
+        new_attempts.push(AttemptSpec { attempt, leaf, timeout: deadline.since(now), urgency });
+    }
+
+    fn min_time_left(&self) -> Span {
+        self.typical_latency.percent(MIN_TIME_LEFT_PERCENT)
+    }
+
+    /// Whether an attempt that is sent now cannot be answered before the request is given up.
+    fn is_too_late(&self, now: Instant) -> bool {
+        now + self.min_time_left() > self.give_up_at
     }
 
     /// Returns the time until which a leaf may work on a part that is sent now. While leaves are
