Decode accounts and API keys, and check them before requests run

Operators name accounts with API keys in the configuration. Requests of routes that are not public need a key that an account holds: otherwise they end with 401, or 503 while the host's news of the store is out of date.

An account that cannot be read is left out and logged by its place in the list.

The priority of an account reaches all decisions as that of a copy of the route, made once for each priority.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -5,6 +5,7 @@
 //! timers are state machines. Routing decisions are made by `wigeonramp-routing`, and the
 //! platform's formats are those of `wigeonramp-platform`.
 
+mod accounts;
 mod body;
 mod callers;
 mod clock;
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -448,6 +448,7 @@
             Ok(settings) => {
                 self.routing.extra_attempt_limit = settings.extra_attempts;
                 self.settings.stop_grace = settings.stop_grace;
+                self.settings.accounts = settings.accounts;
                 for seed in &settings.seeds {
                     self.members.add_by_address(*seed, settings.zone.clone());
                 }
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -3,8 +3,10 @@
 use {
     crate::{callers::Phase, clock, node::Node, timers::Timer},
     serde_json::{Value, json},
+    std::sync::Arc,
     wigeonramp_platform::http::{self, RequestHead},
     wigeonramp_routing::{
+        accounts::Account,
         catalog::{RepeatPolicy, RouteLookup},
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace, Exchange, RequestTimes},
         leaf::HealthSignal,
@@ -29,6 +31,8 @@
 pub(crate) struct Request {
     pub exchange: Exchange,
     pub head: RequestHead,
+    /// Account on whose behalf the request runs; none if it needs none.
+    pub account: Option<Arc<Account>>,
     pub body: Vec<u8>,
     /// Key and serial number of the caller's connection, until the reply is sent or the caller
     /// closes it.
@@ -89,18 +93,23 @@
                 Err((Cause::ConfigOutdated, RETRY_AFTER_NO_CONFIG))
             }
             RouteLookup::NoRoute => Err((Cause::NoRoute, Span::ZERO)),
-            RouteLookup::Found(_) if self.poison.is_refused(fingerprint, self.now) => {
-                Err((Cause::Poison, RETRY_AFTER_POISON))
-            }
             RouteLookup::Found(route) => Ok(route.clone()),
         };
+        let route = route
+            .and_then(|route| self.authorize(&route, head.key).map(|account| (route, account)));
         let time_left = head.time_left;
-        let route = route.and_then(|route| {
+        let route = route.and_then(|(route, account)| {
+            if self.poison.is_refused(fingerprint, self.now) {
+                return Err((Cause::Poison, RETRY_AFTER_POISON));
+            }
             let deadline = arrived + time_left.unwrap_or(route.timeout);
-            self.refusal_by_stop(&route, deadline).map_or(Ok(route), Err)
+            self.refusal_by_stop(&route, deadline).map_or(Ok((route, account)), Err)
         });
-        let route = match route {
-            Ok(route) => route,
+        let (route, account) = match route {
+            Ok((route, None)) => (route, None),
+            Ok((route, Some(account))) => {
+                (self.active_catalog.route_for(&route, &account), Some(account))
+            }
             Err((cause, retry_after)) => {
                 let reply = Reply::Refused { cause, retry_after };
                 return self.refuse_request(caller, &head, &reply, None, arrived);
@@ -118,6 +127,7 @@
         let key = self.requests.insert(Request {
             exchange,
             head,
+            account,
             body,
             caller: Some((caller, caller_serial)),
             serial,
--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -148,7 +148,12 @@
         match kind {
             ObjectKind::Config if object.name == CONFIG_OBJECT => {
                 match objects::parse_catalog(object) {
-                    Ok(catalog) => self.adopt(catalog, "store"),
+                    Ok(catalog) => {
+                        if Some(catalog.version) > self.active_catalog.version() {
+                            self.log_ignored_accounts(object);
+                        }
+                        self.adopt(catalog, "store");
+                    }
                     Err(err) => self.log_ignored(kind, object, &err),
                 }
             }
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -155,7 +155,9 @@
         else {
             return;
         };
-        conn.out.push(http::encode_leaf_request(&req.head, &req.body, id.as_str(), spec.timeout));
+        let account = req.account.as_deref();
+        let (head, id) = (&req.head, id.as_str());
+        conn.out.push(http::encode_leaf_request(head, &req.body, id, account, spec.timeout));
         conn.in_flight = Some(InFlightRequest {
             request,
             serial: req.serial,
--- a/components/routing/src/catalog.rs
+++ b/components/routing/src/catalog.rs
@@ -4,6 +4,7 @@
 //! configuration never goes back while the process runs.
 
 use {
+    crate::accounts::{Access, Account, AccountIndex, PresentedKey},
     indexmap::IndexMap,
     serde::{Deserialize, Serialize},
     std::{collections::HashMap, sync::Arc},
@@ -56,6 +57,9 @@
     pub attempts: usize,
     /// Regions in which the requests may be served; empty for all.
     pub homes: Vec<RegionId>,
+    /// Whether requests need no account although the configuration has accounts.
+    #[serde(default, skip_serializing_if = "std::ops::Not::not")]
+    pub public: bool,
     /// Destination of the requests.
     pub target: Target,
 }
@@ -107,6 +111,9 @@
     pub services: IndexMap<ServiceId, ServiceSpec>,
     /// Limits on callers.
     pub limits: CallerLimits,
+    /// Accounts; none if requests need none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub accounts: Option<Vec<Arc<Account>>>,
 }
 
 /// Result of offering a version.
@@ -136,6 +143,9 @@
 pub struct ActiveCatalog {
     current: Option<Arc<Catalog>>,
     by_host: HashMap<String, Vec<Arc<Route>>>,
+    accounts: Option<AccountIndex>,
+    /// Routes with the priority of an account in place of their own, by name.
+    by_priority: HashMap<(String, u32), Arc<Route>>,
 }
 
 impl ActiveCatalog {
@@ -158,6 +168,8 @@
         for routes in self.by_host.values_mut() {
             routes.sort_by_key(|route| std::cmp::Reverse(route.prefix.len()));
         }
+        self.accounts = catalog.accounts.as_deref().map(AccountIndex::new);
+        self.by_priority.clear();
         self.current = Some(Arc::new(catalog));
         OfferOutcome::Newer
     }
@@ -201,6 +213,27 @@
             None => RouteLookup::NoRoute,
         }
     }
+
+    /// Returns on whose behalf a request of the route that presents `key` may run.
+    pub fn access(&self, route: &Route, key: PresentedKey) -> Access {
+        self.accounts.as_ref().map_or(Access::Public, |accounts| accounts.access(route, key))
+    }
+
+    /// Returns the route with the priority that a request of the account has. All decisions about the
+    /// request then see this priority as that of its route.
+    pub fn route_for(&mut self, route: &Arc<Route>, account: &Account) -> Arc<Route> {
+        let Some(priority) = account.priority.filter(|priority| *priority != route.priority) else {
+            return route.clone();
+        };
+        let with_priority = || Arc::new(Route { priority, ..route.as_ref().clone() });
+        let key = (route.name.clone(), priority);
+        let known = self.by_priority.entry(key).or_insert_with(with_priority);
+        // Two routes may have the same name.
+        if known.prefix != route.prefix || known.host != route.host {
+            return with_priority();
+        }
+        known.clone()
+    }
 }
 
 /// Returns a host header in lower case without its port.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -4,6 +4,7 @@
 //! decisions as values. The event loop in `wigeonramp-edge` owns the sockets, the clock and the
 //! process.
 
+pub mod accounts;
 pub mod budget;
 pub mod catalog;
 pub mod changes;
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -54,6 +54,12 @@
     ConfigOutdated,
     /// The host is stopping.
     Stopping,
+    /// The host's news of the store is too old to accept API keys.
+    KeysOutdated,
+    /// The request presents no API key that an account holds.
+    Unauthorized,
+    /// The account has used up its quota.
+    OverQuota,
     /// The configuration has no route for the request.
     NoRoute,
     /// The request is not valid HTTP.
@@ -81,6 +87,9 @@
             Cause::Poison => "poison",
             Cause::NoConfig => "no_config",
             Cause::ConfigOutdated => "config_outdated",
+            Cause::KeysOutdated => "keys_outdated",
+            Cause::Unauthorized => "unauthorized",
+            Cause::OverQuota => "over_quota",
             Cause::Stopping => "stopping",
             Cause::NoRoute => "no_route",
             Cause::Malformed => "malformed",
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -68,6 +68,7 @@
         priority: 1,
         attempts: 2,
         homes: Vec::new(),
+        public: false,
         target,
     })
 }
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -286,6 +286,7 @@
         routes,
         services: Default::default(),
         limits: CallerLimits::default(),
+        accounts: None,
     }
 }
 
