Test accounts with real hosts

The stand-in of a caller sends header lines and keys, and the stand-in of a leaf records the headers of the requests that it ran. Two hosts: the key reaches neither leaves nor logs, the account's name is set whatever the caller sent, unknown keys get 401, and a removed or moved key takes effect on connections that were open before. One host without the store: 503 in place of 401, and with strict_revocation for known keys as well.

--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -45,6 +45,8 @@
     leaves: AtomicU32,
     /// Version of the configuration in the store.
     version: AtomicU64,
+    /// Where the hosts' settings and logs are.
+    directory: PathBuf,
     ip: String,
 }
 
@@ -134,7 +136,8 @@
                 .expect("a host")
         });
         let (runs, leaves) = (Runs::default(), AtomicU32::new(0));
-        Self { store, doors, hosts, stalled_process, runs, leaves, version: AtomicU64::new(1), ip }
+        let version = AtomicU64::new(1);
+        Self { store, doors, hosts, stalled_process, runs, leaves, version, directory, ip }
     }
 
     /// Writes the next version of the configuration, with `name` as the only route.
@@ -146,6 +149,40 @@
         self.store.put("config", "main", spec);
     }
 
+    /// Writes the next version of the configuration, with the usual routes, a public one and these
+    /// accounts.
+    pub fn set_accounts(&self, tenants: Value) {
+        let services = json!([{ "name": "one", "connection_limit": CONNECTION_LIMIT }]);
+        let version = self.version.fetch_add(1, Ordering::SeqCst) + 1;
+        let mut open = route("open", "safe");
+        open["public"] = json!(true);
+        let routes = json!([route("read", "safe"), route("write", "unsafe"), open]);
+        let spec = json!({
+            "version": version, "routes": routes, "services": services, "tenants": tenants,
+        });
+        self.store.put("config", "main", spec);
+    }
+
+    /// Adds a line to the bounds in the settings of the first host, which reads them anew.
+    pub fn add_bound(&mut self, line: &str) {
+        let name = &self.hosts[0].name;
+        let path = self.directory.join(format!("{name}.toml"));
+        let text = fs::read_to_string(&path).expect("settings");
+        let text = text.replace("[bounds]\n", &format!("[bounds]\n{line}\n"));
+        fs::write(&path, text).expect("settings");
+        self.signal(Signal::HUP);
+    }
+
+    /// Returns what all hosts have logged.
+    pub fn log_text(&self) -> String {
+        self.hosts.iter().filter_map(|host| host.log_text().ok()).collect()
+    }
+
+    /// Returns all requests that leaves ran.
+    pub fn runs(&self) -> Vec<Run> {
+        self.runs.lock().expect("no leaf has failed").clone()
+    }
+
     /// Starts a leaf of `service` in zone `a` and registers it as ready.
     pub fn add_leaf(&self, service: &str, work: Duration) -> Leaf {
         self.add_leaf_in("a", service, work)
