--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod overload;
 pub mod poison;
 pub mod position;
+pub mod quotas;
 pub mod reconcile;
 pub mod reply;
 pub mod reply_time;
