Refuse or delay requests beyond the quota of their account

Requests of accounts with a quota ask the quota state first. A request that no leaf ran returns its permit. Messages are field 12 of heartbeats.

A pool now counts the share that is delegated to it over time, so that an account that was idle has its burst: with real hosts the first request of each host to an idle account was refused. Permits of shares that have gone are given up, as an allocator that came back could have granted them a second time.

--- a/components/edge/src/callers.rs
+++ b/components/edge/src/callers.rs
@@ -42,6 +42,8 @@
     Head,
     /// Reading a body.
     Body(Box<RequestHead>, BodyReader),
+    /// The request waits for a permit of its account.
+    AwaitingQuota,
     /// The request with this key is in progress.
     Waiting(usize),
     /// The last response is being sent, and the connection closes after it.
@@ -130,7 +132,7 @@
         let limits = self.active_catalog.limits();
         let Some(conn) = self.callers.get_mut(key) else { return };
         let limit = match conn.phase {
-            Phase::Waiting(_) => MAX_PIPELINED,
+            Phase::AwaitingQuota | Phase::Waiting(_) => MAX_PIPELINED,
             _ => limits.head_bytes + limits.body_bytes + MAX_PIPELINED,
         };
         let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
@@ -190,7 +192,7 @@
                     }
                     self.dispatch_request(key);
                 }
-                Phase::Waiting(_) | Phase::Lingering => return,
+                Phase::AwaitingQuota | Phase::Waiting(_) | Phase::Lingering => return,
             }
         }
     }
--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -5,6 +5,7 @@
     crate::{
         limits::LimitsMessage,
         node::{EventSource, Node},
+        quotas::QuotasMessage,
         sock,
     },
     mio::{Interest, Poll, net::UdpSocket},
@@ -104,6 +105,9 @@
     /// Age of the sender's news in milliseconds; none if it has none.
     #[prost(uint32, optional, tag = "10")]
     news_age: Option<u32>,
+    /// Messages about quotas of accounts.
+    #[prost(message, optional, tag = "12")]
+    quotas: Option<QuotasMessage>,
 }
 
 impl From<&MemberInfo> for MemberMessage {
@@ -213,12 +217,17 @@
     }
 
     fn send_members(&mut self, to: &[Ipv4Addr], members: &[MemberInfo]) {
-        self.send_datagram(to, members, None);
+        self.send_datagram(to, members, None, None);
     }
 
     /// Sends messages about request limits of leaves.
     pub(crate) fn send_limits(&mut self, to: Ipv4Addr, limits: LimitsMessage) {
-        self.send_datagram(&[to], &[], Some(limits));
+        self.send_datagram(&[to], &[], Some(limits), None);
+    }
+
+    /// Sends messages about quotas of accounts.
+    pub(crate) fn send_quotas(&mut self, to: Ipv4Addr, quotas: QuotasMessage) {
+        self.send_datagram(&[to], &[], None, Some(quotas));
     }
 
     fn send_datagram(
@@ -226,6 +235,7 @@
         to: &[Ipv4Addr],
         members: &[MemberInfo],
         limits: Option<LimitsMessage>,
+        quotas: Option<QuotasMessage>,
     ) {
         let own = std::iter::once(MemberMessage::from(self.members.own()));
         let [leaves, evacuations] = self.last_changes();
@@ -235,12 +245,17 @@
             leaves: leaves.revision().0,
             evacuations: evacuations.revision().0,
             limits,
+            quotas,
             config_version: self.active_catalog.version().unwrap_or_default().0,
             leaves_era: leaves.era().0,
             evacuations_era: evacuations.era().0,
             news_age: self.origin_selector.news_age(self.now).map(|age| age.as_millis() as u32),
         };
-        let kind = if heartbeat.limits.is_some() { "limits" } else { "heartbeat" };
+        let kind = match (&heartbeat.limits, &heartbeat.quotas) {
+            (Some(_), _) => "limits",
+            (None, Some(_)) => "quotas",
+            (None, None) => "heartbeat",
+        };
         let bytes = heartbeat.encode_to_vec();
         self.metrics.count_datagrams(kind, bytes.len() * to.len());
         for ip in to {
@@ -320,6 +335,9 @@
         if let Some(limits) = &heartbeat.limits {
             self.on_limit_messages(sender.ip, limits);
         }
+        if let Some(quotas) = &heartbeat.quotas {
+            self.on_quota_messages(sender.ip, quotas);
+        }
         if is_new {
             self.send_all_members(sender.ip);
             self.send_known_limits(sender.ip);
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -15,6 +15,7 @@
 mod metrics;
 mod node;
 mod peers;
+mod quotas;
 mod replicated;
 mod requests;
 mod sock;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -17,6 +17,10 @@
 
 /// Port that serves the metrics.
 pub(crate) const PORT: u16 = 9_464;
+/// Maximum number of accounts with metrics of their own since the start.
+const MAX_ACCOUNTS: usize = 64;
+/// Label of all other accounts.
+const OTHER_ACCOUNTS: &str = "other";
 /// Maximum number of routes with their own label; further routes share one label.
 const MAX_ROUTES: usize = 64;
 /// Label shared by the routes beyond the maximum.
@@ -45,6 +49,12 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct AccountLabels {
+    account: String,
+    outcome: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
@@ -88,6 +98,9 @@
     leaves: Gauge,
     hosts: Gauge,
     routes: HashSet<String>,
+    account_requests: Family<AccountLabels, Counter>,
+    /// Accounts with metrics of their own, and all that ever had any.
+    labeled_accounts: [HashSet<String>; 2],
     seconds: VecDeque<Second>,
 }
 
@@ -125,6 +138,8 @@
             leaves: Gauge::default(),
             hosts: Gauge::default(),
             routes: HashSet::new(),
+            account_requests: Family::default(),
+            labeled_accounts: Default::default(),
             seconds: VecDeque::new(),
             registry: Registry::default(),
         };
@@ -174,6 +189,9 @@
         );
         registry.register("leaves", "Registered leaves", this.leaves.clone());
         registry.register("hosts", "Known hosts", this.hosts.clone());
+        let help =
+            "Requests by account, the largest ones by name: sent, refused, or over their quotas";
+        registry.register("account_requests", help, this.account_requests.clone());
         Self { registry, ..this }
     }
 
@@ -187,6 +205,25 @@
         route.to_owned()
     }
 
+    /// Sets the accounts that have metrics of their own.
+    pub fn label_accounts(&mut self, names: impl Iterator<Item = String>) {
+        let [labeled, ever] = &mut self.labeled_accounts;
+        labeled.clear();
+        for name in names {
+            if ever.contains(&name) || ever.len() < MAX_ACCOUNTS {
+                ever.insert(name.clone());
+                labeled.insert(name);
+            }
+        }
+    }
+
+    /// Counts a request of an account.
+    pub fn count_account(&self, account: &str, outcome: &'static str) {
+        let is_labeled = self.labeled_accounts[0].contains(account);
+        let account = if is_labeled { account } else { OTHER_ACCOUNTS }.to_owned();
+        self.account_requests.get_or_create(&AccountLabels { account, outcome }).inc();
+    }
+
     /// Counts a request that arrived.
     pub fn count_request(&mut self, now: Instant) {
         self.second(now).requests += 1;
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -8,6 +8,7 @@
         journal::Journal,
         metrics::Metrics,
         peers::Peers,
+        quotas::QuotaDesk,
         replicated::ReplicatedState,
         requests::{EndedAttempt, Request},
         sock::{self, READ_BYTES},
@@ -38,6 +39,7 @@
         limits::LeafLimits,
         members::{MemberInfo, Membership, OwnState},
         poison::PoisonList,
+        quotas::Quotas,
         reconcile::Reconciler,
         state::RoutingState,
     },
@@ -151,6 +153,7 @@
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
     /// Keys and serial numbers of requests that wait for permits.
     pub(crate) awaiting_permits: Vec<(usize, u64)>,
+    pub(crate) quota_desk: QuotaDesk,
     pub(crate) timers: Timers,
     pub(crate) routing: RoutingState,
     pub(crate) active_catalog: ActiveCatalog,
@@ -204,6 +207,8 @@
         let mut leaves = Leaves::new(settings.zone.clone());
         leaves.set_regions(settings.regions.clone());
         let limits = LeafLimits::new(settings.ip, own.incarnation * SERIALS_PER_INCARNATION);
+        let first_serial = own.incarnation * SERIALS_PER_INCARNATION;
+        let quotas = Quotas::new(settings.ip, first_serial, settings.accounts, now);
         let routing = RoutingState::new(
             leaves,
             limits,
@@ -234,6 +239,7 @@
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
             awaiting_permits: Vec::new(),
+            quota_desk: QuotaDesk::new(quotas),
             timers: Timers::default(),
             routing,
             active_catalog: ActiveCatalog::new(),
@@ -366,6 +372,7 @@
         self.start_due_calls();
         self.send_due_heartbeat();
         self.send_limit_messages();
+        self.send_quota_messages();
         if self.now >= self.next_sweep {
             let is_urgent = self.stopping.is_some()
                 || self.origin_selector.origin() == Origin::Nobody
@@ -401,6 +408,7 @@
         self.sweep_upstreams();
         self.sweep_leaves();
         self.report_limited_sends();
+        self.report_quotas();
         self.advance_stop();
         self.refresh_shares();
         for change in self.routing.overload_changes() {
@@ -416,8 +424,9 @@
         let watches_store = self.origin_selector.origin() == Origin::Store;
         let store = self.store.next_at(watches_store);
         let heartbeat = Some(self.gossip.next_at());
-        let due = [self.timers.next_at(), store, heartbeat, self.next_limit_message()];
-        due.into_iter().flatten().fold(self.next_sweep, Instant::min)
+        let messages = [self.next_limit_message(), self.next_quota_message()];
+        let due = [self.timers.next_at(), store, heartbeat].into_iter().chain(messages);
+        due.flatten().fold(self.next_sweep, Instant::min)
     }
 
     /// Whether the host can serve callers.
@@ -449,6 +458,7 @@
                 self.routing.extra_attempt_limit = settings.extra_attempts;
                 self.settings.stop_grace = settings.stop_grace;
                 self.settings.accounts = settings.accounts;
+                self.quota_desk.quotas.set_bounds(settings.accounts);
                 for seed in &settings.seeds {
                     self.members.add_by_address(*seed, settings.zone.clone());
                 }
--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -62,6 +62,7 @@
         }
         let Some(catalog) = self.active_catalog.current().cloned() else { return };
         self.replicated.config_adopted_at = Some(self.now);
+        self.adopt_accounts(&catalog);
         self.routing.cold_rates =
             catalog.services.iter().map(|(id, spec)| (id.clone(), spec.cold_per_second)).collect();
         self.routing.retain_configured(
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -7,7 +7,7 @@
     wigeonramp_platform::http::{self, RequestHead},
     wigeonramp_routing::{
         accounts::Account,
-        catalog::{RepeatPolicy, RouteLookup},
+        catalog::{RepeatPolicy, Route, RouteLookup},
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace, Exchange, RequestTimes},
         leaf::HealthSignal,
         reply::{Cause, Reply},
@@ -70,6 +70,21 @@
     Fingerprint(hash.digest())
 }
 
+/// A request of a known route that may run on behalf of its account.
+#[derive(Debug)]
+pub(crate) struct AcceptedRequest {
+    /// Key and serial number of the caller's connection.
+    pub caller: usize,
+    pub caller_serial: u64,
+    pub head: RequestHead,
+    pub body: Vec<u8>,
+    /// Route, with the priority of the account.
+    pub route: Arc<Route>,
+    pub account: Option<Arc<Account>>,
+    pub fingerprint: Fingerprint,
+    pub arrived: Instant,
+}
+
 impl Request {
     /// Whether the reply was sent, or the caller no longer waits for one.
     pub fn is_replied(&self) -> bool {
@@ -82,7 +97,6 @@
         self.metrics.count_request(self.now);
         let Some(conn) = self.callers.get(caller) else { return };
         let (arrived, caller_serial) = (conn.since, conn.serial);
-        let path = conn.path(head.time_left);
         let fingerprint = fingerprint(&head, &body);
         let url_path = head.target.split('?').next().unwrap_or_default();
         let route = match self.active_catalog.find_route(&head.host, url_path) {
@@ -112,9 +126,27 @@
             }
             Err((cause, retry_after)) => {
                 let reply = Reply::Refused { cause, retry_after };
-                return self.refuse_request(caller, &head, &reply, None, arrived);
+                return self.refuse_request(caller, &head, &reply, None, None, arrived);
             }
         };
+        self.admit_to_quota(AcceptedRequest {
+            caller,
+            caller_serial,
+            head,
+            body,
+            route,
+            account,
+            fingerprint,
+            arrived,
+        });
+    }
+
+    /// Starts the attempts of a request.
+    pub(crate) fn start_request(&mut self, request: AcceptedRequest) {
+        let AcceptedRequest { caller, caller_serial, head, body, route, account, .. } = request;
+        let (arrived, fingerprint) = (request.arrived, request.fingerprint);
+        let Some(conn) = self.callers.get(caller) else { return };
+        let path = conn.path(head.time_left);
         let time_left = head.time_left.unwrap_or(route.timeout);
         let overhead = self.routing.reply_timing.overhead(&route.name, route.target_latency, &path);
         let deadline = arrived + time_left;
@@ -279,6 +311,7 @@
         req.replied = true;
         let caller = req.caller.take();
         self.record_reply(key, &reply);
+        self.settle_quota(key, &reply);
         if let Some((caller, serial)) = caller
             && self.callers.get(caller).is_some_and(|conn| conn.serial == serial)
             && let Some(req) = self.requests.get(key)
@@ -294,21 +327,24 @@
     }
 
     /// Refuses a request before any attempt is made.
-    fn refuse_request(
+    pub(crate) fn refuse_request(
         &mut self,
         caller: usize,
         head: &RequestHead,
         reply: &Reply,
         route: Option<&str>,
+        account: Option<&Account>,
         arrived: Instant,
     ) {
         let status = http::reply_status(reply);
-        if let Reply::Refused { cause, .. } = reply {
+        if let Reply::Refused { cause, retry_after } = reply {
             self.metrics.count_reply(route, status, cause.name());
             if self.journal.admits("refused", self.now) {
                 let fields = json!({
                     "request": head.id, "target": head.target, "status": status,
-                    "cause": cause.name(), "config": self.active_catalog.version().map(|v| v.0),
+                    "cause": cause.name(), "account": account.map(|account| &account.name),
+                    "quota": account.and_then(|account| account.quota),
+                    "retry_after_us": retry_after.0, "config": self.active_catalog.version().map(|v| v.0),
                     "took_us": self.now.since(arrived).0,
                 });
                 self.journal.record("refused", fields, self.now);
@@ -351,6 +387,7 @@
             .collect();
         let fields = json!({
             "request": req.head.id, "target": req.head.target, "route": route.name,
+            "account": req.account.as_ref().map(|account| &account.name),
             "status": status, "cause": cause, "took_us": latency.0,
             "target_us": route.target_latency.0, "timeout_us": route.timeout.0,
             "before_us": req.overhead.before.0, "way_us": req.overhead.way.0,
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -6,7 +6,7 @@
 //! that saw it rise.
 
 use {
-    crate::limits::LimitHosts,
+    crate::{limits::LimitHosts, quotas::QuotaHosts},
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, seq::IteratorRandom},
     std::{cmp::Ordering, net::Ipv4Addr},
@@ -31,6 +31,8 @@
 /// Time after its last heartbeat for which a lost host keeps its share of request limits: it may
 /// still send to leaves on the other side of a network partition.
 const LIMIT_SHARE_RETENTION: Span = Span::secs(600);
+/// Maximum number of hosts that have a share of the quotas of accounts: those that callers use most.
+const MAX_QUOTA_OWNERS: usize = 18;
 /// Traffic share of a host that does not know any other host yet.
 const UNKNOWN_SHARE: f64 = 0.01;
 /// Fraction of a cold leaf's capacity that all hosts together use. The margin keeps hosts with
@@ -284,6 +286,31 @@
         }
     }
 
+    /// Returns the hosts on which quotas of accounts depend. The owners of shares are the first hosts of
+    /// each zone in the order in which callers get addresses, including lost ones, as these may go on
+    /// admitting requests.
+    pub fn quota_hosts(&self, now: Instant) -> QuotaHosts {
+        let LimitHosts { candidates, stopping, .. } = self.limit_hosts(now);
+        let may_send = |member: &&Member| {
+            let since = member.last_heartbeat.unwrap_or(self.started);
+            !member.info.leaving && now.since(since) < LIMIT_SHARE_RETENTION
+        };
+        let others = self.others.values().filter(may_send).map(|member| &member.info);
+        let own = Some(&self.own).filter(|own| !own.leaving);
+        let mut all: Vec<&MemberInfo> = others.chain(own).collect();
+        all.sort_by(|a, b| entry_order(a, b));
+        let mut by_zone: IndexMap<&ZoneId, usize> = IndexMap::new();
+        let mut owners: Vec<(usize, &MemberInfo)> = Vec::new();
+        for info in all {
+            let place = by_zone.entry(&info.zone).or_default();
+            *place += 1;
+            owners.push((*place, info));
+        }
+        owners.sort_by_key(|(place, _)| *place);
+        let owners = owners.into_iter().take(MAX_QUOTA_OWNERS).map(|(_, info)| info.ip).collect();
+        QuotaHosts { candidates, owners, stopping }
+    }
+
     /// Returns the number of hosts that share the request limits of leaves: all that may be
     /// sending, including lost ones and this one.
     pub fn limit_share_count(&self, now: Instant) -> u32 {
--- a/components/routing/src/quotas/account.rs
+++ b/components/routing/src/quotas/account.rs
@@ -176,9 +176,11 @@
 
     /// Returns the number of permits that the host wants to hold.
     fn target(&self, now: Instant) -> u32 {
+        if now.since(self.demand_at) >= KEPT_TIME {
+            return 0;
+        }
         let rate = self.demand(now) * std::f64::consts::LN_2 * 1e6 / DEMAND_HALF_LIFE.0 as f64;
-        let is_recent = self.demand > 0.0 && now.since(self.demand_at) < KEPT_TIME;
-        let needs_one = is_recent && self.next_own.is_none_or(|at| now < at);
+        let needs_one = self.demand > 0.0 && self.next_own.is_none_or(|at| now < at);
         ((rate * ADVANCE_S) as u32).max(needs_one.into())
     }
 
--- a/components/routing/src/quotas/mod.rs
+++ b/components/routing/src/quotas/mod.rs
@@ -125,6 +125,7 @@
     renew_at: Instant,
     silent: IndexMap<Ipv4Addr, Instant>,
     last_report: Instant,
+    polled_at: Instant,
     pool: Pool,
     outbox: Vec<Outgoing>,
     stopping: bool,
@@ -152,6 +153,7 @@
             renew_at: now,
             silent: IndexMap::new(),
             last_report: now,
+            polled_at: Instant::default(),
             pool: Pool::default(),
             outbox: Vec::new(),
             stopping: false,
@@ -231,27 +233,31 @@
 
     /// Returns the time at which `poll` is to be called next; none without quotas.
     pub fn next_at(&self, now: Instant) -> Option<Instant> {
-        if self.is_empty() {
-            return None;
-        }
         if !self.outbox.is_empty() {
             return Some(now);
         }
-        let repeat = self.asked.map(|asked| asked.at + RENEWAL_REPEAT_AFTER);
-        let renewal = repeat.unwrap_or(self.renew_at);
-        let renewal = if self.has_share(now) { renewal } else { now + RENEWAL_INTERVAL };
+        // Which hosts have a share may change without a report.
+        let look = (!self.is_empty()).then_some(self.polled_at + RENEWAL_INTERVAL);
+        look.into_iter().chain(self.next_report(now)).min()
+    }
+
+    /// Returns the time of the next report; none if there is nothing to report.
+    fn next_report(&self, now: Instant) -> Option<Instant> {
         let report = |local: &LocalAccount| match local.is_waiting() {
-            true => self.asked.map_or(now, |asked| asked.at + REPEAT_AFTER),
-            false if local.is_due(now) => self.last_report + REPORT_INTERVAL,
-            false => renewal,
+            true => Some(self.asked.map_or(now, |asked| asked.at + REPEAT_AFTER)),
+            false => local.is_due(now).then_some(self.last_report + REPORT_INTERVAL),
         };
-        Some(self.accounts.values().map(report).fold(renewal, Instant::min))
+        let repeat = self.asked.map(|asked| asked.at + RENEWAL_REPEAT_AFTER);
+        let renewal = repeat.unwrap_or(self.renew_at);
+        let renewal = (!self.is_empty() && self.has_share(now)).then_some(renewal);
+        self.accounts.values().filter_map(report).chain(renewal).min()
     }
 
     /// Sends the reports that are due, and returns all messages to other hosts.
     pub fn poll(&mut self, hosts: &QuotaHosts, now: Instant) -> Vec<Outgoing> {
         self.hosts.clone_from(hosts);
-        if self.next_at(now).is_some_and(|at| at <= now) && self.outbox.is_empty() {
+        self.polled_at = now;
+        if self.next_report(now).is_some_and(|at| at <= now) {
             self.report(now);
         }
         std::mem::take(&mut self.outbox)
--- a/components/routing/src/quotas/pool.rs
+++ b/components/routing/src/quotas/pool.rs
@@ -36,7 +36,9 @@
 const MAX_RECENT: usize = 8;
 /// Time after its last report for which the permits of a host count as held.
 const HOST_RETENTION: Span = Span::secs(30);
-/// Time after which an account that no host has reported is forgotten.
+/// A share that falls below this part of what it was has gone to another allocator.
+const LOST_PART: f64 = 0.5;
+/// Shortest time after which an account that no host has reported is forgotten.
 const ACCOUNT_RETENTION: Span = Span::secs(60);
 
 /// A host that reports to this allocator.
@@ -70,8 +72,10 @@
 #[derive(Clone, Debug)]
 struct AccountPool {
     quota: Quota,
+    full_cap: f64,
     tokens: f64,
-    refilled_at: Instant,
+    /// Share-seconds of the pool at which the permits were counted.
+    refilled_at: f64,
     last_report: Instant,
     hosts: IndexMap<Ipv4Addr, HostPermits>,
 }
@@ -81,11 +85,11 @@
         self.hosts.values().map(HostPermits::outstanding).sum()
     }
 
-    fn refill(&mut self, supply: Supply, now: Instant) {
-        let earned = supply.rate * seconds(now.since(self.refilled_at));
+    fn refill(&mut self, supply: Supply, share_seconds: f64) {
+        let earned = supply.full_rate * (share_seconds - self.refilled_at);
         let free = (supply.cap - self.outstanding()).max(0.0);
         self.tokens = (self.tokens + earned).min(free);
-        self.refilled_at = now;
+        self.refilled_at = share_seconds;
     }
 
     /// Takes in the counts of a host.
@@ -127,6 +131,13 @@
 /// Allocator of the permits of all accounts.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
+    /// Delegated share, summed over time in seconds: the permits that an account would have got so far at
+    /// one request a second. An account that is new to the pool has saved them, up to its cap.
+    share_seconds: f64,
+    /// Share-seconds from which on an account that is new to the pool has saved permits.
+    saved_from: f64,
+    counted_at: Instant,
+    last_share: f64,
     hosts: IndexMap<Ipv4Addr, Delegator>,
     accounts: IndexMap<AccountId, AccountPool>,
 }
@@ -157,6 +168,7 @@
         quota: impl Fn(AccountId) -> Option<Quota>,
         now: Instant,
     ) -> Option<Grants> {
+        self.count_share(owners, now);
         self.retain_recent(now);
         let before = self.hosts.get(&host);
         if before.is_some_and(|known| report.serial <= known.serial) {
@@ -184,6 +196,7 @@
         };
         self.hosts.insert(host, delegator);
         let share = self.share(owners, now);
+        self.last_share = share;
         let grants = report.usage.iter().map(|usage| {
             let quota = quota(usage.account).unwrap_or(usage.quota);
             self.grant(host, report.session, usage, quota, share, bounds, now)
@@ -205,25 +218,49 @@
     ) -> Grant {
         let new = || AccountPool {
             quota,
+            full_cap: 0.0,
             tokens: bounds.slack * START_PART * share,
-            refilled_at: now,
+            refilled_at: self.saved_from,
             last_report: now,
             hosts: IndexMap::new(),
         };
         let pool = self.accounts.entry(usage.account).or_insert_with(new);
         let supply = Supply::new(&quota, bounds, share);
-        pool.refill(supply, now);
-        pool.quota = quota;
+        pool.refill(supply, self.share_seconds);
+        (pool.quota, pool.full_cap) = (quota, supply.full_cap);
         pool.last_report = now;
         pool.record(host, session, usage);
-        pool.refill(supply, now);
+        pool.refill(supply, self.share_seconds);
         pool.grant(host, usage, supply)
     }
 
-    /// Forgets hosts and accounts without reports.
+    /// Counts the share since the last report. Of the shares at both ends of that time the lower one counts.
+    /// Permits of shares that have gone are given up: the allocator that has these shares now may have
+    /// granted as many.
+    fn count_share(&mut self, owners: u32, now: Instant) {
+        let share = self.share(owners, now);
+        let lower = share.min(self.last_share);
+        self.share_seconds += lower * seconds(now.since(self.counted_at));
+        self.counted_at = now;
+        if share < self.last_share {
+            for pool in self.accounts.values_mut() {
+                pool.tokens = pool.tokens.min(pool.full_cap * share);
+            }
+        }
+        if share < self.last_share * LOST_PART {
+            self.saved_from = self.share_seconds;
+        }
+        self.last_share = share;
+    }
+
+    /// Forgets hosts without reports, and accounts that must have their caps again.
     fn retain_recent(&mut self, now: Instant) {
         self.hosts.retain(|_, host| now.since(host.last_report) < HOST_RETENTION);
-        self.accounts.retain(|_, pool| now.since(pool.last_report) < ACCOUNT_RETENTION);
+        let share_seconds = self.share_seconds;
+        self.accounts.retain(|_, pool| {
+            let saved = pool.quota.rate.per_second() * (share_seconds - pool.refilled_at);
+            now.since(pool.last_report) < ACCOUNT_RETENTION || saved < pool.full_cap
+        });
         for pool in self.accounts.values_mut() {
             pool.hosts.retain(|host, _| self.hosts.contains_key(host));
         }
@@ -234,7 +271,11 @@
 #[derive(Clone, Copy, Debug)]
 struct Supply {
     rate: f64,
+    /// Permits per second if all shares were delegated to this host.
+    full_rate: f64,
     cap: f64,
+    /// The cap if all shares were delegated to this host.
+    full_cap: f64,
 }
 
 impl Supply {
@@ -249,7 +290,8 @@
         let faster = in_window * RATE_OVERSHOOT_PART + bounds.slack * for_rate;
         let overshoot = in_window * (1.0 - RATE_OVERSHOOT_PART) + quota.burst * bounds.overshoot;
         let cap = quota.burst + overshoot + bounds.slack * for_cap;
-        Self { rate: (rate + faster / window.max(1e-3)) * share, cap: cap * share }
+        let full_rate = rate + faster / window.max(1e-3);
+        Self { rate: full_rate * share, full_rate, cap: cap * share, full_cap: cap }
     }
 }
 
--- a/components/routing/tests/quotas/main.rs
+++ b/components/routing/tests/quotas/main.rs
@@ -139,6 +139,24 @@
     assert_snapshot!(table);
 }
 
+/// Guards against an allocator that comes back after a while and grants again what it had saved, while the
+/// one in between has granted as much: an account that was idle sends its whole burst to both.
+#[test]
+fn returning_allocators_grant_nothing_twice() {
+    for seed in 0..12 {
+        let mut fleet = settled(132, RATE, 60.0, 0.05, false, seed);
+        let allocator = fleet.allocator();
+        fleet.cut_off(allocator, true);
+        fleet.run(Span::secs(14));
+        fleet.set_demands(&demands(132, 300.0, false));
+        fleet.run(Span::millis(500 + 200 * seed));
+        fleet.cut_off(allocator, false);
+        fleet.run(Span::secs(6));
+        let worst = fleet.worst_window(fleet.quota(), Instant::default());
+        assert!(worst <= 1.0, "the bound is exceeded with seed {seed}: {worst}");
+    }
+}
+
 /// Guards against a quota that is lowered, raised, removed or new and does not take effect.
 #[test]
 fn changes_of_a_quota_take_effect() {
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -11,7 +11,8 @@
 /// microseconds.
 const CONTEXT_WINDOW_US: u64 = 6_000_000;
 /// Kinds of log events that report a change of a host's state or of its view of the cluster.
-const CONTEXT_EVENTS: [&str; 19] = [
+const CONTEXT_EVENTS: [&str; 21] = [
+    "accounts_ignored",
     "config_adopted",
     "evacuation",
     "following",
@@ -21,6 +22,7 @@
     "news_current",
     "news_outdated",
     "overload",
+    "quota",
     "reloaded",
     "request_suspected",
     "started",
@@ -109,6 +111,19 @@
         "no_route" => {
             "the configuration in force has no route for the request's host name and path"
         }
+        "config_outdated" => {
+            "the host's news of the store was out of date, so that the route or the API key may have \
+             been added since"
+        }
+        "keys_outdated" => {
+            "the host's news of the store was too old to accept API keys, as they may have been removed \
+             since"
+        }
+        "unauthorized" => {
+            "the request presented no API key, several, or one that no account of the configuration in \
+             force holds"
+        }
+        "over_quota" => "the account had used up its quota over all hosts; the request was not run",
         "stopping" => "the host was stopping and its grace period was over",
         "late" => "the response came after the route's target latency",
         "late_at_caller" => {
@@ -125,6 +140,14 @@
 
 fn causes(line: &Value) -> Vec<String> {
     let mut causes = vec![describe_cause(text(line, "cause")).to_owned()];
+    if !line["account"].is_null() {
+        let (rate, burst) = (&line["quota"]["rate"], &line["quota"]["burst"]);
+        let account = text(line, "account");
+        causes.push(match rate.is_null() {
+            true => format!("account: {account}"),
+            false => format!("account: {account}, limit {rate} requests a second, burst {burst}"),
+        });
+    }
     let (answered, parts) = (number(line, "answered"), number(line, "parts"));
     if text(line, "cause") == "overload" {
         let percent = line["taken"].as_f64().unwrap_or(1.0) * 100.0;
@@ -196,6 +219,7 @@
             && (begin..=end).contains(&at)
             && CONTEXT_EVENTS.contains(&event)
             && is_relevant
+            && (event != "quota" || text(candidate, "account") == text(line, "account"))
     };
     let mut found: Vec<&Value> = lines.iter().filter(is_context).collect();
     found.sort_by_key(|event| (number(event, "steady_us"), number(event, "seq")));
--- a/components/telemetry/tests/explain.rs
+++ b/components/telemetry/tests/explain.rs
@@ -36,3 +36,18 @@
 fn unknown_request_has_no_explanation() {
     assert!(explain("r9", &parse_log(LOG)).is_none());
 }
+
+/// Guards against a refusal by a quota whose explanation does not say of which account and which limit, or
+/// that lists what happened to other accounts.
+#[test]
+fn refusals_by_quotas_name_account_and_limit() {
+    let log = r#"
+{"account":"one","burst":17.0,"event":"quota","host":"host-1","rate":17.0,"refused":3,"seq":1,"state":"exceeded","steady_us":900000,"time_ms":1}
+{"account":"two","burst":1.0,"event":"quota","host":"host-1","rate":1.0,"refused":1,"seq":2,"state":"exceeded","steady_us":950000,"time_ms":2}
+{"account":"one","cause":"over_quota","config":7,"event":"refused","host":"host-1","quota":{"burst":17.0,"rate":17.0},"request":"q1","retry_after_us":120000,"seq":3,"status":429,"steady_us":1000000,"took_us":900,"time_ms":3}
+{"account":null,"cause":"unauthorized","config":7,"event":"refused","host":"host-1","quota":null,"request":"q2","retry_after_us":0,"seq":4,"status":401,"steady_us":1100000,"took_us":9,"time_ms":4}
+"#;
+    let lines = parse_log(log);
+    let explain = |id| format!("{id}: {:#?}", explain(id, &lines).expect("an explanation"));
+    assert_snapshot!(["q1", "q2"].map(explain).join("\n"));
+}
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -5,6 +5,7 @@
 mod leaving;
 mod odd_entries;
 mod pausing;
+mod quotas;
 mod request_limits;
 mod restored_store;
 mod stopping;
