Shed the load of accounts far above their quotas first

While leaves are overloaded, all requests of a priority were refused with the same probability, so that accounts within their quotas paid for one that sends nine times its usual load. Now what is admitted of a priority is divided by the quotas, unused parts go to the others, and no account gets less than 0.3 of the share of the most urgent requests. The shares of a priority stay between those of its neighbours, so that no account is admitted less often than a less urgent one. Requests of accounts without a quota are admitted as before.

Demand of 90, 10, 5 and 1 with quotas of 16, 16, 8 and 1.6: at admitted shares of 0.3 to 0.9 the three smaller accounts have shares above 0.95, and the sum is within 0.01 of the admitted share.

--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -9,6 +9,7 @@
         accounts::Account,
         catalog::{RepeatPolicy, Route, RouteLookup},
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace, Exchange, RequestTimes},
+        fair_shares::AccountShare,
         leaf::HealthSignal,
         reply::{Cause, Reply},
         reply_time::Overhead,
@@ -152,8 +153,9 @@
         let deadline = arrived + time_left;
         let times = RequestTimes { arrived, deadline, caller_overhead: overhead.total() };
         let mut attempts = Vec::new();
+        let share = account.as_deref().and_then(AccountShare::new);
         let (exchange, reply) =
-            Exchange::begin(route, times, &mut self.routing, self.now, &mut attempts);
+            Exchange::begin_for(route, share, times, &mut self.routing, self.now, &mut attempts);
         self.serial += 1;
         let serial = self.serial;
         let key = self.requests.insert(Request {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -14,6 +14,7 @@
 use {
     crate::{
         catalog::{RepeatPolicy, Route},
+        fair_shares::AccountShare,
         leaf::HealthSignal,
         leaves::LeafKey,
         reply::{Cause, LeafResponse, Reply},
@@ -62,14 +63,26 @@
 }
 
 impl Exchange {
-    /// Starts a request. Returns a reply at once when the request cannot be sent or is refused, and
-    /// appends the first attempts to `new_attempts`.
+    /// Starts a request of no account with a quota; see `begin_for`.
     pub fn begin(
         route: Arc<Route>,
         times: RequestTimes,
         cx: &mut RoutingState,
         now: Instant,
         new_attempts: &mut Vec<AttemptSpec>,
+    ) -> (Self, Option<Reply>) {
+        Self::begin_for(route, None, times, cx, now, new_attempts)
+    }
+
+    /// Starts a request of an account. Returns a reply at once when the request cannot be sent or is refused, and
+    /// appends the first attempts to `new_attempts`.
+    pub fn begin_for(
+        route: Arc<Route>,
+        account: Option<AccountShare>,
+        times: RequestTimes,
+        cx: &mut RoutingState,
+        now: Instant,
+        new_attempts: &mut Vec<AttemptSpec>,
     ) -> (Self, Option<Reply>) {
         let services = cx.pick_services(&route.target);
         let latency = cx.latency(&route);
@@ -91,7 +104,7 @@
         if let Some(reply) = this.refuse_unservable(cx, now) {
             return (this, Some(reply));
         }
-        if !cx.admits(&this.route, now) {
+        if !cx.admits(&this.route, account, now) {
             let cause = Cause::Overload;
             return (this, Some(Reply::Refused { cause, retry_after: RETRY_AFTER_OVERLOAD }));
         }
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod changes;
 pub mod entry;
 pub mod exchange;
+pub mod fair_shares;
 pub mod follow;
 pub mod lapse;
 pub mod latency;
--- a/components/routing/src/overload.rs
+++ b/components/routing/src/overload.rs
@@ -7,7 +7,11 @@
 //! does not help, do not count as an overload. Requests beyond the admitted share are refused
 //! before they are sent to any leaf, the less urgent ones first, and their callers retry later.
 
-use wigeonramp_units::{Instant, Span};
+use {
+    crate::fair_shares::{AccountShare, FairShares, ShareRange},
+    indexmap::IndexMap,
+    wigeonramp_units::{Instant, Span},
+};
 
 /// Interval between changes of the admitted share; the effect of a change shows after about one
 /// target latency.
@@ -28,6 +32,9 @@
 /// Minimum admitted share of every priority. These requests show when the overload is over, and
 /// less urgent ones are not starved.
 const MIN_ADMITTED: f64 = 0.25;
+/// Least admitted share of an account, as a part of that of the most urgent requests. No account may be
+/// served less than a quarter as often as all.
+const MIN_ACCOUNT_PART: f64 = 0.3;
 
 /// Computes the share of requests for one group of shards that a host admits.
 #[derive(Clone, Debug)]
@@ -42,6 +49,8 @@
     reported: bool,
     /// Priorities of the routes that use the shards, the most urgent first.
     priorities: Vec<u32>,
+    /// Demand of accounts by priority.
+    accounts: IndexMap<u32, FairShares>,
 }
 
 /// Counts of the parts of one shard in one step.
@@ -73,6 +82,7 @@
             late: 0.0,
             reported: false,
             priorities: Vec::new(),
+            accounts: IndexMap::new(),
         }
     }
 
@@ -119,6 +129,32 @@
                 index
             }
         };
+        self.share_at(index)
+    }
+
+    /// Returns the admitted share of the requests of this priority and account, and counts a request of
+    /// it. Within a priority shares follow the quotas. None is lower than a share of a less urgent one.
+    pub fn share_for_account(&mut self, priority: u32, account: AccountShare, now: Instant) -> f64 {
+        let share = self.share_for(priority, now);
+        let accounts = self.accounts.entry(priority).or_default();
+        accounts.record(account, now);
+        if share >= 1.0 {
+            return share;
+        }
+        let index = self.priorities.binary_search(&priority).unwrap_or_default();
+        let between = |more: usize, less: usize| (self.share_at(more) + self.share_at(less)) / 2.0;
+        let is_last = index + 1 == self.priorities.len();
+        let least = match is_last {
+            true => (self.admitted * MIN_ACCOUNT_PART).min(share),
+            false => between(index, index + 1),
+        };
+        let most = if index == 0 { 1.0 } else { between(index - 1, index) };
+        let range = ShareRange { least, most };
+        self.accounts[&priority].admitted(account.account, share, range, now)
+    }
+
+    /// Returns the admitted share of the priority at this place in the order.
+    fn share_at(&self, index: usize) -> f64 {
         self.admitted.powi(index as i32 + 1).max(MIN_ADMITTED)
     }
 
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -5,6 +5,7 @@
     crate::{
         budget::{ExtraAttemptBudget, ExtraAttemptLimit},
         catalog::{Route, Target},
+        fair_shares::AccountShare,
         latency::LatencyTracker,
         leaves::{LeafCriteria, LeafKey, Leaves},
         limits::LeafLimits,
@@ -213,15 +214,24 @@
         self.reply_timing.retain_routes(route);
     }
 
-    /// Whether a request of the route is admitted. While the leaves of its shards are overloaded, a
+    /// Whether a request of the route and account is admitted. While the leaves of its shards are overloaded, a
     /// random part of the requests is refused.
-    pub(crate) fn admits(&mut self, route: &Route, now: Instant) -> bool {
+    pub(crate) fn admits(
+        &mut self,
+        route: &Route,
+        account: Option<AccountShare>,
+        now: Instant,
+    ) -> bool {
         let Target::Gather { shards, .. } = &route.target else { return true };
         let Some(first) = shards.first() else { return true };
         if !self.overloads.contains_key(first) {
             self.overloads.insert(first.clone(), OverloadController::new(now));
         }
-        let share = self.overloads[first].share_for(route.priority, now);
+        let overload = &mut self.overloads[first];
+        let share = match account {
+            Some(account) => overload.share_for_account(route.priority, account, now),
+            None => overload.share_for(route.priority, now),
+        };
         share >= 1.0 || self.rng.random::<f64>() < share
     }
 
--- a/components/routing/tests/overload.rs
+++ b/components/routing/tests/overload.rs
@@ -5,7 +5,11 @@
 use {
     common::{SEED, at},
     rand::{RngExt, SeedableRng, rngs::SmallRng},
-    wigeonramp_routing::overload::{OverloadController, PartStatus},
+    wigeonramp_routing::{
+        fair_shares::{AccountShare, FairShares, ShareRange},
+        overload::{OverloadController, PartStatus},
+        quotas::AccountId,
+    },
 };
 
 const SHARDS: usize = 20;
@@ -80,3 +84,53 @@
     }
     assert!(overload.is_shedding());
 }
+
+/// Returns the account `n`, whose quota is 1.6 times its usual rate.
+fn account(n: usize, usual: f64) -> AccountShare {
+    AccountShare { account: AccountId(n as u32), weight: 1.6 * usual }
+}
+
+/// Guards against accounts that are refused because another one sends nine times its usual load, against
+/// capacity that is left unused, and against an account that is starved.
+#[test]
+fn shedding_starts_with_accounts_far_above_their_quotas() {
+    let usual = [10.0, 10.0, 5.0, 1.0];
+    let rates = [90, 10, 5, 1];
+    let mut fair = FairShares::default();
+    for ms in (0..6_000).step_by(1_000) {
+        for (n, rate) in rates.iter().enumerate() {
+            (0..*rate).for_each(|_| fair.record(account(n, usual[n]), at(ms)));
+        }
+    }
+    for share in [0.3, 0.5, 0.9] {
+        let range = ShareRange { least: share * 0.3, most: 1.0 };
+        let shares = [0, 1, 2, 3].map(|n| fair.admitted(AccountId(n), share, range, at(5_000)));
+        assert!(shares[1..].iter().all(|share| *share > 0.95), "{shares:?}");
+        assert!(shares[0] >= range.least, "not starved: {shares:?}");
+        let admitted: f64 = shares.iter().zip(rates).map(|(s, rate)| s * f64::from(rate)).sum();
+        let all = admitted / f64::from(rates.iter().sum::<i32>());
+        assert!((all - share).abs() < 0.01, "what others leave is passed on: {all} of {share}");
+    }
+}
+
+/// Guards against a share of an urgent account that is below one of a less urgent account.
+#[test]
+fn no_account_is_admitted_less_often_than_a_less_urgent_one() {
+    let mut overload = OverloadController::new(at(0));
+    for priority in [1, 5] {
+        overload.share_for(priority, at(0));
+    }
+    simulate(&mut overload, 1.5, 0, 3_000);
+    let mut shares = |priority| {
+        for _ in 0..90 {
+            overload.share_for_account(priority, account(0, 10.0), at(3_000));
+        }
+        for _ in 0..9 {
+            overload.share_for_account(priority, account(1, 10.0), at(3_000));
+        }
+        [0, 1].map(|n| overload.share_for_account(priority, account(n, 10.0), at(3_000)))
+    };
+    let (urgent, ordinary) = (shares(1), shares(5));
+    assert!(urgent[0] < 1.0 && urgent[0] >= ordinary[1], "{urgent:?} {ordinary:?}");
+    assert!(urgent[1] > urgent[0] && ordinary[1] > ordinary[0], "{urgent:?} {ordinary:?}");
+}
