Test a host against clients that are not controlled

Cause: in a trial, callers that send requests ahead without reading the responses, and callers that send many large or chunked bodies and stop just short of their end, made a process run out of memory.

Change: the test target `clients` starts a host with 32 MB and 500 descriptors in its settings, sends small crowds and checks that the process lives, that its peak memory (VmHWM) and its open descriptors stay within the settings, and that an ordinary request is answered.

A first crowd of unread_responses, 40 connections with 24 requests each, reached 22 MB, because the kernel held the responses; it is now 20 connections with 100 requests each.

--- a/components/soak/src/hosts.rs
+++ b/components/soak/src/hosts.rs
@@ -144,6 +144,17 @@
         }
     }
 
+    /// Returns the id of the process; none if it was killed.
+    pub fn process_id(&self) -> Option<u32> {
+        self.child.as_ref().map(Child::id)
+    }
+
+    /// Adds lines to the table `[limits]` of the settings, which later starts read.
+    pub fn add_limits(&self, lines: &str) -> Result<()> {
+        let text = fs::read_to_string(&self.settings)?;
+        fs::write(&self.settings, text.replace("[limits]\n", &format!("[limits]\n{lines}\n")))
+    }
+
     /// Returns what the process has logged.
     pub fn log_text(&self) -> Result<String> {
         fs::read_to_string(&self.log)
--- /dev/null
+++ b/tests/clients/main.rs
@@ -0,0 +1,171 @@
+//! Clients that are not controlled: a host stays within its memory and its descriptors, whatever they
+//! send. In a trial such clients ended a process, which ran out of memory.
+//!
+//! The limits of the host are lowered, so that small crowds reach them. One test runs at a time.
+
+mod crowd;
+mod host;
+mod leaf;
+mod other_ways;
+#[path = "../platform/support.rs"]
+#[allow(dead_code)]
+mod support;
+
+use {
+    crowd::{Crowd, connect},
+    host::{FD_LIMIT, LimitedHost},
+    std::{io::Write, net::TcpStream, thread, time::Duration},
+};
+
+/// Number of connections that send bodies; all of them fit into the descriptors of the host.
+const BODIES: usize = 300;
+/// Number of connections beyond the descriptors of the host.
+const MANY: usize = FD_LIMIT + 300;
+
+/// Lets a crowd send beside ordinary load or without it, and checks the host while the crowd stays
+/// connected and after it has left.
+fn check_crowd(n: u64, has_load: bool, fill: impl Fn(&LimitedHost, &mut Crowd)) {
+    let mut host = LimitedHost::start(n);
+    if has_load {
+        host.add_ordinary_load();
+    }
+    let mut crowd = Crowd::default();
+    fill(&host, &mut crowd);
+    crowd.send();
+    host.check();
+    drop(crowd);
+    host.check();
+}
+
+fn add_pipelined(host: &LimitedHost, crowd: &mut Crowd) {
+    crowd.add_pipelined(host.callers(), 20, 100);
+}
+
+fn add_whole_bodies(host: &LimitedHost, crowd: &mut Crowd) {
+    crowd.add_bodies(host.callers(), BODIES, usize::MAX);
+}
+
+fn add_bodies_in_pieces(host: &LimitedHost, crowd: &mut Crowd) {
+    crowd.add_bodies(host.callers(), BODIES, 8 * 1024);
+}
+
+fn add_large_chunks(host: &LimitedHost, crowd: &mut Crowd) {
+    crowd.add_chunked(host.callers(), BODIES, false);
+}
+
+fn add_small_chunks(host: &LimitedHost, crowd: &mut Crowd) {
+    crowd.add_chunked(host.callers(), BODIES, true);
+}
+
+/// Guards against responses that pile up for callers that send requests ahead and read nothing.
+#[test]
+fn unread_responses() {
+    check_crowd(48, false, add_pipelined);
+}
+
+/// Like `unread_responses`, beside ordinary load.
+#[test]
+fn unread_responses_beside_load() {
+    check_crowd(48, true, add_pipelined);
+}
+
+/// Guards against memory that follows the number of large bodies being read.
+#[test]
+fn whole_bodies() {
+    check_crowd(49, false, add_whole_bodies);
+}
+
+/// Like `whole_bodies`, beside ordinary load.
+#[test]
+fn whole_bodies_beside_load() {
+    check_crowd(49, true, add_whole_bodies);
+}
+
+/// Guards against memory that follows the number of large bodies being read piece by piece.
+#[test]
+fn bodies_in_pieces() {
+    check_crowd(49, false, add_bodies_in_pieces);
+}
+
+/// Like `bodies_in_pieces`, beside ordinary load.
+#[test]
+fn bodies_in_pieces_beside_load() {
+    check_crowd(49, true, add_bodies_in_pieces);
+}
+
+/// Guards against memory that follows the number of chunked bodies being read.
+#[test]
+fn large_chunks() {
+    check_crowd(50, false, add_large_chunks);
+}
+
+/// Like `large_chunks`, beside ordinary load.
+#[test]
+fn large_chunks_beside_load() {
+    check_crowd(50, true, add_large_chunks);
+}
+
+/// Guards against read buffers that hold several times the decoded size of small chunks.
+#[test]
+fn small_chunks() {
+    check_crowd(50, false, add_small_chunks);
+}
+
+/// Like `small_chunks`, beside ordinary load.
+#[test]
+fn small_chunks_beside_load() {
+    check_crowd(50, true, add_small_chunks);
+}
+
+/// Guards against limits that hold for each kind of crowd but not for all of them together.
+#[test]
+fn all_crowds_together() {
+    check_crowd(51, true, |host, crowd| {
+        crowd.add_pipelined(host.callers(), 20, 100);
+        crowd.add_bodies(host.callers(), 90, usize::MAX);
+        crowd.add_bodies(host.callers(), 90, 8 * 1024);
+        crowd.add_chunked(host.callers(), 90, false);
+        crowd.add_chunked(host.callers(), 90, true);
+    });
+}
+
+/// Guards against descriptors that stay open after callers have closed their connections.
+#[test]
+fn connections_that_close_at_once() {
+    let mut host = LimitedHost::start(52);
+    host.add_ordinary_load();
+    for _ in 0..4_000 {
+        drop(connect(host.callers()));
+    }
+    host.check();
+}
+
+/// Guards against silent connections that take all descriptors of the host.
+#[test]
+fn connections_that_send_nothing() {
+    let mut host = LimitedHost::start(52);
+    host.add_ordinary_load();
+    let conns: Vec<TcpStream> = (0..MANY).filter_map(|_| connect(host.callers())).collect();
+    thread::sleep(Duration::from_secs(1));
+    host.check();
+    drop(conns);
+    host.check();
+}
+
+/// Guards against heads that arrive slowly and take all descriptors of the host meanwhile.
+#[test]
+fn heads_of_one_byte_a_second() {
+    let mut host = LimitedHost::start(53);
+    host.add_ordinary_load();
+    let mut conns: Vec<TcpStream> = (0..MANY).filter_map(|_| connect(host.callers())).collect();
+    for byte in b"GET /" {
+        for conn in &mut conns {
+            // The host may have closed the connection.
+            let _ = conn.write(&[*byte]);
+        }
+        thread::sleep(Duration::from_secs(1));
+    }
+    host.check();
+    drop(conns);
+    host.check();
+}
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -23,7 +23,7 @@
     },
 };
 
-const HOST: &str = "h.example";
+pub const HOST: &str = "h.example";
 /// Connections that each leaf accepts, unless a test says otherwise.
 const CONNECTION_LIMIT: u32 = 400;
 /// Time within which a started host must serve.
@@ -38,7 +38,7 @@
     pub store: Store,
     /// The addresses of the store that the hosts use, one each.
     pub doors: Vec<Door>,
-    hosts: Vec<HostProcess>,
+    pub hosts: Vec<HostProcess>,
     /// The daemon process with an output that nobody reads, used instead of the first process in `hosts`.
     stalled_process: Option<Child>,
     runs: Runs,
