Bound what a process holds for clients

Cause: each connection of a caller could hold up to a megabyte and any number of unread responses, connections were accepted until descriptors ran out, responses of leaves were buffered up to 8 MB each, and any address could send frames of 16 MB to the port for other hosts.

Change: - callers/ is split into accepting, reading, responses, endpoints and admission, which carries out the decisions of wigeonramp_routing::clients. - Reading stops while a response waits unread or a request is in progress; bytes are decoded as they are read, and chunk framing is limited. - Heads, bodies, buffers, requests and their parts' responses are charged by capacity. Bodies wait or are refused with 503 and a time; bodies without progress end with 408 while memory is tight. - Callers, each endpoint port, leaves and other hosts have their own numbers of connections. At a limit, connections without progress are closed, otherwise new ones wait in the kernel; accepting is resumed by the event loop, not only by the next connection. - Bodies above 16 KB are shared between the attempts of a request. - Streams of followers begin with a frame of at most 4 KB within 2 s. - The settings have memory_mb and fd_limit, with the smallest host's as defaults; the process's own limit of descriptors is raised if it can be.

--- a/components/edge/src/body.rs
+++ b/components/edge/src/body.rs
@@ -5,14 +5,18 @@
 /// Maximum length in bytes of a chunk-size line or a trailer line.
 const MAX_LINE: usize = 1_024;
 /// Maximum number of bytes allocated up front for a body of known length.
-const MAX_RESERVED: u64 = 64 * 1024;
+const MAX_RESERVED: u64 = 256 * 1024;
+/// Bytes of chunk framing and trailers allowed for each decoded byte; a chunk of one byte takes five.
+const FRAMING_FACTOR: u64 = 16;
+/// Bytes of chunk framing and trailers allowed in addition.
+const FRAMING_BYTES: u64 = 16 * 1024;
 
 /// Error of reading a body.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum BodyError {
     /// The chunked coding is invalid.
     Malformed,
-    /// The body is longer than allowed.
+    /// The body or its chunk framing is longer than allowed.
     TooLong,
 }
 
@@ -32,6 +36,10 @@
 pub(crate) struct BodyReader {
     state: State,
     max: u64,
+    /// Bytes to allocate for the body when its first bytes arrive.
+    expected: usize,
+    /// Bytes of chunk framing and trailers received.
+    framing: u64,
     body: Vec<u8>,
 }
 
@@ -45,21 +53,40 @@
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
         };
-        let body = match framing {
-            Framing::Length(length) => Vec::with_capacity(length.min(MAX_RESERVED) as usize),
-            _ => Vec::new(),
+        let expected = match framing {
+            Framing::Length(length) => length.min(MAX_RESERVED) as usize,
+            _ => 0,
         };
-        Ok(Self { state, max, body })
+        Ok(Self { state, max, expected, framing: 0, body: Vec::new() })
+    }
+
+    /// Returns the number of bytes that the body may take until it is complete.
+    pub fn max_bytes(&self) -> usize {
+        match self.state {
+            State::Length { left } => self.body.capacity().max(self.body.len() + to_usize(left)),
+            State::Done => self.body.capacity(),
+            _ => to_usize(self.max),
+        }
+    }
+
+    /// Returns the number of bytes that the body takes now.
+    pub fn held_bytes(&self) -> usize {
+        self.body.capacity()
     }
 
     /// Decodes bytes from the front of `buf` and returns how many were consumed.
     pub fn push(&mut self, buf: &[u8]) -> Result<usize, BodyError> {
         let mut used = 0;
         while self.state != State::Done && used < buf.len() {
+            let before = self.body.len();
             let step = self.step(&buf[used..])?;
             if step == 0 {
                 break;
             }
+            self.framing += (step - (self.body.len() - before)) as u64;
+            if self.framing > self.body.len() as u64 * FRAMING_FACTOR + FRAMING_BYTES {
+                return Err(BodyError::TooLong);
+            }
             used += step;
         }
         Ok(used)
@@ -98,6 +125,12 @@
         if (self.body.len() + buf.len()) as u64 > self.max {
             return Err(BodyError::TooLong);
         }
+        let needed = self.body.len() + buf.len();
+        if needed > self.body.capacity() {
+            let grown = (self.body.capacity() * 2).min(to_usize(self.max));
+            let capacity = needed.max(grown).max(self.expected);
+            self.body.reserve_exact(capacity - self.body.len());
+        }
         self.body.extend_from_slice(buf);
         Ok(buf.len())
     }
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -7,6 +7,7 @@
 
 mod body;
 mod callers;
+mod client_metrics;
 mod clock;
 mod gossip;
 mod journal;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -1,7 +1,7 @@
 //! Metrics of the host.
 
 use {
-    crate::node::Node,
+    crate::{client_metrics::ClientMetrics, node::Node},
     prometheus_client::{
         encoding::{EncodeLabelSet, text::encode},
         metrics::{counter::Counter, family::Family, gauge::Gauge, histogram::Histogram},
@@ -87,6 +87,7 @@
     config_version: Gauge,
     leaves: Gauge,
     hosts: Gauge,
+    pub clients: ClientMetrics,
     routes: HashSet<String>,
     seconds: VecDeque<Second>,
 }
@@ -124,6 +125,7 @@
             config_version: Gauge::default(),
             leaves: Gauge::default(),
             hosts: Gauge::default(),
+            clients: ClientMetrics::default(),
             routes: HashSet::new(),
             seconds: VecDeque::new(),
             registry: Registry::default(),
@@ -174,6 +176,7 @@
         );
         registry.register("leaves", "Registered leaves", this.leaves.clone());
         registry.register("hosts", "Known hosts", this.hosts.clone());
+        this.clients.register(&mut registry);
         Self { registry, ..this }
     }
 
@@ -279,6 +282,8 @@
         self.metrics.admitted_share.set(self.routing.min_admitted_share());
         self.metrics.traffic_share.set(self.routing.traffic_share);
         self.metrics.own_delay.set(self.routing.reply_timing.own_delay().0 as f64 / 1e6);
+        let (leaves, peers) = (self.upstreams.conn_count(), self.peers.conn_count());
+        self.metrics.clients.set(&self.clients, leaves, peers);
         if let Some(at) = self.replicated.config_adopted_at {
             self.metrics.config_age.set(self.now.since(at).0 as f64 / 1e6);
         }
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers::CallerConn,
+        callers::{CallerConn, ClientLimits},
         clock,
         gossip::Gossip,
         journal::Journal,
@@ -146,6 +146,7 @@
     pub(crate) scratch: Vec<u8>,
     pub(crate) listeners: Vec<(TcpListener, ListenerPurpose)>,
     pub(crate) callers: Slab<CallerConn>,
+    pub(crate) clients: ClientLimits,
     pub(crate) upstreams: Upstreams,
     pub(crate) requests: Slab<Request>,
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
@@ -230,6 +231,7 @@
             scratch: vec![0; READ_BYTES],
             listeners: Vec::new(),
             callers: Slab::new(),
+            clients: ClientLimits::new(&settings, now),
             upstreams: Upstreams::default(),
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
@@ -334,7 +336,7 @@
     fn on_event(&mut self, event: &Event) {
         match EventSource::from_token(event.token()) {
             Some(EventSource::Listener(index)) => self.accept(index),
-            Some(EventSource::Caller(key)) => self.on_caller(key, event.is_writable()),
+            Some(EventSource::Caller(key)) => self.on_caller(key, event),
             Some(EventSource::Leaf(key)) => self.on_leaf(key),
             Some(EventSource::Store(index)) => self.on_store(index),
             Some(EventSource::Peer(key)) => self.on_peer(key),
@@ -362,6 +364,7 @@
             self.on_timer(timer);
             self.process_ended_attempts();
         }
+        self.resume_clients();
         self.propagate_changes();
         self.start_due_calls();
         self.send_due_heartbeat();
@@ -416,7 +419,8 @@
         let watches_store = self.origin_selector.origin() == Origin::Store;
         let store = self.store.next_at(watches_store);
         let heartbeat = Some(self.gossip.next_at());
-        let due = [self.timers.next_at(), store, heartbeat, self.next_limit_message()];
+        let clients = self.clients.next_at();
+        let due = [self.timers.next_at(), store, heartbeat, self.next_limit_message(), clients];
         due.into_iter().flatten().fold(self.next_sweep, Instant::min)
     }
 
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -5,17 +5,21 @@
 //! host responds with the missing changes and then sends every further change as it receives it.
 //! Frames are JSON with a length prefix.
 
+mod accepting;
+mod frames;
+
 use {
     crate::{
         node::{EventSource, Node},
         replicated::ReplicatedState,
         sock::{self, OutBuf, ReadEnd},
     },
+    frames::{LENGTH_BYTES, encode_frame, take_frame},
     mio::{Interest, net::TcpStream},
-    serde::{Deserialize, Serialize, de::DeserializeOwned},
+    serde::{Deserialize, Serialize},
     serde_json::json,
     slab::Slab,
-    std::{io::ErrorKind, net::Ipv4Addr},
+    std::net::Ipv4Addr,
     wigeonramp_routing::{
         catalog::Catalog,
         changes::{Change, ChangeLog, Update},
@@ -28,8 +32,8 @@
 /// Maximum length of a frame in bytes; all leaves and routes of a large installation stay well
 /// below it.
 const MAX_FRAME: usize = 16 * 1024 * 1024;
-/// Size of the length prefix in bytes.
-const LENGTH_BYTES: usize = 4;
+/// Maximum length of the frame with which a follower begins. Anybody may connect, so it is short.
+const MAX_FOLLOWER_FRAME: usize = 4 * 1024;
 /// Minimum progress of the news, and time since the last frame, with which followers are told of it
 /// before the next keepalive.
 const MIN_NEWS_STEP: Span = Span::millis(100);
@@ -96,28 +100,23 @@
     conns: Slab<PeerConn>,
 }
 
-fn encode_frame<T: Serialize>(message: &T) -> Result<Vec<u8>, serde_json::Error> {
-    let mut bytes = vec![0; LENGTH_BYTES];
-    serde_json::to_writer(&mut bytes, message)?;
-    let length = (bytes.len() - LENGTH_BYTES) as u32;
-    bytes[..LENGTH_BYTES].copy_from_slice(&length.to_le_bytes());
-    Ok(bytes)
+impl Peers {
+    /// Returns the number of open streams.
+    pub fn conn_count(&self) -> usize {
+        self.conns.len()
+    }
 }
 
-/// Removes a frame from the front of `buf` and decodes it; returns `None` if it is incomplete.
-fn take_frame<T: DeserializeOwned>(buf: &mut Vec<u8>) -> Result<Option<T>, String> {
-    let Some(length) = buf.first_chunk::<LENGTH_BYTES>() else { return Ok(None) };
-    let length = u32::from_le_bytes(*length) as usize;
-    if length > MAX_FRAME {
-        return Err("frame too long".to_owned());
+impl PeerConn {
+    /// Returns the maximum length of the next frame.
+    fn max_frame(&self) -> usize {
+        if self.followed.is_some() { MAX_FRAME } else { MAX_FOLLOWER_FRAME }
     }
-    let end = LENGTH_BYTES + length;
-    if buf.len() < end {
-        return Ok(None);
+
+    /// Whether the other end connected and has not said yet which changes it has.
+    fn is_unknown(&self) -> bool {
+        self.followed.is_none() && self.follower.is_none()
     }
-    let message = serde_json::from_slice(&buf[LENGTH_BYTES..end]).map_err(|err| err.to_string());
-    buf.drain(..end);
-    message.map(Some)
 }
 
 impl Node {
@@ -202,22 +201,6 @@
         });
     }
 
-    pub(crate) fn accept_peers(&mut self) {
-        loop {
-            match self.peer_listener.accept() {
-                Ok((sock, _)) => self.add_peer(sock, None),
-                Err(err) if err.kind() == ErrorKind::Interrupted => {}
-                Err(err) => {
-                    if err.kind() != ErrorKind::WouldBlock {
-                        let fields = json!({ "error": err.to_string() });
-                        self.journal.record("accept_failed", fields, self.now);
-                    }
-                    return;
-                }
-            }
-        }
-    }
-
     fn drop_peer(&mut self, key: usize, failed: bool) {
         let Some(mut conn) = self.peers.conns.try_remove(key) else { return };
         // Closing the socket removes it from the event queue anyway.
@@ -243,15 +226,21 @@
         if conn.out.flush(&mut conn.sock).is_err() {
             return self.drop_peer(key, true);
         }
-        let limit = MAX_FRAME + LENGTH_BYTES;
-        let before = conn.inbuf.len();
-        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
-        if let Some(host) = conn.followed.filter(|_| conn.inbuf.len() > before) {
-            self.origin_selector.on_data(host, self.now);
-        }
-        let valid = self.read_frames(key);
-        if !valid || end != ReadEnd::Drained {
-            self.drop_peer(key, true);
+        loop {
+            let Some(conn) = self.peers.conns.get_mut(key) else { return };
+            let limit = conn.max_frame() + LENGTH_BYTES;
+            let before = conn.inbuf.len();
+            let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
+            if let Some(host) = conn.followed.filter(|_| conn.inbuf.len() > before) {
+                self.origin_selector.on_data(host, self.now);
+            }
+            let valid = self.read_frames(key);
+            match end {
+                _ if !valid => return self.drop_peer(key, true),
+                ReadEnd::Full => {}
+                ReadEnd::Drained => return,
+                ReadEnd::Closed | ReadEnd::Broken => return self.drop_peer(key, true),
+            }
         }
     }
 
@@ -272,8 +261,9 @@
     /// Handles the next frame; returns false if none is complete.
     fn read_one_frame(&mut self, key: usize) -> Result<bool, String> {
         let Some(conn) = self.peers.conns.get_mut(key) else { return Ok(false) };
+        let max = conn.max_frame();
         if conn.followed.is_some() {
-            let Some(update) = take_frame::<ReplicationUpdate>(&mut conn.inbuf)? else {
+            let Some(update) = take_frame::<ReplicationUpdate>(&mut conn.inbuf, max)? else {
                 return Ok(false);
             };
             conn.has_update = true;
@@ -284,7 +274,7 @@
             }
             return Ok(true);
         }
-        let Some(positions) = take_frame::<KnownPositions>(&mut conn.inbuf)? else {
+        let Some(positions) = take_frame::<KnownPositions>(&mut conn.inbuf, max)? else {
             return Ok(false);
         };
         conn.follower = Some(positions);
@@ -339,13 +329,15 @@
                 return;
             }
         }
-        if conn.out.flush(&mut conn.sock).is_err() {
+        // A follower that reads nothing would otherwise collect all changes.
+        if conn.out.flush(&mut conn.sock).is_err() || conn.out.unwritten() > MAX_FRAME {
             self.drop_peer(key, false);
         }
     }
 
     /// Sends a keepalive to followers that have not been sent a frame for `KEEP_ALIVE`.
     pub(crate) fn send_keepalives(&mut self) {
+        self.drop_unknown_peers();
         self.send_keepalives_after(KEEP_ALIVE);
     }
 
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -3,9 +3,11 @@
 use {
     crate::{callers::Phase, clock, node::Node, timers::Timer},
     serde_json::{Value, json},
+    std::sync::Arc,
     wigeonramp_platform::http::{self, RequestHead},
     wigeonramp_routing::{
         catalog::{RepeatPolicy, RouteLookup},
+        clients::memory::Charge,
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec, AttemptTrace, Exchange, RequestTimes},
         leaf::HealthSignal,
         reply::{Cause, Reply},
@@ -17,6 +19,9 @@
 
 /// Time for which attempts continue after the caller closed its connection.
 const CANCEL_DELAY: Span = Span::millis(150);
+/// Bytes that a request takes without its head, body and responses, and those of each of its parts.
+const REQUEST_BYTES: usize = 1_024;
+const PART_BYTES: usize = 512;
 /// Maximum number of shards and of attempts listed in a log line.
 const MAX_LOGGED: usize = 12;
 /// Retry-After time of a host that has no configuration yet.
@@ -29,7 +34,9 @@
 pub(crate) struct Request {
     pub exchange: Exchange,
     pub head: RequestHead,
-    pub body: Vec<u8>,
+    pub body: Arc<Vec<u8>>,
+    /// Memory charged for the request and the responses of its parts.
+    pub charge: Charge,
     /// Key and serial number of the caller's connection, until the reply is sent or the caller
     /// closes it.
     caller: Option<(usize, u64)>,
@@ -115,10 +122,15 @@
             Exchange::begin(route, times, &mut self.routing, self.now, &mut attempts);
         self.serial += 1;
         let serial = self.serial;
+        let parts = exchange.coverage().1;
+        let bytes = REQUEST_BYTES + parts * PART_BYTES + head.held_bytes() + body.capacity();
+        let mut charge = Charge::default();
+        self.clients.memory.set(&mut charge, bytes);
         let key = self.requests.insert(Request {
             exchange,
             head,
-            body,
+            body: Arc::new(body),
+            charge,
             caller: Some((caller, caller_serial)),
             serial,
             fingerprint,
@@ -219,7 +231,9 @@
             req.exchange.on_discarded_outcome(ended.attempt, signal, &mut self.routing, self.now);
             return self.remove_if_done(ended.request);
         }
-        if matches!(ended.outcome, AttemptOutcome::Response(_)) {
+        if let AttemptOutcome::Response(response) = &ended.outcome {
+            let bytes = req.charge.bytes() + response.body.capacity() + response.headers.capacity();
+            self.clients.memory.set(&mut req.charge, bytes);
             self.poison.clear(req.fingerprint);
         }
         let may_retry =
@@ -369,7 +383,8 @@
 
     fn remove_if_done(&mut self, key: usize) {
         if self.requests.get(key).is_some_and(|req| req.replied && req.pending == 0) {
-            self.requests.remove(key);
+            let mut req = self.requests.remove(key);
+            self.clients.memory.release(&mut req.charge);
         }
     }
 
--- a/components/edge/src/sock.rs
+++ b/components/edge/src/sock.rs
@@ -6,6 +6,7 @@
     std::{
         io::{ErrorKind, Read, Result, Write},
         net::SocketAddr,
+        sync::Arc,
         time::Duration,
     },
 };
@@ -18,6 +19,8 @@
 const PROBES: u32 = 3;
 /// Time after which a connection with unacknowledged bytes fails.
 const USER_TIMEOUT: Duration = Duration::from_secs(3);
+/// Size of the kernel's buffers of a connection for which they are limited.
+const KERNEL_BYTES: usize = 16 * 1024;
 /// Size of the read buffer in bytes.
 pub(crate) const READ_BYTES: usize = 32 * 1024;
 
@@ -70,8 +73,10 @@
 /// Reason why reading stopped.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub(crate) enum ReadEnd {
-    /// No more bytes are available, or the limit is reached.
+    /// No more bytes are available.
     Drained,
+    /// The buffer has reached its limit; more bytes may be available.
+    Full,
     /// The peer closed the connection.
     Closed,
     /// The connection failed.
@@ -96,14 +101,48 @@
             Err(_) => return ReadEnd::Broken,
         }
     }
-    ReadEnd::Drained
+    ReadEnd::Full
+}
+
+/// Result of one read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) enum ReadStep {
+    /// This number of bytes arrived.
+    Bytes(usize),
+    /// No bytes are available.
+    Empty,
+    /// The peer closed the connection, or it failed.
+    Ended,
+}
+
+/// Reads once.
+pub(crate) fn read_step(stream: &mut TcpStream, buf: &mut [u8]) -> ReadStep {
+    loop {
+        match stream.read(buf) {
+            Ok(0) => return ReadStep::Ended,
+            Ok(n) => return ReadStep::Bytes(n),
+            Err(err) if err.kind() == ErrorKind::WouldBlock => return ReadStep::Empty,
+            Err(err) if err.kind() == ErrorKind::Interrupted => {}
+            Err(_) => return ReadStep::Ended,
+        }
+    }
+}
+
+/// Limits what the kernel holds for a connection. Large bodies from far away become slower.
+pub(crate) fn limit_kernel_buffers(stream: &TcpStream) {
+    let socket = SockRef::from(stream);
+    // Without the options the kernel holds more, but the connection works.
+    let _ = socket.set_recv_buffer_size(KERNEL_BYTES);
+    let _ = socket.set_send_buffer_size(KERNEL_BYTES);
 }
 
 /// Write buffer of a connection.
 #[derive(Debug, Default)]
 pub(crate) struct OutBuf {
     bytes: Vec<u8>,
-    /// Number of bytes written.
+    /// Bytes after `bytes` that other connections send as well.
+    shared: Option<Arc<Vec<u8>>>,
+    /// Number of bytes written, of both parts together.
     written: usize,
 }
 
@@ -111,16 +150,34 @@
     /// Appends bytes.
     pub fn push(&mut self, bytes: Vec<u8>) {
         if self.is_empty() {
-            self.bytes = bytes;
-            self.written = 0;
-        } else {
-            self.bytes.extend_from_slice(&bytes);
+            *self = Self { bytes, ..Self::default() };
+            return;
         }
+        if let Some(shared) = self.shared.take() {
+            self.bytes.extend_from_slice(&shared);
+        }
+        self.bytes.extend_from_slice(&bytes);
+    }
+
+    /// Appends bytes, and then those that other connections send as well and that are not copied.
+    pub fn push_shared(&mut self, bytes: Vec<u8>, shared: Arc<Vec<u8>>) {
+        self.push(bytes);
+        self.shared = Some(shared);
     }
 
     /// Whether everything is written.
     pub fn is_empty(&self) -> bool {
-        self.written >= self.bytes.len()
+        self.written >= self.bytes.len() + self.shared.as_ref().map_or(0, |shared| shared.len())
+    }
+
+    /// Returns the number of bytes that the buffer takes by itself.
+    pub fn held_bytes(&self) -> usize {
+        self.bytes.capacity()
+    }
+
+    /// Returns the number of bytes that are not written.
+    pub fn unwritten(&self) -> usize {
+        self.bytes.len() + self.shared.as_ref().map_or(0, |shared| shared.len()) - self.written
     }
 
     /// Whether none of the buffered bytes were written.
@@ -128,10 +185,18 @@
         self.written == 0
     }
 
+    /// Returns the next bytes to write.
+    fn next(&self) -> &[u8] {
+        match self.written.checked_sub(self.bytes.len()) {
+            None => &self.bytes[self.written..],
+            Some(at) => self.shared.as_ref().map_or(&[], |shared| &shared[at..]),
+        }
+    }
+
     /// Writes as much as the socket accepts; after an error the connection cannot be used.
     pub fn flush(&mut self, stream: &mut TcpStream) -> Result<()> {
         while !self.is_empty() {
-            match stream.write(&self.bytes[self.written..]) {
+            match stream.write(self.next()) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(n) => self.written += n,
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return Ok(()),
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -34,6 +34,8 @@
 
 /// Maximum length of a response in bytes; a page is about one megabyte at most.
 const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
+/// Number of bytes that are read before they are decoded; heads are shorter.
+const READ_AHEAD: usize = 64 * 1024;
 
 /// Purpose of a call.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -180,18 +182,22 @@
         if conn.out.flush(sock).is_err() {
             return self.store_failed(index, "connection broke");
         }
-        let limit = MAX_RESPONSE as usize;
-        let end = sock::read(sock, &mut conn.inbuf, &mut self.scratch, limit);
-        match read_response(conn, end) {
-            Ok(Some((head, body))) => {
-                if end != ReadEnd::Drained || head.close {
-                    self.close_store_conn(index);
+        loop {
+            let Some(conn) = self.store.conns.get_mut(index) else { return };
+            let Some(sock) = &mut conn.sock else { return };
+            let end = sock::read(sock, &mut conn.inbuf, &mut self.scratch, READ_AHEAD);
+            match read_response(conn, end) {
+                Ok(Some((head, body))) => {
+                    if matches!(end, ReadEnd::Closed | ReadEnd::Broken) || head.close {
+                        self.close_store_conn(index);
+                    }
+                    return self.on_store_response(index, &head, &body);
                 }
-                self.on_store_response(index, &head, &body);
+                Ok(None) if end == ReadEnd::Drained => return,
+                Ok(None) if end == ReadEnd::Full && conn.inbuf.len() < READ_AHEAD => {}
+                Ok(None) => return self.store_failed(index, "connection broke"),
+                Err(()) => return self.store_failed(index, "malformed response"),
             }
-            Ok(None) if end == ReadEnd::Drained => {}
-            Ok(None) => self.store_failed(index, "connection broke"),
-            Err(()) => self.store_failed(index, "malformed response"),
         }
     }
 
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -22,6 +22,7 @@
     wigeonramp_platform::http::{self, ResponseHead},
     wigeonramp_routing::{
         catalog::RepeatPolicy,
+        clients::memory::Charge,
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec},
         leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         leaves::LeafKey,
@@ -54,6 +55,12 @@
 /// them while another leaf is free.
 const QUEUE_TIMEOUT: Span = Span::millis(200);
 
+/// Largest body that is copied behind the head of each attempt; larger ones are shared between them and
+/// written separately.
+const MAX_COPIED_BODY: usize = 16 * 1024;
+/// Bytes that a connection takes without its buffers.
+const CONN_BYTES: usize = 1_024;
+
 /// A request that was sent on a connection and has no response yet.
 #[derive(Debug)]
 struct InFlightRequest {
@@ -90,6 +97,7 @@
     mismatched: bool,
     /// Whether the connection closes after the response.
     close: bool,
+    charge: Charge,
 }
 
 /// An attempt that is queued for a connection.
@@ -114,7 +122,52 @@
     crash_detector: CrashDetector,
 }
 
+impl Upstreams {
+    /// Returns the number of open connections.
+    pub fn conn_count(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+impl LeafConn {
+    /// Returns the number of bytes that the connection takes.
+    fn held_bytes(&self) -> usize {
+        let response = self
+            .response
+            .as_ref()
+            .map_or(0, |(head, reader)| head.headers.capacity() + reader.held_bytes());
+        CONN_BYTES + self.inbuf.capacity() + self.out.held_bytes() + response
+    }
+}
+
 impl Node {
+    /// Charges what a connection takes now.
+    fn charge_leaf(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let bytes = conn.held_bytes();
+        self.clients.memory.set(&mut conn.charge, bytes);
+    }
+
+    /// Closes the connection that has been idle the longest if there are as many as allowed; returns
+    /// whether another one may be opened.
+    fn make_room_for_leaf(&mut self) -> bool {
+        let limit = self.clients.connections.leaves;
+        if self.upstreams.conns.len() >= limit {
+            let idle = self.upstreams.idle.values().flatten();
+            let oldest =
+                idle.min_by_key(|key| self.upstreams.conns.get(**key).map(|c| c.idle_since));
+            if let Some(key) = oldest.copied() {
+                self.metrics.clients.count("leaf_connections", "closed");
+                self.close_conn(key);
+            }
+        }
+        let has_room = self.upstreams.conns.len() < limit;
+        if !has_room {
+            self.metrics.clients.count("leaf_connections", "refused");
+        }
+        has_room
+    }
+
     /// Starts an attempt of a request. A failure is reported as an ended attempt. If this host has
     /// reached its connection limit to the leaf, the attempt is queued for a connection.
     pub(crate) fn start_attempt(&mut self, request: usize, spec: &AttemptSpec) {
@@ -155,7 +208,14 @@
         else {
             return;
         };
-        conn.out.push(http::encode_leaf_request(&req.head, &req.body, id.as_str(), spec.timeout));
+        if req.body.len() > MAX_COPIED_BODY {
+            let (id, length) = (id.as_str(), req.body.len());
+            let head = http::encode_leaf_request_head(&req.head, length, id, spec.timeout, 0);
+            conn.out.push_shared(head, req.body.clone());
+        } else {
+            let (id, body) = (id.as_str(), &req.body[..]);
+            conn.out.push(http::encode_leaf_request(&req.head, body, id, spec.timeout));
+        }
         conn.in_flight = Some(InFlightRequest {
             request,
             serial: req.serial,
@@ -169,8 +229,9 @@
         });
         self.metrics.count_attempt(self.now);
         if conn.connected && conn.out.flush(&mut conn.sock).is_err() {
-            self.fail_conn(conn_key, true);
+            return self.fail_conn(conn_key, true);
         }
+        self.charge_leaf(conn_key);
     }
 
     /// Starts the queued attempts to a leaf as far as there are connections; ends those that timed
@@ -245,6 +306,9 @@
     }
 
     fn open_conn(&mut self, leaf: LeafKey, registration: &LeafRegistration) -> Option<usize> {
+        if !self.make_room_for_leaf() {
+            return None;
+        }
         let mut sock = match sock::connect(registration.address) {
             Ok(sock) => sock,
             Err(err) => {
@@ -273,6 +337,7 @@
             response: None,
             mismatched: false,
             close: false,
+            charge: Charge::default(),
         });
         *self.upstreams.open.entry(leaf).or_default() += 1;
         self.metrics.count_connect();
@@ -281,6 +346,7 @@
 
     fn close_conn(&mut self, key: usize) {
         let Some(mut conn) = self.upstreams.conns.try_remove(key) else { return };
+        self.clients.memory.release(&mut conn.charge);
         // Closing the socket removes it from the event queue anyway.
         let _ = self.poll.registry().deregister(&mut conn.sock);
         if let Some(idle) = self.upstreams.idle.get_mut(&conn.leaf) {
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -4,20 +4,25 @@
     super::{DEFAULT_IDLE_TIMEOUT, LeafConn},
     crate::{
         body::BodyReader,
-        node::Node,
+        node::{EventSource, Node},
         requests::EndedAttempt,
         sock::{self, ReadEnd},
     },
+    mio::Interest,
     serde_json::json,
     wigeonramp_platform::http::{self, ResponseHead},
     wigeonramp_routing::{exchange::AttemptOutcome, leaves::LeafKey, reply::LeafResponse},
     wigeonramp_units::Span,
 };
 
-/// Maximum length of a response in bytes.
-const MAX_RESPONSE: u64 = 8 * 1024 * 1024;
 /// Maximum length of a response head in bytes.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// Number of bytes that are read before they are decoded. It exceeds the maximum length of a head, so
+/// that a full buffer always holds a complete head or one that is too long.
+const READ_AHEAD: usize = MAX_RESPONSE_HEAD + sock::READ_BYTES;
+/// Maximum number of times that a connection's bytes are decoded before other events.
+const ROUNDS_PER_TURN: usize = 16;
+
 /// What a response says of its leaf.
 #[derive(Clone, Copy, Debug, Default)]
 struct Notices {
@@ -54,14 +59,45 @@
         if conn.out.flush(&mut conn.sock).is_err() {
             return self.fail_conn(key, true);
         }
-        let limit = MAX_RESPONSE as usize;
-        let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, limit);
-        if !conn.inbuf.is_empty() {
-            conn.last_received = self.now;
+        for _ in 0..ROUNDS_PER_TURN {
+            let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+            let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, READ_AHEAD);
+            if !conn.inbuf.is_empty() {
+                conn.last_received = self.now;
+            }
+            if !self.read_responses(key) || !self.is_response_admitted(key) {
+                return;
+            }
+            match end {
+                ReadEnd::Full => {}
+                ReadEnd::Drained => return,
+                ReadEnd::Closed | ReadEnd::Broken => return self.on_leaf_closed(key, end),
+            }
+        }
+        self.continue_leaf(key);
+    }
+
+    /// Has the event queue report the connection again, so that others come first.
+    fn continue_leaf(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let both = Interest::READABLE | Interest::WRITABLE;
+        let token = EventSource::Leaf(key).token();
+        if self.poll.registry().reregister(&mut conn.sock, token, both).is_err() {
+            self.fail_conn(key, true);
         }
-        if self.read_responses(key) && end != ReadEnd::Drained {
-            self.on_leaf_closed(key, end);
+    }
+
+    /// Charges what a connection takes; returns false if it was closed because of its large response
+    /// while the memory for callers is exceeded.
+    fn is_response_admitted(&mut self, key: usize) -> bool {
+        self.charge_leaf(key);
+        let Some(conn) = self.upstreams.conns.get(key) else { return false };
+        if self.clients.memory.admits_response(conn.charge.bytes()) {
+            return true;
         }
+        self.metrics.clients.count("memory", "response_failed");
+        self.fail_conn(key, false);
+        false
     }
 
     fn on_leaf_closed(&mut self, key: usize, end: ReadEnd) {
@@ -78,6 +114,7 @@
 
     /// Decodes responses from the received bytes; returns false if the connection was closed.
     fn read_responses(&mut self, key: usize) -> bool {
+        let max_response = self.clients.memory.max_response() as u64;
         loop {
             let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
             let Some(in_flight) = &conn.in_flight else {
@@ -107,7 +144,7 @@
                         conn.mismatched = head.id.is_some() && head.id != in_flight.id;
                         conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
                         let notices = conn.notices(&head);
-                        match BodyReader::new(head.framing, MAX_RESPONSE) {
+                        match BodyReader::new(head.framing, max_response) {
                             Ok(reader) => conn.response = Some((head, reader)),
                             Err(_) => {
                                 self.fail_conn(key, false);
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -64,6 +64,8 @@
     BodyTooLong,
     /// The head or the body of the request did not arrive in time.
     HeadTooSlow,
+    /// This host has no memory left for the request.
+    MemoryShort,
 }
 
 impl Cause {
@@ -87,6 +89,7 @@
             Cause::HeadTooLong => "head_too_long",
             Cause::BodyTooLong => "body_too_long",
             Cause::HeadTooSlow => "head_too_slow",
+            Cause::MemoryShort => "memory_short",
         }
     }
 }
