Bound what datagrams of other hosts can take

Cause: the members and the limited leaves that datagrams name were kept without a bound, and a stream of datagrams was read before all else. Change: at most 2,048 members, of which those lost for ten minutes make room, and 4,096 limited leaves; 64 datagrams before other events.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -44,6 +44,8 @@
 const MAX_REFUSED: usize = 16;
 /// Maximum length of a datagram in bytes.
 const MAX_DATAGRAM: usize = 8 * 1024;
+/// Maximum number of datagrams that are read before other events.
+const DATAGRAMS_PER_TURN: usize = 64;
 
 /// Gossiped state of a host.
 #[derive(Clone, PartialEq, prost::Message)]
@@ -263,7 +265,7 @@
 
     pub(crate) fn on_datagrams(&mut self) {
         let mut buf = [0; MAX_DATAGRAM];
-        loop {
+        for _ in 0..DATAGRAMS_PER_TURN {
             match self.gossip.sock.recv_from(&mut buf) {
                 Ok((length, from)) => self.on_heartbeat(&buf[..length], from),
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
@@ -271,6 +273,10 @@
                 Err(_) => {}
             }
         }
+        // Has the event queue report the socket again, so that other events come first. If this fails, the
+        // next datagram reports it.
+        let token = EventSource::Datagrams.token();
+        let _ = self.poll.registry().reregister(&mut self.gossip.sock, token, Interest::READABLE);
     }
 
     fn on_heartbeat(&mut self, bytes: &[u8], from: SocketAddr) {
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -29,6 +29,9 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
+/// Maximum number of leaves whose limits are kept. Datagrams of any sender name leaves; a large deployment
+/// has some 600.
+const MAX_LIMITED_LEAVES: usize = 4_096;
 /// Time for which the rate rises from a limit that has ended, so that a leaf that has just recovered
 /// does not get the load of all hosts at once.
 const RAMP_TIME: Span = Span::secs(4);
@@ -203,6 +206,9 @@
     ) -> Option<LimitChange> {
         let Some(known) = self.leaves.get_mut(leaf) else {
             let rate = said.rate?;
+            if self.leaves.len() >= MAX_LIMITED_LEAVES {
+                return None;
+            }
             self.leaves.insert(leaf.clone(), LimitedLeaf::new(said, first_request, now));
             let change = LimitChange::Named(rate);
             self.changes.push((leaf.clone(), change));
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -38,6 +38,9 @@
 const COLD_FRACTION: f64 = 0.5;
 /// Time after the start within which a host may not know all others yet.
 const DISCOVERY_TIME: Span = Span::secs(4);
+/// Maximum number of other hosts that are known. Datagrams of any sender name hosts; the largest
+/// deployment has 570.
+const MAX_MEMBERS: usize = 2_048;
 
 /// State of a host as it is gossiped.
 #[derive(Clone, Debug, PartialEq)]
@@ -157,6 +160,9 @@
         }
         let last_heartbeat = Some(now - info.age);
         let Some(known) = self.others.get_mut(&info.ip) else {
+            if self.others.len() >= MAX_MEMBERS && !self.forget_lost(now) {
+                return false;
+            }
             self.others.insert(info.ip, Member { info, last_heartbeat });
             return true;
         };
@@ -169,6 +175,18 @@
         changed
     }
 
+    /// Forgets the host that has been lost the longest, if no host depends on it any more; returns
+    /// whether there was one.
+    fn forget_lost(&mut self, now: Instant) -> bool {
+        let is_gone = |member: &Member| {
+            let since = member.last_heartbeat.unwrap_or(self.started);
+            now.since(since) >= LIMIT_SHARE_RETENTION
+        };
+        let gone = self.others.iter().filter(|(_, member)| is_gone(member));
+        let oldest = gone.min_by_key(|(_, member)| member.last_heartbeat).map(|(ip, _)| *ip);
+        oldest.is_some_and(|ip| self.others.swap_remove(&ip).is_some())
+    }
+
     /// Returns the other hosts that are neither lost nor stopping.
     pub fn alive(&self, now: Instant) -> impl Iterator<Item = &MemberInfo> {
         let is_alive = move |member: &&Member| has_recent_heartbeat(member, LOST_AFTER, now);
