--- a/components/routing/tests/clients.rs
+++ b/components/routing/tests/clients.rs
@@ -4,11 +4,16 @@
 
 use {
     common::at,
-    wigeonramp_routing::clients::{
-        connections::{ConnectionLimits, DEFAULT_FD_LIMIT},
-        memory::{Charge, DEFAULT_MEMORY_MB, MemoryBudget, MemoryLevel},
-        relief::{Client, ClientPhase, Relief, for_connections, for_memory},
+    std::net::Ipv4Addr,
+    wigeonramp_routing::{
+        clients::{
+            connections::{ConnectionLimits, DEFAULT_FD_LIMIT},
+            memory::{Charge, DEFAULT_MEMORY_MB, MemoryBudget, MemoryLevel},
+            relief::{Client, ClientPhase, Relief, for_connections, for_memory},
+        },
+        members::{MemberInfo, Membership},
     },
+    wigeonramp_units::Span,
 };
 
 const KB: usize = 1024;
@@ -102,3 +107,33 @@
     assert_eq!(all[..3], stalled);
     assert_eq!(all[3..], [(5, Relief::Refuse), (0, Relief::Refuse)], "then the largest");
 }
+
+fn member(ip: u32) -> MemberInfo {
+    MemberInfo {
+        ip: Ipv4Addr::from_bits(ip),
+        zone: "a".parse().expect("a zone"),
+        incarnation: 1,
+        heartbeat: 1,
+        ready: true,
+        leaving: false,
+        rate: 0.0,
+        load: 0.0,
+        capacity: 0.5,
+        store_failing: false,
+        age: Span::ZERO,
+    }
+}
+
+/// Guards against datagrams that name any number of hosts, and against invented hosts that keep out real
+/// ones for good.
+#[test]
+fn known_hosts_are_bounded() {
+    let mut members = Membership::new(member(1), at(0));
+    for ip in 2..5_000 {
+        members.merge(member(ip), at(1_000));
+    }
+    assert_eq!(members.known_count(), 2_049);
+    assert!(!members.merge(member(6_000), at(10_000)));
+    assert!(members.merge(member(6_000), at(700_000)), "those lost for long make room");
+    assert_eq!(members.known_count(), 2_049);
+}
--- a/tests/clients/host.rs
+++ b/tests/clients/host.rs
@@ -5,6 +5,7 @@
         leaf::{BIG_SERVICE, start_big_leaf},
         support::{Fixture, HOST, request_status},
     },
+    rustix::process::{Pid, Resource, Rlimit, prlimit},
     serde_json::{Value, json},
     std::{
         fs,
@@ -107,6 +108,14 @@
         });
     }
 
+    /// Lets the system refuse the process more than `more` descriptors beyond those that are open.
+    pub fn limit_descriptors(&self, more: usize) {
+        let limit = (open_descriptors(self.process) + more) as u64;
+        let process = i32::try_from(self.process).ok().and_then(Pid::from_raw);
+        let limit = Rlimit { current: Some(limit), maximum: Some(limit) };
+        prlimit(process, Resource::Nofile, limit).expect("a limit");
+    }
+
     /// Returns the address to which callers connect.
     pub fn callers(&self) -> SocketAddr {
         self.fixture.caller_address()
--- a/tests/clients/leaf.rs
+++ b/tests/clients/leaf.rs
@@ -4,7 +4,7 @@
     crate::support::Fixture,
     serde_json::json,
     std::{
-        io::{BufRead, BufReader, Result, Write},
+        io::{BufRead, BufReader, Error, Read, Result, Write},
         net::{TcpListener, TcpStream},
         thread,
     },
@@ -14,11 +14,13 @@
 pub const BIG_SERVICE: &str = "big";
 /// Size of a large response in bytes.
 const RESPONSE_BYTES: usize = 128 * 1024;
+/// Size of the body whose bytes the leaf checks.
+const CHECKED_BYTES: usize = 256 * 1024;
 /// Size of a chunk of a response that does not end.
 const CHUNK_BYTES: usize = 64 * 1024;
 
 /// Starts and registers a leaf of `BIG_SERVICE`. Its responses are large; those to paths that end in
-/// `endless` do not end.
+/// `endless` do not end. Bodies of requests must be those of `checked_body`, or the connection closes.
 pub fn start_big_leaf(fixture: &Fixture) {
     let listener = TcpListener::bind((fixture.hosts[0].ip.as_str(), 0)).expect("a listener");
     let address = listener.local_addr().expect("an address");
@@ -35,20 +37,32 @@
     fixture.store.put("servers", "i-big", spec);
 }
 
+/// Returns a body in which each byte depends on its place.
+pub fn checked_body() -> Vec<u8> {
+    (0..CHECKED_BYTES).map(|at| (at % 251) as u8).collect()
+}
+
 fn serve(mut sock: &TcpStream) -> Result<()> {
-    let mut lines = BufReader::new(sock).lines();
+    let mut input = BufReader::new(sock);
     let body = vec![b'x'; RESPONSE_BYTES];
-    while let Some(first) = lines.next().transpose()? {
+    let mut first = String::new();
+    while input.read_line(&mut first)? > 0 {
         let mut id = String::new();
-        for line in lines.by_ref() {
+        let mut length = 0;
+        for line in input.by_ref().lines() {
             let line = line?;
-            if line.is_empty() {
-                break;
-            }
-            if let Some(("Request-Id", value)) = line.split_once(": ") {
-                value.clone_into(&mut id);
+            match line.split_once(": ") {
+                None => break,
+                Some(("Request-Id", value)) => value.clone_into(&mut id),
+                Some(("Content-Length", value)) => length = value.parse().map_err(Error::other)?,
+                Some(_) => {}
             }
         }
+        let mut received = vec![0; length];
+        input.read_exact(&mut received)?;
+        if length > 0 && received != checked_body() {
+            return Ok(());
+        }
         let head = format!("HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: i-big.1\r\n");
         sock.write_all(head.as_bytes())?;
         if first.contains("endless") {
@@ -62,6 +76,7 @@
         }
         write!(sock, "Content-Length: {RESPONSE_BYTES}\r\n\r\n")?;
         sock.write_all(&body)?;
+        first.clear();
     }
     Ok(())
 }
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -14,7 +14,14 @@
 use {
     crowd::{Crowd, connect},
     host::{FD_LIMIT, LimitedHost},
-    std::{io::Write, net::TcpStream, thread, time::Duration},
+    leaf::checked_body,
+    std::{
+        io::{Read, Result, Write},
+        net::TcpStream,
+        thread,
+        time::Duration,
+    },
+    support::HOST,
 };
 
 /// Number of connections that send bodies; all of them fit into the descriptors of the host.
@@ -169,3 +176,49 @@
     drop(conns);
     host.check();
 }
+
+/// Guards against a host that no longer accepts connections after the system has refused it descriptors
+/// for a while.
+#[test]
+fn descriptors_that_the_system_refuses() {
+    let mut host = LimitedHost::start(53);
+    host.add_ordinary_load();
+    host.limit_descriptors(20);
+    let conns: Vec<TcpStream> = (0..100).filter_map(|_| connect(host.callers())).collect();
+    thread::sleep(Duration::from_secs(1));
+    drop(conns);
+    host.check();
+}
+
+/// Sends a request and returns the first bytes of the response.
+fn response_start(host: &LimitedHost, request: &[u8]) -> Result<String> {
+    let mut sock = TcpStream::connect(host.callers())?;
+    sock.set_read_timeout(Some(Duration::from_secs(5)))?;
+    sock.write_all(request)?;
+    let mut start = [0; 12];
+    sock.read_exact(&mut start)?;
+    Ok(String::from_utf8_lossy(&start).into_owned())
+}
+
+/// Guards against limits that hit single requests of the largest legal size in calm conditions, and
+/// against bodies that are damaged on their way to a leaf.
+#[test]
+fn largest_requests_are_served_in_calm_conditions() {
+    let mut host = LimitedHost::start(55);
+    let body = checked_body();
+    let start = format!("POST /big/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: large\r\n");
+    let padding = "x".repeat(15_000);
+    let with_length =
+        format!("{start}X-Padding: {padding}\r\nContent-Length: {}\r\n\r\n", body.len());
+    let with_length = [with_length.as_bytes(), &body].concat();
+    let mut chunked = format!("{start}Transfer-Encoding: chunked\r\n\r\n").into_bytes();
+    for byte in &body {
+        chunked.extend_from_slice(&[b'1', b'\r', b'\n', *byte, b'\r', b'\n']);
+    }
+    chunked.extend_from_slice(b"0\r\n\r\n");
+    for request in [with_length, chunked] {
+        let start = response_start(&host, &request).expect("a response");
+        assert_eq!(start, "HTTP/1.1 200");
+    }
+    host.check();
+}
