--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -8,6 +8,7 @@
 mod accounts;
 mod body;
 mod callers;
+mod client_metrics;
 mod clock;
 mod gossip;
 mod journal;
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -2,7 +2,7 @@
 
 use {
     crate::{
-        callers::CallerConn,
+        callers::{CallerConn, ClientLimits},
         clock,
         gossip::Gossip,
         journal::Journal,
@@ -148,6 +148,7 @@
     pub(crate) scratch: Vec<u8>,
     pub(crate) listeners: Vec<(TcpListener, ListenerPurpose)>,
     pub(crate) callers: Slab<CallerConn>,
+    pub(crate) clients: ClientLimits,
     pub(crate) upstreams: Upstreams,
     pub(crate) requests: Slab<Request>,
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
@@ -235,6 +236,7 @@
             scratch: vec![0; READ_BYTES],
             listeners: Vec::new(),
             callers: Slab::new(),
+            clients: ClientLimits::new(&settings, now),
             upstreams: Upstreams::default(),
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
@@ -340,7 +342,7 @@
     fn on_event(&mut self, event: &Event) {
         match EventSource::from_token(event.token()) {
             Some(EventSource::Listener(index)) => self.accept(index),
-            Some(EventSource::Caller(key)) => self.on_caller(key, event.is_writable()),
+            Some(EventSource::Caller(key)) => self.on_caller(key, event),
             Some(EventSource::Leaf(key)) => self.on_leaf(key),
             Some(EventSource::Store(index)) => self.on_store(index),
             Some(EventSource::Peer(key)) => self.on_peer(key),
@@ -368,6 +370,7 @@
             self.on_timer(timer);
             self.process_ended_attempts();
         }
+        self.resume_clients();
         self.propagate_changes();
         self.start_due_calls();
         self.send_due_heartbeat();
@@ -425,8 +428,8 @@
         let store = self.store.next_at(watches_store);
         let heartbeat = Some(self.gossip.next_at());
         let messages = [self.next_limit_message(), self.next_quota_message()];
-        let due = [self.timers.next_at(), store, heartbeat].into_iter().chain(messages);
-        due.flatten().fold(self.next_sweep, Instant::min)
+        let due = [self.timers.next_at(), store, heartbeat, self.clients.next_at()];
+        due.into_iter().chain(messages).flatten().fold(self.next_sweep, Instant::min)
     }
 
     /// Whether the host can serve callers.
--- a/components/edge/src/quotas.rs
+++ b/components/edge/src/quotas.rs
@@ -93,8 +93,10 @@
                 let time = request.head.time_left.unwrap_or(route.timeout);
                 let time = time.min(route.target_latency).percent(MAX_WAIT_PERCENT).min(MAX_WAIT);
                 if let Some(conn) = self.callers.get_mut(request.caller) {
-                    conn.phase = Phase::AwaitingQuota;
+                    let bytes = request.head.held_bytes() + request.body.capacity();
+                    conn.phase = Phase::AwaitingQuota(bytes);
                 }
+                self.charge_caller(request.caller);
                 let until = self.now + time;
                 self.quota_desk.waiting.push(Waiting { request, account: id, until });
             }
@@ -108,7 +110,7 @@
             let (id, caller) = (waiting.account, waiting.request.caller);
             let is_current = |conn: &crate::callers::CallerConn| {
                 conn.serial == waiting.request.caller_serial
-                    && matches!(conn.phase, Phase::AwaitingQuota)
+                    && matches!(conn.phase, Phase::AwaitingQuota(_))
             };
             if !self.callers.get(caller).is_some_and(is_current) {
                 self.quota_desk.quotas.give_up(id, now);
@@ -128,6 +130,7 @@
                     self.refuse_over_quota(&waiting.request, id, retry_after);
                 }
             }
+            self.charge_caller(caller);
             self.resume_caller(caller);
         }
     }
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -23,6 +23,7 @@
     wigeonramp_platform::http::{self, ResponseHead},
     wigeonramp_routing::{
         catalog::RepeatPolicy,
+        clients::memory::Charge,
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec},
         leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         leaves::LeafKey,
@@ -52,6 +53,12 @@
 const MIN_CONNECTIONS: usize = 2;
 /// Connection limit of a leaf whose service declares none.
 const DEFAULT_CONNECTIONS: u32 = 50;
+/// Largest body that is copied behind the head of each attempt; larger ones are shared between them and
+/// written separately.
+const MAX_COPIED_BODY: usize = 16 * 1024;
+/// Bytes that a connection takes without its buffers.
+const CONN_BYTES: usize = 1_024;
+
 /// A request that was sent on a connection and has no response yet.
 #[derive(Debug)]
 struct InFlightRequest {
@@ -92,6 +99,7 @@
     mismatched: bool,
     /// Whether the connection closes after the response.
     close: bool,
+    charge: Charge,
 }
 
 /// An attempt that is queued for a connection.
@@ -128,7 +136,52 @@
     crash_detector: CrashDetector,
 }
 
+impl Upstreams {
+    /// Returns the number of open connections.
+    pub fn conn_count(&self) -> usize {
+        self.conns.len()
+    }
+}
+
+impl LeafConn {
+    /// Returns the number of bytes that the connection takes.
+    fn held_bytes(&self) -> usize {
+        let response = self
+            .response
+            .as_ref()
+            .map_or(0, |(head, reader)| head.headers.capacity() + reader.held_bytes());
+        CONN_BYTES + self.inbuf.capacity() + self.out.held_bytes() + response
+    }
+}
+
 impl Node {
+    /// Charges what a connection takes now.
+    fn charge_leaf(&mut self, key: usize) {
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
+        let bytes = conn.held_bytes();
+        self.clients.memory.set(&mut conn.charge, bytes);
+    }
+
+    /// Closes the connection that has been idle the longest if there are as many as allowed; returns
+    /// whether another one may be opened.
+    fn make_room_for_leaf(&mut self) -> bool {
+        let limit = self.clients.connections.leaves;
+        if self.upstreams.conns.len() >= limit {
+            let idle = self.upstreams.idle.values().flatten();
+            let oldest =
+                idle.min_by_key(|key| self.upstreams.conns.get(**key).map(|c| c.idle_since));
+            if let Some(key) = oldest.copied() {
+                self.metrics.clients.count("leaf_connections", "closed");
+                self.close_conn(key);
+            }
+        }
+        let has_room = self.upstreams.conns.len() < limit;
+        if !has_room {
+            self.metrics.clients.count("leaf_connections", "refused");
+        }
+        has_room
+    }
+
     /// Starts an attempt of a request. A failure is reported as an ended attempt. If this host has
     /// reached its connection limit to the leaf, the attempt is queued for a connection.
     pub(crate) fn start_attempt(&mut self, request: usize, spec: &AttemptSpec) {
@@ -157,9 +210,15 @@
         else {
             return;
         };
-        let account = req.account.as_deref();
-        let (head, id) = (&req.head, id.as_str());
-        conn.out.push(http::encode_leaf_request(head, &req.body, id, account, timeout));
+        let (account, id) = (req.account.as_deref(), id.as_str());
+        if req.body.len() > MAX_COPIED_BODY {
+            let length = req.body.len();
+            let head = http::encode_leaf_request_head(&req.head, length, id, account, timeout, 0);
+            conn.out.push_shared(head, req.body.clone());
+        } else {
+            let body = &req.body[..];
+            conn.out.push(http::encode_leaf_request(&req.head, body, id, account, timeout));
+        }
         conn.in_flight = Some(InFlightRequest {
             request,
             serial: req.serial,
@@ -174,9 +233,10 @@
             withdrawn: false,
         });
         self.metrics.count_attempt(self.now);
-        if conn.connected {
-            self.flush_conn(conn_key);
+        if conn.connected && !self.flush_conn(conn_key) {
+            return;
         }
+        self.charge_leaf(conn_key);
     }
 
     /// Writes as much of a request as the connection accepts; returns false if it failed.
@@ -276,6 +336,9 @@
     }
 
     fn open_conn(&mut self, leaf: LeafKey, registration: &LeafRegistration) -> Option<usize> {
+        if !self.make_room_for_leaf() {
+            return None;
+        }
         let mut sock = match sock::connect(registration.address) {
             Ok(sock) => sock,
             Err(err) => {
@@ -304,6 +367,7 @@
             response: None,
             mismatched: false,
             close: false,
+            charge: Charge::default(),
         });
         *self.upstreams.open.entry(leaf).or_default() += 1;
         self.metrics.count_connect();
@@ -312,6 +376,7 @@
 
     fn close_conn(&mut self, key: usize) {
         let Some(mut conn) = self.upstreams.conns.try_remove(key) else { return };
+        self.clients.memory.release(&mut conn.charge);
         // Closing the socket removes it from the event queue anyway.
         let _ = self.poll.registry().deregister(&mut conn.sock);
         if let Some(idle) = self.upstreams.idle.get_mut(&conn.leaf) {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod changes;
+pub mod clients;
 pub mod entry;
 pub mod exchange;
 pub mod fair_shares;
