Decide who may hold a connection to which leaf, and learn from resets

Cause: each host took 0.8 of a leaf's limit divided by the active hosts, two at least, and kept idle connections for 20 s. The other hosts were not counted, and neither were the idle connections of hosts that callers had left. Leaves reset 644 connections beyond a limit of 101 on 132 hosts, and the requests on them were lost.

Change: routing/connections.rs decides. Elsewhere nothing changes.

--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -67,6 +67,7 @@
     own_delay: Gauge<f64, AtomicU64>,
     attempts: Counter,
     connects: Counter,
+    turned_away: Counter,
     store_calls: Family<StoreLabels, Counter>,
     store_failures: Family<StoreLabels, Counter>,
     extra_attempts: Counter,
@@ -105,6 +106,7 @@
             own_delay: Gauge::default(),
             attempts: Counter::default(),
             connects: Counter::default(),
+            turned_away: Counter::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             extra_attempts: Counter::default(),
@@ -136,6 +138,8 @@
         registry.register("reply_own_delay_seconds", help, this.own_delay.clone());
         registry.register("sends", "Requests sent to leaves", this.attempts.clone());
         registry.register("connects", "Connections opened to leaves", this.connects.clone());
+        let help = "Connections that leaves reset for want of room";
+        registry.register("connections_turned_away", help, this.turned_away.clone());
         registry.register("store_calls", "Calls to the store by kind", this.store_calls.clone());
         registry.register(
             "store_failures",
@@ -234,6 +238,10 @@
         self.connects.inc();
     }
 
+    pub fn count_turned_away(&self) {
+        self.turned_away.inc();
+    }
+
     pub fn count_store_call(&self, kind: &'static str) {
         self.store_calls.get_or_create(&StoreLabels { kind }).inc();
     }
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -439,6 +439,7 @@
         });
         self.routing.traffic_share = self.members.traffic_share(self.now);
         self.routing.cold_share = self.members.cold_share(self.now);
+        self.upstreams.hosts = Some(self.members.host_counts(self.now));
     }
 
     /// Reloads the settings file. The limits and seeds take effect; addresses of a running process
--- a/components/edge/src/upstreams/failures.rs
+++ b/components/edge/src/upstreams/failures.rs
@@ -11,6 +11,8 @@
     /// Closes a failed connection and ends the attempt that it carries; `broken` tells whether the
     /// socket reported an error.
     pub(super) fn fail_conn(&mut self, key: usize, broken: bool) {
+        let Some(conn) = self.upstreams.conns.get(key) else { return };
+        let turned_away = broken && self.is_turned_away(conn);
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
         let leaf = conn.leaf;
         let unsent = conn.is_unwritten();
@@ -21,9 +23,17 @@
         if not_connected {
             self.on_connect_failed(leaf);
         }
+        if turned_away {
+            self.on_turned_away(leaf);
+        }
         match in_flight {
             Some(in_flight) => {
-                let outcome = if unsent { AttemptOutcome::Unsent } else { AttemptOutcome::Lost };
+                let outcome = match unsent {
+                    // A leaf without room for the connection is not broken.
+                    true if turned_away => AttemptOutcome::Withheld,
+                    true => AttemptOutcome::Unsent,
+                    false => AttemptOutcome::Lost,
+                };
                 if !unsent && no_response {
                     if self.upstreams.crash_detector.on_connection_broken(
                         in_flight.fingerprint,
@@ -39,7 +49,7 @@
                     (in_flight.request, in_flight.serial, in_flight.attempt);
                 self.ended_attempts.push_back(EndedAttempt { request, serial, attempt, outcome });
             }
-            None if not_connected && !refused => {}
+            None if turned_away || (not_connected && !refused) => {}
             None => self.record_crash_sign(leaf),
         }
         self.send_queued(leaf);
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -6,6 +6,7 @@
 
 mod failures;
 mod responses;
+mod room;
 mod withdrawal;
 
 use {
@@ -15,7 +16,6 @@
         requests::EndedAttempt,
         sock::{self, OutBuf},
     },
-    indexmap::IndexMap,
     mio::{Interest, net::TcpStream},
     serde_json::json,
     slab::Slab,
@@ -23,6 +23,7 @@
     wigeonramp_platform::http::{self, ResponseHead},
     wigeonramp_routing::{
         catalog::RepeatPolicy,
+        connections::{Admission, HostCounts},
         exchange::{AttemptOutcome, AttemptRef, AttemptSpec},
         leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         leaves::LeafKey,
@@ -45,11 +46,6 @@
 /// Time without bytes on a connection with a request in flight, after which the leaf's idle
 /// connections are suspect too: those that received nothing since the request was sent are closed.
 const SILENT_AFTER: Span = Span::millis(400);
-/// Share of a leaf's connection limit that all hosts together use.
-const CONNECTION_LIMIT_SHARE: f64 = 0.8;
-/// Minimum connection limit of a host to a leaf: one connection in use and one for a second
-/// request.
-const MIN_CONNECTIONS: usize = 2;
 /// Connection limit of a leaf whose service declares none.
 const DEFAULT_CONNECTIONS: u32 = 50;
 /// A request that was sent on a connection and has no response yet.
@@ -79,6 +75,8 @@
     /// The leaf's process that was registered when the connection was opened.
     process: LeafInstance,
     connected: bool,
+    /// Whether a response has arrived.
+    answered: bool,
     opened: Instant,
     /// Time at which bytes last arrived.
     last_received: Instant,
@@ -112,6 +110,8 @@
     Ready(usize),
     /// The host has reached its limit, and all connections are in use.
     Busy,
+    /// This host can have no connection to the leaf for now.
+    Barred,
     /// The leaf is not available.
     None,
 }
@@ -123,8 +123,8 @@
     conns: Slab<LeafConn>,
     /// Keys of idle connections, the most recently used last.
     idle: HashMap<LeafKey, Vec<usize>>,
-    /// Number of open connections.
-    open: IndexMap<LeafKey, usize>,
+    /// Hosts that share the connections; none until the first sweep.
+    pub hosts: Option<HostCounts>,
     crash_detector: CrashDetector,
 }
 
@@ -216,6 +216,7 @@
             let Some(next) = queue.pop(self.now) else { return };
             match connection {
                 Connection::Ready(conn) => self.send_on_conn(conn, &next),
+                Connection::Barred => self.end_queued(&next, AttemptOutcome::Withheld),
                 Connection::Busy | Connection::None => {
                     self.end_queued(&next, AttemptOutcome::Unsent)
                 }
@@ -234,11 +235,13 @@
         if let Some(conn) = self.take_idle(leaf, at_most_once) {
             return Connection::Ready(conn);
         }
-        let open = self.upstreams.open.get(&leaf).copied().unwrap_or(0);
-        if open >= self.connection_limit(&registration.service) {
-            return Connection::Busy;
+        match self.admit_connection(leaf, &registration.service) {
+            Admission::Wait => Connection::Busy,
+            Admission::Elsewhere => Connection::Barred,
+            Admission::Open => {
+                self.open_conn(leaf, &registration).map_or(Connection::None, Connection::Ready)
+            }
         }
-        self.open_conn(leaf, &registration).map_or(Connection::None, Connection::Ready)
     }
 
     /// Takes an idle connection to a leaf that can still be used.
@@ -263,16 +266,6 @@
         }
     }
 
-    /// Returns this host's connection limit to each leaf of a service.
-    fn connection_limit(&self, service: &wigeonramp_units::ServiceId) -> usize {
-        let catalog = self.active_catalog.current();
-        let spec = catalog.and_then(|catalog| catalog.services.get(service));
-        let declared = spec.map_or(DEFAULT_CONNECTIONS, |spec| spec.connections);
-        let hosts = self.members.active_count(self.now).max(1);
-        let share = f64::from(declared) * CONNECTION_LIMIT_SHARE / hosts as f64;
-        (share as usize).max(MIN_CONNECTIONS)
-    }
-
     fn open_conn(&mut self, leaf: LeafKey, registration: &LeafRegistration) -> Option<usize> {
         let mut sock = match sock::connect(registration.address) {
             Ok(sock) => sock,
@@ -292,6 +285,7 @@
             leaf,
             process: registration.instance(),
             connected: false,
+            answered: false,
             opened: self.now,
             last_received: self.now,
             idle_since: self.now,
@@ -303,7 +297,9 @@
             mismatched: false,
             close: false,
         });
-        *self.upstreams.open.entry(leaf).or_default() += 1;
+        if let Some(leaf) = self.routing.leaves.get_mut(leaf) {
+            leaf.room.on_opened();
+        }
         self.metrics.count_connect();
         Some(key)
     }
@@ -315,11 +311,8 @@
         if let Some(idle) = self.upstreams.idle.get_mut(&conn.leaf) {
             idle.retain(|idle_key| *idle_key != key);
         }
-        if let Some(open) = self.upstreams.open.get_mut(&conn.leaf) {
-            *open = open.saturating_sub(1);
-            if *open == 0 {
-                self.upstreams.open.swap_remove(&conn.leaf);
-            }
+        if let Some(leaf) = self.routing.leaves.get_mut(conn.leaf) {
+            leaf.room.on_closed();
         }
     }
 
@@ -369,7 +362,7 @@
                 {
                     suspect.push((conn.leaf, in_flight.sent));
                 }
-                None if now.since(conn.idle_since) >= conn.idle_timeout => expired.push(key),
+                None if now.since(conn.idle_since) >= self.max_idle(key, conn) => expired.push(key),
                 _ => {}
             }
         }
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -9,6 +9,7 @@
         sock::{self, ReadEnd},
     },
     serde_json::json,
+    std::io::ErrorKind,
     wigeonramp_platform::http::{self, ResponseHead},
     wigeonramp_routing::{exchange::AttemptOutcome, leaves::LeafKey, reply::LeafResponse},
     wigeonramp_units::Span,
@@ -48,7 +49,11 @@
             match sock::is_connected(&conn.sock) {
                 Ok(true) => conn.connected = true,
                 Ok(false) => return,
-                Err(_) => return self.fail_conn(key, true),
+                Err(err) => {
+                    // A reset, unlike a refusal, ends a connection that the leaf had accepted.
+                    conn.connected = err.kind() == ErrorKind::ConnectionReset;
+                    return self.fail_conn(key, true);
+                }
             }
             // A leaf that closed the connection at once gets nothing on it.
             if !sock::is_open(&conn.sock) {
@@ -179,6 +184,10 @@
         };
         let leaf = conn.leaf;
         conn.idle_since = now;
+        let is_first = !std::mem::replace(&mut conn.answered, true);
+        if let Some(leaf) = self.routing.leaves.get_mut(leaf) {
+            leaf.room.on_answered(is_first);
+        }
         if let Some(time) = head.idle_time {
             conn.idle_timeout =
                 (time - IDLE_MARGIN).max(time.percent(50)).min(DEFAULT_IDLE_TIMEOUT);
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -5,7 +5,7 @@
 //! are not used.
 
 use {
-    crate::notices::Notice,
+    crate::{connections::ConnectionRoom, notices::Notice},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     wigeonramp_units::{Instant, LeafId, ServiceId, Span, ZoneId},
@@ -100,6 +100,8 @@
     pub address_reused: bool,
     /// What its process has said of itself.
     pub notice: Notice,
+    /// Connections of this host to it.
+    pub room: ConnectionRoom,
     pending: Vec<Pending>,
     /// Moving average of latency divided by typical latency.
     latency_ratio: f64,
@@ -127,6 +129,7 @@
             grace_until: None,
             address_reused: false,
             notice: Notice::default(),
+            room: ConnectionRoom::default(),
             pending: Vec::new(),
             latency_ratio: 1.0,
             latency_ratio_at: now,
@@ -148,7 +151,8 @@
             let is_same_process = registration.born.is_some()
                 && registration.instance() == self.registration.instance();
             let notice = if is_same_process { self.notice } else { Notice::default() };
-            *self = Leaf { pending, notice, ..Leaf::new(registration, now) };
+            let room = self.room.restarted();
+            *self = Leaf { pending, notice, room, ..Leaf::new(registration, now) };
             return true;
         }
         self.cold_until = now + registration.cold_left;
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -35,8 +35,8 @@
 const OTHER_ZONE_PERCENT: f64 = 100.0;
 /// Additional cost of a leaf with an overdue request, in typical latencies.
 const OVERDUE_COST: f64 = 12.0;
-/// Additional cost of a leaf in backoff after broken connections, in typical latencies. Such a leaf
-/// is chosen only when all leaves of the service are in backoff.
+/// Additional cost of a leaf in backoff after broken connections, or to which this host can have no
+/// connection, in typical latencies. Such a leaf is chosen only when the service has no others.
 const BACKOFF_COST: f64 = 100.0;
 /// Additional cost of a cold leaf, in typical latencies.
 const COLD_COST: f64 = 0.8;
@@ -287,11 +287,11 @@
         self.usable(service, homes).filter_map(wait).min()
     }
 
-    /// Returns the time until a leaf of the service in these regions is out of backoff; zero if the
-    /// service has no eligible leaf.
+    /// Returns the time until a leaf of the service in these regions is out of backoff and this host can
+    /// have a connection to it; zero if the service has no eligible leaf.
     pub fn backoff(&self, service: &ServiceId, homes: &[RegionId], now: Instant) -> Span {
-        let backoffs = self.usable(service, homes).map(|leaf| leaf.backoff_until().since(now));
-        backoffs.min().unwrap_or(Span::ZERO)
+        let backoff = |leaf: &Leaf| leaf.backoff_until().since(now).max(leaf.room.wait(now));
+        self.usable(service, homes).map(backoff).min().unwrap_or(Span::ZERO)
     }
 
     /// Returns the eligible leaves of the service in these regions.
@@ -400,10 +400,11 @@
         }
     }
 
-    /// Whether the leaf has overdue requests, is in backoff or is no longer registered.
+    /// Whether the leaf has overdue requests, is in backoff, can have no connection of this host or is
+    /// no longer registered.
     pub fn is_unhealthy(&self, key: LeafKey, now: Instant) -> bool {
         let leaf = self.leaves.get(&key);
-        leaf.is_none_or(|leaf| leaf.is_overdue(now) || now < leaf.backoff_until())
+        leaf.is_none_or(|leaf| leaf.is_overdue(now) || is_unreachable(leaf, now))
     }
 
     /// Returns the expected latency of a response with all penalties, in typical latencies.
@@ -419,7 +420,7 @@
         if leaf.is_overdue(now) {
             cost += OVERDUE_COST;
         }
-        if now < leaf.backoff_until() {
+        if is_unreachable(leaf, now) {
             cost += BACKOFF_COST;
         }
         cost
@@ -447,6 +448,11 @@
     }
 }
 
+/// Whether the leaf is in backoff, or this host can have no connection to it for now.
+fn is_unreachable(leaf: &Leaf, now: Instant) -> bool {
+    now < leaf.backoff_until() || leaf.room.wait(now) > Span::ZERO
+}
+
 /// Whether the limit of a leaf, if it names one, allows a request now.
 fn may_send(leaf: &Leaf, limits: &LeafLimits, priority: u32, now: Instant) -> bool {
     limits.is_empty() || limits.may_send(&leaf.registration.instance(), priority, now)
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod budget;
 pub mod catalog;
 pub mod changes;
+pub mod connections;
 pub mod entry;
 pub mod exchange;
 pub mod follow;
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -6,7 +6,7 @@
 //! that saw it rise.
 
 use {
-    crate::limits::LimitHosts,
+    crate::{connections::HostCounts, limits::LimitHosts},
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, seq::IteratorRandom},
     std::{cmp::Ordering, net::Ipv4Addr},
@@ -194,6 +194,24 @@
         self.others.values().filter(is_active).count() + 1
     }
 
+    /// Returns the hosts that share the connections to leaves.
+    pub fn host_counts(&self, now: Instant) -> HostCounts {
+        let is_settled = now.since(self.started) >= DISCOVERY_TIME;
+        let is_recent = |member: &&Member| has_recent_heartbeat(member, RATE_RETENTION, now);
+        let recent = self.others.values().filter(is_recent).count() + 1;
+        HostCounts {
+            known: if is_settled { recent } else { self.known_count() },
+            active: self.active_count(now),
+            is_active: self.is_active(now),
+            is_settled,
+        }
+    }
+
+    /// Whether this host has traffic from callers.
+    fn is_active(&self, now: Instant) -> bool {
+        self.own.rate > 0.0 && self.own.rate >= self.highest_rate(now) * ACTIVE_FRACTION
+    }
+
     /// Returns the requests per second of the busiest host.
     fn highest_rate(&self, now: Instant) -> f64 {
         let recent =
@@ -297,9 +315,7 @@
     /// Whether a loss of this host must be detected quickly: callers use it or may get its address
     /// next.
     pub fn is_candidate(&self, now: Instant) -> bool {
-        let active =
-            self.own.rate > 0.0 && self.own.rate >= self.highest_rate(now) * ACTIVE_FRACTION;
-        active || self.candidates(now).contains(&self.own.ip)
+        self.is_active(now) || self.candidates(now).contains(&self.own.ip)
     }
 
     /// Whether a heartbeat of the host in this incarnation has arrived.
