Name serving hosts in look-ups at a host without a configuration

Cause: /resolve failed at a host that had just started, until it had the configuration, also when it had heard of hosts that serve. 115 look-ups failed in the first two seconds after all hosts of a deployment had come back.

Change: without a configuration no zone is preferred, and hosts of the caller's region come first. A host that knows no serving host still fails the look-up.

Result: the case is covered by a unit test (fleet.rs), which the former signature could not express. The effect at a return of power is not measured.

--- a/components/edge/src/callers.rs
+++ b/components/edge/src/callers.rs
@@ -10,10 +10,7 @@
     },
     mio::{Interest, net::TcpStream},
     serde_json::json,
-    std::{
-        io::ErrorKind,
-        net::{Ipv4Addr, Shutdown},
-    },
+    std::{io::ErrorKind, net::Shutdown},
     wigeonramp_platform::{
         endpoints::{self, EndpointRequest},
         http::{self, CONTINUE_RESPONSE, HeadError, RequestHead},
@@ -248,17 +245,18 @@
     }
 
     fn resolve(&mut self, name: &str, region: &str, zone: &str, close: bool) -> Vec<u8> {
-        let mut regions = self.active_catalog.home_regions(name);
+        let catalog = self.active_catalog.current();
+        // Without a configuration the homes of the routes are unknown: hosts of the caller's region
+        // may take its requests in any case.
+        let homes = self.active_catalog.home_regions(name);
+        let mut regions = homes.or_else(|| catalog.is_none().then(Vec::new));
         if let (Some(regions), Ok(region)) = (&mut regions, region.parse()) {
             regions.push(region);
         }
         let query = EntryQuery { zone, regions: regions.as_deref().unwrap_or_default() };
-        let hosts: Vec<Ipv4Addr> = match self.active_catalog.current() {
-            Some(catalog) => {
-                select_entry_hosts(&self.members, catalog, &self.routing.leaves, query, self.now)
-            }
-            None => Vec::new(),
-        };
+        let catalog = catalog.map(AsRef::as_ref);
+        let hosts =
+            select_entry_hosts(&self.members, catalog, &self.routing.leaves, query, self.now);
         if hosts.is_empty() {
             return http::host_response(503, None, b"", close);
         }
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -52,16 +52,17 @@
     pub regions: &'a [RegionId],
 }
 
-/// Returns the addresses of the hosts that a caller is to use.
+/// Returns the addresses of the hosts that a caller is to use. Without a catalog, as on a host that has
+/// just started, no zone is preferred.
 pub fn select_entry_hosts(
     members: &Membership,
-    catalog: &Catalog,
+    catalog: Option<&Catalog>,
     leaves: &Leaves,
     query: EntryQuery<'_>,
     now: Instant,
 ) -> Vec<Ipv4Addr> {
     let zone = query.zone;
-    let preferred = preferred_zones(catalog, leaves);
+    let preferred = catalog.map(|catalog| preferred_zones(catalog, leaves)).unwrap_or_default();
     let mut by_zone: IndexMap<&ZoneId, Vec<&MemberInfo>> = IndexMap::new();
     let is_allowed = |member: &&MemberInfo| leaves.is_in_regions(&member.zone, query.regions);
     // Hosts of other regions are used if no host of these regions serves.
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -12,7 +12,7 @@
         entry::{EntryQuery, select_entry_hosts},
         follow::{Origin, OriginSelector},
         leaves::Leaves,
-        members::{MemberInfo, Membership},
+        members::{MemberInfo, Membership, OwnState},
     },
     wigeonramp_units::{ConfigVersion, Instant, RegionId, Span},
 };
@@ -305,10 +305,11 @@
     }
     let selected = |zone: &str| {
         let query = EntryQuery { zone, regions: &[] };
-        let mut selected: Vec<u8> = select_entry_hosts(&members, &catalog(), &leaves, query, at(1))
-            .iter()
-            .map(|ip| ip.octets()[3])
-            .collect();
+        let mut selected: Vec<u8> =
+            select_entry_hosts(&members, Some(&catalog()), &leaves, query, at(1))
+                .iter()
+                .map(|ip| ip.octets()[3])
+                .collect();
         selected.sort_unstable();
         selected
     };
@@ -332,7 +333,7 @@
     let selected = |members: &Membership, zones: &[&str]| {
         let hosts = zones.iter().flat_map(|zone| {
             let query = EntryQuery { zone, regions: &[] };
-            select_entry_hosts(members, &catalog(), &leaves, query, at(1))
+            select_entry_hosts(members, Some(&catalog()), &leaves, query, at(1))
         });
         let numbers: BTreeSet<u8> = hosts.map(|ip| ip.octets()[3]).collect();
         numbers.into_iter().collect::<Vec<u8>>()
@@ -358,7 +359,7 @@
     let mut fallbacks = BTreeSet::new();
     for (index, zone) in ["a", "b", "c"].into_iter().enumerate() {
         let query = EntryQuery { zone, regions: &[] };
-        let hosts = select_entry_hosts(&members, &catalog(), &leaves, query, at(1));
+        let hosts = select_entry_hosts(&members, Some(&catalog()), &leaves, query, at(1));
         let numbers = hosts.iter().map(|ip| ip.octets()[3]);
         let (own, other): (Vec<u8>, Vec<u8>) = numbers.partition(|n| usize::from(n % 3) == index);
         assert!(own.len() > other.len(), "most requests stay in the caller's zone");
@@ -385,7 +386,7 @@
         let regions: Vec<RegionId> =
             regions.iter().map(|region| region.parse().expect("a region")).collect();
         let query = EntryQuery { zone: "x", regions: &regions };
-        let hosts = select_entry_hosts(&members, &catalog(), &leaves, query, at(1));
+        let hosts = select_entry_hosts(&members, Some(&catalog()), &leaves, query, at(1));
         let zones: BTreeSet<u8> = hosts.iter().map(|ip| ip.octets()[3] % 3).collect();
         zones.into_iter().collect::<Vec<u8>>()
     };
@@ -394,6 +395,24 @@
     assert_eq!(selected(&["north"]), [0, 1, 2], "no host serves there");
 }
 
+/// Guards against look-ups that fail at a host without a configuration although others serve: 115
+/// failed in the first two seconds after all hosts of a deployment had come back.
+#[test]
+fn host_without_configuration_names_those_that_serve() {
+    let mut members = members(4, at(0));
+    members.set_own(OwnState {
+        ready: false,
+        leaving: false,
+        rate: 0.0,
+        load: 0.0,
+        store_failing: false,
+    });
+    let leaves = Leaves::new("a".parse().expect("a zone"));
+    let query = EntryQuery { zone: "a", regions: &[] };
+    let hosts = select_entry_hosts(&members, None, &leaves, query, at(1));
+    assert_eq!(hosts.iter().map(|ip| ip.octets()[3]).collect::<BTreeSet<u8>>(), [1, 2, 3].into());
+}
+
 /// Guards against a few hosts that are overloaded while the others are idle.
 #[test]
 fn more_hosts_are_selected_as_the_load_grows() {
@@ -406,7 +425,7 @@
         let mut plain = catalog();
         plain.routes = vec![common::single(wigeonramp_routing::catalog::RepeatPolicy::Idempotent)];
         let query = EntryQuery { zone: "a", regions: &[] };
-        let hosts = select_entry_hosts(&members, &plain, &leaves, query, at(1));
+        let hosts = select_entry_hosts(&members, Some(&plain), &leaves, query, at(1));
         hosts.iter().filter(|ip| ip.octets()[3] % 3 == 0).count()
     };
     assert_eq!([selected(0.001), selected(0.009), selected(0.02), selected(0.06)], [3, 5, 10, 10]);
