Test that hosts share the connections that leaves accept

Cause: the shares of connections were tested without a network only.

Change: the stand-in of a leaf resets connections beyond a set number and counts them. Two hosts with three callers each send to two leaves that accept two connections each.

--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,5 +1,6 @@
 //! One host process between stand-ins of the platform's store and leaves.
 
+mod connections;
 mod cut_answers;
 mod leaving;
 mod odd_entries;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -84,6 +84,11 @@
         Self::start_with(n, 1, &[], true)
     }
 
+    /// Starts several hosts that share `connections` connections to each leaf.
+    pub fn start_short(n: u64, hosts: u8, connections: u32) -> Self {
+        Self::start_with(n, hosts, &[("connection_limit", connections)], false)
+    }
+
     /// Like `start`, but with several hosts.
     pub fn start_fleet(n: u64, hosts: u8) -> Self {
         Self::start_with(n, hosts, &[], false)
