--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod catalog;
 pub mod changes;
 pub mod clients;
+pub mod connections;
 pub mod entry;
 pub mod exchange;
 pub mod fair_shares;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -1,6 +1,7 @@
 //! One host process between stand-ins of the platform's store and leaves.
 
 mod accounts;
+mod connections;
 mod cut_answers;
 mod leaving;
 mod odd_entries;
