--- a/components/routing/tests/quotas/fleet.rs
+++ b/components/routing/tests/quotas/fleet.rs
@@ -47,8 +47,8 @@
     demand: f64,
     is_up: bool,
     is_frozen: bool,
-    /// Whether messages of and to the host are lost.
-    is_cut_off: bool,
+    /// Side of the network; messages between sides are lost.
+    side: usize,
     changed_at: Instant,
     /// Time for which the host's clock has stood still.
     frozen: Span,
@@ -127,7 +127,7 @@
                 demand: demands.get(n).copied().unwrap_or(0.0),
                 is_up: false,
                 is_frozen: false,
-                is_cut_off: false,
+                side: 0,
                 changed_at: now,
                 frozen: Span::ZERO,
                 process: 0,
@@ -217,9 +217,9 @@
         self.schedule(now, Event::Poll { host, process });
     }
 
-    /// Cuts a host off from the others, or ends that.
-    pub fn cut_off(&mut self, host: usize, is_cut_off: bool) {
-        (self.hosts[host].is_cut_off, self.hosts[host].changed_at) = (is_cut_off, self.now);
+    /// Moves a host to a side of the network. The first one is side zero.
+    pub fn move_to_side(&mut self, host: usize, side: usize) {
+        (self.hosts[host].side, self.hosts[host].changed_at) = (side, self.now);
     }
 
     /// Sets the accounts of the configuration, which each host adopts at once.
@@ -250,14 +250,10 @@
     fn view(&mut self, host: usize) -> QuotaHosts {
         let (now, me) = (self.now, &self.hosts[host]);
         if now.since(me.view.0) >= VIEW_INTERVAL {
-            let is_fine = |h: &Host| h.is_up && !h.is_frozen && !h.is_cut_off;
+            let recently = |h: &Host| now.since(h.changed_at) < LOST_AFTER;
             let is_known = |h: &&Host| {
-                let recently = now.since(h.changed_at) < LOST_AFTER;
-                let both = is_fine(h) && (!me.is_cut_off || now.since(me.changed_at) < LOST_AFTER);
-                h.ip == me.ip
-                    || both
-                    || (recently && h.is_up && !h.is_frozen)
-                    || (recently && !is_fine(h))
+                let is_reached = h.is_up && !h.is_frozen && h.side == me.side;
+                h.ip == me.ip || is_reached || recently(h) || recently(me)
             };
             let candidates = self.hosts.iter().filter(is_known).take(USED).map(|h| h.ip).collect();
             let owners = self.hosts.iter().take(USED).map(|h| h.ip).collect();
@@ -333,7 +329,7 @@
                 QuotaMessage::Report(report) => BYTES[0] + BYTES[1] * report.usage.len() as u64,
                 QuotaMessage::Grants(grants) => BYTES[0] + BYTES[2] * grants.grants.len() as u64,
             };
-            let is_lost = self.hosts[host].is_cut_off || self.hosts[to].is_cut_off;
+            let is_lost = self.hosts[host].side != self.hosts[to].side;
             if !is_lost && self.rng.random::<f64>() >= LOSS {
                 let at = self.now + Span(self.rng.random_range(TRANSIT_US));
                 self.schedule(at, Event::Message { from: host, to, message });
--- a/components/routing/tests/quotas/main.rs
+++ b/components/routing/tests/quotas/main.rs
@@ -95,13 +95,27 @@
     (0..12).for_each(|n| fleet.start(n));
 }
 
-const FAULTS: [Fault; 8] = [
+fn cut_off_six(fleet: &mut Fleet, _: usize) {
+    (0..18).step_by(3).take(fleet.len()).for_each(|n| fleet.move_to_side(n.min(12), n + 1));
+}
+
+fn part(fleet: &mut Fleet, _: usize) {
+    (0..fleet.len()).for_each(|n| fleet.move_to_side(n, n % 2));
+}
+
+fn rejoin(fleet: &mut Fleet, _: usize) {
+    (0..fleet.len()).for_each(|n| fleet.move_to_side(n, 0));
+}
+
+const FAULTS: [Fault; 10] = [
     ("allocator killed, started after 3 s", Fleet::kill, Fleet::start),
     ("allocator lost for good", Fleet::kill, nothing),
     ("allocator suspended with its clock", Fleet::freeze, Fleet::thaw),
-    ("allocator cut off", |f, n| f.cut_off(n, true), |f, n| f.cut_off(n, false)),
+    ("allocator cut off", |f, n| f.move_to_side(n, 1), |f, n| f.move_to_side(n, 0)),
     ("busy host suspended with its clock", |f, _| f.freeze(0), |f, _| f.thaw(0)),
-    ("busy host cut off", |f, _| f.cut_off(0, true), |f, _| f.cut_off(0, false)),
+    ("busy host cut off", |f, _| f.move_to_side(0, 1), |f, _| f.move_to_side(0, 0)),
+    ("six hosts cut off, each by itself", cut_off_six, rejoin),
+    ("two halves", part, rejoin),
     ("all restarted", restart_all, nothing),
     ("12 of 18 killed", kill_most, start_most),
 ];
@@ -146,11 +160,11 @@
     for seed in 0..12 {
         let mut fleet = settled(132, RATE, 60.0, 0.05, false, seed);
         let allocator = fleet.allocator();
-        fleet.cut_off(allocator, true);
+        fleet.move_to_side(allocator, 1);
         fleet.run(Span::secs(14));
         fleet.set_demands(&demands(132, 300.0, false));
         fleet.run(Span::millis(500 + 200 * seed));
-        fleet.cut_off(allocator, false);
+        fleet.move_to_side(allocator, 0);
         fleet.run(Span::secs(6));
         let worst = fleet.worst_window(fleet.quota(), Instant::default());
         assert!(worst <= 1.0, "the bound is exceeded with seed {seed}: {worst}");
