Report all permits to an allocator that has lost its state

A killed allocator that was back before hosts noticed did not know of permits that hosts held and had no news of, and could grant as many again. It now says that it does not know the session, and the host starts another one, in which it reports all permits. An allocator without shares names the time of a delegation in place of a very long one.

A test for the owners of shares, which all hosts must agree on.

--- a/components/edge/src/quotas/messages.rs
+++ b/components/edge/src/quotas/messages.rs
@@ -73,6 +73,8 @@
     number: u64,
     #[prost(message, repeated, tag = "3")]
     grants: Vec<GrantMessage>,
+    #[prost(bool, tag = "4")]
+    is_unknown: bool,
 }
 
 /// A message about quotas in a datagram.
@@ -144,6 +146,7 @@
             session: grants.session,
             number: grants.serial.saturating_sub(grants.session),
             grants: grants.grants.iter().map(grant).collect(),
+            is_unknown: grants.is_unknown,
         }
     }
 }
@@ -173,6 +176,7 @@
             session: self.session,
             serial: self.session.saturating_add(self.number),
             grants: self.grants.iter().map(grant).collect(),
+            is_unknown: self.is_unknown,
         }
     }
 }
--- a/components/routing/src/quotas/messages.rs
+++ b/components/routing/src/quotas/messages.rs
@@ -59,6 +59,9 @@
     pub session: u64,
     /// Number of the report.
     pub serial: u64,
+    /// Whether the allocator does not know the session, as it has restarted. The host starts another one, in
+    /// which it reports all permits that it holds.
+    pub is_unknown: bool,
     /// Permits of the accounts in the report.
     pub grants: Vec<Grant>,
 }
--- a/components/routing/src/quotas/mod.rs
+++ b/components/routing/src/quotas/mod.rs
@@ -314,11 +314,16 @@
             |ip: &Ipv4Addr| !self.silent.contains_key(ip) && !self.hosts.stopping.contains(ip);
         let usable = self.hosts.candidates.iter().copied().filter(usable);
         let chosen = usable.max_by_key(rank).unwrap_or(self.own);
-        if self.allocator == Some(chosen) {
-            return;
+        if self.allocator != Some(chosen) {
+            self.allocator = Some(chosen);
+            self.start_session();
         }
+    }
+
+    /// Starts a session with the allocator, in which all permits that are held are reported.
+    fn start_session(&mut self) {
         self.serial += 1;
-        (self.allocator, self.session) = (Some(chosen), self.serial);
+        self.session = self.serial;
         (self.acknowledged, self.asked, self.silent_since) = (0, None, None);
         self.unanswered = 0;
         for local in self.accounts.values_mut() {
@@ -365,6 +370,11 @@
         if self.allocator != Some(from) || grants.session != self.session {
             return;
         }
+        if grants.is_unknown {
+            self.start_session();
+            self.renew_at = now;
+            return;
+        }
         let is_first = self.acknowledged == 0;
         (self.silent_since, self.unanswered) = (None, 0);
         if grants.serial > self.acknowledged {
--- a/components/routing/src/quotas/pool.rs
+++ b/components/routing/src/quotas/pool.rs
@@ -126,7 +126,11 @@
         known.granted += permits as u64;
         self.tokens -= permits;
         let missing = (1.0 - self.tokens).max(0.0);
-        let wait = (permits < urgent).then(|| Span((missing / supply.rate.max(1e-3) * 1e6) as u64));
+        let wait = match supply.rate > 0.0 {
+            true => Span((missing / supply.rate * 1e6) as u64),
+            false => super::DELEGATION_TIME,
+        };
+        let wait = Some(wait).filter(|_| permits < urgent);
         Grant { account: usage.account, granted: known.granted, wait }
     }
 }
@@ -178,6 +182,10 @@
             return None;
         }
         let before = before.filter(|known| known.session == report.session);
+        let (session, serial) = (report.session, report.serial);
+        if before.is_none() && report.acknowledged > 0 {
+            return Some(Grants { session, serial, is_unknown: true, grants: Vec::new() });
+        }
         // A report may have waited at a suspended allocator until its sender has delegated its share to
         // another one, so the time counts from the response that the report acknowledges.
         let mut recent = before.map(|known| known.recent.clone()).unwrap_or_default();
@@ -205,7 +213,7 @@
             self.grant(host, report.session, usage, quota, share, bounds, now)
         });
         let grants = grants.collect();
-        Some(Grants { session: report.session, serial: report.serial, grants })
+        Some(Grants { session, serial, is_unknown: false, grants })
     }
 
     #[expect(clippy::too_many_arguments, reason = "the state of one report, which is used once")]
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -426,6 +426,29 @@
     assert_eq!(members.active_count(at(100)), 20, "their traffic is not known at first");
 }
 
+/// Guards against hosts that have different owners of the shares of quotas, so that shares exist twice, and
+/// against a share that a lost host keeps using while others have it.
+#[test]
+fn hosts_agree_on_the_owners_of_quotas() {
+    let owners = |own: u8, now: Instant| {
+        let mut members = Membership::new(info(own), at(0));
+        (0..60).filter(|n| *n != own).for_each(|n| {
+            members.merge(info(n), at(0));
+        });
+        members.quota_hosts(now).owners
+    };
+    assert_eq!(owners(0, at(10)), owners(59, at(10)));
+    assert_eq!(owners(0, at(10)).len(), 18);
+    let zones: BTreeSet<u8> =
+        owners(0, at(10)).iter().take(3).map(|ip| ip.octets()[3] % 3).collect();
+    assert_eq!(zones.len(), 3, "the first host of each zone comes first");
+    assert_eq!(owners(0, at(60_000)), owners(0, at(10)), "lost hosts keep their shares");
+    let mut members = members(5, at(0));
+    members.merge(MemberInfo { heartbeat: 2, leaving: true, ..info(1) }, at(10));
+    let stopping = ip(1);
+    assert!(!members.quota_hosts(at(20)).owners.contains(&stopping));
+}
+
 /// Guards against a configuration that goes back to a lower version.
 #[test]
 fn lower_version_is_never_adopted() {
--- a/components/routing/tests/quotas/main.rs
+++ b/components/routing/tests/quotas/main.rs
@@ -82,6 +82,11 @@
 
 fn nothing(_: &mut Fleet, _: usize) {}
 
+fn restart(fleet: &mut Fleet, host: usize) {
+    fleet.kill(host);
+    fleet.start(host);
+}
+
 fn restart_all(fleet: &mut Fleet, _: usize) {
     (0..fleet.len()).for_each(|n| fleet.kill(n));
     (0..fleet.len()).for_each(|n| fleet.start(n));
@@ -107,8 +112,9 @@
     (0..fleet.len()).for_each(|n| fleet.move_to_side(n, 0));
 }
 
-const FAULTS: [Fault; 10] = [
+const FAULTS: [Fault; 11] = [
     ("allocator killed, started after 3 s", Fleet::kill, Fleet::start),
+    ("allocator restarted at once", restart, nothing),
     ("allocator lost for good", Fleet::kill, nothing),
     ("allocator suspended with its clock", Fleet::freeze, Fleet::thaw),
     ("allocator cut off", |f, n| f.move_to_side(n, 1), |f, n| f.move_to_side(n, 0)),
