Accept again after the system has refused descriptors, also from hosts

Cause: a refused accept left waiting connections until the next one arrived, for callers a log line was written for each refusal, and streams of other hosts were accepted without regard to other events.

--- a/components/edge/src/callers/admission.rs
+++ b/components/edge/src/callers/admission.rs
@@ -39,6 +39,8 @@
     pub open: [usize; LISTENERS],
     /// Whether connections wait to be accepted, by listener.
     awaits_accept: [bool; LISTENERS],
+    /// Whether the system last refused to accept a connection, by listener.
+    accept_fails: [bool; LISTENERS],
     /// Whether the limit of the listener was reached since the last sweep, and whether that is logged.
     was_full: [bool; LISTENERS],
     logged_full: [bool; LISTENERS],
@@ -60,6 +62,7 @@
             connections: ConnectionLimits::new(fd_limit),
             open: [0; LISTENERS],
             awaits_accept: [false; LISTENERS],
+            accept_fails: [false; LISTENERS],
             was_full: [false; LISTENERS],
             logged_full: [false; LISTENERS],
             held: VecDeque::new(),
@@ -149,13 +152,24 @@
         has_room
     }
 
-    /// Handles that the system does not accept a connection, for want of descriptors or memory.
+    /// Handles that the system does not accept a connection, for want of descriptors or memory. It is
+    /// tried again after a while.
     pub(super) fn accept_failed(&mut self, listener: usize, err: &Error) {
-        let fields = json!({ "error": err.to_string() });
-        self.journal.record("accept_failed", fields, self.now);
+        if !std::mem::replace(&mut self.clients.accept_fails[listener], true) {
+            let fields = json!({ "error": err.to_string(), "port": LISTENER_NAMES[listener] });
+            self.journal.record("accept_failed", fields, self.now);
+        }
         self.clients.await_accept(listener);
     }
 
+    /// Handles that the system accepts connections again.
+    pub(super) fn accept_succeeded(&mut self, listener: usize) {
+        if std::mem::take(&mut self.clients.accept_fails[listener]) {
+            let fields = json!({ "port": LISTENER_NAMES[listener] });
+            self.journal.record("accept_resumed", fields, self.now);
+        }
+    }
+
     /// Has the body of a connection wait for memory.
     pub(super) fn hold_body(&mut self, key: usize) {
         let Some(conn) = self.callers.get_mut(key) else { return };
--- a/components/edge/src/callers/mod.rs
+++ b/components/edge/src/callers/mod.rs
@@ -106,7 +106,10 @@
             let (listener, purpose) = &self.listeners[index];
             let purpose = *purpose;
             match listener.accept() {
-                Ok((sock, _)) => self.add_caller(sock, index, purpose),
+                Ok((sock, _)) => {
+                    self.accept_succeeded(index);
+                    self.add_caller(sock, index, purpose);
+                }
                 Err(err) if err.kind() == ErrorKind::WouldBlock => return,
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
                 Err(err) => return self.accept_failed(index, &err),
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -98,6 +98,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Peers {
     conns: Slab<PeerConn>,
+    /// Whether streams may wait to be accepted.
+    awaits_accept: bool,
 }
 
 impl Peers {
@@ -337,7 +339,7 @@
 
     /// Sends a keepalive to followers that have not been sent a frame for `KEEP_ALIVE`.
     pub(crate) fn send_keepalives(&mut self) {
-        self.drop_unknown_peers();
+        self.sweep_accepted_peers();
         self.send_keepalives_after(KEEP_ALIVE);
     }
 
--- a/components/edge/src/peers/accepting.rs
+++ b/components/edge/src/peers/accepting.rs
@@ -9,23 +9,28 @@
 /// Time within which a follower must have sent its first frame.
 const FOLLOWER_FRAME_TIMEOUT: Span = Span::secs(2);
 
+/// Maximum number of streams that are accepted before other events.
+const ACCEPTS_PER_TURN: usize = 64;
+
 impl Node {
+    /// Accepts streams of other hosts, the rest of many or refused by the system with the next sweep.
     pub(crate) fn accept_peers(&mut self) {
-        loop {
+        self.peers.awaits_accept = false;
+        for _ in 0..ACCEPTS_PER_TURN {
             match self.peer_listener.accept() {
                 Ok((sock, _)) if self.make_room_for_peer() => self.add_peer(sock, None),
                 // Dropping the socket closes it; a follower connects again or follows another host.
                 Ok(_) => self.metrics.clients.count("peer_connections", "refused"),
+                Err(err) if err.kind() == ErrorKind::WouldBlock => return,
                 Err(err) if err.kind() == ErrorKind::Interrupted => {}
                 Err(err) => {
-                    if err.kind() != ErrorKind::WouldBlock {
-                        let fields = json!({ "error": err.to_string() });
-                        self.journal.record("accept_failed", fields, self.now);
-                    }
-                    return;
+                    let fields = json!({ "error": err.to_string(), "port": "peers" });
+                    self.journal.record("accept_failed", fields, self.now);
+                    break;
                 }
             }
         }
+        self.peers.awaits_accept = true;
     }
 
     /// Returns whether another stream can be accepted. At the limit, the oldest stream without a first
@@ -42,8 +47,12 @@
         self.peers.conns.len() < limit
     }
 
-    /// Closes streams that others opened without sending the first frame in time.
-    pub(super) fn drop_unknown_peers(&mut self) {
+    /// Accepts streams that wait, and closes those that others opened without sending the first frame in
+    /// time.
+    pub(super) fn sweep_accepted_peers(&mut self) {
+        if self.peers.awaits_accept {
+            self.accept_peers();
+        }
         let is_late = |conn: &PeerConn| {
             conn.is_unknown() && self.now.since(conn.opened) >= FOLLOWER_FRAME_TIMEOUT
         };
