Draft the decisions on releases as state machines

Orders of operators move a service's requests to another version. Adds the exposure credit, the sequential tests, the deciding host's phases and a simulation with real requests; thresholds are still being tuned.

--- a/components/routing/src/changes.rs
+++ b/components/routing/src/changes.rs
@@ -1,19 +1,19 @@
-//! Log of changes to leaves and evacuations, in the order of the store's revisions.
+//! Log of changes to leaves, evacuations and orders of releases, in the order of the store's revisions.
 //!
 //! A host keeps the most recent changes so that it can bring other hosts up to date without a call
 //! to the store.
 
 use {
-    crate::{leaf::LeafRegistration, position::Position},
+    crate::{leaf::LeafRegistration, position::Position, releases::order::StoredOrder},
     serde::{Deserialize, Serialize},
     std::collections::VecDeque,
-    wigeonramp_units::{Instant, LeafId, Span, ZoneId},
+    wigeonramp_units::{Instant, LeafId, ServiceId, Span, ZoneId},
 };
 
 /// Maximum number of changes in the log; a host that is further behind gets all objects.
 const CAPACITY: usize = 2_048;
 
-/// A change to a leaf or an evacuation.
+/// A change to a leaf, an evacuation or an order of a release.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub enum Change {
     /// A leaf is registered, or its registration has changed.
@@ -38,6 +38,13 @@
         #[serde(default)]
         grace: Span,
     },
+    /// An order was written, or its status has changed.
+    Order(StoredOrder),
+    /// The order of a service was deleted.
+    OrderGone {
+        /// The service.
+        service: ServiceId,
+    },
 }
 
 impl Change {
@@ -51,7 +58,7 @@
         match self {
             Change::Leaf(registration) => Some(&registration.id),
             Change::LeafGone { id, .. } => Some(id),
-            Change::Evacuation { .. } => None,
+            Change::Evacuation { .. } | Change::Order(_) | Change::OrderGone { .. } => None,
         }
     }
 }
@@ -97,7 +104,7 @@
             Change::LeafGone { grace, .. } | Change::Evacuation { grace, .. } => {
                 *grace = *grace - passed;
             }
-            Change::Leaf(_) => {}
+            Change::Leaf(_) | Change::Order(_) | Change::OrderGone { .. } => {}
         }
         change
     }
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -16,6 +16,7 @@
         catalog::{RepeatPolicy, Route},
         leaf::HealthSignal,
         leaves::LeafKey,
+        releases::counting::AttemptEnd,
         reply::{Cause, LeafResponse, Reply},
         state::RoutingState,
     },
@@ -239,6 +240,28 @@
             cx.latency(&self.route).record(now.since(since), now);
         }
         cx.leaves.on_ended(leaf, since, self.typical_latency, health, now);
+        let end = match outcome {
+            AttemptOutcome::Response(response) if response.status < 400 => AttemptEnd::Answered,
+            AttemptOutcome::Response(_) => AttemptEnd::Failed,
+            AttemptOutcome::NotRun | AttemptOutcome::Unsent | AttemptOutcome::Lost => {
+                AttemptEnd::Broken
+            }
+        };
+        self.record_end(at, end, cx, now);
+    }
+
+    /// Records the end of an attempt for the release of its service.
+    fn record_end(
+        &self,
+        at: AttemptRef,
+        end: AttemptEnd,
+        cx: &mut RoutingState,
+        now: Instant,
+    ) {
+        let part = &self.parts[at.part];
+        let attempt = &part.attempts[at.number];
+        let latency = now.since(attempt.sent);
+        cx.record_end(&part.service, &self.route, attempt.leaf, end, latency, now);
     }
 
     /// Records the outcome of an attempt whose response is no longer needed.
@@ -256,6 +279,13 @@
         attempt.running = false;
         let (leaf, since) = (attempt.leaf, attempt.sent);
         cx.leaves.on_ended(leaf, since, self.typical_latency, signal, now);
+        let end = match signal {
+            HealthSignal::Answered => AttemptEnd::Answered,
+            HealthSignal::Silent => AttemptEnd::Silent,
+            HealthSignal::Failed | HealthSignal::Broken => AttemptEnd::Broken,
+            HealthSignal::Abandoned => return,
+        };
+        self.record_end(at, end, cx, now);
     }
 
     /// Hedges overdue parts, replies or gives up; called at the time that `next_timer_at` returned.
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -5,7 +5,7 @@
 //! are not used.
 
 use {
-    crate::notices::Notice,
+    crate::{notices::Notice, releases::order::Version},
     serde::{Deserialize, Serialize},
     std::net::SocketAddr,
     wigeonramp_units::{Instant, LeafId, ServiceId, Span, ZoneId},
@@ -34,6 +34,9 @@
     /// Number of the heartbeat that wrote the registration; rises while the process runs.
     #[serde(default)]
     pub sequence: u64,
+    /// Version of the program that it runs; none if it names none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub version: Option<Version>,
 }
 
 /// One process of a leaf, which may start again under the same id.
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -23,6 +23,7 @@
 pub mod poison;
 pub mod position;
 pub mod reconcile;
+pub mod releases;
 pub mod reply;
 pub mod reply_time;
 pub mod sources;
--- a/components/routing/src/position.rs
+++ b/components/routing/src/position.rs
@@ -49,6 +49,11 @@
         self.revision
     }
 
+    /// Returns the position with this revision in the same era.
+    pub const fn with_revision(self, revision: Revision) -> Self {
+        Self { era: self.era, revision }
+    }
+
     /// Whether anything is known of the store.
     pub fn is_known(self) -> bool {
         self != Self::default()
--- a/components/routing/src/reconcile.rs
+++ b/components/routing/src/reconcile.rs
@@ -169,6 +169,7 @@
                     zone.ended.remove(0);
                 }
             }
+            Change::Order(_) | Change::OrderGone { .. } => {}
         }
     }
 
--- /dev/null
+++ b/components/routing/src/releases/decider.rs
@@ -0,0 +1,282 @@
+//! Decision on an order from the totals of all hosts.
+//!
+//! Load: an order of about 12 s at a service with 1 to 400 requests per second, sent by about 18 hosts.
+//! The canary phase takes most of the time, because versions may turn bad late. The steps after it are
+//! short, as a version that turns bad in one of them must stay within the bound on the exposure.
+
+use {
+    super::{
+        counts::Counts,
+        evidence::{Evidence, Finding},
+        exposure::CANARY_PERCENT,
+        messages::Totals,
+        order::{Phase, ReleaseBounds},
+    },
+    indexmap::IndexMap,
+    std::net::Ipv4Addr,
+    wigeonramp_units::{Instant, Span},
+};
+
+/// Length of a step after the canary phase, in percent of the order's duration.
+const STEP_PERCENT: u64 = 5;
+/// Shortest step: the hosts' totals arrive every 200 ms.
+const MIN_STEP: Span = Span::millis(250);
+/// Shortest time with all requests at the candidate before the completion.
+const MIN_LAST_STEP: Span = Span::millis(350);
+/// Part of the order's duration after which steps no longer wait for a number of responses, in percent.
+const PRESSED_PERCENT: u64 = 80;
+/// Part of the order's duration after which a release that is not in its last phase is rolled back, in
+/// percent. The rest is for messages and the write of the status.
+const GIVE_UP_PERCENT: u64 = 90;
+/// Responses of the candidate that a step needs, unless few requests arrive.
+const STEP_RESPONSES: f64 = 6.0;
+/// Part of the expected responses that a step needs if few requests arrive.
+const STEP_RESPONSE_FRACTION: f64 = 0.4;
+/// Half-life of the measured request rate.
+const RATE_HALF_LIFE: Span = Span::secs(1);
+
+/// Reason for a rollback.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Reason {
+    /// A test found the candidate bad.
+    Found(Finding),
+    /// Another host rolled back.
+    OtherHost,
+    /// The release could not be completed in time.
+    Late,
+    /// The order was deleted or replaced while it was open.
+    Withdrawn,
+    /// The status in the store says so.
+    Stored,
+}
+
+impl Reason {
+    /// Returns the name in logs.
+    pub const fn name(self) -> &'static str {
+        match self {
+            Reason::Found(finding) => finding.name(),
+            Reason::OtherHost => "other_host",
+            Reason::Late => "late",
+            Reason::Withdrawn => "withdrawn",
+            Reason::Stored => "stored",
+        }
+    }
+}
+
+/// Circumstances of a decision.
+#[derive(Clone, Copy, Debug)]
+pub struct Circumstances<'a> {
+    /// Phase in force.
+    pub phase: Phase,
+    /// Age of the order.
+    pub age: Span,
+    /// Time within which the requests are to move.
+    pub duration: Span,
+    /// Bounds of the settings.
+    pub bounds: &'a ReleaseBounds,
+    /// Whether the candidate has a leaf that can be used.
+    pub has_candidate: bool,
+    /// All hosts that are neither lost nor stopping, including this one.
+    pub hosts: &'a [Ipv4Addr],
+}
+
+/// A decision.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Decision {
+    /// The phase stays.
+    Keep,
+    /// The next phase begins.
+    Advance(Phase),
+    /// The candidate gets no more requests.
+    RollBack(Reason),
+    /// All hosts have moved, so the order is complete.
+    Complete,
+}
+
+/// Figures at the beginning of a phase.
+#[derive(Clone, Copy, Debug, Default)]
+struct Snapshot {
+    answered: u32,
+    broken: u32,
+}
+
+/// State of the deciding host for one order.
+#[derive(Clone, Debug)]
+pub struct Decider {
+    /// Last totals of each host.
+    reports: IndexMap<Ipv4Addr, Totals>,
+    evidence: Evidence,
+    requests: u64,
+    sent: u64,
+    phase: Phase,
+    phase_began: Instant,
+    before_phase: Snapshot,
+    rate: f64,
+    rate_at: Instant,
+    rate_requests: u64,
+}
+
+impl Decider {
+    /// Creates the state without any totals.
+    pub fn new(phase: Phase, now: Instant) -> Self {
+        Self {
+            reports: IndexMap::new(),
+            evidence: Evidence::new(now),
+            requests: 0,
+            sent: 0,
+            phase,
+            phase_began: now,
+            before_phase: Snapshot::default(),
+            rate: 0.0,
+            rate_at: now,
+            rate_requests: 0,
+        }
+    }
+
+    /// Adds what a host has counted since its last totals.
+    pub fn on_totals(&mut self, from: Ipv4Addr, totals: &Totals, now: Instant) {
+        let before = self.reports.get(&from);
+        if before.is_some_and(|before| totals.serial <= before.serial) {
+            return;
+        }
+        for row in &totals.rows {
+            let rows = before.map_or(&[][..], |before| &before.rows);
+            let same = rows.iter().find(|old| (old.route, old.side) == (row.route, row.side));
+            let new = row.counts.since(&same.map_or_else(Counts::default, |old| old.counts));
+            if !new.is_empty() {
+                let span = before.map_or(totals.age, |before| totals.age - before.age);
+                self.evidence.add(row.route, row.side, &new, span, now);
+            }
+        }
+        // A host that has restarted counts from zero again.
+        let increase = |before: u64, now: u64| if now < before { now } else { now - before };
+        let (requests, sent) =
+            before.map_or((0, 0), |before| (before.requests, before.sent));
+        self.requests += increase(requests, totals.requests);
+        self.sent += increase(sent, totals.sent);
+        self.reports.insert(from, totals.clone());
+    }
+
+    /// Returns the hosts that have sent totals.
+    pub fn reporters(&self) -> impl Iterator<Item = Ipv4Addr> {
+        self.reports.keys().copied()
+    }
+
+    /// Whether a host has confirmed that it sends nothing to baseline leaves.
+    pub fn has_drained(&self, host: Ipv4Addr) -> bool {
+        let report = self.reports.get(&host);
+        report.is_some_and(|report| report.phase == Phase::Draining && report.drained)
+    }
+
+    /// Returns the requests per second for the service; zero if not known.
+    pub fn rate(&self) -> u32 {
+        self.rate.round() as u32
+    }
+
+    /// Returns the evidence.
+    pub fn evidence(&self) -> &Evidence {
+        &self.evidence
+    }
+
+    /// Returns the number of requests for the service and that of attempts at the candidate.
+    pub fn exposure(&self) -> (u64, u64) {
+        (self.requests, self.sent)
+    }
+
+    /// Decides whether the next phase begins.
+    pub fn decide(&mut self, cx: &Circumstances<'_>, now: Instant) -> Decision {
+        self.measure_rate(now);
+        if cx.phase != self.phase {
+            self.enter(cx.phase, now);
+        }
+        if cx.phase == Phase::RolledBack {
+            return Decision::Keep;
+        }
+        if let Some(finding) = self.evidence.finding(now) {
+            return Decision::RollBack(Reason::Found(finding));
+        }
+        let is_late = cx.age >= cx.duration.percent(GIVE_UP_PERCENT);
+        if is_late && cx.phase < Phase::Draining {
+            return Decision::RollBack(Reason::Late);
+        }
+        if cx.phase == Phase::Draining {
+            let held = now.since(self.phase_began) >= self.step_time(cx);
+            return if held && self.is_drained(cx) { Decision::Complete } else { Decision::Keep };
+        }
+        match cx.phase.next() {
+            Some(next) if self.may_advance(cx, now) => {
+                self.enter(next, now);
+                Decision::Advance(next)
+            }
+            _ => Decision::Keep,
+        }
+    }
+
+    fn enter(&mut self, phase: Phase, now: Instant) {
+        self.phase = phase;
+        self.phase_began = now;
+        let counts = self.evidence.candidate();
+        self.before_phase = Snapshot { answered: counts.answered, broken: counts.broken };
+    }
+
+    fn measure_rate(&mut self, now: Instant) {
+        let passed = now.since(self.rate_at);
+        if passed < MIN_STEP {
+            return;
+        }
+        let current = (self.requests - self.rate_requests) as f64 / (passed.0 as f64 / 1e6);
+        let kept = 0.5_f64.powf(passed.0 as f64 / RATE_HALF_LIFE.0 as f64);
+        self.rate = self.rate * kept + current * (1.0 - kept);
+        (self.rate_at, self.rate_requests) = (now, self.requests);
+    }
+
+    /// Returns the time that the phase in force takes. A step spends at most half of what is left of
+    /// the bound on the exposure when it begins, as far as hosts can be told in time.
+    fn step_time(&self, cx: &Circumstances<'_>) -> Span {
+        let shortest =
+            if cx.phase == Phase::Draining { MIN_LAST_STEP } else { MIN_STEP };
+        let usual = cx.duration.percent(STEP_PERCENT).max(shortest);
+        let bound =
+            cx.bounds.exposure_share * self.requests as f64 + cx.bounds.exposure_slack;
+        let left = (bound - self.sent as f64).max(0.0);
+        let per_second = self.rate * cx.phase.share().unwrap_or(0.0);
+        let affordable = Span((left / 2.0 / per_second.max(0.01) * 1e6) as u64);
+        affordable.min(usual).max(shortest)
+    }
+
+    fn may_advance(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
+        if !cx.has_candidate || !self.evidence.is_calm() {
+            return false;
+        }
+        let is_due = match cx.phase {
+            Phase::Canary => cx.age >= cx.duration.percent(CANARY_PERCENT),
+            _ => now.since(self.phase_began) >= self.step_time(cx),
+        };
+        let counts = self.evidence.candidate();
+        let answered = counts.answered - self.before_phase.answered;
+        let broken = counts.broken - self.before_phase.broken;
+        // Broken connections delay the release and do not end it.
+        let is_doubtful = broken > 0 && broken >= answered;
+        is_due && !is_doubtful && (self.is_pressed(cx) || self.has_responses(cx, answered, now))
+    }
+
+    fn is_pressed(&self, cx: &Circumstances<'_>) -> bool {
+        cx.age >= cx.duration.percent(PRESSED_PERCENT)
+    }
+
+    fn has_responses(&self, cx: &Circumstances<'_>, answered: u32, now: Instant) -> bool {
+        let time = match cx.phase {
+            Phase::Canary => cx.age,
+            _ => now.since(self.phase_began),
+        };
+        let canary = cx.bounds.exposure_share / 3.0;
+        let share = cx.phase.share().unwrap_or(canary);
+        let expected = self.rate * share * time.0 as f64 / 1e6;
+        f64::from(answered) >= (expected * STEP_RESPONSE_FRACTION).floor().min(STEP_RESPONSES)
+    }
+
+    /// Whether no live host sends to baseline leaves any more, and none has a request in flight there.
+    fn is_drained(&self, cx: &Circumstances<'_>) -> bool {
+        cx.hosts.iter().all(|host| self.has_drained(*host))
+    }
+}
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -6,9 +6,15 @@
         budget::{ExtraAttemptBudget, ExtraAttemptLimit},
         catalog::{Route, Target},
         latency::LatencyTracker,
-        leaves::{LeafCriteria, LeafKey, Leaves},
-        limits::LeafLimits,
+        leaves::{LeafCriteria, LeafKey, Leaves, Selection, VersionConstraint},
+        limits::{LeafLimits, LimitHosts},
         overload::{OverloadController, PartStatus},
+        releases::{
+            Releases,
+            counting::{AttemptEnd, EndedSend},
+            messages::Outgoing,
+            route_hash,
+        },
         reply_time::ReplyTiming,
     },
     indexmap::IndexMap,
@@ -46,6 +52,8 @@
     pub leaves: Leaves,
     /// Request limits that leaves named.
     pub limits: LeafLimits,
+    /// Releases of services.
+    pub releases: Releases,
     /// Limit on extra attempts of all hosts together.
     pub extra_attempt_limit: ExtraAttemptLimit,
     /// This host's share of the traffic of all hosts, from 0 to 1.
@@ -71,12 +79,14 @@
     pub fn new(
         leaves: Leaves,
         limits: LeafLimits,
+        releases: Releases,
         extra_attempt_limit: ExtraAttemptLimit,
         rng: SmallRng,
     ) -> Self {
         Self {
             leaves,
             limits,
+            releases,
             extra_attempt_limit,
             traffic_share: 0.0,
             cold_share: 0.0,
@@ -113,6 +123,49 @@
         typical_latency: Span,
         now: Instant,
     ) -> Option<LeafKey> {
+        if let Some(leaf) = self.choose_candidate(service, route, tried, typical_latency, now) {
+            return Some(leaf);
+        }
+        let version = VersionConstraint::Unbarred;
+        let selection = self.select(service, route, tried, typical_latency, version, now);
+        self.record_denied(&selection.denied, route.priority, now);
+        self.counts.no_leaf += u64::from(selection.leaf.is_none());
+        selection.leaf
+    }
+
+    /// Returns a leaf of the candidate version if the service has a release and this is a first attempt
+    /// that goes there. Other attempts go to the baseline.
+    fn choose_candidate(
+        &mut self,
+        service: &ServiceId,
+        route: &Route,
+        tried: &[LeafKey],
+        typical_latency: Span,
+        now: Instant,
+    ) -> Option<LeafKey> {
+        if !tried.is_empty() {
+            return None;
+        }
+        let share = self.traffic_share;
+        let taken = self.releases.on_first_attempt(service, share, now, &mut self.rng);
+        let (version, few) = taken?;
+        let version = VersionConstraint::Only { version: &version, few };
+        let selection = self.select(service, route, tried, typical_latency, version, now);
+        if selection.leaf.is_none() {
+            self.releases.give_back(service);
+        }
+        selection.leaf
+    }
+
+    fn select(
+        &mut self,
+        service: &ServiceId,
+        route: &Route,
+        tried: &[LeafKey],
+        typical_latency: Span,
+        version: VersionConstraint<'_>,
+        now: Instant,
+    ) -> Selection {
         let rate = self.cold_rates.get(service).filter(|rate| **rate > 0.0);
         let cold_per_second = rate.map(|rate| rate * self.cold_share);
         let criteria = LeafCriteria {
@@ -123,11 +176,56 @@
             cold_per_second,
             limits: &self.limits,
             priority: route.priority,
+            version,
         };
-        let selection = self.leaves.choose(&criteria, now, &mut self.rng);
-        self.record_denied(&selection.denied, route.priority, now);
-        self.counts.no_leaf += u64::from(selection.leaf.is_none());
-        selection.leaf
+        self.leaves.choose(&criteria, now, &mut self.rng)
+    }
+
+    /// Records the end of an attempt for the release of its service.
+    pub(crate) fn record_end(
+        &mut self,
+        service: &ServiceId,
+        route: &Route,
+        leaf: LeafKey,
+        end: AttemptEnd,
+        latency: Span,
+        now: Instant,
+    ) {
+        if !self.releases.is_counting(service) {
+            return;
+        }
+        let Some(leaf) = self.leaves.get(leaf) else { return };
+        let registration = &leaf.registration;
+        let ended = EndedSend {
+            route: route_hash(&route.name),
+            side: self.releases.side(service, &registration.version, &registration.id),
+            end,
+            latency,
+        };
+        if self.releases.on_ended(service, &ended, now) {
+            self.sync_releases(now);
+        }
+    }
+
+    /// Applies to the selection of leaves what the releases allow.
+    pub fn sync_releases(&mut self, now: Instant) {
+        if !self.releases.is_enabled() {
+            return;
+        }
+        let mut services = self.releases.services(now);
+        services.extend(self.leaves.barred_services().cloned());
+        for service in services {
+            let present = self.leaves.versions(&service);
+            let barred = self.releases.barred(&service, &present, now);
+            self.leaves.set_barred(&service, barred);
+        }
+    }
+
+    /// Sends totals and decides on releases, as far as that is due; returns the messages to other hosts.
+    pub fn poll_releases(&mut self, hosts: &LimitHosts, now: Instant) -> Vec<Outgoing> {
+        let messages = self.releases.poll(&self.leaves, hosts, now);
+        self.sync_releases(now);
+        messages
     }
 
     /// Records that a request would have been sent to these leaves with permits.
@@ -193,6 +291,10 @@
         now: Instant,
     ) {
         self.leaves.on_sent(leaf, typical_latency, now);
+        if let Some(leaf) = self.leaves.get(leaf) {
+            let registration = &leaf.registration;
+            self.releases.on_sent(&registration.service, &registration.version);
+        }
         if self.limits.is_empty() {
             return;
         }
--- a/components/routing/tests/common/mod.rs
+++ b/components/routing/tests/common/mod.rs
@@ -11,6 +11,7 @@
         leaf::LeafRegistration,
         leaves::{LeafKey, Leaves},
         limits::LeafLimits,
+        releases::Releases,
         reply::{LeafResponse, Reply},
         state::RoutingState,
     },
@@ -38,6 +39,7 @@
         cold_left: Span::ZERO,
         born: Some(1),
         sequence: 1,
+        version: None,
     }
 }
 
@@ -52,7 +54,8 @@
     }
     let limit = ExtraAttemptLimit { window: Span::secs(10), ratio: 0.2, fixed: 100.0 };
     let limits = LeafLimits::new(Ipv4Addr::new(10, 0, 0, 1), 0);
-    let mut state = RoutingState::new(leaves, limits, limit, SmallRng::seed_from_u64(SEED));
+    let releases = Releases::new(Ipv4Addr::new(10, 0, 0, 1), None, 0);
+    let mut state = RoutingState::new(leaves, limits, releases, limit, SmallRng::seed_from_u64(SEED));
     state.traffic_share = 1.0;
     state
 }
--- a/components/routing/tests/leaves.rs
+++ b/components/routing/tests/leaves.rs
@@ -8,7 +8,7 @@
     std::net::Ipv4Addr,
     wigeonramp_routing::{
         leaf::HealthSignal,
-        leaves::{LeafChange, LeafCriteria, LeafKey, Leaves},
+        leaves::{LeafChange, LeafCriteria, LeafKey, Leaves, VersionConstraint},
         limits::LeafLimits,
     },
     wigeonramp_units::{Instant, Span},
@@ -31,6 +31,7 @@
         cold_per_second: cold,
         limits: &limits,
         priority: 1,
+        version: VersionConstraint::Unbarred,
     };
     let mut rng = SmallRng::seed_from_u64(SEED);
     match leaves.choose(&criteria, now, &mut rng).leaf {
@@ -64,6 +65,7 @@
         cold_per_second: None,
         limits: &no_limits(),
         priority: 1,
+        version: VersionConstraint::Unbarred,
     };
     let far = key(&leaves, "l0b");
     assert_eq!(leaves.choose(&criteria, at(1), &mut rng).leaf, Some(far));
--- a/components/routing/tests/reconcile.rs
+++ b/components/routing/tests/reconcile.rs
@@ -38,6 +38,7 @@
             }
             Change::LeafGone { id, grace } => self.leaves.mark_lapsed(id, now + *grace),
             Change::Evacuation { zone, out, .. } => self.leaves.set_evacuated(zone.clone(), *out),
+            Change::Order(_) | Change::OrderGone { .. } => {}
         }
     }
 
--- /dev/null
+++ b/components/routing/tests/releases/world.rs
@@ -0,0 +1,624 @@
+//! Hosts, leaves and a store under simulated time, with real requests and real messages.
+
+use {
+    super::{
+        leaf::SimLeaf,
+        plan::{Fault, Plan},
+    },
+    crate::common::service,
+    rand::{RngExt, SeedableRng, rngs::SmallRng},
+    std::{cmp::Reverse, collections::BinaryHeap, net::Ipv4Addr, sync::Arc},
+    wigeonramp_routing::{
+        budget::ExtraAttemptLimit,
+        catalog::{RepeatPolicy, Route, Target},
+        exchange::{AttemptOutcome, AttemptRef, AttemptSpec, Exchange, RequestTimes},
+        leaf::LeafRegistration,
+        leaves::{LeafKey, Leaves},
+        limits::{LeafLimits, LimitHosts},
+        position::{FIRST_ERA, Position},
+        releases::{
+            Releases,
+            messages::{Outgoing, ReleaseMessage},
+            order::{OrderKey, OrderState, ReleaseBounds, StoredOrder},
+            status::{StatusResult, StatusWrite},
+        },
+        reply::LeafResponse,
+        state::RoutingState,
+    },
+    wigeonramp_units::{Instant, Revision, Span},
+};
+
+pub const BOUNDS: ReleaseBounds = ReleaseBounds {
+    exposure_share: 0.1,
+    exposure_slack: 50.0,
+    rollback: Span::millis(5_000),
+};
+const LEAVES_PER_VERSION: usize = 3;
+/// Time at which the order is written; before it, the hosts learn the baseline.
+const ORDER_AT: Instant = Instant(6_000_000);
+/// Time of the run after the end of the order.
+const AFTER: Span = Span::secs(4);
+const LOST_AFTER: Span = Span::secs(4);
+const VIEW_INTERVAL: Span = Span::millis(100);
+const MESSAGE_LOSS: f64 = 0.005;
+
+enum Event {
+    Arrive(usize),
+    Serve { host: usize, request: usize, attempt: AttemptRef, leaf: usize, route: usize },
+    Served { host: usize, request: usize, attempt: AttemptRef, status: u16, epoch: u32 },
+    Timer { host: usize, request: usize, epoch: u32 },
+    Poll { host: usize, epoch: u32 },
+    Message { from: usize, to: usize, message: ReleaseMessage },
+    Stored { host: usize, order: StoredOrder, epoch: u32 },
+    Write { host: usize, write: StatusWrite, epoch: u32 },
+    Written { host: usize, write: StatusWrite, result: StatusResult, epoch: u32 },
+    BeginFault,
+    EndFault,
+}
+
+struct Request {
+    exchange: Exchange,
+    route: usize,
+    is_done: bool,
+}
+
+struct SimHost {
+    cx: RoutingState,
+    requests: Vec<Request>,
+    epoch: u32,
+    down_since: Option<Instant>,
+    suspended: Option<(Instant, Vec<Event>)>,
+    is_cut_off: bool,
+    next_poll: Option<Instant>,
+    /// Own delay of the host.
+    delay: Span,
+}
+
+/// Measured result of an order.
+#[derive(Clone, Debug, Default)]
+pub struct Outcome {
+    /// Requests for the service between the order and the end of its time.
+    pub requests: u64,
+    /// Requests that the candidate got in that time.
+    pub exposed: u64,
+    pub bad: u64,
+    /// Time since the 50th bad response at the last request that the candidate got.
+    pub after_fiftieth: Option<Span>,
+    pub state: Option<OrderState>,
+    /// Time from the order to its final status.
+    pub took: Option<Span>,
+    pub writes: u64,
+    pub messages: u64,
+    /// Requests that baseline leaves got after the status said `completed`.
+    pub lost_at_promotion: u64,
+}
+
+pub struct World {
+    plan: Plan,
+    now: Instant,
+    rng: SmallRng,
+    serial: u64,
+    queue: BinaryHeap<(Reverse<(Instant, u64)>, usize)>,
+    events: Vec<Option<Event>>,
+    hosts: Vec<SimHost>,
+    leaves: Vec<SimLeaf>,
+    view: LimitHosts,
+    viewed_at: Instant,
+    order: StoredOrder,
+    store_down: bool,
+    lost_responses: u32,
+    fiftieth: Option<Instant>,
+    pub outcome: Outcome,
+}
+
+fn ip(host: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, 0, (host / 250) as u8, (host % 250) as u8 + 1)
+}
+
+fn zone(number: usize) -> String {
+    format!("z{number}")
+}
+
+fn registration(index: usize, leaf: &SimLeaf) -> LeafRegistration {
+    let version = if leaf.is_candidate { "v2" } else { "v1" };
+    LeafRegistration {
+        version: Some(version.to_owned().try_into().expect("a version")),
+        id: format!("leaf{index}").parse().expect("a leaf id"),
+        ..crate::common::registration("x", "s0", &zone(leaf.zone))
+    }
+}
+
+fn route(number: usize) -> Arc<Route> {
+    let route = crate::common::route(
+        RepeatPolicy::Idempotent,
+        Target::One(vec![(service("s0"), 1.0)]),
+    );
+    Arc::new(Route {
+        name: format!("r{number}"),
+        target_latency: Span::millis(120),
+        timeout: Span::millis(1_000),
+        ..route.as_ref().clone()
+    })
+}
+
+impl World {
+    pub fn new(plan: &Plan) -> Self {
+        let mut rng = SmallRng::seed_from_u64(plan.seed);
+        let leaves = (0..2 * LEAVES_PER_VERSION)
+            .map(|n| SimLeaf::new(n >= LEAVES_PER_VERSION, n % 3, plan, &mut rng))
+            .collect();
+        let order = StoredOrder {
+            key: OrderKey {
+                service: service("s0"),
+                target: "v2".to_owned().try_into().expect("a version"),
+            },
+            duration: plan.duration,
+            written: Position::new(FIRST_ERA, Revision(100)),
+            state: None,
+        };
+        let mut world = Self {
+            plan: plan.clone(),
+            now: Instant(1_000_000),
+            serial: 0,
+            queue: BinaryHeap::new(),
+            events: Vec::new(),
+            hosts: Vec::new(),
+            leaves,
+            view: LimitHosts::default(),
+            viewed_at: Instant(0),
+            order,
+            store_down: false,
+            lost_responses: 0,
+            fiftieth: None,
+            outcome: Outcome::default(),
+            rng,
+        };
+        for host in 0..plan.hosts {
+            let host = world.new_host(host, 0);
+            world.hosts.push(host);
+        }
+        for host in 0..plan.hosts {
+            world.register_leaves(host, 0..LEAVES_PER_VERSION, true);
+        }
+        for number in 0..plan.rates.len() {
+            world.add(Span::ZERO, Event::Arrive(number));
+        }
+        world
+    }
+
+    /// Number of hosts that callers use.
+    fn used(&self) -> usize {
+        self.plan.hosts.min(18)
+    }
+
+    fn new_host(&mut self, number: usize, epoch: u32) -> SimHost {
+        let serial = u64::from(epoch) * 1_000_000;
+        let limit = ExtraAttemptLimit { window: Span::secs(10), ratio: 0.1, fixed: 10.0 };
+        let mut cx = RoutingState::new(
+            Leaves::new(zone(number % 3).parse().expect("a zone")),
+            LeafLimits::new(ip(number), serial),
+            Releases::new(ip(number), Some(BOUNDS), serial),
+            limit,
+            SmallRng::seed_from_u64(self.rng.random()),
+        );
+        let used = self.used();
+        cx.traffic_share = if number < used { 1.0 / used as f64 } else { 0.0008 };
+        // One host is slow.
+        let delay = if number == 1 { Span::millis(12) } else { Span::ZERO };
+        SimHost {
+            cx,
+            requests: Vec::new(),
+            epoch,
+            down_since: None,
+            suspended: None,
+            is_cut_off: false,
+            next_poll: None,
+            delay,
+        }
+    }
+
+    fn register_leaves(&mut self, host: usize, which: std::ops::Range<usize>, first: bool) {
+        for index in which {
+            let registration = registration(index, &self.leaves[index]);
+            let cx = &mut self.hosts[host].cx;
+            cx.releases.on_leaf(&registration.service, &registration.version, first, self.now);
+            cx.leaves.register(registration, self.now);
+            cx.sync_releases(self.now);
+        }
+    }
+
+    fn add(&mut self, after: Span, event: Event) {
+        self.serial += 1;
+        let index = self.events.len();
+        self.events.push(Some(event));
+        self.queue.push((Reverse((self.now + after, self.serial)), index));
+    }
+
+    fn age(&self) -> f64 {
+        self.now.since(ORDER_AT).0 as f64 / self.plan.duration.0 as f64
+    }
+
+    /// Returns the hosts as the membership shows them.
+    fn view_hosts(&self) -> LimitHosts {
+        let is_known = |host: &SimHost| {
+            host.down_since.is_none_or(|at| self.now.since(at) < LOST_AFTER)
+        };
+        let alive: Vec<usize> =
+            (0..self.hosts.len()).filter(|n| is_known(&self.hosts[*n])).collect();
+        LimitHosts {
+            candidates: alive.iter().copied().filter(|n| *n < self.used()).map(ip).collect(),
+            alive: alive.iter().copied().map(ip).collect(),
+            stopping: Vec::new(),
+            known: self.hosts.len() as u32,
+        }
+    }
+
+    /// Plays the order; returns what was measured.
+    pub fn play(mut self) -> Outcome {
+        let end = ORDER_AT + self.plan.duration + AFTER;
+        let fault_at = ORDER_AT + Span((self.plan.duration.0 as f64 * self.plan.fault_at) as u64);
+        self.add(fault_at.since(self.now), Event::BeginFault);
+        let mut is_ordered = false;
+        while let Some((Reverse((at, _)), index)) = self.queue.pop() {
+            if at >= ORDER_AT && !is_ordered {
+                is_ordered = true;
+                self.now = ORDER_AT;
+                self.write_order();
+            }
+            if at >= end {
+                break;
+            }
+            self.now = self.now.max(at);
+            let Some(event) = self.events[index].take() else { continue };
+            self.handle(event);
+        }
+        self.outcome
+    }
+
+    /// Writes the order and registers the candidate's leaves.
+    fn write_order(&mut self) {
+        for host in 0..self.hosts.len() {
+            self.register_leaves(host, LEAVES_PER_VERSION..2 * LEAVES_PER_VERSION, false);
+        }
+        self.publish();
+    }
+
+    /// Delivers the order to all hosts, with the delays of watches and replication.
+    fn publish(&mut self) {
+        for host in 0..self.hosts.len() {
+            let delay = Span::millis(self.rng.random_range(5..300));
+            let order = self.order.clone();
+            let epoch = self.hosts[host].epoch;
+            self.add(delay, Event::Stored { host, order, epoch });
+        }
+    }
+
+    fn host_of(event: &Event) -> Option<(usize, Option<u32>)> {
+        match event {
+            Event::Served { host, epoch, .. }
+            | Event::Timer { host, epoch, .. }
+            | Event::Poll { host, epoch }
+            | Event::Stored { host, epoch, .. }
+            | Event::Written { host, epoch, .. } => Some((*host, Some(*epoch))),
+            Event::Message { to, .. } => Some((*to, None)),
+            _ => None,
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        if let Some((number, epoch)) = Self::host_of(&event) {
+            let host = &mut self.hosts[number];
+            if host.down_since.is_some() || epoch.is_some_and(|epoch| epoch != host.epoch) {
+                return;
+            }
+            if let Some((_, waiting)) = &mut host.suspended {
+                waiting.push(event);
+                return;
+            }
+        }
+        match event {
+            Event::Arrive(route) => self.arrive(route),
+            Event::Serve { host, request, attempt, leaf, route } => {
+                self.serve(host, request, attempt, leaf, route)
+            }
+            Event::Served { host, request, attempt, status, .. } => {
+                self.served(host, request, attempt, status)
+            }
+            Event::Timer { host, request, .. } => self.timer(host, request),
+            Event::Poll { host, .. } => {
+                // An earlier poll may have been scheduled since.
+                if self.hosts[host].next_poll.is_some_and(|at| at <= self.now) {
+                    self.hosts[host].next_poll = None;
+                    self.poll(host);
+                }
+            }
+            Event::Message { from, to, message } => {
+                let now = self.now;
+                let reply = self.hosts[to].cx.releases.on_message(ip(from), message, now);
+                self.send(to, reply.into_iter().collect());
+                self.poll(to);
+            }
+            Event::Stored { host, order, .. } => {
+                let now = self.now;
+                let cx = &mut self.hosts[host].cx;
+                cx.releases.on_order(order, false, now);
+                cx.sync_releases(now);
+                self.poll(host);
+            }
+            Event::Write { host, write, epoch } => self.write(host, write, epoch),
+            Event::Written { host, write, result, .. } => {
+                let now = self.now;
+                let cx = &mut self.hosts[host].cx;
+                cx.releases.on_written(&write, result, now);
+                cx.sync_releases(now);
+                self.poll(host);
+            }
+            Event::BeginFault => self.begin_fault(),
+            Event::EndFault => self.end_fault(),
+        }
+    }
+
+    fn arrive(&mut self, number: usize) {
+        let factor = match self.plan.fault {
+            Fault::RateChanges(factor) if self.age() > 0.33 => factor,
+            _ => 1.0,
+        };
+        let gap = -self.rng.random::<f64>().max(1e-9).ln() / (self.plan.rates[number] * factor);
+        self.add(Span((gap * 1e6) as u64), Event::Arrive(number));
+        let draw: f64 = self.rng.random();
+        let draw = if self.plan.skewed { draw * draw } else { draw };
+        let mut host = (draw * self.used() as f64) as usize;
+        let is_dead = |host: &SimHost| host.down_since.is_some() || host.suspended.is_some();
+        while is_dead(&self.hosts[host]) {
+            host = (host + 1) % self.used();
+        }
+        if self.now >= ORDER_AT && self.age() < 1.0 {
+            self.outcome.requests += 1;
+        }
+        let times = RequestTimes {
+            arrived: self.now,
+            deadline: self.now + Span::millis(1_000),
+            caller_overhead: Span::millis(4),
+        };
+        let mut specs = Vec::new();
+        let cx = &mut self.hosts[host].cx;
+        let (exchange, reply) = Exchange::begin(route(number), times, cx, self.now, &mut specs);
+        let request = self.hosts[host].requests.len();
+        self.hosts[host].requests.push(Request {
+            exchange,
+            route: number,
+            is_done: reply.is_some(),
+        });
+        self.start(host, request, specs);
+    }
+
+    fn start(&mut self, host: usize, request: usize, specs: Vec<AttemptSpec>) {
+        let epoch = self.hosts[host].epoch;
+        for AttemptSpec { attempt, leaf, .. } in specs {
+            let route = self.hosts[host].requests[request].route;
+            let leaf = self.leaf_of(host, leaf);
+            let way = self.way(host, leaf);
+            self.add(way, Event::Serve { host, request, attempt, leaf, route });
+        }
+        let Some(open) = self.hosts[host].requests.get(request).filter(|r| !r.is_done) else {
+            return;
+        };
+        let at = open.exchange.next_timer_at(self.now);
+        self.add(at.since(self.now), Event::Timer { host, request, epoch });
+    }
+
+    fn leaf_of(&self, host: usize, key: LeafKey) -> usize {
+        let leaf = self.hosts[host].cx.leaves.get(key).expect("a registered leaf");
+        leaf.registration.id.as_str()[4..].parse().expect("a number")
+    }
+
+    fn way(&mut self, host: usize, leaf: usize) -> Span {
+        let is_near = host % 3 == self.leaves[leaf].zone;
+        let way = if is_near { 200 } else { 900 };
+        Span(way + self.rng.random_range(0..200)) + self.hosts[host].delay / 2
+    }
+
+    fn serve(
+        &mut self,
+        host: usize,
+        request: usize,
+        attempt: AttemptRef,
+        leaf: usize,
+        route: usize,
+    ) {
+        let (age, now) = (self.age(), self.now);
+        let served = self.leaves[leaf].serve(&self.plan, route, age, now, &mut self.rng);
+        if self.leaves[leaf].is_candidate {
+            self.outcome.exposed += u64::from(now >= ORDER_AT && age < 1.0);
+            let since = self.fiftieth.map(|at| now.since(at));
+            self.outcome.after_fiftieth = since.or(self.outcome.after_fiftieth);
+        } else if self.outcome.state == Some(OrderState::Completed) {
+            self.outcome.lost_at_promotion += 1;
+        }
+        if served.is_bad {
+            self.outcome.bad += 1;
+            if self.outcome.bad == 50 {
+                self.fiftieth = Some(served.done);
+            }
+        }
+        let back = self.way(host, leaf);
+        let epoch = self.hosts[host].epoch;
+        let event = Event::Served { host, request, attempt, status: served.status, epoch };
+        self.add(served.done.since(now) + back, event);
+    }
+
+    fn served(&mut self, host: usize, request: usize, attempt: AttemptRef, status: u16) {
+        let now = self.now;
+        let SimHost { cx, requests, .. } = &mut self.hosts[host];
+        let open = &mut requests[request];
+        let mut specs = Vec::new();
+        if open.is_done {
+            let signal = if status < 500 {
+                wigeonramp_routing::leaf::HealthSignal::Answered
+            } else {
+                wigeonramp_routing::leaf::HealthSignal::Failed
+            };
+            open.exchange.on_discarded_outcome(attempt, signal, cx, now);
+        } else {
+            let response = AttemptOutcome::Response(LeafResponse {
+                status,
+                stamp: Some("s".to_owned()),
+                headers: Vec::new(),
+                body: Vec::new(),
+            });
+            let reply = open.exchange.on_outcome(attempt, response, true, cx, now, &mut specs);
+            open.is_done = reply.is_some();
+        }
+        self.start(host, request, specs);
+        self.poll(host);
+    }
+
+    fn timer(&mut self, host: usize, request: usize) {
+        let now = self.now;
+        let SimHost { cx, requests, .. } = &mut self.hosts[host];
+        let open = &mut requests[request];
+        if open.is_done || now < open.exchange.next_timer_at(now).min(now) {
+            return;
+        }
+        let mut specs = Vec::new();
+        let reply = open.exchange.on_timer(cx, now, &mut specs);
+        open.is_done = reply.is_some();
+        self.start(host, request, specs);
+    }
+
+    fn poll(&mut self, host: usize) {
+        let now = self.now;
+        if self.hosts[host].cx.releases.next_at().is_none_or(|at| now < at) {
+            return self.schedule_poll(host);
+        }
+        if now.since(self.viewed_at) >= VIEW_INTERVAL {
+            self.viewed_at = now;
+            self.view = self.view_hosts();
+        }
+        let cx = &mut self.hosts[host].cx;
+        let out = cx.poll_releases(&self.view, now);
+        let write = cx.releases.due_write(&self.view, now);
+        cx.releases.take_changes();
+        self.send(host, out);
+        let epoch = self.hosts[host].epoch;
+        if let Some(write) = write {
+            self.add(Span::millis(8), Event::Write { host, write, epoch });
+        }
+        self.schedule_poll(host);
+    }
+
+    fn schedule_poll(&mut self, host: usize) {
+        let now = self.now;
+        let epoch = self.hosts[host].epoch;
+        let next_at = self.hosts[host].cx.releases.next_at();
+        let Some(at) = next_at.map(|at| at.max(now + Span::millis(5))) else { return };
+        let scheduled = self.hosts[host].next_poll;
+        if scheduled.is_none_or(|scheduled| at < scheduled) {
+            self.hosts[host].next_poll = Some(at);
+            self.add(at.since(now), Event::Poll { host, epoch });
+        }
+    }
+
+    fn send(&mut self, from: usize, out: Vec<Outgoing>) {
+        for Outgoing { to, message } in out {
+            let to = usize::from(to.octets()[2]) * 250 + usize::from(to.octets()[3]) - 1;
+            self.outcome.messages += 1;
+            let is_cut = self.hosts[from].is_cut_off || self.hosts[to].is_cut_off;
+            if is_cut || self.rng.random_bool(MESSAGE_LOSS) {
+                continue;
+            }
+            let way = Span(self.rng.random_range(400..3_000));
+            self.add(way, Event::Message { from, to, message });
+        }
+    }
+
+    /// The store handles a conditional write.
+    fn write(&mut self, host: usize, write: StatusWrite, epoch: u32) {
+        self.outcome.writes += 1;
+        let is_lost = self.lost_responses > 0;
+        let result = if self.store_down {
+            StatusResult::Failed
+        } else if write.revision != self.order.written.revision() {
+            let revision = self.order.written.revision();
+            StatusResult::Conflict { revision, state: self.order.state }
+        } else {
+            let revision = Revision(write.revision.0 + 1);
+            self.order.written = Position::new(FIRST_ERA, revision);
+            self.order.state = Some(write.state);
+            if write.state.is_final() {
+                self.outcome.state = Some(write.state);
+                self.outcome.took = Some(self.now.since(ORDER_AT));
+            }
+            self.publish();
+            StatusResult::Written(Some(revision))
+        };
+        let (result, delay) = if is_lost {
+            self.lost_responses -= 1;
+            (StatusResult::Failed, Span::millis(700))
+        } else {
+            (result, Span::millis(8))
+        };
+        self.add(delay, Event::Written { host, write, result, epoch });
+    }
+
+    /// Returns the host that most hosts take for the deciding one: that with most totals.
+    fn decider(&self) -> usize {
+        let open = |n: &usize| {
+            let release = self.hosts[*n].cx.releases.get(&service("s0"));
+            release.map_or(0, |release| release.reporter_count())
+        };
+        (0..self.used()).max_by_key(open).unwrap_or(0)
+    }
+
+    fn begin_fault(&mut self) {
+        let decider = self.decider();
+        let other = (decider + 1) % self.used();
+        match self.plan.fault {
+            Fault::DeciderRestarts => self.kill(decider, Some(Span::secs(1))),
+            Fault::DeciderLost => self.kill(decider, None),
+            Fault::DeciderSuspended(time) => {
+                self.hosts[decider].suspended = Some((self.now, Vec::new()));
+                self.add(time, Event::EndFault);
+            }
+            Fault::HostRestarts => self.kill(other, Some(Span::secs(1))),
+            Fault::HostCutOff => {
+                self.hosts[other].is_cut_off = true;
+                self.add(Span::secs(2), Event::EndFault);
+            }
+            Fault::StoreDown => {
+                self.store_down = true;
+                self.add(Span::secs(2), Event::EndFault);
+            }
+            Fault::LostResponses => self.lost_responses = 2,
+            Fault::None | Fault::RateChanges(_) => {}
+        }
+    }
+
+    fn kill(&mut self, host: usize, restarts_after: Option<Span>) {
+        self.hosts[host].down_since = Some(self.now);
+        if let Some(time) = restarts_after {
+            self.add(time, Event::EndFault);
+        }
+    }
+
+    fn end_fault(&mut self) {
+        self.store_down = false;
+        for number in 0..self.hosts.len() {
+            self.hosts[number].is_cut_off = false;
+            if self.hosts[number].down_since.is_some() {
+                let epoch = self.hosts[number].epoch + 1;
+                self.hosts[number] = self.new_host(number, epoch);
+                self.register_leaves(number, 0..2 * LEAVES_PER_VERSION, true);
+                let (order, now) = (self.order.clone(), self.now);
+                let cx = &mut self.hosts[number].cx;
+                cx.releases.on_order(order, true, now);
+                cx.sync_releases(now);
+                self.poll(number);
+            }
+            // The monotonic clock of a suspended host stands still; here its events are only late.
+            if let Some((_, waiting)) = self.hosts[number].suspended.take() {
+                waiting.into_iter().for_each(|event| self.handle(event));
+            }
+        }
+    }
+}
