--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -5,6 +5,7 @@
     crate::{
         limits::LimitsMessage,
         node::{EventSource, Node},
+        releases::ReleasesMessage,
         sock,
     },
     mio::{Interest, Poll, net::UdpSocket},
@@ -104,6 +105,9 @@
     /// Age of the sender's news in milliseconds; none if it has none.
     #[prost(uint32, optional, tag = "10")]
     news_age: Option<u32>,
+    /// Messages about releases; none where these are not in use.
+    #[prost(message, optional, tag = "11")]
+    releases: Option<ReleasesMessage>,
 }
 
 impl From<&MemberInfo> for MemberMessage {
@@ -153,6 +157,8 @@
     reported_config: ConfigVersion,
     /// Highest positions of changes that other hosts have reported, of leaves and evacuations.
     reported: [Position; 2],
+    /// Highest position of changes to orders that other hosts have reported.
+    reported_orders: Position,
 }
 
 impl Gossip {
@@ -166,6 +172,7 @@
             next_heartbeat: now,
             reported_config: ConfigVersion(0),
             reported: [Position::default(); 2],
+            reported_orders: Position::default(),
         })
     }
 
@@ -213,12 +220,17 @@
     }
 
     fn send_members(&mut self, to: &[Ipv4Addr], members: &[MemberInfo]) {
-        self.send_datagram(to, members, None);
+        self.send_datagram(to, members, None, None);
     }
 
     /// Sends messages about request limits of leaves.
     pub(crate) fn send_limits(&mut self, to: Ipv4Addr, limits: LimitsMessage) {
-        self.send_datagram(&[to], &[], Some(limits));
+        self.send_datagram(&[to], &[], Some(limits), None);
+    }
+
+    /// Sends messages about releases.
+    pub(crate) fn send_releases(&mut self, to: Ipv4Addr, releases: ReleasesMessage) {
+        self.send_datagram(&[to], &[], None, Some(releases));
     }
 
     fn send_datagram(
@@ -226,7 +238,12 @@
         to: &[Ipv4Addr],
         members: &[MemberInfo],
         limits: Option<LimitsMessage>,
+        releases: Option<ReleasesMessage>,
     ) {
+        let orders = self.replicated.orders.changed();
+        let releases = releases
+            .map(|message| message.with_last_change(orders))
+            .or_else(|| self.release_news());
         let own = std::iter::once(MemberMessage::from(self.members.own()));
         let [leaves, evacuations] = self.last_changes();
         let heartbeat = HeartbeatMessage {
@@ -239,8 +256,14 @@
             leaves_era: leaves.era().0,
             evacuations_era: evacuations.era().0,
             news_age: self.origin_selector.news_age(self.now).map(|age| age.as_millis() as u32),
+            releases,
+        };
+        let is_release = heartbeat.releases.as_ref().is_some_and(|m| !m.is_position_only());
+        let kind = match &heartbeat.limits {
+            Some(_) => "limits",
+            None if is_release => "releases",
+            None => "heartbeat",
         };
-        let kind = if heartbeat.limits.is_some() { "limits" } else { "heartbeat" };
         let bytes = heartbeat.encode_to_vec();
         self.metrics.count_datagrams(kind, bytes.len() * to.len());
         for ip in to {
@@ -259,6 +282,7 @@
         let upto = [state.leaves.upto(), state.evacuations.upto()];
         self.active_catalog.version().unwrap_or_default() >= self.gossip.reported_config
             && upto.iter().zip(&self.gossip.reported).all(|(upto, reported)| upto >= reported)
+            && state.orders.upto() >= self.gossip.reported_orders
     }
 
     pub(crate) fn on_datagrams(&mut self) {
@@ -312,6 +336,11 @@
         for (reported, changed) in self.gossip.reported.iter_mut().zip(changed) {
             *reported = changed.max(*reported);
         }
+        if let Some(releases) = &heartbeat.releases
+            && self.routing.releases.is_enabled()
+        {
+            self.gossip.reported_orders = releases.last_change().max(self.gossip.reported_orders);
+        }
         let version = ConfigVersion(heartbeat.config_version);
         self.gossip.reported_config = self.gossip.reported_config.max(version);
         if !self.is_up_to_date() {
@@ -320,6 +349,9 @@
         if let Some(limits) = &heartbeat.limits {
             self.on_limit_messages(sender.ip, limits);
         }
+        if let Some(releases) = &heartbeat.releases {
+            self.on_release_messages(sender.ip, releases);
+        }
         if is_new {
             self.send_all_members(sender.ip);
             self.send_known_limits(sender.ip);
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -14,6 +14,7 @@
 mod metrics;
 mod node;
 mod peers;
+mod releases;
 mod replicated;
 mod requests;
 mod sock;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -45,6 +45,11 @@
     kind: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct ReleaseLabels {
+    state: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
@@ -77,6 +82,9 @@
     leaving_leaves: Gauge,
     pausing_leaves: Gauge,
     datagram_bytes: Family<SendLabels, Counter>,
+    releases: Family<ReleaseLabels, Counter>,
+    status_writes: Family<ReleaseLabels, Counter>,
+    open_releases: Gauge,
     /// Attempt counts at the last export; the counters grow by the difference.
     last_counts: AttemptCounts,
     admitted_share: Gauge<f64, AtomicU64>,
@@ -115,6 +123,9 @@
             leaving_leaves: Gauge::default(),
             pausing_leaves: Gauge::default(),
             datagram_bytes: Family::default(),
+            releases: Family::default(),
+            status_writes: Family::default(),
+            open_releases: Gauge::default(),
             last_counts: AttemptCounts::default(),
             admitted_share: Gauge::default(),
             traffic_share: Gauge::default(),
@@ -151,6 +162,12 @@
         registry.register("limited_sends", help, this.limited_sends.clone());
         let help = "Bytes of datagrams sent to other hosts, without headers, by kind";
         registry.register("datagram_bytes", help, this.datagram_bytes.clone());
+        let help = "Changes of releases on this host by new phase or state";
+        registry.register("release_changes", help, this.releases.clone());
+        let help = "Writes of the statuses of releases by outcome";
+        registry.register("release_status_writes", help, this.status_writes.clone());
+        let help = "Orders of releases that are neither completed nor rolled back";
+        registry.register("open_releases", help, this.open_releases.clone());
         let help = "Leaves that name a limit";
         registry.register("limited_leaves", help, this.limited_leaves.clone());
         let help = "Registered leaves that have said in a response that they are leaving";
@@ -255,6 +272,16 @@
         self.datagram_bytes.get_or_create(&SendLabels { kind }).inc_by(bytes as u64);
     }
 
+    /// Counts a change of a release.
+    pub fn count_release(&self, state: &'static str) {
+        self.releases.get_or_create(&ReleaseLabels { state }).inc();
+    }
+
+    /// Counts a write of the status of a release.
+    pub fn count_status_write(&self, state: &'static str) {
+        self.status_writes.get_or_create(&ReleaseLabels { state }).inc();
+    }
+
     fn add_attempts(&mut self, counts: AttemptCounts) {
         let before = std::mem::replace(&mut self.last_counts, counts);
         self.extra_attempts.inc_by(counts.extra - before.extra);
@@ -273,6 +300,7 @@
         self.metrics.leaving_leaves.set(self.routing.leaves.leaving_count() as i64);
         let pausing = self.routing.leaves.pausing_count(self.now);
         self.metrics.pausing_leaves.set(pausing as i64);
+        self.metrics.open_releases.set(self.routing.releases.open_count() as i64);
         self.metrics.hosts.set(self.members.known_count() as i64);
         self.metrics.serving_hosts.set(self.members.serving(self.now).count() as i64);
         self.metrics.add_attempts(self.routing.counts);
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -39,6 +39,7 @@
         members::{MemberInfo, Membership, OwnState},
         poison::PoisonList,
         reconcile::Reconciler,
+        releases::Releases,
         state::RoutingState,
     },
     wigeonramp_units::{Instant, Span},
@@ -207,6 +208,11 @@
         let routing = RoutingState::new(
             leaves,
             limits,
+            Releases::new(
+                settings.ip,
+                settings.releases,
+                own.incarnation * SERIALS_PER_INCARNATION,
+            ),
             settings.extra_attempts,
             SmallRng::from_rng(&mut rng),
         );
@@ -243,10 +249,10 @@
             peers: Peers::default(),
             peer_listener,
             origin_selector: OriginSelector::new(now),
-            replicated: ReplicatedState::default(),
+            replicated: ReplicatedState::new(settings.releases.is_some()),
             reconciler: Reconciler::default(),
             started: now,
-            store: StoreClient::new(settings.store_address, now),
+            store: StoreClient::new(settings.store_address, settings.releases.is_some(), now),
             journal: Journal::new(settings.host.to_string()),
             metrics: Metrics::new(),
             rng,
@@ -366,6 +372,7 @@
         self.start_due_calls();
         self.send_due_heartbeat();
         self.send_limit_messages();
+        self.advance_releases();
         if self.now >= self.next_sweep {
             let is_urgent = self.stopping.is_some()
                 || self.origin_selector.origin() == Origin::Nobody
@@ -400,6 +407,7 @@
         self.sweep_requests();
         self.sweep_upstreams();
         self.sweep_leaves();
+        self.sweep_releases();
         self.report_limited_sends();
         self.advance_stop();
         self.refresh_shares();
@@ -416,8 +424,9 @@
         let watches_store = self.origin_selector.origin() == Origin::Store;
         let store = self.store.next_at(watches_store);
         let heartbeat = Some(self.gossip.next_at());
-        let due = [self.timers.next_at(), store, heartbeat, self.next_limit_message()];
-        due.into_iter().flatten().fold(self.next_sweep, Instant::min)
+        let messages = [self.next_limit_message(), self.next_release_work()];
+        let due = [self.timers.next_at(), store, heartbeat].into_iter().chain(messages);
+        due.flatten().fold(self.next_sweep, Instant::min)
     }
 
     /// Whether the host can serve callers.
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -5,10 +5,11 @@
 //! host responds with the missing changes and then sends every further change as it receives it.
 //! Frames are JSON with a length prefix.
 
+mod updates;
+
 use {
     crate::{
         node::{EventSource, Node},
-        replicated::ReplicatedState,
         sock::{self, OutBuf, ReadEnd},
     },
     mio::{Interest, net::TcpStream},
@@ -18,11 +19,11 @@
     std::{io::ErrorKind, net::Ipv4Addr},
     wigeonramp_routing::{
         catalog::Catalog,
-        changes::{Change, ChangeLog, Update},
+        changes::Update,
         follow::{KEEP_ALIVE, Origin},
         position::Position,
     },
-    wigeonramp_units::{ConfigVersion, Instant, LeafId, Span, ZoneId},
+    wigeonramp_units::{ConfigVersion, Instant, Span},
 };
 
 /// Maximum length of a frame in bytes; all leaves and routes of a large installation stay well
@@ -42,6 +43,13 @@
     config: Option<ConfigVersion>,
     leaves: Position,
     evacuations: Position,
+    /// Left out where releases are not in use.
+    #[serde(default, skip_serializing_if = "is_unknown")]
+    orders: Position,
+}
+
+fn is_unknown(position: &Position) -> bool {
+    !position.is_known()
 }
 
 /// The configuration in an update.
@@ -65,6 +73,8 @@
     leaves: Option<Update>,
     #[serde(skip_serializing_if = "Option::is_none")]
     evacuations: Option<Update>,
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    orders: Option<Update>,
 }
 
 const fn no_age() -> Option<Span> {
@@ -297,6 +307,7 @@
             config: self.active_catalog.version(),
             leaves: self.replicated.leaves.upto(),
             evacuations: self.replicated.evacuations.upto(),
+            orders: self.replicated.orders.upto(),
         }
     }
 
@@ -318,8 +329,10 @@
             return;
         }
         let update = self.update_since(&follower);
-        let is_empty =
-            update.config.is_none() && update.leaves.is_none() && update.evacuations.is_none();
+        let is_empty = update.config.is_none()
+            && update.leaves.is_none()
+            && update.evacuations.is_none()
+            && update.orders.is_none();
         let Some(conn) = self.peers.conns.get_mut(key) else { return };
         conn.follower = Some(current);
         if !is_empty || first {
@@ -378,115 +391,4 @@
             self.send_keepalives_after(MIN_NEWS_STEP);
         }
     }
-
-    fn update_since(&self, known: &KnownPositions) -> ReplicationUpdate {
-        let catalog = self.active_catalog.current().filter(|c| Some(c.version) > known.config);
-        let config = catalog.map(|catalog| ConfigUpdate {
-            upto: self.replicated.config_upto,
-            changed: self.replicated.config_upto,
-            catalog: catalog.as_ref().clone(),
-        });
-        let leaves = match self.replicated.leaves.since(known.leaves, self.now) {
-            Some(update) => Some(update),
-            None if self.replicated.leaves.upto() > known.leaves => Some(self.full_leaf_update()),
-            None => None,
-        };
-        let evacuations = match self.replicated.evacuations.since(known.evacuations, self.now) {
-            Some(update) => Some(update),
-            None if self.replicated.evacuations.upto() > known.evacuations => {
-                Some(self.full_evacuation_update())
-            }
-            None => None,
-        };
-        let newer = |update: &Update, known: Position| update.upto > known;
-        ReplicationUpdate {
-            age: None,
-            config,
-            leaves: leaves.filter(|update| newer(update, known.leaves)),
-            evacuations: evacuations.filter(|update| newer(update, known.evacuations)),
-        }
-    }
-
-    fn full_leaf_update(&self) -> Update {
-        let log = &self.replicated.leaves;
-        // Put-off changes come first: what this host knows takes precedence over them.
-        let deferred = self.reconciler.deferred(self.now).filter(|c| c.leaf().is_some());
-        let changes = deferred.chain(self.routing.leaves.registrations(self.now)).collect();
-        Update { whole: true, upto: log.upto(), changed: log.changed(), changes }
-    }
-
-    fn full_evacuation_update(&self) -> Update {
-        let log = &self.replicated.evacuations;
-        let evacuation = |zone: &ZoneId| Change::Evacuation {
-            zone: zone.clone(),
-            out: true,
-            written: self.reconciler.evacuated_at(zone),
-            grace: Span::ZERO,
-        };
-        let deferred = self.reconciler.deferred(self.now).filter(|c| c.leaf().is_none());
-        let changes = self.routing.leaves.evacuated().map(evacuation).chain(deferred).collect();
-        Update { whole: true, upto: log.upto(), changed: log.changed(), changes }
-    }
-
-    fn apply_replication_update(&mut self, update: ReplicationUpdate) {
-        if let Some(config) = update.config {
-            self.replicated.config_upto = self.replicated.config_upto.max(config.upto);
-            self.adopt(config.catalog, "host");
-            self.replicated.unsent_changes = true;
-        }
-        if let Some(leaves) = update.leaves {
-            self.apply_leaf_update(leaves);
-        }
-        if let Some(evacuations) = update.evacuations {
-            self.apply_evacuation_update(evacuations);
-        }
-    }
-
-    fn apply_leaf_update(&mut self, update: Update) {
-        self.reconciler.enter_era(update.upto.era(), self.now);
-        let is_included = |id: &LeafId| {
-            update.changes.iter().any(|c| matches!(c, Change::Leaf(leaf) if leaf.id == *id))
-        };
-        let gone = self.routing.leaves.ids().filter(|id| !is_included(id)).cloned();
-        let grace = self.reconciler.grace(self.now);
-        let gone = gone.map(|id| Change::LeafGone { id, grace }).collect();
-        self.apply_update(&update, gone, |state| &mut state.leaves);
-    }
-
-    fn apply_evacuation_update(&mut self, update: Update) {
-        self.reconciler.enter_era(update.upto.era(), self.now);
-        let is_included = |zone: &ZoneId| {
-            let is_zone = |c: &Change| matches!(c, Change::Evacuation { zone: z, .. } if z == zone);
-            update.changes.iter().any(is_zone)
-        };
-        let ended = self.routing.leaves.evacuated().filter(|zone| !is_included(zone)).cloned();
-        let grace = self.reconciler.grace(self.now);
-        let ended = ended.map(|zone| Change::end_of_evacuation(zone, grace)).collect();
-        self.apply_update(&update, ended, |state| &mut state.evacuations);
-    }
-
-    /// Applies an update of one kind of object from another host. If the update is a full one,
-    /// `removals` removes the objects that it does not contain.
-    fn apply_update(
-        &mut self,
-        update: &Update,
-        removals: Vec<Change>,
-        log: fn(&mut ReplicatedState) -> &mut ChangeLog,
-    ) {
-        let known = log(&mut self.replicated).upto();
-        if update.upto <= known || !(update.whole || update.upto.continues(known)) {
-            return;
-        }
-        for change in removals.iter().filter(|_| update.whole).chain(&update.changes) {
-            self.apply(change);
-        }
-        let now = self.now;
-        let log = log(&mut self.replicated);
-        if update.whole {
-            log.restart(update.upto, update.changed);
-        } else {
-            log.extend(update.upto, &update.changes, now);
-        }
-        self.replicated.unsent_changes = true;
-    }
 }
--- a/components/edge/src/replicated.rs
+++ b/components/edge/src/replicated.rs
@@ -18,6 +18,10 @@
 pub(crate) struct ReplicatedState {
     pub leaves: ChangeLog,
     pub evacuations: ChangeLog,
+    /// Orders of releases; nothing where these are not in use.
+    pub orders: ChangeLog,
+    /// Whether the host does not serve before it knows the orders.
+    pub waits_for_orders: bool,
     /// Position up to which this host knows the configuration.
     pub config_upto: Position,
     /// Time at which the active configuration was adopted.
@@ -27,15 +31,23 @@
 }
 
 impl ReplicatedState {
+    /// Creates the state of a host that knows nothing.
+    pub fn new(waits_for_orders: bool) -> Self {
+        Self { waits_for_orders, ..Self::default() }
+    }
+
     /// Returns the latest era of the store from which the state is.
     pub fn era(&self) -> StoreEra {
-        let positions = [self.leaves.upto(), self.evacuations.upto(), self.config_upto];
+        let logs = [&self.leaves, &self.evacuations, &self.orders].map(ChangeLog::upto);
+        let positions = [logs[0], logs[1], logs[2], self.config_upto];
         positions.map(Position::era).into_iter().max().unwrap_or_default()
     }
 
-    /// Whether complete lists of leaves and evacuations have been received.
+    /// Whether complete lists of leaves, evacuations and orders have been received.
     pub fn is_complete(&self) -> bool {
-        self.leaves.upto().is_known() && self.evacuations.upto().is_known()
+        self.leaves.upto().is_known()
+            && self.evacuations.upto().is_known()
+            && (self.orders.upto().is_known() || !self.waits_for_orders)
     }
 }
 
@@ -95,13 +107,21 @@
                 let fields = json!({ "zone": zone, "out": out });
                 self.journal.record("evacuation", fields, self.now);
             }
+            Change::Order(_) | Change::OrderGone { .. } => self.apply_order(change),
         }
     }
 
     fn apply_leaf(&mut self, registration: LeafRegistration) {
         let (id, draining, cold_left) =
             (registration.id.clone(), registration.draining, registration.cold_left);
-        let state = match self.routing.leaves.register(registration, self.now) {
+        let (service, version) = (registration.service.clone(), registration.version.clone());
+        let is_first_list = !self.replicated.leaves.upto().is_known();
+        let change = self.routing.leaves.register(registration, self.now);
+        if change != LeafChange::Kept && self.routing.releases.is_enabled() {
+            self.routing.releases.on_leaf(&service, &version, is_first_list, self.now);
+            self.routing.sync_releases(self.now);
+        }
+        let state = match change {
             LeafChange::Updated(_) if draining => "draining",
             // Not logged: a leaf that warms up updates its registration with every heartbeat.
             LeafChange::Kept | LeafChange::Removed(_) | LeafChange::Updated(_) => return,
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -359,12 +359,17 @@
     /// Returns the log fields of an attempt: its shard, leaf, outcome, duration and the time since
     /// it was sent.
     fn attempt_fields(&self, t: &AttemptTrace<'_>) -> Value {
-        let leaf = self.routing.leaves.get(t.leaf).map(|leaf| &leaf.registration.id);
+        let leaf = self.routing.leaves.get(t.leaf).map(|leaf| &leaf.registration);
         let (ended, outcome) = t.ended.unwrap_or((self.now, "no_answer"));
-        json!({
-            "service": t.service, "leaf": leaf, "end": outcome, "took_us": ended.since(t.sent).0,
-            "ago_us": self.now.since(t.sent).0,
-        })
+        let mut fields = json!({
+            "service": t.service, "leaf": leaf.map(|leaf| &leaf.id), "end": outcome,
+            "took_us": ended.since(t.sent).0, "ago_us": self.now.since(t.sent).0,
+        });
+        // Versions are known only where releases are in use.
+        if let Some(version) = leaf.and_then(|leaf| leaf.version.as_ref()) {
+            fields["version"] = json!(version);
+        }
+        fields
     }
 
     fn remove_if_done(&mut self, key: usize) {
--- a/components/edge/src/store/calls.rs
+++ b/components/edge/src/store/calls.rs
@@ -1,17 +1,21 @@
 //! Starting the calls that are due.
 
 use {
-    super::{Call, CallPurpose},
+    super::{Call, CallPurpose, StoreConn},
     crate::{
         node::{EventSource, Node},
         sock,
     },
     mio::Interest,
     serde_json::json,
-    wigeonramp_platform::objects::{self, ObjectKind},
+    wigeonramp_platform::{
+        objects::{self, ObjectKind},
+        rollouts,
+    },
     wigeonramp_routing::{
         follow::Origin,
         list_watch::{ListWatch, ListWatchCall},
+        releases::status::{StatusResult, StatusWrite},
     },
     wigeonramp_units::Span,
 };
@@ -79,6 +83,7 @@
             ObjectKind::Config => self.replicated.config_upto,
             ObjectKind::Leaves => self.replicated.leaves.upto(),
             ObjectKind::Evacuations => self.replicated.evacuations.upto(),
+            ObjectKind::Rollouts => self.replicated.orders.upto(),
             ObjectKind::Members => return,
         };
         conn.list_watch.advance_to(upto, self.now);
@@ -125,6 +130,22 @@
         self.start_call(index, bytes, CallPurpose::ListWatch(call), Span::ZERO);
     }
 
+    /// Whether the status of a release can be written now.
+    pub(crate) fn can_write_status(&self) -> bool {
+        let mut members = self.store.conns.iter().filter(|conn| conn.kind == ObjectKind::Members);
+        members.any(|conn| conn.call.is_none())
+    }
+
+    /// Starts the write of the status of a release, on the connection for members.
+    pub(crate) fn start_status_write(&mut self, write: StatusWrite) {
+        let is_members = |conn: &StoreConn| conn.kind == ObjectKind::Members;
+        let Some(index) = self.store.conns.iter().position(is_members) else { return };
+        match rollouts::status_request(&write, self.store.address) {
+            Ok(bytes) => self.start_call(index, bytes, CallPurpose::Status(write), Span::ZERO),
+            Err(_) => self.on_status_written(&write, StatusResult::Failed),
+        }
+    }
+
     /// Returns the probe that is due and the index of the connection whose watch it confirms.
     fn due_probe(&mut self) -> Option<(usize, ListWatchCall)> {
         if self.store.health.next_probe().is_none_or(|at| self.now < at) {
@@ -170,7 +191,9 @@
         self.metrics.count_store_call(conn.kind.name());
         let timeout = match purpose {
             CallPurpose::ListWatch(_) => CALL_TIMEOUT,
-            CallPurpose::Probe { .. } | CallPurpose::Register => PROBE_TIMEOUT,
+            CallPurpose::Probe { .. } | CallPurpose::Register | CallPurpose::Status(_) => {
+                PROBE_TIMEOUT
+            }
         };
         if matches!(purpose, CallPurpose::Probe { .. }) {
             conn.list_watch.begin_call(now);
--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -4,9 +4,12 @@
     super::Call,
     crate::node::Node,
     serde_json::json,
-    wigeonramp_platform::objects::{self, CONFIG_OBJECT, ObjectChanges, ObjectKind, StoredObject},
+    wigeonramp_platform::{
+        objects::{self, CONFIG_OBJECT, ObjectChanges, ObjectKind, StoredObject},
+        rollouts,
+    },
     wigeonramp_routing::{changes::Change, lapse::Vanished, position::Position},
-    wigeonramp_units::{Instant, LeafId, Revision, Span, ZoneId},
+    wigeonramp_units::{Instant, LeafId, Revision, ServiceId, Span, ZoneId},
 };
 
 impl Node {
@@ -67,6 +70,13 @@
             ObjectKind::Config => {
                 self.replicated.config_upto = self.replicated.config_upto.max(upto);
             }
+            ObjectKind::Rollouts => {
+                let removals = self.order_removals(|service| all_names.contains(service.as_str()));
+                for change in removals {
+                    self.apply(&change);
+                }
+                self.replicated.orders.restart(upto, last_change);
+            }
             ObjectKind::Members => {}
         }
         self.replicated.unsent_changes = true;
@@ -117,6 +127,10 @@
                 (ObjectKind::Evacuations, _, Ok(zone)) => {
                     changes.push(Change::end_of_evacuation(zone, Span::ZERO));
                 }
+                (ObjectKind::Rollouts, ..) => {
+                    let service = name.parse::<ServiceId>().ok();
+                    changes.extend(service.map(|service| Change::OrderGone { service }));
+                }
                 _ => {}
             }
         }
@@ -132,6 +146,7 @@
                 self.replicated.config_upto = self.replicated.config_upto.max(position);
                 true
             }
+            ObjectKind::Rollouts => self.replicated.orders.extend(position, &all_changes, self.now),
             ObjectKind::Members => false,
         };
         if is_new {
@@ -166,6 +181,10 @@
                 }
                 Err(_) => self.log_ignored(kind, object, "not the name of a zone"),
             },
+            ObjectKind::Rollouts => match rollouts::parse_order(object, self.store.era()) {
+                Ok(order) => return Some(Change::Order(order)),
+                Err(err) => self.log_ignored(kind, object, &err),
+            },
             ObjectKind::Members => match objects::parse_member(object) {
                 Ok((ip, zone)) => self.members.add_by_address(ip, zone),
                 Err(err) => self.log_ignored(kind, object, &err),
@@ -198,7 +217,12 @@
     /// Returns the change for a leaf's registration. An invalid registration removes the leaf.
     fn read_leaf(&mut self, object: &StoredObject) -> Option<Change> {
         match objects::parse_leaf(object) {
-            Ok(registration) => Some(Change::Leaf(registration)),
+            Ok(mut registration) => {
+                if !self.routing.releases.is_enabled() {
+                    registration.version = None;
+                }
+                Some(Change::Leaf(registration))
+            }
             Err(err) => {
                 self.log_ignored(ObjectKind::Leaves, object, &err);
                 let id = object.name.parse().ok()?;
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -27,6 +27,7 @@
     wigeonramp_routing::{
         list_watch::{ListWatch, ListWatchCall},
         position::Position,
+        releases::status::StatusWrite,
         store_health::StoreHealth,
     },
     wigeonramp_units::{Instant, StoreEra},
@@ -40,6 +41,8 @@
 enum CallPurpose {
     ListWatch(ListWatchCall),
     Register,
+    /// Writes the status of a release.
+    Status(StatusWrite),
     /// A poll that shows whether the watch on another connection has missed a change.
     Probe {
         /// Index of the connection with the watch.
@@ -66,7 +69,7 @@
 }
 
 /// A connection to the store, which carries the calls for one kind of object. The connection for
-/// [`ObjectKind::Members`] also carries probes and the registration.
+/// [`ObjectKind::Members`] also carries probes, the registration and the statuses of releases.
 #[derive(Debug)]
 struct StoreConn {
     kind: ObjectKind,
@@ -104,7 +107,7 @@
 
 impl StoreClient {
     /// Creates a client without connections.
-    pub fn new(address: SocketAddr, now: Instant) -> Self {
+    pub fn new(address: SocketAddr, has_releases: bool, now: Instant) -> Self {
         let conn = |kind: &ObjectKind| StoreConn {
             kind: *kind,
             list_watch: ListWatch::new(now),
@@ -116,7 +119,8 @@
             call: None,
             last_change: Position::default(),
         };
-        let conns = ObjectKind::ALL.iter().map(conn).collect();
+        let is_used = |kind: &&ObjectKind| **kind != ObjectKind::Rollouts || has_releases;
+        let conns = ObjectKind::ALL.iter().filter(is_used).map(conn).collect();
         Self {
             address,
             conns,
--- a/components/edge/src/store/outcomes.rs
+++ b/components/edge/src/store/outcomes.rs
@@ -4,11 +4,12 @@
     super::{Call, CallPurpose},
     crate::node::Node,
     serde_json::json,
-    wigeonramp_platform::{http::ResponseHead, objects},
+    wigeonramp_platform::{http::ResponseHead, objects, rollouts},
     wigeonramp_routing::{
         follow::Origin,
         list_watch::ListWatchCall,
         position::{FIRST_ERA, Position},
+        releases::status::StatusResult,
     },
     wigeonramp_units::StoreEra,
 };
@@ -24,6 +25,10 @@
             let fields = json!({ "error": reason });
             return self.journal.record("register_failed", fields, self.now);
         }
+        // A store that refuses writes may still answer the other calls.
+        if let CallPurpose::Status(write) = &call.purpose {
+            return self.on_status_written(write, StatusResult::Failed);
+        }
         conn.list_watch.on_error(self.now, &mut self.rng);
         if self.store.unavailable_since.is_none() {
             self.store.unavailable_since = Some(self.now);
@@ -74,6 +79,10 @@
             (CallPurpose::Register, 200..=299 | 409) => {
                 self.store.registered = true;
             }
+            (CallPurpose::Status(write), status) => {
+                let result = rollouts::parse_status_response(write, status, body);
+                self.on_status_written(write, result);
+            }
             (CallPurpose::Probe { watch }, 200) => self.on_probe(index, *watch, call, body),
             // Gone: the store has discarded the changes that the watch waits for.
             (CallPurpose::Probe { watch }, 410) => {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -251,13 +251,7 @@
     }
 
     /// Records the end of an attempt for the release of its service.
-    fn record_end(
-        &self,
-        at: AttemptRef,
-        end: AttemptEnd,
-        cx: &mut RoutingState,
-        now: Instant,
-    ) {
+    fn record_end(&self, at: AttemptRef, end: AttemptEnd, cx: &mut RoutingState, now: Instant) {
         let part = &self.parts[at.part];
         let attempt = &part.attempts[at.number];
         let latency = now.since(attempt.sent);
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -1,17 +1,20 @@
 //! Leaves known to one host and the selection of a leaf for an attempt.
 
+mod versions;
+
+pub use versions::VersionConstraint;
+
 use {
     crate::{
         changes::Change,
         leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         limits::LeafLimits,
         notices::RememberedNotices,
-        releases::{order::Version, release::LeafFacts},
+        releases::order::Version,
     },
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, RngExt},
     wigeonramp_units::{Instant, LeafId, RegionId, ServiceId, Span, ZoneId},
-    xxhash_rust::xxh3::xxh3_64,
 };
 
 /// Key of a leaf while it is registered; keys are not reused.
@@ -66,21 +69,6 @@
     pub version: VersionConstraint<'a>,
 }
 
-/// Constraint on the version of a leaf.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum VersionConstraint<'a> {
-    /// All versions but those that are barred for the service.
-    Unbarred,
-    /// Only this version, also if it is barred; no cold leaves. `few` selects one leaf for all hosts,
-    /// so that it sees a normal load of the few requests.
-    Only {
-        /// The version.
-        version: &'a Version,
-        /// Whether only few requests are sent to the version.
-        few: bool,
-    },
-}
-
 /// Result of the selection of a leaf.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Selection {
@@ -308,43 +296,6 @@
         self.is_usable(leaf) && !self.is_barred(leaf)
     }
 
-    fn is_barred(&self, leaf: &Leaf) -> bool {
-        let barred = self.barred.get(&leaf.registration.service);
-        barred.is_some_and(|versions| versions.contains(&leaf.registration.version))
-    }
-
-    /// Sets the versions of a service that requests do not go to. Returns whether they have changed.
-    pub fn set_barred(&mut self, service: &ServiceId, versions: IndexSet<Option<Version>>) -> bool {
-        if versions.is_empty() {
-            return self.barred.swap_remove(service).is_some();
-        }
-        let before = self.barred.insert(service.clone(), versions);
-        before.as_ref() != self.barred.get(service)
-    }
-
-    /// Returns the services with barred versions.
-    pub fn barred_services(&self) -> impl Iterator<Item = &ServiceId> {
-        self.barred.keys()
-    }
-
-    /// Returns the versions of the leaves of a service.
-    pub fn versions(&self, service: &ServiceId) -> IndexSet<Option<Version>> {
-        self.of_service(service).map(|(_, leaf)| leaf.registration.version.clone()).collect()
-    }
-
-    /// Returns the facts about the leaves of a service on which a release to `target` depends.
-    pub fn release_facts(&self, service: &ServiceId, target: &Version, now: Instant) -> LeafFacts {
-        let mut facts = LeafFacts::default();
-        for (_, leaf) in self.of_service(service) {
-            if leaf.registration.version.as_ref() == Some(target) {
-                facts.has_candidate |= self.is_usable(leaf) && !leaf.is_cold(now);
-            } else {
-                facts.baseline_in_flight |= leaf.pending() > 0;
-            }
-        }
-        facts
-    }
-
     /// Whether the leaf can be used, apart from its version.
     fn is_usable(&self, leaf: &Leaf) -> bool {
         !leaf.registration.draining
@@ -411,34 +362,6 @@
         Selection { leaf: Some(key), denied }
     }
 
-    /// Whether the leaf is available and its version meets the constraint.
-    fn admits(&self, criteria: &LeafCriteria<'_>, leaf: &Leaf, now: Instant) -> bool {
-        match criteria.version {
-            VersionConstraint::Unbarred => self.is_available(leaf, now),
-            VersionConstraint::Only { version, .. } => {
-                leaf.registration.version.as_ref() == Some(version)
-                    && self.is_usable(leaf)
-                    && !leaf.is_cold(now)
-                    && leaf.notice.wait(leaf.pending(), now) == Some(Span::ZERO)
-            }
-        }
-    }
-
-    /// Returns the leaf that all hosts choose for the few requests to a version; none without such a
-    /// constraint.
-    fn sole_leaf(&self, criteria: &LeafCriteria<'_>, now: Instant) -> Option<LeafKey> {
-        let VersionConstraint::Only { few: true, .. } = criteria.version else { return None };
-        let is_possible = |leaf: &Leaf| {
-            self.admits(criteria, leaf, now)
-                && now >= leaf.backoff_until()
-                && !leaf.is_overdue(now)
-                && may_send(leaf, criteria.limits, criteria.priority, now)
-                && self.is_in_regions(&leaf.registration.zone, criteria.homes)
-        };
-        let possible = self.of_service(criteria.service).filter(|(_, leaf)| is_possible(leaf));
-        possible.min_by_key(|(_, leaf)| xxh3_64(leaf.registration.id.as_str().as_bytes())).map(|(key, _)| key)
-    }
-
     /// Returns the available leaves of a service that name a limit and for which this host has no
     /// permit; none if one of its leaves can be sent a request of this priority now.
     pub fn without_permits(
--- a/components/routing/src/releases/counting.rs
+++ b/components/routing/src/releases/counting.rs
@@ -56,12 +56,7 @@
 impl Counting {
     /// Creates empty counts.
     pub fn new(now: Instant) -> Self {
-        Self {
-            requests: 0,
-            sent: 0,
-            rows: IndexMap::new(),
-            evidence: Evidence::new(now),
-        }
+        Self { requests: 0, sent: 0, rows: IndexMap::new(), evidence: Evidence::new(now) }
     }
 
     /// Counts an ended attempt. Returns whether its response was bad and from the candidate.
--- a/components/routing/src/releases/decider.rs
+++ b/components/routing/src/releases/decider.rs
@@ -21,8 +21,23 @@
 const STEP_PERCENT: u64 = 5;
 /// Shortest step: the hosts' totals arrive every 200 ms.
 const MIN_STEP: Span = Span::millis(250);
+/// Length of the last step, in percent of the order's duration: two windows of the test for slowness, as
+/// a version that is bad only under load shows it here.
+const LAST_STEP_PERCENT: u64 = 8;
+/// Part of what is left of the bound on the exposure that the last step spends at most.
+const LAST_STEP_SPENDS: f64 = 0.9;
+/// The same for other steps.
+const STEP_SPENDS: f64 = 0.5;
+/// Time of the last step that must be affordable after a step with half of the requests; otherwise that
+/// step is left out.
+const RESERVED_LAST_STEP: Span = Span::millis(750);
+/// Part of the order's duration after which hosts that have not confirmed for `UNCONFIRMED_AFTER` are
+/// passed over, in percent. A lost host counts as live for 4 s.
+const PASS_OVER_PERCENT: u64 = 90;
+/// Time since the beginning of the last step after which a host is passed over.
+const UNCONFIRMED_AFTER: Span = Span::millis(1_500);
 /// Shortest time with all requests at the candidate before the completion.
-const MIN_LAST_STEP: Span = Span::millis(350);
+const MIN_LAST_STEP: Span = Span::millis(450);
 /// Part of the order's duration after which steps no longer wait for a number of responses, in percent.
 const PRESSED_PERCENT: u64 = 80;
 /// Part of the order's duration after which a release that is not in its last phase is rolled back, in
@@ -32,6 +47,22 @@
 const STEP_RESPONSES: f64 = 6.0;
 /// Part of the expected responses that a step needs if few requests arrive.
 const STEP_RESPONSE_FRACTION: f64 = 0.4;
+/// Part of a test's threshold that its sum may reach for a step.
+const CALM: f64 = 0.5;
+/// The same once steps no longer wait, since a release that is not completed in time has failed as well.
+const PRESSED_CALM: f64 = 0.6;
+/// Share of slow responses beyond the expected one with which a step does not end. Two of three leaves
+/// that pause delay it only.
+const DOUBTFUL_SLOW_SHARE: f64 = 0.2;
+/// The same for a rollback after `SLOW_STEP_TIME` of a step: under the load of this step, most responses
+/// of all leaves are slow.
+const PLAIN_SLOW_SHARE: f64 = 0.35;
+/// Time from which the share of a step counts; pauses of leaves are shorter.
+const SLOW_STEP_TIME: Span = Span::millis(500);
+/// Responses from which the share of a step counts for a rollback.
+const MIN_SLOW_STEP_RESPONSES: u32 = 24;
+/// Responses from which it counts for a delay.
+const MIN_DOUBTFUL_RESPONSES: u32 = 8;
 /// Half-life of the measured request rate.
 const RATE_HALF_LIFE: Span = Span::secs(1);
 
@@ -98,6 +129,8 @@
 struct Snapshot {
     answered: u32,
     broken: u32,
+    judged: u32,
+    slow: u32,
 }
 
 /// State of the deciding host for one order.
@@ -150,8 +183,7 @@
         }
         // A host that has restarted counts from zero again.
         let increase = |before: u64, now: u64| if now < before { now } else { now - before };
-        let (requests, sent) =
-            before.map_or((0, 0), |before| (before.requests, before.sent));
+        let (requests, sent) = before.map_or((0, 0), |before| (before.requests, before.sent));
         self.requests += increase(requests, totals.requests);
         self.sent += increase(sent, totals.sent);
         self.reports.insert(from, totals.clone());
@@ -195,15 +227,19 @@
         if let Some(finding) = self.evidence.finding(now) {
             return Decision::RollBack(Reason::Found(finding));
         }
+        if self.is_slow_step(cx, now) {
+            return Decision::RollBack(Reason::Found(Finding::Slow));
+        }
         let is_late = cx.age >= cx.duration.percent(GIVE_UP_PERCENT);
         if is_late && cx.phase < Phase::Draining {
             return Decision::RollBack(Reason::Late);
         }
         if cx.phase == Phase::Draining {
             let held = now.since(self.phase_began) >= self.step_time(cx);
-            return if held && self.is_drained(cx) { Decision::Complete } else { Decision::Keep };
+            let is_ready = held && self.is_calm(cx) && self.is_drained(cx, now);
+            return if is_ready { Decision::Complete } else { Decision::Keep };
         }
-        match cx.phase.next() {
+        match self.next_phase(cx) {
             Some(next) if self.may_advance(cx, now) => {
                 self.enter(next, now);
                 Decision::Advance(next)
@@ -216,7 +252,12 @@
         self.phase = phase;
         self.phase_began = now;
         let counts = self.evidence.candidate();
-        self.before_phase = Snapshot { answered: counts.answered, broken: counts.broken };
+        self.before_phase = Snapshot {
+            answered: counts.answered,
+            broken: counts.broken,
+            judged: counts.judged(),
+            slow: self.evidence.slow_counts().0,
+        };
     }
 
     fn measure_rate(&mut self, now: Instant) {
@@ -230,22 +271,36 @@
         (self.rate_at, self.rate_requests) = (now, self.requests);
     }
 
-    /// Returns the time that the phase in force takes. A step spends at most half of what is left of
-    /// the bound on the exposure when it begins, as far as hosts can be told in time.
+    /// Returns the number of requests that the candidate may still get within the bound.
+    fn left(&self, cx: &Circumstances<'_>) -> f64 {
+        let bound = cx.bounds.exposure_share * self.requests as f64 + cx.bounds.exposure_slack;
+        (bound - self.sent as f64).max(0.0)
+    }
+
+    /// Returns the time that the phase in force takes. A step spends only a part of what is left of the
+    /// bound on the exposure when it begins, as far as hosts can be told in time.
     fn step_time(&self, cx: &Circumstances<'_>) -> Span {
-        let shortest =
-            if cx.phase == Phase::Draining { MIN_LAST_STEP } else { MIN_STEP };
-        let usual = cx.duration.percent(STEP_PERCENT).max(shortest);
-        let bound =
-            cx.bounds.exposure_share * self.requests as f64 + cx.bounds.exposure_slack;
-        let left = (bound - self.sent as f64).max(0.0);
+        let (shortest, percent, spends) = match cx.phase {
+            Phase::Draining => (MIN_LAST_STEP, LAST_STEP_PERCENT, LAST_STEP_SPENDS),
+            _ => (MIN_STEP, STEP_PERCENT, STEP_SPENDS),
+        };
+        let usual = cx.duration.percent(percent).max(shortest);
         let per_second = self.rate * cx.phase.share().unwrap_or(0.0);
-        let affordable = Span((left / 2.0 / per_second.max(0.01) * 1e6) as u64);
+        let affordable = Span((self.left(cx) * spends / per_second.max(0.01) * 1e6) as u64);
         affordable.min(usual).max(shortest)
     }
 
+    /// Returns the phase after the one in force. The step with half of the requests is left out if the
+    /// last step could not be afforded after it.
+    fn next_phase(&self, cx: &Circumstances<'_>) -> Option<Phase> {
+        let next = cx.phase.next()?;
+        let seconds = |span: Span| span.0 as f64 / 1e6;
+        let cost = self.rate * (seconds(MIN_STEP) / 2.0 + seconds(RESERVED_LAST_STEP));
+        if next == Phase::Half && self.left(cx) < cost { next.next() } else { Some(next) }
+    }
+
     fn may_advance(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
-        if !cx.has_candidate || !self.evidence.is_calm() {
+        if !cx.has_candidate || !self.is_calm(cx) {
             return false;
         }
         let is_due = match cx.phase {
@@ -260,6 +315,31 @@
         is_due && !is_doubtful && (self.is_pressed(cx) || self.has_responses(cx, answered, now))
     }
 
+    /// Returns the share of slow responses in the step in force beyond the expected one, if the step has
+    /// at least so many responses.
+    fn excess_slow_share(&self, min_responses: u32) -> Option<f64> {
+        let judged = self.evidence.candidate().judged() - self.before_phase.judged;
+        let slow = self.evidence.slow_counts().0 - self.before_phase.slow;
+        let share = f64::from(slow) / f64::from(judged.max(1));
+        (judged >= min_responses).then(|| share - self.evidence.expected_slow_share())
+    }
+
+    fn is_slow_step(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
+        let is_long = now.since(self.phase_began) >= SLOW_STEP_TIME;
+        let excess = self.excess_slow_share(MIN_SLOW_STEP_RESPONSES);
+        cx.phase > Phase::Canary
+            && is_long
+            && excess.is_some_and(|excess| excess >= PLAIN_SLOW_SHARE)
+    }
+
+    fn is_calm(&self, cx: &Circumstances<'_>) -> bool {
+        let excess = self.excess_slow_share(MIN_DOUBTFUL_RESPONSES);
+        if cx.phase > Phase::Canary && excess.is_some_and(|excess| excess >= DOUBTFUL_SLOW_SHARE) {
+            return false;
+        }
+        self.evidence.is_calm(if self.is_pressed(cx) { PRESSED_CALM } else { CALM })
+    }
+
     fn is_pressed(&self, cx: &Circumstances<'_>) -> bool {
         cx.age >= cx.duration.percent(PRESSED_PERCENT)
     }
@@ -276,7 +356,14 @@
     }
 
     /// Whether no live host sends to baseline leaves any more, and none has a request in flight there.
-    fn is_drained(&self, cx: &Circumstances<'_>) -> bool {
-        cx.hosts.iter().all(|host| self.has_drained(*host))
+    fn is_drained(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
+        let passes_over = cx.age >= cx.duration.percent(PASS_OVER_PERCENT)
+            && now.since(self.phase_began) >= UNCONFIRMED_AFTER;
+        let is_silent = |host: &Ipv4Addr| {
+            let report = self.reports.get(host);
+            report.is_none_or(|report| report.phase < Phase::Draining)
+        };
+        let mut hosts = cx.hosts.iter();
+        hosts.all(|host| self.has_drained(*host) || (passes_over && is_silent(host)))
     }
 }
--- a/components/routing/src/releases/evidence.rs
+++ b/components/routing/src/releases/evidence.rs
@@ -18,19 +18,15 @@
 
 /// Latency from which a response is slow, as a multiple of the baseline's median on the same route.
 /// Healthy leaves differ in speed by up to 1.6.
-const SLOW_FACTOR: f64 = 2.0;
+const SLOW_FACTOR: f64 = 2.4;
 /// Responses of the baseline on a route from which its median is used.
 const MIN_BASELINE: u32 = 8;
 /// Sum from which a version counts as failing: three failures close together.
 const FAILURE_THRESHOLD: f64 = 6.5;
 /// Sum from which a version counts as slow.
 const SLOWNESS_THRESHOLD: f64 = 8.0;
-/// Part of a threshold up to which a release may take its next step.
-const CALM_FRACTION: f64 = 0.5;
-/// Highest log-likelihood ratio of all counts with which a release may take its next step.
+/// Highest log-likelihood ratio of all failures with which a release may take its next step.
 const MAX_CALM_RATIO: f64 = 1.0;
-/// Share of bad responses beyond the baseline's that this ratio assumes.
-const OVERALL_STEP: f64 = 0.2;
 /// Lowest failure share that is expected of a healthy version.
 const MIN_FAILURE_SHARE: f64 = 0.01;
 /// Failure share that a bad version is assumed to have beyond the baseline's.
@@ -108,6 +104,14 @@
     pauses: f64,
 }
 
+impl Window {
+    /// Returns the log-likelihood ratio of its responses.
+    fn ratio(&self, (of_slow, of_good): (f64, f64)) -> f64 {
+        let scale = (self.slow / self.pauses).max(1.0);
+        (self.slow * of_slow + self.good * of_good) / scale
+    }
+}
+
 /// The tests of one order.
 #[derive(Clone, Debug)]
 pub struct Evidence {
@@ -117,6 +121,7 @@
     recent: Recent,
     candidate: Counts,
     candidate_slow: u32,
+    candidate_by_route: IndexMap<RouteHash, Counts>,
     failures: IndexMap<RouteHash, f64>,
     slowness: IndexMap<RouteHash, f64>,
     windows: IndexMap<(RouteHash, LeafHash), Window>,
@@ -144,6 +149,7 @@
             recent: Recent { answered: 0.0, failed: 0.0, slow: 0.0, at: now },
             candidate: Counts::default(),
             candidate_slow: 0,
+            candidate_by_route: IndexMap::new(),
             failures: IndexMap::new(),
             slowness: IndexMap::new(),
             windows: IndexMap::new(),
@@ -161,14 +167,7 @@
     }
 
     /// Adds attempts that have ended within the last `span`.
-    pub fn add(
-        &mut self,
-        route: RouteHash,
-        side: Side,
-        counts: &Counts,
-        span: Span,
-        now: Instant,
-    ) {
+    pub fn add(&mut self, route: RouteHash, side: Side, counts: &Counts, span: Span, now: Instant) {
         match side {
             Side::Baseline => {
                 self.by_route.entry(route).or_default().add(counts);
@@ -179,6 +178,7 @@
             }
             Side::Candidate(leaf) => {
                 self.candidate.add(counts);
+                self.candidate_by_route.entry(route).or_default().add(counts);
                 self.add_failures(route, counts);
                 self.add_slowness(route, leaf, counts, span, now);
             }
@@ -210,8 +210,7 @@
 
     fn add_failures(&mut self, route: RouteHash, counts: &Counts) {
         let all = &self.baseline;
-        let overall =
-            expected(all.failed.into(), all.answered.into(), MIN_FAILURE_SHARE);
+        let overall = expected(all.failed.into(), all.answered.into(), MIN_FAILURE_SHARE);
         let recent = expected(self.recent.failed, self.recent.answered, MIN_FAILURE_SHARE);
         let (bad, good) = weights(overall.max(recent), FAILURE_STEP);
         let (failed, answered) = (f64::from(counts.failed), f64::from(counts.answered));
@@ -243,24 +242,42 @@
         window.good += (judged - slow).max(0.0);
     }
 
-    /// Adds the windows that have ended to the sums.
-    fn close_windows(&mut self, now: Instant) {
+    /// Returns the weights of a slow and of another response.
+    fn slowness_weights(&self) -> (f64, f64) {
+        weights(self.expected_slow_share(), SLOW_STEP)
+    }
+
+    /// Returns the share of slow responses that is expected of a healthy version.
+    pub fn expected_slow_share(&self) -> f64 {
         let all = &self.baseline;
         let overall = expected(self.baseline_slow.into(), all.answered.into(), MIN_SLOW_SHARE);
-        let recent = expected(self.recent.slow, self.recent.answered, MIN_SLOW_SHARE);
-        let (bad, good) = weights(overall.max(recent), SLOW_STEP);
+        overall.max(expected(self.recent.slow, self.recent.answered, MIN_SLOW_SHARE))
+    }
+
+    /// Adds the windows that have ended to the sums.
+    fn close_windows(&mut self, now: Instant) {
+        let weights = self.slowness_weights();
         let slowness = &mut self.slowness;
         self.windows.retain(|(route, _), window| {
             if now.since(window.began) < PAUSE_WINDOW {
                 return true;
             }
-            let scale = (window.slow / window.pauses).max(1.0);
             let sum = slowness.entry(*route).or_default();
-            *sum = (*sum + (window.slow * bad + window.good * good) / scale).max(0.0);
+            *sum = (*sum + window.ratio(weights)).max(0.0);
             false
         });
     }
 
+    /// Returns the highest sum of slowness, with the windows that have not ended.
+    fn highest_slowness(&self) -> f64 {
+        let weights = self.slowness_weights();
+        let mut sums = self.slowness.clone();
+        for ((route, _), window) in &self.windows {
+            *sums.entry(*route).or_default() += window.ratio(weights).max(0.0);
+        }
+        Self::highest(&sums)
+    }
+
     fn highest(sums: &IndexMap<RouteHash, f64>) -> f64 {
         sums.values().copied().fold(0.0, f64::max)
     }
@@ -271,40 +288,32 @@
         if Self::highest(&self.failures) >= FAILURE_THRESHOLD {
             return Some(Finding::Failing);
         }
-        (Self::highest(&self.slowness) >= SLOWNESS_THRESHOLD).then_some(Finding::Slow)
+        (self.highest_slowness() >= SLOWNESS_THRESHOLD).then_some(Finding::Slow)
     }
 
-    /// Returns the log-likelihood ratios of all counts, of failures and of slowness. They show a version
-    /// of which a small part of a few dozen responses is bad.
-    fn overall(&self) -> (f64, f64) {
-        let ratio = |bad: f64, good: f64, expected: f64| {
-            let (of_bad, of_good) = weights(expected, OVERALL_STEP);
-            bad * of_bad + good * of_good
+    /// Returns the highest log-likelihood ratio of all failures on one route. It shows a version of which
+    /// a small part of a few dozen responses fails.
+    fn overall_failures(&self) -> f64 {
+        let all = &self.baseline;
+        let expected = expected(all.failed.into(), all.answered.into(), MIN_FAILURE_SHARE);
+        let (bad, good) = weights(expected, FAILURE_STEP);
+        let ratio = |counts: &Counts| {
+            let (failed, answered) = (f64::from(counts.failed), f64::from(counts.answered));
+            failed * bad + (answered - failed) * good
         };
-        let (all, candidate) = (&self.baseline, &self.candidate);
-        let (failed, slow) = (f64::from(candidate.failed), f64::from(self.candidate_slow));
-        let failing = expected(all.failed.into(), all.answered.into(), MIN_FAILURE_SHARE);
-        let slowness = expected(self.baseline_slow.into(), all.answered.into(), MIN_SLOW_SHARE);
-        let answered = f64::from(candidate.answered);
-        let judged = f64::from(candidate.judged());
-        (
-            ratio(failed, answered - failed, failing),
-            ratio(slow, judged - slow, slowness),
-        )
+        self.candidate_by_route.values().map(ratio).fold(0.0, f64::max)
     }
 
-    /// Whether no test is near its threshold.
-    pub fn is_calm(&self) -> bool {
-        let (failing, slow) = self.overall();
-        if failing.max(slow) >= MAX_CALM_RATIO {
-            return false;
-        }
-        Self::highest(&self.failures) < FAILURE_THRESHOLD * CALM_FRACTION
-            && Self::highest(&self.slowness) < SLOWNESS_THRESHOLD * CALM_FRACTION
+    /// Whether no sum has reached this part of its threshold.
+    pub fn is_calm(&self, part: f64) -> bool {
+        let (failures, slowness) = self.sums();
+        self.overall_failures() < MAX_CALM_RATIO
+            && failures < FAILURE_THRESHOLD * part
+            && slowness < SLOWNESS_THRESHOLD * part
     }
 
     /// Returns the highest sums of both tests, of failures and of slowness.
     pub fn sums(&self) -> (f64, f64) {
-        (Self::highest(&self.failures), Self::highest(&self.slowness))
+        (Self::highest(&self.failures), self.highest_slowness())
     }
 }
--- a/components/routing/src/releases/hold.rs
+++ b/components/routing/src/releases/hold.rs
@@ -58,8 +58,9 @@
 
     /// Returns the services with a version that is held back.
     pub fn services(&self, now: Instant) -> impl Iterator<Item = &ServiceId> {
-        let is_held =
-            move |versions: &IndexMap<Option<Version>, Instant>| versions.values().any(|at| now < *at);
+        let is_held = move |versions: &IndexMap<Option<Version>, Instant>| {
+            versions.values().any(|at| now < *at)
+        };
         self.services.iter().filter(move |(_, versions)| is_held(versions)).map(|(id, _)| id)
     }
 }
--- a/components/routing/src/releases/mod.rs
+++ b/components/routing/src/releases/mod.rs
@@ -24,7 +24,7 @@
     hold::VersionHolds,
     indexmap::{IndexMap, IndexSet},
     messages::{Outgoing, ReleaseMessage},
-    order::{OrderKey, OrderState, Phase, ReleaseBounds, StoredOrder, Version},
+    order::{OrderKey, OrderState, ReleaseBounds, StoredOrder, Version},
     rand::Rng,
     release::{Release, ReleaseChange},
     status::{StatusResult, StatusWrite},
@@ -174,23 +174,23 @@
         barred
     }
 
-    /// Counts a first attempt for a service. Returns the candidate if it goes there, and whether few
-    /// requests do.
+    /// Counts a first attempt for a service. Returns the candidate if it goes there, and in the canary phase
+    /// the number of the turn in which all hosts use the same leaf.
     pub fn on_first_attempt(
         &mut self,
         service: &ServiceId,
         traffic_share: f64,
         now: Instant,
         rng: &mut impl Rng,
-    ) -> Option<(Version, bool)> {
+    ) -> Option<(Version, Option<u64>)> {
         let release = self.releases.get_mut(service)?;
         if !release.is_open() {
             return None;
         }
         release.counting_mut().requests += 1;
         let is_taken = release.take_canary(traffic_share, now, rng);
-        let is_few = release.phase() == Phase::Canary;
-        is_taken.then(|| (release.order().key.target.clone(), is_few))
+        let turn = release.canary_turn(now);
+        is_taken.then(|| (release.order().key.target.clone(), turn))
     }
 
     /// Returns the credit of a first attempt that found no leaf of the candidate.
--- a/components/routing/src/releases/order.rs
+++ b/components/routing/src/releases/order.rs
@@ -35,12 +35,14 @@
     type Error = String;
 
     fn try_from(text: String) -> Result<Self, String> {
-        let is_valid = (1..=MAX_VERSION_LEN).contains(&text.len())
-            && !text.chars().any(|c| c.is_control());
+        let is_valid =
+            (1..=MAX_VERSION_LEN).contains(&text.len()) && !text.chars().any(|c| c.is_control());
         if is_valid {
             Ok(Self(text.into()))
         } else {
-            Err(format!("version: expected 1 to {MAX_VERSION_LEN} bytes without control characters"))
+            Err(format!(
+                "version: expected 1 to {MAX_VERSION_LEN} bytes without control characters"
+            ))
         }
     }
 }
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -151,6 +151,7 @@
                 zone: ZONES[n % ZONES.len()],
                 ports,
                 seeds: &ips[..ips.len().min(3)],
+                bounds: "",
             };
             let proxy = Proxy::start(&format!("{}.253", self.prefix), self.store.address())?;
             self.hosts.push(HostProcess::start(spec, proxy, &plan.daemon, &plan.directory)?);
--- a/components/soak/src/hosts.rs
+++ b/components/soak/src/hosts.rs
@@ -78,6 +78,8 @@
     pub ports: Ports,
     /// IP addresses of the hosts that are listed as seeds.
     pub seeds: &'a [String],
+    /// Further lines of the table `bounds` in the settings.
+    pub bounds: &'a str,
 }
 
 impl HostProcess {
@@ -162,7 +164,7 @@
 }
 
 fn settings_text(spec: &HostSpec<'_>, store: SocketAddr) -> String {
-    let HostSpec { name, ip, zone, ports, seeds } = spec;
+    let HostSpec { name, ip, zone, ports, seeds, bounds } = spec;
     let Ports { callers, readiness, directory, control, peers } = ports;
     let seeds: Vec<String> = seeds.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
     format!(
@@ -171,7 +173,7 @@
          [listen]\nfrontend = \"{ip}:{callers}\"\nreadiness = \"{ip}:{readiness}\"\n\
          directory = \"{ip}:{directory}\"\n[limits]\ncpu_share = 0.5\n\
          [bounds]\ngrace_s = 3\nretry_budget_ratio = 0.2\nbudget_window_s = 10\n\
-         retry_budget_slack = 100\n[platform]\naddress = \"{store}\"\n",
+         retry_budget_slack = 100\n{bounds}[platform]\naddress = \"{store}\"\n",
         seeds.join(", ")
     )
 }
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -11,7 +11,7 @@
 /// microseconds.
 const CONTEXT_WINDOW_US: u64 = 6_000_000;
 /// Kinds of log events that report a change of a host's state or of its view of the cluster.
-const CONTEXT_EVENTS: [&str; 19] = [
+const CONTEXT_EVENTS: [&str; 20] = [
     "config_adopted",
     "evacuation",
     "following",
@@ -21,6 +21,7 @@
     "news_current",
     "news_outdated",
     "overload",
+    "release",
     "reloaded",
     "request_suspected",
     "started",
@@ -152,7 +153,11 @@
             "lost" => format!("broke the connection or sent an invalid response after {after} ms"),
             _ => format!("had not answered after {after} ms"),
         };
-        causes.push(format!("{service}: leaf {leaf} {result}"));
+        let version = match text(attempt, "version") {
+            "" => String::new(),
+            version => format!(" of version {version}"),
+        };
+        causes.push(format!("{service}: leaf {leaf}{version} {result}"));
     }
     if line["may_repeat"] == Value::Bool(false) && tries.len() == 1 {
         causes.push("the request is not idempotent, so it was not sent again".to_owned());
@@ -187,11 +192,14 @@
         .flatten()
         .map(|attempt| text(attempt, "leaf"))
         .collect();
+    let tries = line["tries"].as_array().map_or(&[][..], Vec::as_slice);
+    let has_tried = |service: &str| tries.iter().any(|a| text(a, "service") == service);
     let is_context = |candidate: &&Value| {
         let at = number(candidate, "steady_us");
         let event = text(candidate, "event");
         let names_leaf = matches!(event, "leaf" | "leaf_limit");
-        let is_relevant = !names_leaf || tried_leaves.contains(&text(candidate, "leaf"));
+        let is_relevant = (!names_leaf || tried_leaves.contains(&text(candidate, "leaf")))
+            && (event != "release" || has_tried(text(candidate, "service")));
         text(candidate, "host") == host
             && (begin..=end).contains(&at)
             && CONTEXT_EVENTS.contains(&event)
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod leaving;
 mod odd_entries;
 mod pausing;
+mod releases;
 mod request_limits;
 mod restored_store;
 mod stopping;
