--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -2,7 +2,7 @@
 
 mod versions;
 
-pub use versions::VersionConstraint;
+pub use versions::{Focus, VersionConstraint};
 
 use {
     crate::{
@@ -327,12 +327,12 @@
     ) -> Selection {
         let mut best: Option<(f64, LeafKey)> = None;
         let mut denied: Vec<(f64, LeafKey)> = Vec::new();
-        let only = self.sole_leaf(criteria, now);
+        let focused = self.focused_leaves(criteria, now);
         for (key, leaf) in self.of_service(criteria.service) {
             if !self.admits(criteria, leaf, now) || criteria.tried.contains(&key) {
                 continue;
             }
-            if only.is_some_and(|only| only != key) {
+            if focused.as_ref().is_some_and(|keys| !keys.contains(&key)) {
                 continue;
             }
             if !self.is_in_regions(&leaf.registration.zone, criteria.homes) {
--- a/components/routing/src/leaves/versions.rs
+++ b/components/routing/src/leaves/versions.rs
@@ -12,8 +12,18 @@
     wigeonramp_units::{Instant, LeafId, ServiceId, Span},
 };
 
+/// Concentration of few requests on few leaves.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Focus {
+    /// Number of a turn; all hosts choose the same leaves in it.
+    pub turn: u64,
+    /// Share of the service's requests that the version gets; it uses the same share of its leaves, so that
+    /// these see a normal load.
+    pub share: f64,
+}
+
 /// Constraint on the version of a leaf.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, PartialEq)]
 pub enum VersionConstraint<'a> {
     /// All versions but those that are barred for the service.
     Unbarred,
@@ -21,9 +31,8 @@
     Only {
         /// The version.
         version: &'a Version,
-        /// Number of a turn; all hosts choose the same leaf in it, so that it sees a normal load
-        /// although few requests are sent to the version. None for any leaf.
-        turn: Option<u64>,
+        /// Leaves of the version that are used; all without it.
+        focus: Option<Focus>,
     },
 }
 
@@ -78,10 +87,14 @@
         }
     }
 
-    /// Returns the leaf that all hosts choose for the few requests to a version; none without such a
-    /// constraint.
-    pub(super) fn sole_leaf(&self, criteria: &LeafCriteria<'_>, now: Instant) -> Option<LeafKey> {
-        let VersionConstraint::Only { turn: Some(turn), .. } = criteria.version else {
+    /// Returns the leaves that all hosts choose for the few requests to a version; none without such a
+    /// constraint, or if none of them can be sent a request.
+    pub(super) fn focused_leaves(
+        &self,
+        criteria: &LeafCriteria<'_>,
+        now: Instant,
+    ) -> Option<Vec<LeafKey>> {
+        let VersionConstraint::Only { focus: Some(focus), .. } = criteria.version else {
             return None;
         };
         let is_possible = |leaf: &Leaf| {
@@ -95,6 +108,9 @@
         let mut possible: Vec<(LeafKey, &LeafId)> =
             possible.map(|(key, leaf)| (key, &leaf.registration.id)).collect();
         possible.sort_by_key(|(_, id)| *id);
-        possible.get(turn as usize % possible.len().max(1)).map(|(key, _)| *key)
+        let count = (focus.share * possible.len() as f64).ceil() as usize;
+        let first = focus.turn as usize % possible.len().max(1);
+        let turned = possible.iter().cycle().skip(first).take(count);
+        Some(turned.map(|(key, _)| *key).collect::<Vec<_>>()).filter(|keys| !keys.is_empty())
     }
 }
--- a/components/routing/src/releases/decider.rs
+++ b/components/routing/src/releases/decider.rs
@@ -17,8 +17,11 @@
     wigeonramp_units::{Instant, Span},
 };
 
-/// Length of a step after the canary phase, in percent of the order's duration.
-const STEP_PERCENT: u64 = 5;
+/// Length of the first step after the canary phase, in percent of the order's duration. Its requests go to a
+/// quarter of the leaves, at least one, which shows a version that is bad under load.
+const FIRST_STEP_PERCENT: u64 = 8;
+/// Length of the second step.
+const STEP_PERCENT: u64 = 4;
 /// Shortest step: the hosts' totals arrive every 200 ms.
 const MIN_STEP: Span = Span::millis(250);
 /// Length of the last step, in percent of the order's duration: two windows of the test for slowness, as
@@ -64,12 +67,14 @@
 /// Responses from which it counts for a delay.
 const MIN_DOUBTFUL_RESPONSES: u32 = 12;
 /// The same for a rollback once a step has spent what was left of the bound on the exposure.
-const SPENT_SLOW_SHARE: f64 = 0.28;
+const SPENT_SLOW_SHARE: f64 = 0.3;
 /// Age of an order up to which a host that begins to decide on it is the first one.
 const EARLY: Span = Span::secs(2);
 /// Time for which a later deciding host collects totals before it decides: the first hosts' totals since
 /// the order are not those of the fleet. Each host rolls back by itself meanwhile.
 const COLLECTION_TIME: Span = Span::millis(600);
+/// Part of a test's threshold from which it counts in the same way.
+const SPENT_CALM: f64 = 0.75;
 /// Half-life of the measured request rate.
 const RATE_HALF_LIFE: Span = Span::secs(1);
 
@@ -306,6 +311,7 @@
     fn step_time(&self, cx: &Circumstances<'_>) -> Span {
         let (shortest, percent, spends) = match cx.phase {
             Phase::Draining => (MIN_LAST_STEP, LAST_STEP_PERCENT, LAST_STEP_SPENDS),
+            Phase::Quarter => (MIN_STEP, FIRST_STEP_PERCENT, STEP_SPENDS),
             _ => (MIN_STEP, STEP_PERCENT, STEP_SPENDS),
         };
         let usual = cx.duration.percent(percent).max(shortest);
@@ -353,7 +359,7 @@
         let is_slow = excess.is_some_and(|excess| excess >= SPENT_SLOW_SHARE);
         cx.phase > Phase::Canary
             && self.left(cx) < 1.0
-            && (is_slow || !self.evidence.is_calm(PRESSED_CALM))
+            && (is_slow || !self.evidence.is_calm(SPENT_CALM))
     }
 
     fn is_slow_step(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
--- a/components/routing/src/releases/mod.rs
+++ b/components/routing/src/releases/mod.rs
@@ -18,7 +18,10 @@
 pub mod status;
 
 use {
-    crate::{leaves::Leaves, limits::LimitHosts},
+    crate::{
+        leaves::{Focus, Leaves},
+        limits::LimitHosts,
+    },
     counting::EndedSend,
     evidence::{LeafHash, RouteHash, Side},
     hold::VersionHolds,
@@ -174,23 +177,23 @@
         barred
     }
 
-    /// Counts a first attempt for a service. Returns the candidate if it goes there, and in the canary phase
-    /// the number of the turn in which all hosts use the same leaf.
+    /// Counts a first attempt for a service. Returns the candidate if it goes there, and the
+    /// leaves of it that are used.
     pub fn on_first_attempt(
         &mut self,
         service: &ServiceId,
         traffic_share: f64,
         now: Instant,
         rng: &mut impl Rng,
-    ) -> Option<(Version, Option<u64>)> {
+    ) -> Option<(Version, Option<Focus>)> {
         let release = self.releases.get_mut(service)?;
         if !release.is_open() {
             return None;
         }
         release.counting_mut().requests += 1;
         let is_taken = release.take_canary(traffic_share, now, rng);
-        let turn = release.canary_turn(now);
-        is_taken.then(|| (release.order().key.target.clone(), turn))
+        let focus = release.focus(now);
+        is_taken.then(|| (release.order().key.target.clone(), focus))
     }
 
     /// Returns the credit of a first attempt that found no leaf of the candidate.
--- a/components/routing/src/releases/release.rs
+++ b/components/routing/src/releases/release.rs
@@ -15,15 +15,15 @@
         order::{OrderState, Phase, ReleaseBounds, StoredOrder, Version},
         status::{StatusResult, StatusWrite, StatusWriter},
     },
-    crate::limits::LimitHosts,
+    crate::{leaves::Focus, limits::LimitHosts},
     indexmap::IndexMap,
     rand::Rng,
     std::net::Ipv4Addr,
     wigeonramp_units::{Instant, ServiceId, Span},
 };
 
-/// Time for which one leaf of the candidate gets the canary share. Leaves differ in speed, so one after
-/// the other is used.
+/// Time for which the same leaves of the candidate get its share. Leaves differ in speed, so one after the
+/// other is used.
 const CANARY_TURN: Span = Span::secs(2);
 /// Interval of the totals.
 const REPORT_INTERVAL: Span = Span::millis(500);
@@ -285,10 +285,11 @@
         credit.take(self.phase, &bounds, now, rng)
     }
 
-    /// Returns the number of the turn in the canary phase, in which all hosts use the same leaf; none in
-    /// other phases.
-    pub fn canary_turn(&self, now: Instant) -> Option<u64> {
-        (self.phase == Phase::Canary).then(|| self.age(now).0 / CANARY_TURN.0)
+    /// Returns which leaves of the candidate its share of first attempts goes to.
+    pub fn focus(&self, now: Instant) -> Option<Focus> {
+        let share = self.phase.share().unwrap_or(self.bounds.exposure_share);
+        let focus = Focus { turn: self.age(now).0 / CANARY_TURN.0, share };
+        self.is_shared().then_some(focus)
     }
 
     /// Returns the credit of a first attempt that found no leaf of the candidate.
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -148,8 +148,8 @@
         }
         let share = self.traffic_share;
         let taken = self.releases.on_first_attempt(service, share, now, &mut self.rng);
-        let (version, turn) = taken?;
-        let version = VersionConstraint::Only { version: &version, turn };
+        let (version, focus) = taken?;
+        let version = VersionConstraint::Only { version: &version, focus };
         let selection = self.select(service, route, tried, typical_latency, version, now);
         if selection.leaf.is_none() {
             self.releases.give_back(service);
