--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -6,6 +6,7 @@
         limits::LimitsMessage,
         node::{EventSource, Node},
         quotas::QuotasMessage,
+        releases::ReleasesMessage,
         sock,
     },
     mio::{Interest, Poll, net::UdpSocket},
@@ -110,6 +111,9 @@
     /// Messages about quotas of accounts.
     #[prost(message, optional, tag = "12")]
     quotas: Option<QuotasMessage>,
+    /// Messages about releases; none where these are not in use.
+    #[prost(message, optional, tag = "11")]
+    releases: Option<ReleasesMessage>,
 }
 
 impl From<&MemberInfo> for MemberMessage {
@@ -159,6 +163,8 @@
     reported_config: ConfigVersion,
     /// Highest positions of changes that other hosts have reported, of leaves and evacuations.
     reported: [Position; 2],
+    /// Highest position of changes to orders that other hosts have reported.
+    reported_orders: Position,
 }
 
 impl Gossip {
@@ -172,6 +178,7 @@
             next_heartbeat: now,
             reported_config: ConfigVersion(0),
             reported: [Position::default(); 2],
+            reported_orders: Position::default(),
         })
     }
 
@@ -219,17 +226,22 @@
     }
 
     fn send_members(&mut self, to: &[Ipv4Addr], members: &[MemberInfo]) {
-        self.send_datagram(to, members, None, None);
+        self.send_datagram(to, members, None, None, None);
     }
 
     /// Sends messages about request limits of leaves.
     pub(crate) fn send_limits(&mut self, to: Ipv4Addr, limits: LimitsMessage) {
-        self.send_datagram(&[to], &[], Some(limits), None);
+        self.send_datagram(&[to], &[], Some(limits), None, None);
     }
 
     /// Sends messages about quotas of accounts.
     pub(crate) fn send_quotas(&mut self, to: Ipv4Addr, quotas: QuotasMessage) {
-        self.send_datagram(&[to], &[], None, Some(quotas));
+        self.send_datagram(&[to], &[], None, Some(quotas), None);
+    }
+
+    /// Sends messages about releases.
+    pub(crate) fn send_releases(&mut self, to: Ipv4Addr, releases: ReleasesMessage) {
+        self.send_datagram(&[to], &[], None, None, Some(releases));
     }
 
     fn send_datagram(
@@ -238,7 +250,12 @@
         members: &[MemberInfo],
         limits: Option<LimitsMessage>,
         quotas: Option<QuotasMessage>,
+        releases: Option<ReleasesMessage>,
     ) {
+        let orders = self.replicated.orders.changed();
+        let releases = releases
+            .map(|message| message.with_last_change(orders))
+            .or_else(|| self.release_news());
         let own = std::iter::once(MemberMessage::from(self.members.own()));
         let [leaves, evacuations] = self.last_changes();
         let heartbeat = HeartbeatMessage {
@@ -252,10 +269,13 @@
             leaves_era: leaves.era().0,
             evacuations_era: evacuations.era().0,
             news_age: self.origin_selector.news_age(self.now).map(|age| age.as_millis() as u32),
+            releases,
         };
+        let is_release = heartbeat.releases.as_ref().is_some_and(|m| !m.is_position_only());
         let kind = match (&heartbeat.limits, &heartbeat.quotas) {
             (Some(_), _) => "limits",
             (None, Some(_)) => "quotas",
+            (None, None) if is_release => "releases",
             (None, None) => "heartbeat",
         };
         let bytes = heartbeat.encode_to_vec();
@@ -276,6 +296,7 @@
         let upto = [state.leaves.upto(), state.evacuations.upto()];
         self.active_catalog.version().unwrap_or_default() >= self.gossip.reported_config
             && upto.iter().zip(&self.gossip.reported).all(|(upto, reported)| upto >= reported)
+            && state.orders.upto() >= self.gossip.reported_orders
     }
 
     pub(crate) fn on_datagrams(&mut self) {
@@ -333,6 +354,11 @@
         for (reported, changed) in self.gossip.reported.iter_mut().zip(changed) {
             *reported = changed.max(*reported);
         }
+        if let Some(releases) = &heartbeat.releases
+            && self.routing.releases.is_enabled()
+        {
+            self.gossip.reported_orders = releases.last_change().max(self.gossip.reported_orders);
+        }
         let version = ConfigVersion(heartbeat.config_version);
         self.gossip.reported_config = self.gossip.reported_config.max(version);
         if !self.is_up_to_date() {
@@ -344,6 +370,9 @@
         if let Some(quotas) = &heartbeat.quotas {
             self.on_quota_messages(sender.ip, quotas);
         }
+        if let Some(releases) = &heartbeat.releases {
+            self.on_release_messages(sender.ip, releases);
+        }
         if is_new {
             self.send_all_members(sender.ip);
             self.send_known_limits(sender.ip);
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -17,6 +17,7 @@
 mod node;
 mod peers;
 mod quotas;
+mod releases;
 mod replicated;
 mod requests;
 mod sock;
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -41,6 +41,7 @@
         poison::PoisonList,
         quotas::Quotas,
         reconcile::Reconciler,
+        releases::Releases,
         state::RoutingState,
     },
     wigeonramp_units::{Instant, Span},
@@ -213,6 +214,11 @@
         let routing = RoutingState::new(
             leaves,
             limits,
+            Releases::new(
+                settings.ip,
+                settings.releases,
+                own.incarnation * SERIALS_PER_INCARNATION,
+            ),
             settings.extra_attempts,
             SmallRng::from_rng(&mut rng),
         );
@@ -251,10 +257,10 @@
             peers: Peers::default(),
             peer_listener,
             origin_selector: OriginSelector::new(now),
-            replicated: ReplicatedState::default(),
+            replicated: ReplicatedState::new(settings.releases.is_some()),
             reconciler: Reconciler::default(),
             started: now,
-            store: StoreClient::new(settings.store_address, now),
+            store: StoreClient::new(settings.store_address, settings.releases.is_some(), now),
             journal: Journal::new(settings.host.to_string()),
             metrics: Metrics::new(),
             rng,
@@ -376,6 +382,7 @@
         self.send_due_heartbeat();
         self.send_limit_messages();
         self.send_quota_messages();
+        self.advance_releases();
         if self.now >= self.next_sweep {
             let is_urgent = self.stopping.is_some()
                 || self.origin_selector.origin() == Origin::Nobody
@@ -410,6 +417,7 @@
         self.sweep_requests();
         self.sweep_upstreams();
         self.sweep_leaves();
+        self.sweep_releases();
         self.report_limited_sends();
         self.report_quotas();
         self.advance_stop();
@@ -427,7 +435,8 @@
         let watches_store = self.origin_selector.origin() == Origin::Store;
         let store = self.store.next_at(watches_store);
         let heartbeat = Some(self.gossip.next_at());
-        let messages = [self.next_limit_message(), self.next_quota_message()];
+        let messages =
+            [self.next_limit_message(), self.next_quota_message(), self.next_release_work()];
         let due = [self.timers.next_at(), store, heartbeat, self.clients.next_at()];
         due.into_iter().chain(messages).flatten().fold(self.next_sweep, Instant::min)
     }
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -1,11 +1,16 @@
 //! Leaves known to one host and the selection of a leaf for an attempt.
 
+mod versions;
+
+pub use versions::{Focus, VersionConstraint};
+
 use {
     crate::{
         changes::Change,
         leaf::{HealthSignal, Leaf, LeafInstance, LeafRegistration},
         limits::LeafLimits,
         notices::RememberedNotices,
+        releases::order::Version,
     },
     indexmap::{IndexMap, IndexSet},
     rand::{Rng, RngExt},
@@ -60,6 +65,8 @@
     pub limits: &'a LeafLimits,
     /// Priority of the request; zero is the most urgent.
     pub priority: u32,
+    /// Constraint on the version of the leaf.
+    pub version: VersionConstraint<'a>,
 }
 
 /// Result of the selection of a leaf.
@@ -82,6 +89,8 @@
     evacuated: IndexSet<ZoneId>,
     regions: IndexMap<ZoneId, RegionId>,
     remembered: RememberedNotices,
+    /// Versions that requests do not go to, by service; none without releases.
+    barred: IndexMap<ServiceId, IndexSet<Option<Version>>>,
 }
 
 impl Leaves {
@@ -96,6 +105,7 @@
             evacuated: IndexSet::new(),
             regions: IndexMap::new(),
             remembered: RememberedNotices::default(),
+            barred: IndexMap::new(),
         }
     }
 
@@ -309,6 +319,11 @@
 
     /// Whether the leaf is eligible for requests, now or after a pause.
     pub fn is_eligible(&self, leaf: &Leaf) -> bool {
+        self.is_usable(leaf) && !self.is_barred(leaf)
+    }
+
+    /// Whether the leaf can be used, apart from its version.
+    fn is_usable(&self, leaf: &Leaf) -> bool {
         !leaf.registration.draining
             && !leaf.notice.is_leaving()
             && !leaf.address_reused
@@ -338,8 +353,12 @@
     ) -> Selection {
         let mut best: Option<(f64, LeafKey)> = None;
         let mut denied: Vec<(f64, LeafKey)> = Vec::new();
+        let focused = self.focused_leaves(criteria, now);
         for (key, leaf) in self.of_service(criteria.service) {
-            if !self.is_available(leaf, now) || criteria.tried.contains(&key) {
+            if !self.admits(criteria, leaf, now) || criteria.tried.contains(&key) {
+                continue;
+            }
+            if focused.as_ref().is_some_and(|keys| !keys.contains(&key)) {
                 continue;
             }
             if !self.is_in_regions(&leaf.registration.zone, criteria.homes) {
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod queue;
 pub mod quotas;
 pub mod reconcile;
+pub mod releases;
 pub mod reply;
 pub mod reply_time;
 pub mod sources;
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -189,6 +189,7 @@
                 zone: ZONES[n % ZONES.len()],
                 ports,
                 seeds: &ips[..ips.len().min(3)],
+                bounds: "",
             };
             let door = self.store.open_door(&format!("{}.254", self.prefix))?;
             let proxy = Proxy::start(&format!("{}.253", self.prefix), door.address())?;
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod odd_entries;
 mod pausing;
 mod quotas;
+mod releases;
 mod request_limits;
 mod restored_store;
 mod stopping;
