Do not take the pause of a single leaf for a version that is slow under load

In the first step one leaf gets a quarter of the requests, and a pause of 235 ms made more than a third of them slow.

--- a/components/routing/src/releases/decider.rs
+++ b/components/routing/src/releases/decider.rs
@@ -57,8 +57,8 @@
 /// Share of slow responses beyond the expected one with which a step does not end. Two of three leaves
 /// that pause delay it only.
 const DOUBTFUL_SLOW_SHARE: f64 = 0.22;
-/// The same for a rollback after `SLOW_STEP_TIME` of a step: under the load of this step, most responses
-/// of all leaves are slow.
+/// The same for a rollback after `SLOW_STEP_TIME` of a step that uses at least half of the leaves: under its
+/// load, most responses of all leaves are slow. Where one leaf is used, a single pause looks the same.
 const PLAIN_SLOW_SHARE: f64 = 0.35;
 /// Time from which the share of a step counts; pauses of leaves are shorter.
 const SLOW_STEP_TIME: Span = Span::millis(500);
@@ -365,7 +365,7 @@
     fn is_slow_step(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
         let is_long = now.since(self.phase_began) >= SLOW_STEP_TIME;
         let excess = self.excess_slow_share(MIN_SLOW_STEP_RESPONSES);
-        cx.phase > Phase::Canary
+        cx.phase > Phase::Quarter
             && is_long
             && excess.is_some_and(|excess| excess >= PLAIN_SLOW_SHARE)
     }
