Give the leaves of the platform tests an address of their own

The fixture chooses free ports for a host, and a leaf on the same address could take one of them before the host listens on it. Change: leaves have an address on which no host listens.

--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -47,7 +47,9 @@
     version: AtomicU64,
     /// Where the hosts' settings and logs are.
     directory: PathBuf,
-    ip: String,
+    /// Address of the leaves. A leaf on the address of a host could take a port that the host is about to
+    /// listen on.
+    leaf_ip: String,
 }
 
 /// Sends one request on a new connection; returns its status, or 0 if there was no response.
@@ -154,8 +156,8 @@
                 .expect("a host")
         });
         let (runs, leaves) = (Runs::default(), AtomicU32::new(0));
-        let version = AtomicU64::new(1);
-        Self { store, doors, hosts, stalled_process, runs, leaves, version, directory, ip }
+        let (version, leaf_ip) = (AtomicU64::new(1), format!("{prefix}.252"));
+        Self { store, doors, hosts, stalled_process, runs, leaves, version, directory, leaf_ip }
     }
 
     /// Writes the next version of the configuration, with `name` as the only route.
@@ -216,7 +218,7 @@
     /// Starts a leaf of `service` in `zone` without registering it.
     pub fn add_unregistered_leaf(&self, zone: &str, service: &str, work: Duration) -> Leaf {
         let id = format!("i-{}", self.leaves.fetch_add(1, Ordering::SeqCst));
-        let spec = LeafSpec { id: &id, service, zone, ip: &self.ip, work };
+        let spec = LeafSpec { id: &id, service, zone, ip: &self.leaf_ip, work };
         Leaf::start(&spec, &self.store, &self.runs).expect("a leaf")
     }
 
