Rename unclear terms of releases and quotas

The constants of the decider name what they limit, and the state that a host asks others to write is `requested_state`; the field on the wire keeps its name. `millis` was defined three times in the edge and is in `clock` now. The conversion of quota messages is with the messages, and `Quotas::report` marks silent allocators in a function of its own.

--- a/components/edge/src/callers/admission.rs
+++ b/components/edge/src/callers/admission.rs
@@ -17,7 +17,7 @@
         },
         reply::Cause,
     },
-    wigeonramp_units::Instant,
+    wigeonramp_units::{Instant, Span},
 };
 
 /// Number of listeners for callers and endpoints.
@@ -26,7 +26,7 @@
 pub(crate) const LISTENER_NAMES: [&str; LISTENERS] =
     ["callers", "directory", "readiness", "metrics"];
 /// Longest time for which a body waits for memory.
-const MAX_BODY_WAIT: wigeonramp_units::Span = STALL_TIME;
+const MAX_BODY_WAIT: Span = STALL_TIME;
 /// From this fraction of the callers' limit on, the kernel's buffers of new connections are limited.
 const CROWDED_DIVISOR: usize = 4;
 
--- a/components/edge/src/callers/reading.rs
+++ b/components/edge/src/callers/reading.rs
@@ -14,6 +14,7 @@
         clients::{PROGRESS_BYTES, memory::MemoryLevel},
         reply::Cause,
     },
+    wigeonramp_units::Instant,
 };
 
 /// Maximum number of reads of a connection before other events.
@@ -34,7 +35,7 @@
         }
     }
 
-    fn take(&mut self, bytes: &[u8], now: wigeonramp_units::Instant) {
+    fn take(&mut self, bytes: &[u8], now: Instant) {
         if matches!(self.phase, Phase::Lingering) {
             return;
         }
--- a/components/edge/src/clock.rs
+++ b/components/edge/src/clock.rs
@@ -1,9 +1,9 @@
-//! Clocks of the event loop.
+//! Clocks of the event loop, and the encoding of times in datagrams.
 
 use {
     rustix::time::{ClockId, clock_gettime},
     std::time::{SystemTime, UNIX_EPOCH},
-    wigeonramp_units::{Instant, UnixMillis},
+    wigeonramp_units::{Instant, Span, UnixMillis},
 };
 
 /// Returns the time on a monotonic clock that also counts time spent in suspend.
@@ -18,3 +18,9 @@
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     UnixMillis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// Returns a time in milliseconds, as messages between hosts carry it; the highest value for longer
+/// times.
+pub(crate) fn millis(span: Span) -> u32 {
+    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
+}
--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -255,7 +255,7 @@
         let orders = self.replicated.orders.changed();
         let releases = releases
             .map(|message| message.with_last_change(orders))
-            .or_else(|| self.release_news());
+            .or_else(|| self.order_position_message());
         let own = std::iter::once(MemberMessage::from(self.members.own()));
         let [leaves, evacuations] = self.last_changes();
         let heartbeat = HeartbeatMessage {
--- a/components/edge/src/limits.rs
+++ b/components/edge/src/limits.rs
@@ -2,7 +2,7 @@
 //! and their log lines.
 
 use {
-    crate::node::Node,
+    crate::{clock::millis, node::Node},
     indexmap::IndexMap,
     serde_json::{Value, json},
     std::net::Ipv4Addr,
@@ -88,10 +88,6 @@
     news: Vec<NewsMessage>,
 }
 
-fn millis(span: Span) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 impl From<&LimitNews> for NewsMessage {
     fn from(news: &LimitNews) -> Self {
         Self {
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -179,7 +179,8 @@
         registry.register("second_sends_over_budget", help, this.over_budget.clone());
         let help = "Sends without a leaf to ask, cold ones without an allowance included";
         registry.register("sends_without_leaf", help, this.no_leaf.clone());
-        let help = "Requests meant for leaves that name a limit: first and extra ones, and those without a permit";
+        let help = "Requests meant for leaves that name a limit: first and extra ones, and those \
+                    without a permit";
         registry.register("limited_sends", help, this.limited_sends.clone());
         let help = "Bytes of datagrams sent to other hosts, without headers, by kind";
         registry.register("datagram_bytes", help, this.datagram_bytes.clone());
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -8,7 +8,7 @@
         journal::Journal,
         metrics::Metrics,
         peers::Peers,
-        quotas::QuotaDesk,
+        quotas::QuotaState,
         replicated::ReplicatedState,
         requests::{EndedAttempt, Request},
         sock::{self, READ_BYTES},
@@ -155,7 +155,7 @@
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
     /// Keys and serial numbers of requests that wait for permits.
     pub(crate) awaiting_permits: Vec<(usize, u64)>,
-    pub(crate) quota_desk: QuotaDesk,
+    pub(crate) quota_state: QuotaState,
     pub(crate) timers: Timers,
     pub(crate) routing: RoutingState,
     pub(crate) active_catalog: ActiveCatalog,
@@ -208,17 +208,13 @@
         };
         let mut leaves = Leaves::new(settings.zone.clone());
         leaves.set_regions(settings.regions.clone());
-        let limits = LeafLimits::new(settings.ip, own.incarnation * SERIALS_PER_INCARNATION);
         let first_serial = own.incarnation * SERIALS_PER_INCARNATION;
+        let limits = LeafLimits::new(settings.ip, first_serial);
         let quotas = Quotas::new(settings.ip, first_serial, settings.accounts, now);
         let routing = RoutingState::new(
             leaves,
             limits,
-            Releases::new(
-                settings.ip,
-                settings.releases,
-                own.incarnation * SERIALS_PER_INCARNATION,
-            ),
+            Releases::new(settings.ip, settings.releases, first_serial),
             settings.extra_attempts,
             SmallRng::from_rng(&mut rng),
         );
@@ -247,7 +243,7 @@
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
             awaiting_permits: Vec::new(),
-            quota_desk: QuotaDesk::new(quotas),
+            quota_state: QuotaState::new(quotas),
             timers: Timers::default(),
             routing,
             active_catalog: ActiveCatalog::new(),
@@ -471,7 +467,7 @@
                 self.routing.extra_attempt_limit = settings.extra_attempts;
                 self.settings.stop_grace = settings.stop_grace;
                 self.settings.accounts = settings.accounts;
-                self.quota_desk.quotas.set_bounds(settings.accounts);
+                self.quota_state.quotas.set_bounds(settings.accounts);
                 for seed in &settings.seeds {
                     self.members.add_by_address(*seed, settings.zone.clone());
                 }
--- a/components/edge/src/quotas.rs
+++ b/components/edge/src/quotas.rs
@@ -7,7 +7,7 @@
 
 use {
     crate::{
-        callers::Phase,
+        callers::{CallerConn, Phase},
         node::Node,
         requests::{AcceptedRequest, Request},
     },
@@ -17,7 +17,7 @@
     wigeonramp_routing::{
         accounts::Account,
         catalog::Catalog,
-        quotas::{AccountId, Admission, QuotaHosts, Quotas, messages::QuotaMessage},
+        quotas::{AccountId, Admission, QuotaHosts, Quotas},
         reply::{Cause, Reply},
     },
     wigeonramp_units::{Instant, Span},
@@ -43,7 +43,7 @@
 
 /// Quotas of accounts on this host.
 #[derive(Debug)]
-pub(crate) struct QuotaDesk {
+pub(crate) struct QuotaState {
     pub quotas: Quotas,
     waiting: Vec<Waiting>,
     hosts: QuotaHosts,
@@ -54,7 +54,7 @@
     refused: IndexMap<AccountId, u64>,
 }
 
-impl QuotaDesk {
+impl QuotaState {
     pub fn new(quotas: Quotas) -> Self {
         Self {
             quotas,
@@ -71,7 +71,7 @@
     /// Adopts the accounts of a configuration.
     pub(crate) fn adopt_accounts(&mut self, catalog: &Catalog) {
         let accounts = catalog.accounts.as_deref().unwrap_or_default();
-        self.quota_desk.quotas.set_accounts(accounts, self.now);
+        self.quota_state.quotas.set_accounts(accounts, self.now);
         let mut largest: Vec<&Account> = accounts.iter().map(AsRef::as_ref).collect();
         largest.sort_by_key(|account| std::cmp::Reverse(account.quota.map(|quota| quota.rate)));
         let names = largest.into_iter().take(MAX_LABELED).map(|account| account.name.clone());
@@ -85,7 +85,7 @@
         let Some(id) = account.map(|account| AccountId::new(&account.name)) else {
             return self.start_request(request);
         };
-        match self.quota_desk.quotas.admit(id, false, self.now) {
+        match self.quota_state.quotas.admit(id, false, self.now) {
             Admission::Admitted => self.start_request(request),
             Admission::Refused { retry_after } => self.refuse_over_quota(&request, id, retry_after),
             Admission::Wait => {
@@ -98,7 +98,7 @@
                 }
                 self.charge_caller(request.caller);
                 let until = self.now + time;
-                self.quota_desk.waiting.push(Waiting { request, account: id, until });
+                self.quota_state.waiting.push(Waiting { request, account: id, until });
             }
         }
     }
@@ -106,23 +106,23 @@
     /// Decides again on the requests that wait.
     fn resume_awaiting_quota(&mut self) {
         let now = self.now;
-        for waiting in std::mem::take(&mut self.quota_desk.waiting) {
+        for waiting in std::mem::take(&mut self.quota_state.waiting) {
             let (id, caller) = (waiting.account, waiting.request.caller);
-            let is_current = |conn: &crate::callers::CallerConn| {
+            let is_current = |conn: &CallerConn| {
                 conn.serial == waiting.request.caller_serial
                     && matches!(conn.phase, Phase::AwaitingQuota(_))
             };
             if !self.callers.get(caller).is_some_and(is_current) {
-                self.quota_desk.quotas.give_up(id, now);
+                self.quota_state.quotas.give_up(id, now);
                 continue;
             }
-            match self.quota_desk.quotas.admit(id, true, now) {
+            match self.quota_state.quotas.admit(id, true, now) {
                 Admission::Wait if now < waiting.until => {
-                    self.quota_desk.waiting.push(waiting);
+                    self.quota_state.waiting.push(waiting);
                     continue;
                 }
                 Admission::Wait => {
-                    let retry_after = self.quota_desk.quotas.give_up(id, now);
+                    let retry_after = self.quota_state.quotas.give_up(id, now);
                     self.refuse_over_quota(&waiting.request, id, retry_after);
                 }
                 Admission::Admitted => self.start_request(waiting.request),
@@ -136,7 +136,7 @@
     }
 
     fn refuse_over_quota(&mut self, request: &AcceptedRequest, id: AccountId, retry_after: Span) {
-        *self.quota_desk.refused.entry(id).or_default() += 1;
+        *self.quota_state.refused.entry(id).or_default() += 1;
         if let Some(account) = &request.account {
             self.metrics.count_account(&account.name, "over_quota");
         }
@@ -152,22 +152,22 @@
         let is_refused = matches!(reply, Reply::Refused { .. });
         self.metrics.count_account(&account.name, if is_refused { "refused" } else { "sent" });
         if is_refused && account.quota.is_some() {
-            self.quota_desk.quotas.give_back(AccountId::new(&account.name));
+            self.quota_state.quotas.give_back(AccountId::new(&account.name));
         }
     }
 
     /// Handles the messages about quotas in a datagram of the host `from`.
     pub(crate) fn on_quota_messages(&mut self, from: Ipv4Addr, messages: &QuotasMessage) {
         for message in messages.messages() {
-            self.quota_desk.quotas.on_message(from, &message, self.now);
+            self.quota_state.quotas.on_message(from, &message, self.now);
         }
         self.resume_awaiting_quota();
     }
 
     /// Returns the time at which messages about quotas are due, or a request waits no longer.
     pub(crate) fn next_quota_message(&self) -> Option<Instant> {
-        let waits = self.quota_desk.waiting.iter().map(|waiting| waiting.until);
-        waits.chain(self.quota_desk.quotas.next_at(self.now)).min()
+        let waits = self.quota_state.waiting.iter().map(|waiting| waiting.until);
+        waits.chain(self.quota_state.quotas.next_at(self.now)).min()
     }
 
     /// Sends the messages about quotas that are due, and ends the waits that are over.
@@ -176,11 +176,11 @@
             return;
         }
         let is_recent = |at: Instant| self.now.since(at) < HOSTS_INTERVAL;
-        if !self.quota_desk.hosts_at.is_some_and(is_recent) {
-            self.quota_desk.hosts = self.members.quota_hosts(self.now);
-            self.quota_desk.hosts_at = Some(self.now);
+        if !self.quota_state.hosts_at.is_some_and(is_recent) {
+            self.quota_state.hosts = self.members.quota_hosts(self.now);
+            self.quota_state.hosts_at = Some(self.now);
         }
-        let QuotaDesk { quotas, hosts, .. } = &mut self.quota_desk;
+        let QuotaState { quotas, hosts, .. } = &mut self.quota_state;
         for out in quotas.poll(hosts, self.now) {
             self.send_quotas(out.to, QuotasMessage::from(&out.message));
         }
@@ -190,8 +190,8 @@
 
     /// Logs the accounts that have reached their quotas, and those that are within them again.
     pub(crate) fn report_quotas(&mut self) {
-        let exhausted = self.quota_desk.quotas.exhausted(self.now);
-        let before = std::mem::replace(&mut self.quota_desk.exhausted, exhausted.clone());
+        let exhausted = self.quota_state.quotas.exhausted(self.now);
+        let before = std::mem::replace(&mut self.quota_state.exhausted, exhausted.clone());
         if before == exhausted {
             return;
         }
@@ -205,22 +205,13 @@
                 _ => continue,
             };
             let quota = account.quota.map(|quota| (quota.rate, quota.burst)).unzip();
-            let refused = self.quota_desk.refused.swap_remove(&id);
+            let refused = self.quota_state.refused.swap_remove(&id);
             let fields = json!({
                 "account": account.name, "state": state, "rate": quota.0, "burst": quota.1,
                 "refused": refused,
             });
             self.journal.record("quota", fields, self.now);
         }
-        self.quota_desk.refused.retain(|id, _| exhausted.contains(id));
-    }
-}
-
-impl From<&QuotaMessage> for QuotasMessage {
-    fn from(message: &QuotaMessage) -> Self {
-        match message {
-            QuotaMessage::Report(report) => Self { report: Some(report.into()), grants: None },
-            QuotaMessage::Grants(grants) => Self { report: None, grants: Some(grants.into()) },
-        }
+        self.quota_state.refused.retain(|id, _| exhausted.contains(id));
     }
 }
--- a/components/edge/src/quotas/messages.rs
+++ b/components/edge/src/quotas/messages.rs
@@ -1,6 +1,7 @@
 //! Encoding of the messages about quotas.
 
 use {
+    crate::clock::millis,
     wigeonramp_routing::{
         accounts::Quota,
         quotas::{
@@ -86,10 +87,6 @@
     pub grants: Option<GrantsMessage>,
 }
 
-fn millis(span: Span) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 impl From<&Usage> for UsageMessage {
     fn from(usage: &Usage) -> Self {
         Self {
@@ -181,6 +178,15 @@
     }
 }
 
+impl From<&QuotaMessage> for QuotasMessage {
+    fn from(message: &QuotaMessage) -> Self {
+        match message {
+            QuotaMessage::Report(report) => Self { report: Some(report.into()), grants: None },
+            QuotaMessage::Grants(grants) => Self { report: None, grants: Some(grants.into()) },
+        }
+    }
+}
+
 impl QuotasMessage {
     /// Returns the messages.
     pub fn messages(&self) -> impl Iterator<Item = QuotaMessage> {
--- a/components/edge/src/releases.rs
+++ b/components/edge/src/releases.rs
@@ -1,7 +1,7 @@
 //! Releases: the messages about them between hosts, the writes of their statuses, and their log lines.
 
 use {
-    crate::node::Node,
+    crate::{clock::millis, node::Node},
     indexmap::IndexMap,
     serde_json::json,
     std::net::Ipv4Addr,
@@ -92,7 +92,7 @@
     wish: u32,
 }
 
-/// What a datagram says about releases.
+/// All messages about releases in one datagram.
 #[derive(Clone, PartialEq, prost::Message)]
 pub(crate) struct ReleasesMessage {
     #[prost(message, repeated, tag = "1")]
@@ -110,10 +110,6 @@
 const STATES: [OrderState; 3] =
     [OrderState::Running, OrderState::Completed, OrderState::RolledBack];
 
-fn millis(span: Span) -> u32 {
-    u32::try_from(span.as_millis()).unwrap_or(u32::MAX)
-}
-
 fn key(service: &str, version: &str) -> Option<OrderKey> {
     Some(OrderKey { service: service.parse().ok()?, target: version.to_owned().try_into().ok()? })
 }
@@ -188,7 +184,8 @@
 
 impl From<&Verdict> for VerdictMessage {
     fn from(verdict: &Verdict) -> Self {
-        let wish = verdict.wish.and_then(|wish| STATES.iter().position(|state| *state == wish));
+        let requested = verdict.requested_state;
+        let number = requested.and_then(|requested| STATES.iter().position(|s| *s == requested));
         Self {
             service: verdict.key.service.to_string(),
             version: verdict.key.target.to_string(),
@@ -196,7 +193,7 @@
             phase: verdict.phase.number(),
             confirm: verdict.confirm,
             rate: verdict.rate,
-            wish: wish.map_or(0, |number| number as u32 + 1),
+            wish: number.map_or(0, |number| number as u32 + 1),
         }
     }
 }
@@ -204,14 +201,14 @@
 impl VerdictMessage {
     /// Converts the message; returns `None` if a field is invalid.
     fn verdict(&self) -> Option<Verdict> {
-        let wish = (self.wish as usize).checked_sub(1);
+        let requested = (self.wish as usize).checked_sub(1);
         Some(Verdict {
             key: key(&self.service, &self.version)?,
             age: Span::millis(self.age.into()),
             phase: Phase::from_number(self.phase)?,
             confirm: self.confirm,
             rate: self.rate,
-            wish: wish.and_then(|number| STATES.get(number).copied()),
+            requested_state: requested.and_then(|number| STATES.get(number).copied()),
         })
     }
 }
@@ -249,8 +246,9 @@
 }
 
 impl Node {
-    /// Returns what every datagram says about releases; none where they are not in use.
-    pub(crate) fn release_news(&self) -> Option<ReleasesMessage> {
+    /// Returns the position of the last change to an order, which every datagram tells; none where
+    /// releases are not in use.
+    pub(crate) fn order_position_message(&self) -> Option<ReleasesMessage> {
         let changed = self.replicated.orders.changed();
         let is_known = self.routing.releases.is_enabled() && changed.is_known();
         is_known.then(|| ReleasesMessage::default().with_last_change(changed))
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -373,7 +373,8 @@
                     "request": head.id, "target": head.target, "status": status,
                     "cause": cause.name(), "account": account.map(|account| &account.name),
                     "quota": account.and_then(|account| account.quota),
-                    "retry_after_us": retry_after.0, "config": self.active_catalog.version().map(|v| v.0),
+                    "retry_after_us": retry_after.0,
+                    "config": self.active_catalog.version().map(|v| v.0),
                     "took_us": self.now.since(arrived).0,
                 });
                 self.journal.record("refused", fields, self.now);
--- a/components/edge/src/stopping.rs
+++ b/components/edge/src/stopping.rs
@@ -40,7 +40,7 @@
         self.stopping = Some(stop);
         self.journal.record("stopping", json!({ "open_requests": self.requests.len() }), self.now);
         self.routing.limits.stop_allocating();
-        self.quota_desk.quotas.stop_allocating();
+        self.quota_state.quotas.stop_allocating();
         self.refresh_shares();
         self.announce_stop();
     }
--- a/components/routing/src/quotas/mod.rs
+++ b/components/routing/src/quotas/mod.rs
@@ -270,7 +270,8 @@
         std::mem::take(&mut self.outbox)
     }
 
-    fn report(&mut self, now: Instant) {
+    /// Passes over an allocator that has not responded to its last reports.
+    fn update_silent(&mut self, now: Instant) {
         self.silent.retain(|_, until| now < *until);
         if let Some(silent) = self.allocator
             && self.unanswered >= SILENT_REPORTS
@@ -278,6 +279,10 @@
         {
             self.silent.insert(silent, now + SILENT_TIME);
         }
+    }
+
+    fn report(&mut self, now: Instant) {
+        self.update_silent(now);
         self.choose_allocator();
         let Some(allocator) = self.allocator else { return };
         let delegation = self.delegate(allocator, now);
--- a/components/routing/src/quotas/pool.rs
+++ b/components/routing/src/quotas/pool.rs
@@ -15,8 +15,9 @@
     wigeonramp_units::{Instant, Span},
 };
 
-/// Part of the slack that pays for requests that hosts admit without a permit. These need not be reported. With 0.7, four of 18 hosts had
-/// no such request, and 8 of 9 requests that waited although their account was far below its quota came to them.
+/// Part of the slack that pays for requests that hosts admit without a permit. These need not be
+/// reported. With 0.7, four of 18 hosts may admit none, so that requests there wait although their
+/// account is far below its quota.
 pub(super) const OWN_PART: f64 = 0.9;
 /// Part of the slack up to which the requests of an account in a window may come to use `OWN_PART`. With
 /// 1.0, 9 of 473 requests up to a quota of 4 a second were refused with demand at two hosts.
--- a/components/routing/src/releases/counts.rs
+++ b/components/routing/src/releases/counts.rs
@@ -4,10 +4,9 @@
 
 /// Number of latency buckets; the last one holds everything that is longer.
 pub const BUCKETS: usize = 40;
-/// Upper end of the first bucket.
-const FIRST_BUCKET: f64 = 2_000.0;
-/// Ratio of the ends of neighboring buckets: two to the power of a quarter, so that 40 buckets reach
-/// from 2 ms to 1.7 s.
+/// Upper end of the first bucket in microseconds.
+const FIRST_BUCKET_END_US: f64 = 2_000.0;
+/// Buckets for each doubling of the latency, so that 40 buckets reach from 2 ms to 1.7 s.
 const BUCKETS_PER_DOUBLING: f64 = 4.0;
 
 /// Ended attempts.
@@ -19,7 +18,8 @@
     pub failed: u32,
     /// Broken connections, unreachable leaves and requests that a leaf declined.
     pub broken: u32,
-    /// Responses without a failure status by latency.
+    /// Responses without a failure status by latency; attempts without a response in time are in the
+    /// last bucket.
     pub latencies: [u32; BUCKETS],
 }
 
@@ -31,7 +31,7 @@
 
 /// Returns the bucket of a latency.
 pub fn bucket(latency: Span) -> usize {
-    let ratio = latency.0 as f64 / FIRST_BUCKET;
+    let ratio = latency.0 as f64 / FIRST_BUCKET_END_US;
     if ratio <= 1.0 {
         return 0;
     }
@@ -88,7 +88,7 @@
         self.answered == 0 && self.broken == 0
     }
 
-    /// Returns the number of responses by latency.
+    /// Returns the number of attempts with a latency, which the test for slowness judges.
     pub fn judged(&self) -> u32 {
         self.latencies.iter().sum()
     }
--- a/components/routing/src/releases/decider.rs
+++ b/components/routing/src/releases/decider.rs
@@ -29,7 +29,7 @@
 const LAST_STEP_PERCENT: u64 = 8;
 /// Part of what is left of the bound on the exposure that the last step spends at most.
 const LAST_STEP_SPENDS: f64 = 0.95;
-/// The same for other steps.
+/// The same part for the steps before it.
 const STEP_SPENDS: f64 = 0.5;
 /// Time of the last step that must be affordable after a step with half of the requests; otherwise that
 /// step is left out.
@@ -42,7 +42,7 @@
 /// Shortest time with all requests at the candidate before the completion.
 const MIN_LAST_STEP: Span = Span::millis(600);
 /// Part of the order's duration after which steps no longer wait for a number of responses, in percent.
-const PRESSED_PERCENT: u64 = 80;
+const NEAR_DEADLINE_PERCENT: u64 = 80;
 /// Part of the order's duration after which a release that is not in its last phase is rolled back, in
 /// percent. The rest is for messages and the write of the status.
 const GIVE_UP_PERCENT: u64 = 90;
@@ -51,30 +51,31 @@
 /// Part of the expected responses that a step needs if few requests arrive.
 const STEP_RESPONSE_FRACTION: f64 = 0.4;
 /// Part of a test's threshold that its sum may reach for a step.
-const CALM: f64 = 0.5;
-/// The same once steps no longer wait, since a release that is not completed in time has failed as well.
-const PRESSED_CALM: f64 = 0.6;
+const MAX_SUM_PART: f64 = 0.5;
+/// The same near the deadline, since a release that is not completed in time has failed as well.
+const NEAR_DEADLINE_MAX_SUM_PART: f64 = 0.6;
 /// Share of slow responses beyond the expected one with which a step does not end. Two of three leaves
 /// that pause delay it only.
 const DOUBTFUL_SLOW_SHARE: f64 = 0.22;
-/// The same for a rollback after `SLOW_STEP_TIME` of a step that uses at least half of the leaves: under its
-/// load, most responses of all leaves are slow. Where one leaf is used, a single pause looks the same.
+/// Share of slow responses beyond the expected one that rolls back after `SLOW_STEP_TIME` of a step
+/// that uses at least half of the leaves. Where one leaf is used, a single pause looks the same.
 const PLAIN_SLOW_SHARE: f64 = 0.35;
 /// Time from which the share of a step counts; pauses of leaves are shorter.
 const SLOW_STEP_TIME: Span = Span::millis(500);
 /// Responses from which the share of a step counts for a rollback.
 const MIN_SLOW_STEP_RESPONSES: u32 = 24;
-/// Responses from which it counts for a delay.
+/// Responses from which the share of a step counts for a delay.
 const MIN_DOUBTFUL_RESPONSES: u32 = 12;
-/// The same for a rollback once a step has spent what was left of the bound on the exposure.
+/// Share of slow responses beyond the expected one that rolls back once a step has spent what was
+/// left of the bound on the exposure.
 const SPENT_SLOW_SHARE: f64 = 0.3;
+/// Part of a test's threshold whose sum rolls back in the same situation.
+const SPENT_SUM_PART: f64 = 0.75;
 /// Age of an order up to which a host that begins to decide on it is the first one.
 const EARLY: Span = Span::secs(2);
 /// Time for which a later deciding host collects totals before it decides: the first hosts' totals since
 /// the order are not those of the fleet. Each host rolls back by itself meanwhile.
 const COLLECTION_TIME: Span = Span::millis(600);
-/// Part of a test's threshold from which it counts in the same way.
-const SPENT_CALM: f64 = 0.75;
 /// Half-life of the measured request rate.
 const RATE_HALF_LIFE: Span = Span::secs(1);
 
@@ -260,12 +261,13 @@
         if (is_late && cx.phase < Phase::Draining) || has_lost_candidate {
             return Decision::RollBack(Reason::Late);
         }
-        if self.is_spent_in_doubt(cx) {
+        if self.is_bound_spent_in_doubt(cx) {
             return Decision::RollBack(Reason::Doubtful);
         }
         if cx.phase == Phase::Draining {
             let held = now.since(self.phase_began) >= self.step_time(cx);
-            let is_ready = held && cx.has_candidate && self.is_calm(cx) && self.is_drained(cx, now);
+            let is_ready =
+                held && cx.has_candidate && self.looks_healthy(cx) && self.is_drained(cx, now);
             return if is_ready { Decision::Complete } else { Decision::Keep };
         }
         match self.next_phase(cx) {
@@ -330,7 +332,7 @@
     }
 
     fn may_advance(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
-        if !cx.has_candidate || !self.is_calm(cx) {
+        if !cx.has_candidate || !self.looks_healthy(cx) {
             return false;
         }
         let is_due = match cx.phase {
@@ -342,7 +344,9 @@
         let broken = counts.broken - self.before_phase.broken;
         // Broken connections delay the release and do not end it.
         let is_doubtful = broken > 0 && broken >= answered;
-        is_due && !is_doubtful && (self.is_pressed(cx) || self.has_responses(cx, answered, now))
+        is_due
+            && !is_doubtful
+            && (self.is_near_deadline(cx) || self.has_responses(cx, answered, now))
     }
 
     /// Returns the share of slow responses in the step in force beyond the expected one, if the step has
@@ -354,12 +358,12 @@
         (judged >= min_responses).then(|| share - self.evidence.expected_slow_share())
     }
 
-    fn is_spent_in_doubt(&self, cx: &Circumstances<'_>) -> bool {
+    fn is_bound_spent_in_doubt(&self, cx: &Circumstances<'_>) -> bool {
         let excess = self.excess_slow_share(MIN_DOUBTFUL_RESPONSES);
         let is_slow = excess.is_some_and(|excess| excess >= SPENT_SLOW_SHARE);
         cx.phase > Phase::Canary
             && self.left(cx) < 1.0
-            && (is_slow || !self.evidence.is_calm(SPENT_CALM))
+            && (is_slow || !self.evidence.is_below(SPENT_SUM_PART))
     }
 
     fn is_slow_step(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
@@ -370,16 +374,20 @@
             && excess.is_some_and(|excess| excess >= PLAIN_SLOW_SHARE)
     }
 
-    fn is_calm(&self, cx: &Circumstances<'_>) -> bool {
+    /// Whether neither the share of slow responses in the step nor the sums of the tests delay the
+    /// release.
+    fn looks_healthy(&self, cx: &Circumstances<'_>) -> bool {
         let excess = self.excess_slow_share(MIN_DOUBTFUL_RESPONSES);
         if cx.phase > Phase::Canary && excess.is_some_and(|excess| excess >= DOUBTFUL_SLOW_SHARE) {
             return false;
         }
-        self.evidence.is_calm(if self.is_pressed(cx) { PRESSED_CALM } else { CALM })
+        let is_near_deadline = self.is_near_deadline(cx);
+        let part = if is_near_deadline { NEAR_DEADLINE_MAX_SUM_PART } else { MAX_SUM_PART };
+        self.evidence.is_below(part)
     }
 
-    fn is_pressed(&self, cx: &Circumstances<'_>) -> bool {
-        cx.age >= cx.duration.percent(PRESSED_PERCENT)
+    fn is_near_deadline(&self, cx: &Circumstances<'_>) -> bool {
+        cx.age >= cx.duration.percent(NEAR_DEADLINE_PERCENT)
     }
 
     fn has_responses(&self, cx: &Circumstances<'_>, answered: u32, now: Instant) -> bool {
--- a/components/routing/src/releases/evidence.rs
+++ b/components/routing/src/releases/evidence.rs
@@ -26,7 +26,7 @@
 /// Sum from which a version counts as slow.
 const SLOWNESS_THRESHOLD: f64 = 8.0;
 /// Highest log-likelihood ratio of all failures with which a release may take its next step.
-const MAX_CALM_RATIO: f64 = 1.0;
+const MAX_FAILURE_RATIO: f64 = 1.0;
 /// Lowest failure share that is expected of a healthy version.
 const MIN_FAILURE_SHARE: f64 = 0.01;
 /// Failure share that a bad version is assumed to have beyond the baseline's.
@@ -307,9 +307,9 @@
     }
 
     /// Whether no sum has reached this part of its threshold.
-    pub fn is_calm(&self, part: f64) -> bool {
+    pub fn is_below(&self, part: f64) -> bool {
         let (failures, slowness) = self.sums();
-        self.overall_failures() < MAX_CALM_RATIO
+        self.overall_failures() < MAX_FAILURE_RATIO
             && failures < FAILURE_THRESHOLD * part
             && slowness < SLOWNESS_THRESHOLD * part
     }
--- a/components/routing/src/releases/exposure.rs
+++ b/components/routing/src/releases/exposure.rs
@@ -16,11 +16,11 @@
 /// is bad at once and gives one leaf of it a normal load.
 const BURST_FRACTION: f64 = 0.2;
 /// Part of the slack that is spent evenly over the canary phase while the request rate is not known.
-const DRIP_FRACTION: f64 = 0.25;
-/// Part of the slack that is spent so at a service without requests.
-const MAX_DRIP_FRACTION: f64 = 0.6;
-/// Least part of the slack that is spent so.
-const MIN_DRIP_FRACTION: f64 = 0.06;
+const EVEN_FRACTION: f64 = 0.25;
+/// Highest value of that part, used at a service without requests.
+const MAX_EVEN_FRACTION: f64 = 0.6;
+/// Lowest value of that part.
+const MIN_EVEN_FRACTION: f64 = 0.06;
 /// Time for whose requests the slack is kept for the steps after the canary phase.
 const KEPT_FOR_STEPS: Span = Span::millis(400);
 /// Part of the first attempts that the burst may use, so that the baseline is measured in the same time.
@@ -40,8 +40,9 @@
     /// Slack of all hosts.
     whole_slack: f64,
     canary_seconds: f64,
-    drip_fraction: f64,
-    drip_at: Instant,
+    /// Part of the slack that is spent evenly over the canary phase.
+    even_fraction: f64,
+    credited_at: Instant,
 }
 
 impl Credit {
@@ -65,8 +66,8 @@
             slack,
             whole_slack: bounds.exposure_slack.max(1.0),
             canary_seconds: canary,
-            drip_fraction: DRIP_FRACTION,
-            drip_at: now,
+            even_fraction: EVEN_FRACTION,
+            credited_at: now,
         }
     }
 
@@ -85,12 +86,12 @@
                     self.burst -= 1.0;
                     return true;
                 }
-                let per_second = self.slack * self.drip_fraction / self.canary_seconds;
-                self.credit += now.since(self.drip_at).0 as f64 / 1e6 * per_second;
+                let per_second = self.slack * self.even_fraction / self.canary_seconds;
+                self.credit += now.since(self.credited_at).0 as f64 / 1e6 * per_second;
                 bounds.exposure_share * CANARY_FRACTION
             }
         };
-        self.drip_at = now;
+        self.credited_at = now;
         self.credit = (self.credit + share).min(MAX_CREDIT);
         let taken = self.credit >= 1.0;
         if taken {
@@ -104,8 +105,8 @@
     pub fn set_rate(&mut self, per_second: u32) {
         if per_second > 0 {
             let kept = f64::from(per_second) * KEPT_FOR_STEPS.0 as f64 / 1e6 / self.whole_slack;
-            self.drip_fraction =
-                (MAX_DRIP_FRACTION - kept).clamp(MIN_DRIP_FRACTION, MAX_DRIP_FRACTION);
+            self.even_fraction =
+                (MAX_EVEN_FRACTION - kept).clamp(MIN_EVEN_FRACTION, MAX_EVEN_FRACTION);
         }
     }
 
--- a/components/routing/src/releases/messages.rs
+++ b/components/routing/src/releases/messages.rs
@@ -56,7 +56,7 @@
     /// Requests per second for the service from all hosts; zero if not known.
     pub rate: u32,
     /// State that is to be written to the store, which the sender cannot reach.
-    pub wish: Option<OrderState>,
+    pub requested_state: Option<OrderState>,
 }
 
 /// A message about releases.
--- a/components/routing/src/releases/mod.rs
+++ b/components/routing/src/releases/mod.rs
@@ -265,10 +265,7 @@
             ReleaseMessage::Totals(totals) => &totals.key,
             ReleaseMessage::Verdict(verdict) => &verdict.key,
         };
-        let release = self.releases.get_mut(&key.service)?;
-        if release.order().key != *key {
-            return None;
-        }
+        let release = self.release_of(key)?;
         release.on_message(from, message, now)
     }
 
--- a/components/routing/src/releases/release.rs
+++ b/components/routing/src/releases/release.rs
@@ -107,7 +107,7 @@
     /// Whether all hosts have moved, so that the order can be completed.
     is_complete: bool,
     /// State that the deciding host asks others to write.
-    wish: Option<OrderState>,
+    requested_state: Option<OrderState>,
     writer: StatusWriter,
     changes: Vec<ReleaseChange>,
 }
@@ -141,7 +141,7 @@
             confirm_to: None,
             next_repeat: now,
             is_complete: false,
-            wish: None,
+            requested_state: None,
             writer: StatusWriter::new(now),
             changes: Vec::new(),
             order,
@@ -328,8 +328,9 @@
         let rank = self.deciders(hosts, now).iter().position(|host| *host == self.own);
         let state = if rank == Some(0) { self.wanted_state() } else { None };
         let may_help = rank.is_some_and(|rank| rank < WRITERS);
-        let wish = self.wish.filter(|wish| may_help && self.order.state != Some(*wish));
-        let state = state.or(wish)?;
+        let is_missing = |state: &OrderState| self.order.state != Some(*state);
+        let requested = self.requested_state.filter(|state| may_help && is_missing(state));
+        let state = state.or(requested)?;
         self.writer.on_started(now);
         let revision = self.order.written.revision();
         Some(StatusWrite { key: self.order.key.clone(), state, revision })
@@ -355,7 +356,7 @@
             StatusResult::Missing | StatusResult::Failed => self.writer.on_failed(now),
         }
         if self.settled.is_some() {
-            self.wish = None;
+            self.requested_state = None;
         }
     }
 }
--- a/components/routing/src/releases/release/deciding.rs
+++ b/components/routing/src/releases/release/deciding.rs
@@ -190,14 +190,14 @@
     }
 
     fn verdict(&self, confirm: bool, now: Instant) -> ReleaseMessage {
-        let wish = self.wanted_state().filter(|_| self.writer.is_failing());
+        let requested_state = self.wanted_state().filter(|_| self.writer.is_failing());
         ReleaseMessage::Verdict(Verdict {
             key: self.order.key.clone(),
             age: self.age(now),
             phase: self.phase,
             confirm,
             rate: self.decider.as_ref().map_or(0, Decider::rate),
-            wish,
+            requested_state,
         })
     }
 
@@ -223,7 +223,7 @@
                 if totals.phase == Phase::RolledBack
                     && self.enter(Phase::RolledBack, Some(Reason::OtherHost), now)
                 {
-                    self.wish = None;
+                    self.requested_state = None;
                 }
                 self.enter(totals.phase, None, now);
                 let (phase, age) = (self.phase, self.age(now));
@@ -236,7 +236,7 @@
                 self.asked.take_if(|(host, _)| *host == from);
                 let is_rollback = verdict.phase == Phase::RolledBack;
                 self.enter(verdict.phase, is_rollback.then_some(Reason::OtherHost), now);
-                self.wish = verdict.wish;
+                self.requested_state = verdict.requested_state;
                 if let Some(credit) = &mut self.credit {
                     credit.set_rate(verdict.rate);
                 }
--- a/components/routing/tests/quotas/fleet.rs
+++ b/components/routing/tests/quotas/fleet.rs
@@ -27,7 +27,7 @@
 /// Share of messages that are lost.
 const LOSS: f64 = 0.005;
 /// Time for which a request waits for a permit.
-const PATIENCE: Span = Span::millis(20);
+const MAX_WAIT: Span = Span::millis(20);
 /// Longest time until a leaf runs an admitted request, in microseconds.
 const RUN_US: u64 = 60_000;
 /// Bytes of a datagram without its accounts, of an account in a report and of one in a response.
@@ -364,7 +364,7 @@
                 self.next_event += 1;
                 let (number, process) = (self.next_event, self.hosts[host].process);
                 self.hosts[host].waiting.push_back((number, self.now, is_within));
-                self.schedule(self.now + PATIENCE, Event::GiveUp { host, process, number });
+                self.schedule(self.now + MAX_WAIT, Event::GiveUp { host, process, number });
                 self.outcome.waited += 1;
                 self.poll(host);
             }
--- a/components/routing/tests/releases/rules.rs
+++ b/components/routing/tests/releases/rules.rs
@@ -67,7 +67,7 @@
         phase,
         confirm: false,
         rate: 0,
-        wish: None,
+        requested_state: None,
     })
 }
 
