Tell overdue from timed-out attempts, and a budget from an account

`ConnectionQueue` called attempts overdue both after their due time and after the longest wait; the latter is `take_timed_out` now. The head of the memory budget called it an account, which is a client program everywhere else. Two impl blocks of `ConnectionShare` are one, and a closure that was used once is inlined.

--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -266,8 +266,8 @@
         for late in queue.take_late(self.now) {
             self.end_queued(&late, AttemptOutcome::Withheld);
         }
-        for overdue in queue.take_overdue(self.now) {
-            self.end_queued(&overdue, AttemptOutcome::Unsent);
+        for timed_out in queue.take_timed_out(self.now) {
+            self.end_queued(&timed_out, AttemptOutcome::Unsent);
         }
         while let Some(at_most_once) = queue.peek(self.now).map(|next| next.at_most_once) {
             let connection = self.connection(leaf, at_most_once);
--- a/components/routing/src/clients/memory.rs
+++ b/components/routing/src/clients/memory.rs
@@ -11,7 +11,7 @@
 const SMALL_BODY: usize = 16 * 1024;
 /// Largest response of a leaf that is read on while the budget is exceeded: one as large as the largest
 /// body.
-const FAIR_RESPONSE: usize = 256 * 1024;
+const MAX_RESPONSE_OVER_BUDGET: usize = 256 * 1024;
 /// Largest response of a leaf.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
 
@@ -52,7 +52,7 @@
     }
 }
 
-/// Account of the memory held for callers.
+/// Budget of the memory held for callers, and what is used of it.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit: usize,
@@ -111,7 +111,7 @@
 
     /// Whether a response of a leaf that has taken `bytes` so far is read on.
     pub fn admits_response(&self, bytes: usize) -> bool {
-        bytes <= FAIR_RESPONSE || self.level() < MemoryLevel::Exceeded
+        bytes <= MAX_RESPONSE_OVER_BUDGET || self.level() < MemoryLevel::Exceeded
     }
 
     /// Returns the largest response of a leaf.
--- a/components/routing/src/connections.rs
+++ b/components/routing/src/connections.rs
@@ -44,6 +44,7 @@
 pub struct ConnectionShare {
     /// Maximum number of connections.
     limit: usize,
+    /// Whether all hosts together could open more connections than the leaf accepts.
     is_short: bool,
     /// Whether the host keeps idle connections for its next requests.
     keeps_idle: bool,
@@ -56,17 +57,14 @@
         let HostCounts { known, active, is_active, is_settled } = hosts;
         // A host that is alone shares with nobody.
         let is_short = known > 1 && declared * USED_SHARE < (known * MIN_CONNECTIONS) as f64;
-        let of_active = |share: f64| (declared * share / active.max(1) as f64) as usize;
         let limit = match is_short {
             true if !is_active || !is_settled => 1,
-            _ => of_active(USED_SHARE).max(MIN_CONNECTIONS),
+            _ => ((declared * USED_SHARE / active.max(1) as f64) as usize).max(MIN_CONNECTIONS),
         };
         let keeps_idle = !is_short || (is_active && is_settled);
         Self { limit, is_short, keeps_idle }
     }
-}
 
-impl ConnectionShare {
     /// Whether all hosts together could open more connections than the leaf accepts.
     pub fn is_short(&self) -> bool {
         self.is_short
--- a/components/routing/src/queue.rs
+++ b/components/routing/src/queue.rs
@@ -70,9 +70,9 @@
     }
 
     /// Removes the attempts that have waited for `MAX_WAIT`.
-    pub fn take_overdue(&mut self, now: Instant) -> Vec<T> {
-        let is_overdue = |waiting: &mut Waiting<T>| now.since(waiting.since) >= MAX_WAIT;
-        self.waiting.extract_if(.., is_overdue).map(|waiting| waiting.item).collect()
+    pub fn take_timed_out(&mut self, now: Instant) -> Vec<T> {
+        let has_timed_out = |waiting: &mut Waiting<T>| now.since(waiting.since) >= MAX_WAIT;
+        self.waiting.extract_if(.., has_timed_out).map(|waiting| waiting.item).collect()
     }
 
     /// Removes the attempts for which `is_withdrawn` holds.
--- a/components/routing/tests/queue.rs
+++ b/components/routing/tests/queue.rs
@@ -47,7 +47,7 @@
     queue.push(urgency(1, 40, 60), "short", at(0));
     assert!(queue.take_late(at(55)).is_empty());
     assert_eq!(queue.take_late(at(56)), ["short"]);
-    assert_eq!(queue.take_overdue(at(201)), ["batch", "slow route"]);
+    assert_eq!(queue.take_timed_out(at(201)), ["batch", "slow route"]);
     assert_eq!(queue.withdraw(|item| item.ends_with("again")), ["fast route again"]);
     assert_eq!(queue.peek(at(201)), Some(&"fast route"));
     assert_eq!(drain(&mut queue, 201), ["fast route"]);
