--- a/components/edge/src/accounts.rs
+++ b/components/edge/src/accounts.rs
@@ -20,8 +20,8 @@
 const MAX_LOGGED: usize = 12;
 
 impl Node {
-    /// Returns the account of a request of the route that presents `key`, or none if it needs none. An
-    /// error is the cause of the refusal and the time after which the caller may come back.
+    /// Returns the account of a request of the route that presents `key`, or none if it needs none.
+    /// An error is the cause of the refusal and the time after which the caller may come back.
     pub(crate) fn authorize(
         &self,
         route: &Route,
--- a/components/edge/src/body.rs
+++ b/components/edge/src/body.rs
@@ -6,7 +6,8 @@
 const MAX_LINE: usize = 1_024;
 /// Maximum number of bytes allocated up front for a body of known length.
 const MAX_RESERVED: u64 = 256 * 1024;
-/// Bytes of chunk framing and trailers allowed for each decoded byte; a chunk of one byte takes five.
+/// Bytes of chunk framing and trailers allowed for each decoded byte; a chunk of one byte takes
+/// five.
 const FRAMING_FACTOR: u64 = 16;
 /// Bytes of chunk framing and trailers allowed in addition.
 const FRAMING_BYTES: u64 = 16 * 1024;
--- a/components/edge/src/callers/admission.rs
+++ b/components/edge/src/callers/admission.rs
@@ -1,5 +1,5 @@
-//! Carrying out the limits on clients: who is accepted, whose body waits, and who is timed out, refused
-//! or closed. `wigeonramp_routing::clients` decides.
+//! Carrying out the limits on clients: who is accepted, whose body waits, and who is timed out,
+//! refused or closed. `wigeonramp_routing::clients` decides.
 
 use {
     super::{CallerConn, Phase},
@@ -27,7 +27,8 @@
     ["callers", "directory", "readiness", "metrics"];
 /// Longest time for which a body waits for memory.
 const MAX_BODY_WAIT: Span = STALL_TIME;
-/// From this fraction of the callers' limit on, the kernel's buffers of new connections are limited.
+/// From this fraction of the callers' limit on, the kernel's buffers of new connections are
+/// limited.
 const CROWDED_DIVISOR: usize = 4;
 
 /// Limits on clients and what is used of them.
@@ -41,7 +42,8 @@
     awaits_accept: [bool; LISTENERS],
     /// Whether the system last refused to accept a connection, by listener.
     accept_fails: [bool; LISTENERS],
-    /// Whether the limit of the listener was reached since the last sweep, and whether that is logged.
+    /// Whether the limit of the listener was reached since the last sweep, and whether that is
+    /// logged.
     was_full: [bool; LISTENERS],
     logged_full: [bool; LISTENERS],
     /// Keys and serial numbers of connections whose bodies wait for memory, the oldest first.
@@ -100,8 +102,8 @@
     }
 }
 
-/// Raises the process's own limit of descriptors to `wanted`, as far as the system allows it. Returns the
-/// number of descriptors that can be used.
+/// Raises the process's own limit of descriptors to `wanted`, as far as the system allows it.
+/// Returns the number of descriptors that can be used.
 fn raise_fd_limit(wanted: usize) -> usize {
     let own = getrlimit(Resource::Nofile);
     let wanted_fds = wanted as u64;
@@ -130,8 +132,8 @@
 }
 
 impl Node {
-    /// Returns whether a listener may accept a connection. At its limit, connections without progress
-    /// are closed; if there are none, new ones wait in the kernel.
+    /// Returns whether a listener may accept a connection. At its limit, connections without
+    /// progress are closed; if there are none, new ones wait in the kernel.
     pub(super) fn make_room_for_client(&mut self, listener: usize) -> bool {
         let limit = self.clients.limit(listener);
         if self.clients.open[listener] < limit {
@@ -152,8 +154,8 @@
         has_room
     }
 
-    /// Handles that the system does not accept a connection, for want of descriptors or memory. It is
-    /// tried again after a while.
+    /// Handles that the system does not accept a connection, for want of descriptors or memory. It
+    /// is tried again after a while.
     pub(super) fn accept_failed(&mut self, listener: usize, err: &Error) {
         if !std::mem::replace(&mut self.clients.accept_fails[listener], true) {
             let fields = json!({ "error": err.to_string(), "port": LISTENER_NAMES[listener] });
@@ -228,7 +230,8 @@
         self.relieve("memory", &chosen, false);
     }
 
-    /// Carries out a choice; `at_once` closes the chosen connections without waiting for their callers.
+    /// Carries out a choice; `at_once` closes the chosen connections without waiting for their
+    /// callers.
     fn relieve(&mut self, limit: &'static str, chosen: &[(usize, Relief)], at_once: bool) {
         for (key, relief) in chosen {
             let (action, cause) = match relief {
@@ -247,7 +250,8 @@
         }
     }
 
-    /// Refuses bodies that have waited too long for memory, relieves it, and logs changes of the limits.
+    /// Refuses bodies that have waited too long for memory, relieves it, and logs changes of the
+    /// limits.
     pub(super) fn sweep_client_limits(&mut self) {
         let now = self.now;
         while let Some((key, serial)) = self.clients.held.front().copied() {
--- a/components/edge/src/callers/mod.rs
+++ b/components/edge/src/callers/mod.rs
@@ -84,8 +84,8 @@
         CallerPath { round_trip, is_first: self.served == 0, time_left }
     }
 
-    /// Returns the number of bytes that the connection takes, and those that its body may take until it
-    /// is complete.
+    /// Returns the number of bytes that the connection takes, and those that its body may take
+    /// until it is complete.
     fn held_bytes(&self) -> usize {
         let body = match &self.phase {
             Phase::Body(head, reader) if self.held_since.is_some() => {
--- a/components/edge/src/callers/reading.rs
+++ b/components/edge/src/callers/reading.rs
@@ -1,5 +1,5 @@
-//! Reading requests. A connection is read only while its next request can begin: responses that wait
-//! unread, and requests in progress, leave requests that were sent ahead in the kernel.
+//! Reading requests. A connection is read only while its next request can begin: responses that
+//! wait unread, and requests in progress, leave requests that were sent ahead in the kernel.
 
 use {
     super::{CallerConn, Phase},
@@ -25,8 +25,8 @@
 const ENDPOINT_BODY_BYTES: u64 = 1_024;
 
 impl CallerConn {
-    /// Whether the connection can be read: nothing waits for its caller or for memory, and no request
-    /// is in progress.
+    /// Whether the connection can be read: nothing waits for its caller or for memory, and no
+    /// request is in progress.
     fn is_wanted(&self) -> bool {
         match self.phase {
             Phase::AwaitingQuota(_) | Phase::Waiting(_) => false,
@@ -138,8 +138,8 @@
         }
     }
 
-    /// Prepares to read the body after `head`; returns false if the request was refused or waits for
-    /// memory, or the connection was closed.
+    /// Prepares to read the body after `head`; returns false if the request was refused or waits
+    /// for memory, or the connection was closed.
     fn begin_body(&mut self, key: usize, head: RequestHead, max: u64) -> bool {
         let Some(conn) = self.callers.get_mut(key) else { return false };
         conn.inbuf.drain(..head.length);
@@ -160,7 +160,8 @@
         self.send_continue(key)
     }
 
-    /// Tells a caller that waits for it to send the body; returns false if the connection was closed.
+    /// Tells a caller that waits for it to send the body; returns false if the connection was
+    /// closed.
     pub(super) fn send_continue(&mut self, key: usize) -> bool {
         let Some(conn) = self.callers.get_mut(key) else { return false };
         let Phase::Body(head, reader) = &conn.phase else { return true };
--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -309,8 +309,8 @@
                 Err(_) => {}
             }
         }
-        // Has the event queue report the socket again, so that other events come first. If this fails, the
-        // next datagram reports it.
+        // Has the event queue report the socket again, so that other events come first. If this
+        // fails, the next datagram reports it.
         let token = EventSource::Datagrams.token();
         let _ = self.poll.registry().reregister(&mut self.gossip.sock, token, Interest::READABLE);
     }
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -369,8 +369,8 @@
     }
 
     /// Records that all changes that the store acknowledged before `until` have been received, and
-    /// tells the followers, whose news is as old as this host's. If the news was out of date, a host
-    /// that watches the store tells all others, so that they can follow it.
+    /// tells the followers, whose news is as old as this host's. If the news was out of date, a
+    /// host that watches the store tells all others, so that they can follow it.
     pub(crate) fn on_news_current(&mut self, until: Instant) {
         let before = self.origin_selector.current_until();
         if self.origin_selector.on_current(until, self.now) {
--- a/components/edge/src/peers/accepting.rs
+++ b/components/edge/src/peers/accepting.rs
@@ -1,5 +1,5 @@
-//! Streams that other hosts open. Anybody may connect, so those that have not said which changes they have
-//! are few, short-lived and hold little.
+//! Streams that other hosts open. Anybody may connect, so those that have not said which changes
+//! they have are few, short-lived and hold little.
 
 use {
     super::PeerConn, crate::node::Node, serde_json::json, std::io::ErrorKind,
@@ -13,7 +13,8 @@
 const ACCEPTS_PER_TURN: usize = 64;
 
 impl Node {
-    /// Accepts streams of other hosts, the rest of many or refused by the system with the next sweep.
+    /// Accepts streams of other hosts, the rest of many or refused by the system with the next
+    /// sweep.
     pub(crate) fn accept_peers(&mut self) {
         self.peers.awaits_accept = false;
         for _ in 0..ACCEPTS_PER_TURN {
@@ -33,8 +34,8 @@
         self.peers.awaits_accept = true;
     }
 
-    /// Returns whether another stream can be accepted. At the limit, the oldest stream without a first
-    /// frame is closed; streams of followers and to followed hosts stay.
+    /// Returns whether another stream can be accepted. At the limit, the oldest stream without a
+    /// first frame is closed; streams of followers and to followed hosts stay.
     fn make_room_for_peer(&mut self) -> bool {
         let limit = self.clients.connections.peers;
         if self.peers.conns.len() >= limit {
@@ -47,8 +48,8 @@
         self.peers.conns.len() < limit
     }
 
-    /// Accepts streams that wait, and closes those that others opened without sending the first frame in
-    /// time.
+    /// Accepts streams that wait, and closes those that others opened without sending the first
+    /// frame in time.
     pub(super) fn sweep_accepted_peers(&mut self) {
         if self.peers.awaits_accept {
             self.accept_peers();
--- a/components/edge/src/peers/frames.rs
+++ b/components/edge/src/peers/frames.rs
@@ -13,8 +13,8 @@
     Ok(bytes)
 }
 
-/// Removes a frame of at most `max` bytes from the front of `buf` and decodes it; returns `None` if it is
-/// incomplete.
+/// Removes a frame of at most `max` bytes from the front of `buf` and decodes it; returns `None` if
+/// it is incomplete.
 pub(super) fn take_frame<T: DeserializeOwned>(
     buf: &mut Vec<u8>,
     max: usize,
--- a/components/edge/src/peers/updates.rs
+++ b/components/edge/src/peers/updates.rs
@@ -1,4 +1,5 @@
-//! Updates of the replicated state: composing them for followers, and applying those of a followed host.
+//! Updates of the replicated state: composing them for followers, and applying those of a followed
+//! host.
 
 use {
     super::{ConfigUpdate, KnownPositions, ReplicationUpdate},
--- a/components/edge/src/quotas.rs
+++ b/components/edge/src/quotas.rs
@@ -23,10 +23,11 @@
     wigeonramp_units::{Instant, Span},
 };
 
-/// Longest wait for a permit. Hosts respond to each other within 2 to 11 ms on the network, and small ones
-/// react some milliseconds late.
+/// Longest wait for a permit. Hosts respond to each other within 2 to 11 ms on the network, and
+/// small ones react some milliseconds late.
 const MAX_WAIT: Span = Span::millis(40);
-/// Part of the target latency and of the time until the deadline that a request waits at most, in percent.
+/// Part of the target latency and of the time until the deadline that a request waits at most, in
+/// percent.
 const MAX_WAIT_PERCENT: u64 = 50;
 /// Time for which the hosts that quotas depend on are not looked up again.
 const HOSTS_INTERVAL: Span = Span::millis(100);
@@ -78,8 +79,8 @@
         self.metrics.label_accounts(names);
     }
 
-    /// Starts a request if its account is within its quota; otherwise the request waits for a permit, or
-    /// is refused.
+    /// Starts a request if its account is within its quota; otherwise the request waits for a
+    /// permit, or is refused.
     pub(crate) fn admit_to_quota(&mut self, request: AcceptedRequest) {
         let account = request.account.as_ref().filter(|account| account.quota.is_some());
         let Some(id) = account.map(|account| AccountId::new(&account.name)) else {
--- a/components/edge/src/releases.rs
+++ b/components/edge/src/releases.rs
@@ -1,4 +1,5 @@
-//! Releases: the messages about them between hosts, the writes of their statuses, and their log lines.
+//! Releases: the messages about them between hosts, the writes of their statuses, and their log
+//! lines.
 
 use {
     crate::{clock::millis, node::Node},
@@ -20,8 +21,8 @@
     wigeonramp_units::{Instant, Revision, ServiceId, Span, StoreEra},
 };
 
-/// Time after the start of a host for which it waits for the list of orders before it serves. A followed
-/// host of an earlier version sends none.
+/// Time after the start of a host for which it waits for the list of orders before it serves. A
+/// followed host of an earlier version sends none.
 const ORDERS_TIMEOUT: Span = Span::secs(3);
 /// Maximum number of messages in a datagram, which keeps it below the largest that is read.
 const MESSAGES_PER_DATAGRAM: usize = 4;
--- a/components/edge/src/stopping.rs
+++ b/components/edge/src/stopping.rs
@@ -45,8 +45,8 @@
         self.announce_stop();
     }
 
-    /// Returns why a request is refused because the host is stopping, if it is: the cause and the time
-    /// after which the caller may come back.
+    /// Returns why a request is refused because the host is stopping, if it is: the cause and the
+    /// time after which the caller may come back.
     pub(crate) fn refusal_by_stop(
         &mut self,
         route: &Route,
--- a/components/edge/src/store/calls.rs
+++ b/components/edge/src/store/calls.rs
@@ -103,8 +103,8 @@
     }
 
     /// Starts the call that is due on the connection for members. A host that watches the store
-    /// first registers itself, so that other hosts find it in the member list. It probes the store at
-    /// intervals, as does a host that stopped watching because the store failed for it. Any host
+    /// first registers itself, so that other hosts find it in the member list. It probes the store
+    /// at intervals, as does a host that stopped watching because the store failed for it. Any host
     /// without live peers reads the member list.
     fn start_due_member_call(&mut self, index: usize, watches_store: bool) {
         let now = self.now;
--- a/components/edge/src/store/contents.rs
+++ b/components/edge/src/store/contents.rs
@@ -98,8 +98,8 @@
         }
     }
 
-    /// Applies the changes of the kind that connection `index` watches, complete up to `position`, which
-    /// the store has made since `known_until`.
+    /// Applies the changes of the kind that connection `index` watches, complete up to `position`,
+    /// which the store has made since `known_until`.
     pub(super) fn apply_batch(
         &mut self,
         index: usize,
@@ -236,8 +236,8 @@
         }
     }
 
-    /// Returns the removals of leaves whose registrations vanished since `known_until`, which take effect
-    /// after `min_grace` at the earliest.
+    /// Returns the removals of leaves whose registrations vanished since `known_until`, which take
+    /// effect after `min_grace` at the earliest.
     fn leaf_removals(
         &self,
         index: usize,
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -76,8 +76,8 @@
 struct StoreConn {
     kind: ObjectKind,
     /// Decides which list or watch is due, and when to retry after failures. For
-    /// [`ObjectKind::Members`], only its backoff counts, which delays every call, and whether the last
-    /// call was answered.
+    /// [`ObjectKind::Members`], only its backoff counts, which delays every call, and whether the
+    /// last call was answered.
     list_watch: ListWatch,
     sock: Option<TcpStream>,
     connected: bool,
@@ -141,8 +141,8 @@
         self.health.is_failing()
     }
 
-    /// Returns the time before which all acknowledged changes have been received, as the calls to the
-    /// store show.
+    /// Returns the time before which all acknowledged changes have been received, as the calls to
+    /// the store show.
     fn current_until(&self) -> Option<Instant> {
         let is_watched = |conn: &&StoreConn| conn.kind != ObjectKind::Members;
         let watched = self.conns.iter().filter(is_watched);
--- a/components/edge/src/store/outcomes.rs
+++ b/components/edge/src/store/outcomes.rs
@@ -15,7 +15,8 @@
 };
 
 impl Node {
-    /// Closes the connection and fails its pending call, if any. The first failure begins an outage.
+    /// Closes the connection and fails its pending call, if any. The first failure begins an
+    /// outage.
     pub(super) fn store_failed(&mut self, index: usize, reason: &str) {
         self.close_store_conn(index);
         let conn = &mut self.store.conns[index];
@@ -37,8 +38,9 @@
         }
     }
 
-    /// Handles that the store is in a later era, as a response or another host has shown: it has come
-    /// back from a copy. Lists and watches that began before are given up and made anew at once.
+    /// Handles that the store is in a later era, as a response or another host has shown: it has
+    /// come back from a copy. Lists and watches that began before are given up and made anew at
+    /// once.
     pub(super) fn enter_era(&mut self, era: StoreEra, from: &str) {
         let before = std::mem::replace(&mut self.store.era, era);
         self.reconciler.enter_era(era, self.now);
@@ -129,8 +131,8 @@
         }
     }
 
-    /// Handles the response to a probe. Changes that the watch has missed are applied, and it is made
-    /// again.
+    /// Handles the response to a probe. Changes that the watch has missed are applied, and it is
+    /// made again.
     fn on_probe(&mut self, index: usize, watch: usize, call: Call, body: &[u8]) {
         let batch = match objects::parse_changes(body) {
             Ok(batch) => batch,
@@ -187,8 +189,8 @@
         self.journal.record("store_regained", json!({ "made_again": repeated }), self.now);
     }
 
-    /// Checks whether the store has begun to fail for this host, and has other hosts watch it in that
-    /// case.
+    /// Checks whether the store has begun to fail for this host, and has other hosts watch it in
+    /// that case.
     pub(crate) fn check_store_health(&mut self) {
         let calls = self.store.conns.iter().map(|conn| &conn.list_watch);
         if self.store.health.check(calls, self.now) {
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -49,8 +49,8 @@
 const SILENT_AFTER: Span = Span::millis(400);
 /// Connection limit of a leaf whose service declares none.
 const DEFAULT_CONNECTIONS: u32 = 50;
-/// Largest body that is copied behind the head of each attempt; larger ones are shared between them and
-/// written separately.
+/// Largest body that is copied behind the head of each attempt; larger ones are shared between them
+/// and written separately.
 const MAX_COPIED_BODY: usize = 16 * 1024;
 /// Bytes that a connection takes without its buffers.
 const CONN_BYTES: usize = 1_024;
@@ -162,8 +162,8 @@
         self.clients.memory.set(&mut conn.charge, bytes);
     }
 
-    /// Closes the connection that has been idle the longest if there are as many as allowed; returns
-    /// whether another one may be opened.
+    /// Closes the connection that has been idle the longest if there are as many as allowed;
+    /// returns whether another one may be opened.
     fn make_room_for_leaf(&mut self) -> bool {
         let limit = self.clients.connections.leaves;
         if self.upstreams.conns.len() >= limit {
@@ -259,8 +259,8 @@
         is_flushed
     }
 
-    /// Sends the queued attempts to a leaf as far as there are connections; ends those that have waited
-    /// too long.
+    /// Sends the queued attempts to a leaf as far as there are connections; ends those that have
+    /// waited too long.
     fn send_queued(&mut self, leaf: LeafKey) {
         let Some(mut queue) = self.upstreams.queued.remove(&leaf) else { return };
         for late in queue.take_late(self.now) {
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -18,8 +18,8 @@
 
 /// Maximum length of a response head in bytes.
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
-/// Number of bytes that are read before they are decoded. It exceeds the maximum length of a head, so
-/// that a full buffer always holds a complete head or one that is too long.
+/// Number of bytes that are read before they are decoded. It exceeds the maximum length of a head,
+/// so that a full buffer always holds a complete head or one that is too long.
 const READ_AHEAD: usize = MAX_RESPONSE_HEAD + sock::READ_BYTES;
 /// Maximum number of times that a connection's bytes are decoded before other events.
 const ROUNDS_PER_TURN: usize = 16;
@@ -33,8 +33,8 @@
 }
 
 impl LeafConn {
-    /// Returns what a response says of the leaf of this connection: nothing if it is the response of
-    /// another leaf or to another request.
+    /// Returns what a response says of the leaf of this connection: nothing if it is the response
+    /// of another leaf or to another request.
     fn notices(&self, head: &ResponseHead) -> Notices {
         if head.status == 421 || self.mismatched {
             return Notices::default();
@@ -96,8 +96,8 @@
         }
     }
 
-    /// Charges what a connection takes; returns false if it was closed because of its large response
-    /// while the memory for callers is exceeded.
+    /// Charges what a connection takes; returns false if it was closed because of its large
+    /// response while the memory for callers is exceeded.
     fn is_response_admitted(&mut self, key: usize) -> bool {
         self.charge_leaf(key);
         let Some(conn) = self.upstreams.conns.get(key) else { return false };
@@ -190,8 +190,8 @@
         }
     }
 
-    /// Handles what a leaf says of itself in a response. If it wants no requests, those that wait for a
-    /// connection to it go to other leaves.
+    /// Handles what a leaf says of itself in a response. If it wants no requests, those that wait
+    /// for a connection to it go to other leaves.
     fn hear_notices(&mut self, key: usize, notices: Notices) {
         let Some(conn) = self.upstreams.conns.get(key) else { return };
         let (leaf, process) = (conn.leaf, conn.process.clone());
--- a/components/edge/src/upstreams/withdrawal.rs
+++ b/components/edge/src/upstreams/withdrawal.rs
@@ -1,8 +1,8 @@
 //! Withdrawal of attempts of which nothing was written yet, when their request has its reply.
 //!
-//! The reply may say that the request never runs, and others wait for the places. An attempt that was
-//! written goes on: the leaf ends it at the deadline that it was given, and a closed connection would
-//! cost the next request a new one.
+//! The reply may say that the request never runs, and others wait for the places. An attempt that
+//! was written goes on: the leaf ends it at the deadline that it was given, and a closed connection
+//! would cost the next request a new one.
 
 use {
     super::LeafConn,
@@ -46,8 +46,8 @@
         }
     }
 
-    /// Empties the connections that would carry the attempts. An attempt ends when its connection is
-    /// established or fails, so that the outcome counts for the health of the leaf.
+    /// Empties the connections that would carry the attempts. An attempt ends when its connection
+    /// is established or fails, so that the outcome counts for the health of the leaf.
     fn withdraw_connecting(&mut self, request: usize, serial: u64, unwritten: &[AttemptRef]) {
         for (_, conn) in &mut self.upstreams.conns {
             let Some(in_flight) = &mut conn.in_flight else { continue };
@@ -60,8 +60,8 @@
         }
     }
 
-    /// Ends a withdrawn attempt whose connection is established, and offers the connection to others;
-    /// returns false if there is none.
+    /// Ends a withdrawn attempt whose connection is established, and offers the connection to
+    /// others; returns false if there is none.
     pub(super) fn release_withdrawn(&mut self, key: usize) -> bool {
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
         let Some(withdrawn) = conn.in_flight.take_if(|in_flight| in_flight.withdrawn) else {
--- a/components/routing/src/catalog.rs
+++ b/components/routing/src/catalog.rs
@@ -224,8 +224,8 @@
         self.accounts.as_ref().map_or(Access::Public, |accounts| accounts.access(route, key))
     }
 
-    /// Returns the route with the priority that a request of the account has. All decisions about the
-    /// request then see this priority as that of its route.
+    /// Returns the route with the priority that a request of the account has. All decisions about
+    /// the request then see this priority as that of its route.
     pub fn route_for(&mut self, route: &Arc<Route>, account: &Account) -> Arc<Route> {
         let Some(priority) = account.priority.filter(|priority| *priority != route.priority) else {
             return route.clone();
--- a/components/routing/src/changes.rs
+++ b/components/routing/src/changes.rs
@@ -1,4 +1,5 @@
-//! Log of changes to leaves, evacuations and orders of releases, in the order of the store's revisions.
+//! Log of changes to leaves, evacuations and orders of releases, in the order of the store's
+//! revisions.
 //!
 //! A host keeps the most recent changes so that it can bring other hosts up to date without a call
 //! to the store.
@@ -129,8 +130,8 @@
         self.changed = changed.max(self.changed);
     }
 
-    /// Appends changes that are complete up to `upto`; returns false if they are already known or do
-    /// not continue what is known.
+    /// Appends changes that are complete up to `upto`; returns false if they are already known or
+    /// do not continue what is known.
     pub fn extend(&mut self, upto: Position, changes: &[Change], now: Instant) -> bool {
         if upto == self.upto || !upto.continues(self.upto) {
             return false;
--- a/components/routing/src/clients/memory.rs
+++ b/components/routing/src/clients/memory.rs
@@ -9,8 +9,8 @@
 const MIN_BUDGET: usize = 4 * 1024 * 1024;
 /// Largest body that is taken while the budget is half used.
 const SMALL_BODY: usize = 16 * 1024;
-/// Largest response of a leaf that is read on while the budget is exceeded: one as large as the largest
-/// body.
+/// Largest response of a leaf that is read on while the budget is exceeded: one as large as the
+/// largest body.
 const MAX_RESPONSE_OVER_BUDGET: usize = 256 * 1024;
 /// Largest response of a leaf.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
@@ -97,8 +97,8 @@
         }
     }
 
-    /// Whether the reading of a body that takes up to `bytes` may begin. Small bodies may use more of
-    /// the budget than large ones, so that large ones do not lock them out.
+    /// Whether the reading of a body that takes up to `bytes` may begin. Small bodies may use more
+    /// of the budget than large ones, so that large ones do not lock them out.
     pub fn admits_body(&self, bytes: usize) -> bool {
         let share = if bytes <= SMALL_BODY { self.limit / 4 * 3 } else { self.limit / 2 };
         self.used + bytes <= share
--- a/components/routing/src/clients/mod.rs
+++ b/components/routing/src/clients/mod.rs
@@ -7,9 +7,9 @@
 
 use wigeonramp_units::Span;
 
-/// Time without progress after which a connection may be closed, once a limit is reached. An ordinary
-/// client sends a request without such pauses.
+/// Time without progress after which a connection may be closed, once a limit is reached. An
+/// ordinary client sends a request without such pauses.
 pub const STALL_TIME: Span = Span::secs(1);
-/// Number of bytes in `STALL_TIME` that count as progress of a body, so that single bytes do not keep
-/// it open.
+/// Number of bytes in `STALL_TIME` that count as progress of a body, so that single bytes do not
+/// keep it open.
 pub const PROGRESS_BYTES: u64 = 4 * 1024;
--- a/components/routing/src/clients/relief.rs
+++ b/components/routing/src/clients/relief.rs
@@ -60,8 +60,8 @@
     }
 }
 
-/// Chooses connections to close in favor of new ones: only such without recent progress, the longest
-/// without it first.
+/// Chooses connections to close in favor of new ones: only such without recent progress, the
+/// longest without it first.
 pub fn for_connections(clients: &[Client], now: Instant) -> Vec<(usize, Relief)> {
     let stalled = clients.iter().filter(|client| now.since(client.progress) >= STALL_TIME);
     let ranked = stalled.filter_map(|client| Some((connection_rank(client.phase)?, client)));
@@ -71,9 +71,9 @@
     ranked.into_iter().map(|((_, relief), client)| (client.key, relief)).collect()
 }
 
-/// Chooses connections that free `excess` bytes, as far as there are any: those that read nothing, then
-/// requests without progress, each the longest without progress first. If the budget is `exceeded`, the
-/// largest others follow.
+/// Chooses connections that free `excess` bytes, as far as there are any: those that read nothing,
+/// then requests without progress, each the longest without progress first. If the budget is
+/// `exceeded`, the largest others follow.
 pub fn for_memory(
     clients: &[Client],
     excess: usize,
--- a/components/routing/src/connections.rs
+++ b/components/routing/src/connections.rs
@@ -1,10 +1,12 @@
-//! Connections of a host to the leaves, each of which accepts a limited number from all hosts together.
+//! Connections of a host to the leaves, each of which accepts a limited number from all hosts
+//! together.
 //!
 //! Load: 18 of 132 hosts carry nearly all requests, the others a few each, and a leaf accepts 101
-//! connections, fewer while its queue is long; it resets the ones beyond. A request that was written to
-//! such a connection is lost. So the hosts with traffic share most of the limit, the others and those that
-//! have just started use one connection for a moment, and a host that is reset opens no further ones for a
-//! while. Where there is room for two connections of every host, all share the limit alike.
+//! connections, fewer while its queue is long; it resets the ones beyond. A request that was
+//! written to such a connection is lost. So the hosts with traffic share most of the limit, the
+//! others and those that have just started use one connection for a moment, and a host that is
+//! reset opens no further ones for a while. Where there is room for two connections of every host,
+//! all share the limit alike.
 
 use {
     rand::{Rng, RngExt},
@@ -13,11 +15,11 @@
 
 /// Share of a leaf's connection limit that the hosts use.
 const USED_SHARE: f64 = 0.8;
-/// Minimum number of connections of a host to a leaf where they are not short: one in use and one for
-/// a second request.
+/// Minimum number of connections of a host to a leaf where they are not short: one in use and one
+/// for a second request.
 const MIN_CONNECTIONS: usize = 2;
-/// Time without use after which a connection is closed where connections are short and the host has no
-/// traffic of its own.
+/// Time without use after which a connection is closed where connections are short and the host has
+/// no traffic of its own.
 const SHORT_IDLE: Span = Span::millis(1_000);
 /// Time after which a host that was reset may have one more connection to the leaf.
 const RAISE_INTERVAL: Span = Span::secs(2);
@@ -139,8 +141,8 @@
         }
     }
 
-    /// Records that a leaf whose connections are short reset one, already recorded as closed, before any
-    /// response. Returns whether the host was not held back by an earlier reset.
+    /// Records that a leaf whose connections are short reset one, already recorded as closed,
+    /// before any response. Returns whether the host was not held back by an earlier reset.
     pub fn on_reset(&mut self, now: Instant, rng: &mut impl Rng) -> bool {
         let is_new = now >= self.blocked_until;
         if is_new {
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -52,8 +52,8 @@
     pub regions: &'a [RegionId],
 }
 
-/// Returns the addresses of the hosts that a caller is to use. Without a catalog, as on a host that has
-/// just started, no zone is preferred.
+/// Returns the addresses of the hosts that a caller is to use. Without a catalog, as on a host that
+/// has just started, no zone is preferred.
 pub fn select_entry_hosts(
     members: &Membership,
     catalog: Option<&Catalog>,
--- a/components/routing/src/exchange/attempt.rs
+++ b/components/routing/src/exchange/attempt.rs
@@ -63,8 +63,8 @@
     pub sent: Instant,
     pub running: bool,
     pub reached_leaf: bool,
-    /// Whether a leaf may run or have run it: bytes of it were written to a connection, and the leaf
-    /// has not said that it did not run it.
+    /// Whether a leaf may run or have run it: bytes of it were written to a connection, and the
+    /// leaf has not said that it did not run it.
     pub may_have_run: bool,
     /// Whether the leaf said that it did not run the request.
     pub declined: bool,
--- a/components/routing/src/exchange/conclusion.rs
+++ b/components/routing/src/exchange/conclusion.rs
@@ -17,11 +17,11 @@
 /// Retry delay suggested to the caller when no leaf ran the request, mostly because leaves are
 /// full.
 const RETRY_AFTER_BUSY: Span = Span::millis(100);
-/// Longest retry delay suggested because leaves are cold: this host's allowance follows its share of
-/// the traffic and may rise before the leaves are warm.
+/// Longest retry delay suggested because leaves are cold: this host's allowance follows its share
+/// of the traffic and may rise before the leaves are warm.
 const MAX_RETRY_AFTER_COLD: Span = Span::millis(500);
-/// Longest retry delay suggested because of connections that failed. Backoffs last longer, but leaves
-/// in backoff are used when the service has no others.
+/// Longest retry delay suggested because of connections that failed. Backoffs last longer, but
+/// leaves in backoff are used when the service has no others.
 const MAX_RETRY_AFTER_BROKEN: Span = Span::millis(500);
 
 impl Exchange {
@@ -53,8 +53,8 @@
         Some(Reply::Refused { cause, retry_after })
     }
 
-    /// Returns the time until enough parts have a leaf that can be sent them, as leaves may pause or be
-    /// cold; none if too many have no leaf at all.
+    /// Returns the time until enough parts have a leaf that can be sent them, as leaves may pause
+    /// or be cold; none if too many have no leaf at all.
     fn wait_for_leaves(&self, cx: &RoutingState, now: Instant) -> Option<Span> {
         self.wait_of_enough(|part| cx.wait(&part.service, &self.route, now))
     }
@@ -68,8 +68,8 @@
         self.wait_of_enough(|part| Some(cx.leaves.backoff(&part.service, &self.route.homes, now)))
     }
 
-    /// Returns the time until enough parts can be sent, from the time of each part; none if too many
-    /// have none.
+    /// Returns the time until enough parts can be sent, from the time of each part; none if too
+    /// many have none.
     fn wait_of_enough(&self, wait: impl Fn(&Part) -> Option<Span>) -> Option<Span> {
         let mut waits: Vec<Span> = self.parts.iter().filter_map(wait).collect();
         waits.sort_unstable();
@@ -163,8 +163,8 @@
         self.parts.iter().any(|part| part.possible_runs() > 0)
     }
 
-    /// Returns the reply to a request that ends because this host stops. The caller may come back at
-    /// once, to another host.
+    /// Returns the reply to a request that ends because this host stops. The caller may come back
+    /// at once, to another host.
     pub fn stop(&self) -> Reply {
         let cause = Cause::Stopping;
         if self.may_have_run() {
--- a/components/routing/src/exchange/mod.rs
+++ b/components/routing/src/exchange/mod.rs
@@ -80,8 +80,8 @@
         Self::begin_for(route, None, times, cx, now, new_attempts)
     }
 
-    /// Starts a request of an account. Returns a reply at once when the request cannot be sent or is refused, and
-    /// appends the first attempts to `new_attempts`.
+    /// Starts a request of an account. Returns a reply at once when the request cannot be sent or
+    /// is refused, and appends the first attempts to `new_attempts`.
     pub fn begin_for(
         route: Arc<Route>,
         account: Option<AccountShare>,
@@ -192,8 +192,8 @@
         self.parts[at.part].attempts[at.number].may_have_run = true;
     }
 
-    /// Returns the attempts of which nothing was written yet. They must be withdrawn when the reply is
-    /// sent, as it may say that the request never runs.
+    /// Returns the attempts of which nothing was written yet. They must be withdrawn when the reply
+    /// is sent, as it may say that the request never runs.
     pub fn unwritten(&self) -> Vec<AttemptRef> {
         let parts = self.parts.iter().enumerate();
         let attempts = parts.flat_map(|(part, state)| {
--- a/components/routing/src/fair_shares.rs
+++ b/components/routing/src/fair_shares.rs
@@ -1,8 +1,9 @@
 //! Division of the admitted requests of one priority among accounts, while leaves are overloaded.
 //!
-//! One to three of 83 accounts send 5 to 9 times their usual load for 5 to 12 s. If all requests were
-//! refused with the same probability, the other accounts would lose requests as well. Instead, what
-//! is admitted follows the quotas: an account gets at most its part, and what others leave of theirs.
+//! One to three of 83 accounts send 5 to 9 times their usual load for 5 to 12 s. If all requests
+//! were refused with the same probability, the other accounts would lose requests as well. Instead,
+//! what is admitted follows the quotas: an account gets at most its part, and what others leave of
+//! theirs.
 
 use {
     crate::{accounts::Account, quotas::AccountId},
@@ -72,7 +73,8 @@
         self.demands.insert(request.account, demand);
     }
 
-    /// Returns the admitted share of the requests of an account if `share` of all requests is admitted.
+    /// Returns the admitted share of the requests of an account if `share` of all requests is
+    /// admitted.
     pub fn admitted(
         &mut self,
         account: AccountId,
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -259,7 +259,8 @@
         self.cold_tokens(per_second, now) >= 1.0
     }
 
-    /// Returns the time until this host may send the leaf a request as far as its being cold matters.
+    /// Returns the time until this host may send the leaf a request as far as its being cold
+    /// matters.
     pub fn cold_wait(&self, per_second: Option<f64>, now: Instant) -> Span {
         let Some(per_second) = per_second.filter(|_| self.is_cold(now)) else { return Span::ZERO };
         let missing = 1.0 - self.cold_tokens(per_second, now);
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -158,8 +158,8 @@
         LeafChange::Removed(key)
     }
 
-    /// Records that a response of this process said that it is leaving. Returns whether that is new; it
-    /// is not if another process is registered by now.
+    /// Records that a response of this process said that it is leaving. Returns whether that is
+    /// new; it is not if another process is registered by now.
     pub fn on_leaving(&mut self, key: LeafKey, process: &LeafInstance) -> bool {
         let leaf = self.leaves.get_mut(&key);
         let leaf = leaf.filter(|leaf| leaf.registration.instance() == *process);
@@ -261,8 +261,8 @@
         self.by_id.get(id).copied()
     }
 
-    /// Records that a response of this process asked for a pause. Returns whether it was not pausing; it
-    /// is not paused if another process is registered by now.
+    /// Records that a response of this process asked for a pause. Returns whether it was not
+    /// pausing; it is not paused if another process is registered by now.
     pub fn on_pause(
         &mut self,
         key: LeafKey,
@@ -276,8 +276,8 @@
         leaf.is_some_and(|leaf| leaf.notice.on_pause(time, now, rng))
     }
 
-    /// Returns the time until a leaf of the service in these regions can be sent a request; none if the
-    /// service has no eligible leaf.
+    /// Returns the time until a leaf of the service in these regions can be sent a request; none if
+    /// the service has no eligible leaf.
     pub fn wait(&self, service: &ServiceId, homes: &[RegionId], now: Instant) -> Option<Span> {
         self.wait_with_allowance(service, homes, None, now)
     }
@@ -297,8 +297,8 @@
         self.usable(service, homes).filter_map(wait).min()
     }
 
-    /// Returns the time until a leaf of the service in these regions is out of backoff and this host can
-    /// have a connection to it; zero if the service has no eligible leaf.
+    /// Returns the time until a leaf of the service in these regions is out of backoff and this
+    /// host can have a connection to it; zero if the service has no eligible leaf.
     pub fn backoff(&self, service: &ServiceId, homes: &[RegionId], now: Instant) -> Span {
         let backoff = |leaf: &Leaf| leaf.backoff_until().since(now).max(leaf.room.wait(now));
         self.usable(service, homes).map(backoff).min().unwrap_or(Span::ZERO)
@@ -342,9 +342,9 @@
         keys.iter().filter_map(|key| Some((*key, self.leaves.get(key)?)))
     }
 
-    /// Selects the available leaf that is expected to respond first. A cold leaf with a declared rate
-    /// is chosen only if it has a token, which is then taken. A leaf that names a limit is chosen
-    /// only if this host has a permit.
+    /// Selects the available leaf that is expected to respond first. A cold leaf with a declared
+    /// rate is chosen only if it has a token, which is then taken. A leaf that names a limit is
+    /// chosen only if this host has a permit.
     pub fn choose(
         &mut self,
         criteria: &LeafCriteria<'_>,
@@ -419,8 +419,8 @@
         }
     }
 
-    /// Whether the leaf has overdue requests, is in backoff, can have no connection of this host or is
-    /// no longer registered.
+    /// Whether the leaf has overdue requests, is in backoff, can have no connection of this host or
+    /// is no longer registered.
     pub fn is_unhealthy(&self, key: LeafKey, now: Instant) -> bool {
         let leaf = self.leaves.get(&key);
         leaf.is_none_or(|leaf| leaf.is_overdue(now) || is_unreachable(leaf, now))
--- a/components/routing/src/leaves/versions.rs
+++ b/components/routing/src/leaves/versions.rs
@@ -17,8 +17,8 @@
 pub struct Focus {
     /// Number of a turn; all hosts choose the same leaves in it.
     pub turn: u64,
-    /// Share of the service's requests that the version gets; it uses the same share of its leaves, so that
-    /// these see a normal load.
+    /// Share of the service's requests that the version gets; it uses the same share of its leaves,
+    /// so that these see a normal load.
     pub share: f64,
 }
 
@@ -42,7 +42,8 @@
         barred.is_some_and(|versions| versions.contains(&leaf.registration.version))
     }
 
-    /// Sets the versions of a service that requests do not go to. Returns whether they have changed.
+    /// Sets the versions of a service that requests do not go to. Returns whether they have
+    /// changed.
     pub fn set_barred(&mut self, service: &ServiceId, versions: IndexSet<Option<Version>>) -> bool {
         if versions.is_empty() {
             return self.barred.swap_remove(service).is_some();
@@ -87,8 +88,8 @@
         }
     }
 
-    /// Returns the leaves that all hosts choose for the few requests to a version; none without such a
-    /// constraint, or if none of them can be sent a request.
+    /// Returns the leaves that all hosts choose for the few requests to a version; none without
+    /// such a constraint, or if none of them can be sent a request.
     pub(super) fn focused_leaves(
         &self,
         criteria: &LeafCriteria<'_>,
--- a/components/routing/src/limits/mod.rs
+++ b/components/routing/src/limits/mod.rs
@@ -2,9 +2,9 @@
 //!
 //! A leaf that cannot take its load names in its responses how many requests per second it takes
 //! from all hosts together. Hosts send to such a leaf only with permits. For each limited leaf, one
-//! host divides the permits: the allocator, which all hosts choose by the same hash. A host requests
-//! permits in advance by its measured demand, and at once when a request was denied. Without a
-//! permit, a request goes to another leaf.
+//! host divides the permits: the allocator, which all hosts choose by the same hash. A host
+//! requests permits in advance by its measured demand, and at once when a request was denied.
+//! Without a permit, a request goes to another leaf.
 //!
 //! The state machine gets the time as an argument and returns the messages to other hosts.
 
@@ -29,18 +29,18 @@
     xxhash_rust::xxh3::xxh3_64_with_seed,
 };
 
-/// Maximum number of leaves whose limits are kept. Datagrams of any sender name leaves; a large deployment
-/// has some 600.
+/// Maximum number of leaves whose limits are kept. Datagrams of any sender name leaves; a large
+/// deployment has some 600.
 const MAX_LIMITED_LEAVES: usize = 4_096;
-/// Time for which the rate rises from a limit that has ended, so that a leaf that has just recovered
-/// does not get the load of all hosts at once.
+/// Time for which the rate rises from a limit that has ended, so that a leaf that has just
+/// recovered does not get the load of all hosts at once.
 const RAMP_TIME: Span = Span::secs(4);
 /// Factor by which the rate rises in a second of that time.
 const RAMP_PER_SECOND: f64 = 2.0;
 /// Time for which the end of a limit is remembered, so that older news does not revive it.
 const ENDED_RETENTION: Span = Span::secs(10);
-/// Time since the last response of a leaf after which hosts that do not want it send no more requests
-/// for permits.
+/// Time since the last response of a leaf after which hosts that do not want it send no more
+/// requests for permits.
 const QUIET_AFTER: Span = Span::secs(60);
 /// Time after which a limit that no response has confirmed is forgotten. It is long, as hosts that
 /// had been told would send at once when they want the leaf again.
@@ -275,7 +275,8 @@
         known.sends.denied += 1;
     }
 
-    /// Whether a permit may arrive within moments: a request for permits is due, or has just been sent.
+    /// Whether a permit may arrive within moments: a request for permits is due, or has just been
+    /// sent.
     pub fn is_permit_expected(&self, leaf: &LeafInstance, now: Instant) -> bool {
         let is_expected = |known: &LimitedLeaf| {
             known.permits.next_request() <= now || known.requester.is_waiting(now)
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -31,7 +31,8 @@
 /// Time after its last heartbeat for which a lost host keeps its share of request limits: it may
 /// still send to leaves on the other side of a network partition.
 const LIMIT_SHARE_RETENTION: Span = Span::secs(600);
-/// Maximum number of hosts that have a share of the quotas of accounts: those that callers use most.
+/// Maximum number of hosts that have a share of the quotas of accounts: those that callers use
+/// most.
 const MAX_QUOTA_OWNERS: usize = 18;
 /// Traffic share of a host that does not know any other host yet.
 const UNKNOWN_SHARE: f64 = 0.01;
@@ -322,9 +323,9 @@
         }
     }
 
-    /// Returns the hosts on which quotas of accounts depend. The owners of shares are the first hosts of
-    /// each zone in the order in which callers get addresses, including lost ones, as these may go on
-    /// admitting requests.
+    /// Returns the hosts on which quotas of accounts depend. The owners of shares are the first
+    /// hosts of each zone in the order in which callers get addresses, including lost ones, as
+    /// these may go on admitting requests.
     pub fn quota_hosts(&self, now: Instant) -> QuotaHosts {
         let LimitHosts { candidates, stopping, .. } = self.limit_hosts(now);
         let may_send = |member: &&Member| {
--- a/components/routing/src/overload.rs
+++ b/components/routing/src/overload.rs
@@ -32,8 +32,8 @@
 /// Minimum admitted share of every priority. These requests show when the overload is over, and
 /// less urgent ones are not starved.
 const MIN_ADMITTED: f64 = 0.25;
-/// Least admitted share of an account, as a part of that of the most urgent requests. No account may be
-/// served less than a quarter as often as all.
+/// Least admitted share of an account, as a part of that of the most urgent requests. No account
+/// may be served less than a quarter as often as all.
 const MIN_ACCOUNT_PART: f64 = 0.3;
 
 /// Computes the share of requests for one group of shards that a host admits.
@@ -132,8 +132,9 @@
         self.share_at(index)
     }
 
-    /// Returns the admitted share of the requests of this priority and account, and counts a request of
-    /// it. Within a priority shares follow the quotas. None is lower than a share of a less urgent one.
+    /// Returns the admitted share of the requests of this priority and account, and counts a
+    /// request of it. Within a priority shares follow the quotas. None is lower than a share of a
+    /// less urgent one.
     pub fn share_for_account(&mut self, priority: u32, account: AccountShare, now: Instant) -> f64 {
         let share = self.share_for(priority, now);
         let accounts = self.accounts.entry(priority).or_default();
--- a/components/routing/src/queue.rs
+++ b/components/routing/src/queue.rs
@@ -1,8 +1,8 @@
 //! Order of the attempts that wait for a connection to one leaf.
 //!
-//! Load: hosts share the few connections that a leaf accepts, so that a burst or a pausing leaf leaves
-//! more attempts than connections. In the order of arrival, urgent attempts would wait behind others,
-//! and connections would carry attempts whose responses can no longer be in time.
+//! Load: hosts share the few connections that a leaf accepts, so that a burst or a pausing leaf
+//! leaves more attempts than connections. In the order of arrival, urgent attempts would wait
+//! behind others, and connections would carry attempts whose responses can no longer be in time.
 
 use wigeonramp_units::{Instant, Span};
 
@@ -24,8 +24,8 @@
 }
 
 impl Urgency {
-    /// Returns the key by which attempts are ordered, the smallest first. An attempt that is overdue
-    /// comes after those of its priority that can still be in time.
+    /// Returns the key by which attempts are ordered, the smallest first. An attempt that is
+    /// overdue comes after those of its priority that can still be in time.
     fn key(&self, now: Instant) -> (u32, bool, Instant) {
         let is_overdue = self.due <= now;
         (self.priority, is_overdue, if is_overdue { self.deadline } else { self.due })
--- a/components/routing/src/quotas/account.rs
+++ b/components/routing/src/quotas/account.rs
@@ -11,13 +11,13 @@
 
 /// Half-life of the measured demand.
 const DEMAND_HALF_LIFE: Span = Span::millis(700);
-/// Time for which permits are held in advance: about as long as no permits arrive when the allocator is
-/// lost.
+/// Time for which permits are held in advance: about as long as no permits arrive when the
+/// allocator is lost.
 const ADVANCE_S: f64 = 1.5;
 /// Time since the last request for which a host wants to hold a permit.
 const KEPT_TIME: Span = Span::secs(40);
-/// Shortest time after a denial for which requests are refused without asking again; doubles with each
-/// further one.
+/// Shortest time after a denial for which requests are refused without asking again; doubles with
+/// each further one.
 const FIRST_DENIAL: Span = Span::millis(60);
 /// Maximum number of doublings of that time.
 const MAX_DOUBLINGS: u32 = 2;
@@ -65,8 +65,8 @@
 }
 
 impl LocalAccount {
-    /// Creates the state of an account without permits. A host that `started` recently has no request
-    /// of its own, as an earlier process may have used it.
+    /// Creates the state of an account without permits. A host that `started` recently has no
+    /// request of its own, as an earlier process may have used it.
     pub fn new(quota: Quota, started: Instant, now: Instant) -> Self {
         Self {
             quota,
@@ -115,8 +115,8 @@
         self.changed |= count > 0;
     }
 
-    /// Decides on a request; `own_period` is the time between requests that the host may admit on its
-    /// own.
+    /// Decides on a request; `own_period` is the time between requests that the host may admit on
+    /// its own.
     pub fn admit(
         &mut self,
         is_repeated: bool,
@@ -152,8 +152,8 @@
         self.refuse(now)
     }
 
-    /// Returns the time after which a refused caller may come back. Callers are told different times, at
-    /// the rate at which permits arrive.
+    /// Returns the time after which a refused caller may come back. Callers are told different
+    /// times, at the rate at which permits arrive.
     fn refuse(&mut self, now: Instant) -> Span {
         self.last_refusal = Some(now);
         let earliest = self.denied_until.max(self.expected_at).max(now);
--- a/components/routing/src/quotas/messages.rs
+++ b/components/routing/src/quotas/messages.rs
@@ -32,8 +32,8 @@
     pub serial: u64,
     /// Number of the last message that the allocator has responded to; zero for none.
     pub acknowledged: u64,
-    /// Time for which the host leaves its share to the allocator, counted from that response; zero if
-    /// it has none.
+    /// Time for which the host leaves its share to the allocator, counted from that response; zero
+    /// if it has none.
     pub delegation: Span,
     /// Number of hosts that have a share, as the host knows them.
     pub owners: u32,
@@ -59,8 +59,8 @@
     pub session: u64,
     /// Number of the report.
     pub serial: u64,
-    /// Whether the allocator does not know the session, as it has restarted. The host starts another one, in
-    /// which it reports all permits that it holds.
+    /// Whether the allocator does not know the session, as it has restarted. The host starts
+    /// another one, in which it reports all permits that it holds.
     pub is_unknown: bool,
     /// Permits of the accounts in the report.
     pub grants: Vec<Grant>,
--- a/components/routing/src/quotas/mod.rs
+++ b/components/routing/src/quotas/mod.rs
@@ -1,13 +1,13 @@
 //! Quotas of client accounts, kept by all hosts together.
 //!
-//! Accounts send 5 to 9 times their usual load for seconds, over about 18 of 132 hosts, and requests
-//! are due within 40 ms. A request is admitted with a permit that this host holds; with one of the few
-//! requests that the host may admit on its own; or with a permit that it asks the allocator for, for
-//! which the request waits some milliseconds. Otherwise it is refused.
+//! Accounts send 5 to 9 times their usual load for seconds, over about 18 of 132 hosts, and
+//! requests are due within 40 ms. A request is admitted with a permit that this host holds; with
+//! one of the few requests that the host may admit on its own; or with a permit that it asks the
+//! allocator for, for which the request waits some milliseconds. Otherwise it is refused.
 //!
-//! A few hosts, the owners, have an equal share of all quotas each. They delegate it for a short time to
-//! one allocator, as for the request limits of leaves (`limits`). The state machine gets the time as an
-//! argument and returns the messages to other hosts.
+//! A few hosts, the owners, have an equal share of all quotas each. They delegate it for a short
+//! time to one allocator, as for the request limits of leaves (`limits`). The state machine gets
+//! the time as an argument and returns the messages to other hosts.
 
 mod account;
 pub mod messages;
@@ -27,15 +27,15 @@
 
 /// Interval of reports that renew the delegation of this host's share.
 const RENEWAL_INTERVAL: Span = Span::millis(400);
-/// Time for which a share is delegated. It is what a lost allocator costs: until then no other one may
-/// grant permits of the share.
+/// Time for which a share is delegated. It is what a lost allocator costs: until then no other one
+/// may grant permits of the share.
 const DELEGATION_TIME: Span = Span::millis(1_200);
 /// Interval of reports of used permits while none is wanted at once.
 const REPORT_INTERVAL: Span = Span::millis(250);
 /// Shortest time after which a report is repeated while requests wait.
 const MIN_REPEAT_AFTER: Span = Span::millis(6);
-/// Time after which it is repeated, in percent of the usual time of a response. With repeats after 6 ms only, an
-/// allocator 5 ms away sent 18.9 KB/s while an account sent nine times its quota.
+/// Time after which it is repeated, in percent of the usual time of a response. With repeats after
+/// 6 ms only, an allocator 5 ms away sent 18.9 KB/s while an account sent nine times its quota.
 const REPEAT_PERCENT: u64 = 125;
 /// Time after which a report is repeated while none waits.
 const RENEWAL_REPEAT_AFTER: Span = Span::millis(100);
@@ -45,8 +45,8 @@
 const SILENT_REPORTS: u32 = 3;
 /// Time for which a host that did not respond is not asked.
 const SILENT_TIME: Span = Span::secs(3);
-/// Time after the start in which a host has no share, as it does not know all other hosts yet. With 4 s, 114
-/// of 340 requests within a quota were refused in three restarts of all hosts.
+/// Time after the start in which a host has no share, as it does not know all other hosts yet. With
+/// 4 s, 114 of 340 requests within a quota were refused in three restarts of all hosts.
 const DISCOVERY_TIME: Span = Span::millis(1_500);
 /// Time from the admission of a request until a leaf runs it, for nearly all requests.
 const RUN_DELAY: Span = Span::millis(500);
@@ -137,8 +137,8 @@
 }
 
 impl Quotas {
-    /// Creates the state of the host `own`. `first_serial` must be higher than any serial number of an
-    /// earlier process of the host.
+    /// Creates the state of the host `own`. `first_serial` must be higher than any serial number of
+    /// an earlier process of the host.
     pub fn new(own: Ipv4Addr, first_serial: u64, bounds: AccountBounds, now: Instant) -> Self {
         Self {
             own,
@@ -171,8 +171,8 @@
         self.bounds = bounds;
     }
 
-    /// Sets the accounts of the configuration in force. What is known of one whose quota has changed is
-    /// forgotten, but for the requests that this host admitted on its own.
+    /// Sets the accounts of the configuration in force. What is known of one whose quota has
+    /// changed is forgotten, but for the requests that this host admitted on its own.
     pub fn set_accounts(&mut self, accounts: &[Arc<Account>], now: Instant) {
         let started = self.started;
         let mut before = std::mem::take(&mut self.accounts);
@@ -193,8 +193,8 @@
         self.accounts.is_empty()
     }
 
-    /// Whether a request of the account may run now; it is counted if so. A request that waits is asked
-    /// about again with `is_repeated` set.
+    /// Whether a request of the account may run now; it is counted if so. A request that waits is
+    /// asked about again with `is_repeated` set.
     pub fn admit(&mut self, account: AccountId, is_repeated: bool, now: Instant) -> Admission {
         let period = self.own_period(now);
         let Some(local) = self.accounts.get_mut(&account) else { return Admission::Admitted };
@@ -202,8 +202,8 @@
         local.admit(is_repeated, period, now)
     }
 
-    /// Records that a waiting request no longer waits; returns the time after which the caller may come
-    /// back.
+    /// Records that a waiting request no longer waits; returns the time after which the caller may
+    /// come back.
     pub fn give_up(&mut self, account: AccountId, now: Instant) -> Span {
         let known = self.accounts.get_mut(&account);
         known.map_or(Span::ZERO, |local| local.give_up(now))
@@ -216,8 +216,8 @@
         }
     }
 
-    /// Returns the time that one request that this host admits on its own takes from its allowance; none
-    /// if it has no allowance.
+    /// Returns the time that one request that this host admits on its own takes from its allowance;
+    /// none if it has no allowance.
     fn own_period(&self, now: Instant) -> Option<Span> {
         let allowed = (self.bounds.slack * pool::OWN_PART) as usize;
         let is_owner = self.hosts.owners.iter().take(allowed).any(|ip| *ip == self.own);
@@ -318,8 +318,8 @@
         self.outbox.push(Outgoing { to, message });
     }
 
-    /// Chooses the allocator by a hash that is the same on all hosts. A host that reaches no other one
-    /// divides its own share.
+    /// Chooses the allocator by a hash that is the same on all hosts. A host that reaches no other
+    /// one divides its own share.
     fn choose_allocator(&mut self) {
         let rank = |ip: &Ipv4Addr| xxh3_64_with_seed(b"quotas", ip.to_bits().into());
         let usable =
@@ -343,8 +343,8 @@
         }
     }
 
-    /// Delegates this host's share to the allocator if no other one has it; returns the time for which
-    /// it has it from the last response on. Before the first response it has nothing.
+    /// Delegates this host's share to the allocator if no other one has it; returns the time for
+    /// which it has it from the last response on. Before the first response it has nothing.
     fn delegate(&mut self, allocator: Ipv4Addr, now: Instant) -> Span {
         let stopping = &self.hosts.stopping;
         self.delegation.take_if(|delegation| stopping.contains(&delegation.allocator));
--- a/components/routing/src/quotas/pool.rs
+++ b/components/routing/src/quotas/pool.rs
@@ -1,8 +1,9 @@
 //! Permits of all accounts, as their allocator divides them.
 //!
-//! The permits that lie at the allocator and at hosts together never exceed a cap, and new ones arise
-//! at the rate of the quota, both in proportion to the shares that are delegated to the allocator. So
-//! whatever hosts do with their permits, in any time they use at most the cap and the rate.
+//! The permits that lie at the allocator and at hosts together never exceed a cap, and new ones
+//! arise at the rate of the quota, both in proportion to the shares that are delegated to the
+//! allocator. So whatever hosts do with their permits, in any time they use at most the cap and the
+//! rate.
 
 use {
     super::{
@@ -19,20 +20,22 @@
 /// reported. With 0.7, four of 18 hosts may admit none, so that requests there wait although their
 /// account is far below its quota.
 pub(super) const OWN_PART: f64 = 0.9;
-/// Part of the slack up to which the requests of an account in a window may come to use `OWN_PART`. With
+/// Part of the slack up to which the requests of an account in a window may come to use `OWN_PART`.
+/// With
 /// 1.0, 9 of 473 requests up to a quota of 4 a second were refused with demand at two hosts.
 const MAX_OWN_PART: f64 = 0.15;
-/// Part of the slack that is added to the cap of permits, beside `OWN_PART` if that is not used otherwise.
+/// Part of the slack that is added to the cap of permits, beside `OWN_PART` if that is not used
+/// otherwise.
 const POOL_PART: f64 = 0.05;
 /// Part of the slack that a pool holds at its start. Hosts that all restart forget what was used.
 const START_PART: f64 = 0.05;
 /// Part of the cap that hosts may hold in advance; the rest is for requests that wait.
 const ADVANCE_PART: f64 = 0.8;
-/// A grant in advance takes at most one in this many of the free permits, so that hosts that ask later
-/// get some as well.
+/// A grant in advance takes at most one in this many of the free permits, so that hosts that ask
+/// later get some as well.
 const GRANT_DIVISOR: f64 = 4.0;
-/// Part of the slack by which permits arise faster than the quota if `OWN_PART` is not used otherwise, so
-/// that demand at the quota does not exhaust them by chance.
+/// Part of the slack by which permits arise faster than the quota if `OWN_PART` is not used
+/// otherwise, so that demand at the quota does not exhaust them by chance.
 const RATE_PART: f64 = 0.15;
 /// Part of the allowed overshoot by which permits arise faster than the quota.
 const RATE_OVERSHOOT_PART: f64 = 0.8;
@@ -139,8 +142,9 @@
 /// Allocator of the permits of all accounts.
 #[derive(Clone, Debug, Default)]
 pub struct Pool {
-    /// Delegated share, summed over time in seconds: the permits that an account would have got so far at
-    /// one request a second. An account that is new to the pool has saved them, up to its cap.
+    /// Delegated share, summed over time in seconds: the permits that an account would have got so
+    /// far at one request a second. An account that is new to the pool has saved them, up to its
+    /// cap.
     share_seconds: f64,
     /// Share-seconds from which on an account that is new to the pool has saved permits.
     saved_from: f64,
@@ -151,8 +155,8 @@
 }
 
 impl Pool {
-    /// Returns the part of all quotas that is delegated to this allocator, with `owners` hosts known to
-    /// have a share.
+    /// Returns the part of all quotas that is delegated to this allocator, with `owners` hosts
+    /// known to have a share.
     pub fn share(&self, owners: u32, now: Instant) -> f64 {
         let owners = self.hosts.values().map(|host| host.owners).fold(owners, u32::max).max(1);
         let delegates = |host: &&Delegator| now < host.delegated_until;
@@ -165,8 +169,8 @@
         self.hosts.clear();
     }
 
-    /// Handles a report; `quota` returns the quota of an account as this host knows it. Returns none if
-    /// a later report has been handled before.
+    /// Handles a report; `quota` returns the quota of an account as this host knows it. Returns
+    /// none if a later report has been handled before.
     pub fn on_report(
         &mut self,
         host: Ipv4Addr,
@@ -187,8 +191,8 @@
         if before.is_none() && report.acknowledged > 0 {
             return Some(Grants { session, serial, is_unknown: true, grants: Vec::new() });
         }
-        // A report may have waited at a suspended allocator until its sender has delegated its share to
-        // another one, so the time counts from the response that the report acknowledges.
+        // A report may have waited at a suspended allocator until its sender has delegated its
+        // share to another one, so the time counts from the response that the report acknowledges.
         let mut recent = before.map(|known| known.recent.clone()).unwrap_or_default();
         let responded = recent.iter().find(|(serial, _)| *serial == report.acknowledged);
         let until = responded.map(|(_, at)| *at + report.delegation);
@@ -246,9 +250,9 @@
         pool.grant(host, usage, supply)
     }
 
-    /// Counts the share since the last report. Of the shares at both ends of that time the lower one counts.
-    /// Permits of shares that have gone are given up: the allocator that has these shares now may have
-    /// granted as many.
+    /// Counts the share since the last report. Of the shares at both ends of that time the lower
+    /// one counts. Permits of shares that have gone are given up: the allocator that has these
+    /// shares now may have granted as many.
     fn count_share(&mut self, owners: u32, now: Instant) {
         let share = self.share(owners, now);
         let lower = share.min(self.last_share);
@@ -279,7 +283,8 @@
     }
 }
 
-/// Permits that arise per second, and the cap of those that lie at the allocator and at hosts together.
+/// Permits that arise per second, and the cap of those that lie at the allocator and at hosts
+/// together.
 #[derive(Clone, Copy, Debug)]
 struct Supply {
     rate: f64,
@@ -307,9 +312,9 @@
     }
 }
 
-/// Whether hosts may admit requests of an account without a permit. The slack pays for that if it is a
-/// large part of what the account may send; for a large account it is better used by the allocator, as
-/// nearly all of its demand may be at two hosts.
+/// Whether hosts may admit requests of an account without a permit. The slack pays for that if it
+/// is a large part of what the account may send; for a large account it is better used by the
+/// allocator, as nearly all of its demand may be at two hosts.
 pub(super) fn has_own(quota: &Quota, bounds: &AccountBounds) -> bool {
     quota.rate.per_second() * seconds(bounds.window) <= bounds.slack * MAX_OWN_PART
 }
--- a/components/routing/src/reconcile.rs
+++ b/components/routing/src/reconcile.rs
@@ -2,8 +2,8 @@
 //!
 //! For a moment the store holds an older state, until operators and leaves have written again what
 //! was lost. A host that knows better keeps what it knows: entries that are older than what it has
-//! seen are put off, and objects that are missing are kept. What the store still says when this time
-//! is over is believed.
+//! seen are put off, and objects that are missing are kept. What the store still says when this
+//! time is over is believed.
 
 use {
     crate::{changes::Change, leaf::LeafRegistration, leaves::Leaves, position::Position},
@@ -137,8 +137,8 @@
         removed.is_some_and(|removed| version(registration) <= removed.version)
     }
 
-    /// Whether the evacuation written at this position has ended in an earlier era. An object of the
-    /// copy has the revision that it had then.
+    /// Whether the evacuation written at this position has ended in an earlier era. An object of
+    /// the copy has the revision that it had then.
     fn has_ended(&self, zone: &ZoneId, written: Position, now: Instant) -> bool {
         let ended = self.zones.get(zone).map_or(&[][..], |zone| &zone.ended);
         let is_same = |ended: &Position| {
--- a/components/routing/src/releases/counting.rs
+++ b/components/routing/src/releases/counting.rs
@@ -1,7 +1,8 @@
 //! What one host counts for an order: its requests, and the ends of its attempts.
 //!
-//! Load: a host sees a few requests per second of a service, too few for a typical latency of its own.
-//! It therefore counts latencies in buckets, and the deciding host compares the sums of all hosts.
+//! Load: a host sees a few requests per second of a service, too few for a typical latency of its
+//! own. It therefore counts latencies in buckets, and the deciding host compares the sums of all
+//! hosts.
 
 use {
     super::{
--- a/components/routing/src/releases/counts.rs
+++ b/components/routing/src/releases/counts.rs
@@ -18,8 +18,8 @@
     pub failed: u32,
     /// Broken connections, unreachable leaves and requests that a leaf declined.
     pub broken: u32,
-    /// Responses without a failure status by latency; attempts without a response in time are in the
-    /// last bucket.
+    /// Responses without a failure status by latency; attempts without a response in time are in
+    /// the last bucket.
     pub latencies: [u32; BUCKETS],
 }
 
--- a/components/routing/src/releases/decider.rs
+++ b/components/routing/src/releases/decider.rs
@@ -1,8 +1,9 @@
 //! Decision on an order from the totals of all hosts.
 //!
-//! Load: an order of about 12 s at a service with 1 to 400 requests per second, sent by about 18 hosts.
-//! The canary phase takes most of the time, because versions may turn bad late. The steps after it are
-//! short, as a version that turns bad in one of them must stay within the bound on the exposure.
+//! Load: an order of about 12 s at a service with 1 to 400 requests per second, sent by about 18
+//! hosts. The canary phase takes most of the time, because versions may turn bad late. The steps
+//! after it are short, as a version that turns bad in one of them must stay within the bound on the
+//! exposure.
 
 use {
     super::{
@@ -17,34 +18,36 @@
     wigeonramp_units::{Instant, Span},
 };
 
-/// Length of the first step after the canary phase, in percent of the order's duration. Its requests go to a
-/// quarter of the leaves, at least one, which shows a version that is bad under load.
+/// Length of the first step after the canary phase, in percent of the order's duration. Its
+/// requests go to a quarter of the leaves, at least one, which shows a version that is bad under
+/// load.
 const FIRST_STEP_PERCENT: u64 = 8;
 /// Length of the second step.
 const STEP_PERCENT: u64 = 4;
 /// Shortest step: the hosts' totals arrive every 200 ms.
 const MIN_STEP: Span = Span::millis(250);
-/// Length of the last step, in percent of the order's duration: two windows of the test for slowness, as
-/// a version that is bad only under load shows it here.
+/// Length of the last step, in percent of the order's duration: two windows of the test for
+/// slowness, as a version that is bad only under load shows it here.
 const LAST_STEP_PERCENT: u64 = 8;
 /// Part of what is left of the bound on the exposure that the last step spends at most.
 const LAST_STEP_SPENDS: f64 = 0.95;
 /// The same part for the steps before it.
 const STEP_SPENDS: f64 = 0.5;
-/// Time of the last step that must be affordable after a step with half of the requests; otherwise that
-/// step is left out.
+/// Time of the last step that must be affordable after a step with half of the requests; otherwise
+/// that step is left out.
 const RESERVED_LAST_STEP: Span = Span::millis(750);
-/// Part of the order's duration after which hosts that have not confirmed for `UNCONFIRMED_AFTER` are
-/// passed over, in percent. A lost host counts as live for 4 s.
+/// Part of the order's duration after which hosts that have not confirmed for `UNCONFIRMED_AFTER`
+/// are passed over, in percent. A lost host counts as live for 4 s.
 const PASS_OVER_PERCENT: u64 = 90;
 /// Time since the beginning of the last step after which a host is passed over.
 const UNCONFIRMED_AFTER: Span = Span::millis(1_000);
 /// Shortest time with all requests at the candidate before the completion.
 const MIN_LAST_STEP: Span = Span::millis(600);
-/// Part of the order's duration after which steps no longer wait for a number of responses, in percent.
+/// Part of the order's duration after which steps no longer wait for a number of responses, in
+/// percent.
 const NEAR_DEADLINE_PERCENT: u64 = 80;
-/// Part of the order's duration after which a release that is not in its last phase is rolled back, in
-/// percent. The rest is for messages and the write of the status.
+/// Part of the order's duration after which a release that is not in its last phase is rolled back,
+/// in percent. The rest is for messages and the write of the status.
 const GIVE_UP_PERCENT: u64 = 90;
 /// Responses of the candidate that a step needs, unless few requests arrive.
 const STEP_RESPONSES: f64 = 6.0;
@@ -54,8 +57,8 @@
 const MAX_SUM_PART: f64 = 0.5;
 /// The same near the deadline, since a release that is not completed in time has failed as well.
 const NEAR_DEADLINE_MAX_SUM_PART: f64 = 0.6;
-/// Share of slow responses beyond the expected one with which a step does not end. Two of three leaves
-/// that pause delay it only.
+/// Share of slow responses beyond the expected one with which a step does not end. Two of three
+/// leaves that pause delay it only.
 const DOUBTFUL_SLOW_SHARE: f64 = 0.22;
 /// Share of slow responses beyond the expected one that rolls back after `SLOW_STEP_TIME` of a step
 /// that uses at least half of the leaves. Where one leaf is used, a single pause looks the same.
@@ -73,8 +76,8 @@
 const SPENT_SUM_PART: f64 = 0.75;
 /// Age of an order up to which a host that begins to decide on it is the first one.
 const EARLY: Span = Span::secs(2);
-/// Time for which a later deciding host collects totals before it decides: the first hosts' totals since
-/// the order are not those of the fleet. Each host rolls back by itself meanwhile.
+/// Time for which a later deciding host collects totals before it decides: the first hosts' totals
+/// since the order are not those of the fleet. Each host rolls back by itself meanwhile.
 const COLLECTION_TIME: Span = Span::millis(600);
 /// Half-life of the measured request rate.
 const RATE_HALF_LIFE: Span = Span::secs(1);
@@ -308,8 +311,8 @@
         (bound - self.sent as f64).max(0.0)
     }
 
-    /// Returns the time that the phase in force takes. A step spends only a part of what is left of the
-    /// bound on the exposure when it begins, as far as hosts can be told in time.
+    /// Returns the time that the phase in force takes. A step spends only a part of what is left of
+    /// the bound on the exposure when it begins, as far as hosts can be told in time.
     fn step_time(&self, cx: &Circumstances<'_>) -> Span {
         let (shortest, percent, spends) = match cx.phase {
             Phase::Draining => (MIN_LAST_STEP, LAST_STEP_PERCENT, LAST_STEP_SPENDS),
@@ -322,8 +325,8 @@
         affordable.min(usual).max(shortest)
     }
 
-    /// Returns the phase after the one in force. The step with half of the requests is left out if the
-    /// last step could not be afforded after it.
+    /// Returns the phase after the one in force. The step with half of the requests is left out if
+    /// the last step could not be afforded after it.
     fn next_phase(&self, cx: &Circumstances<'_>) -> Option<Phase> {
         let next = cx.phase.next()?;
         let seconds = |span: Span| span.0 as f64 / 1e6;
@@ -349,8 +352,8 @@
             && (self.is_near_deadline(cx) || self.has_responses(cx, answered, now))
     }
 
-    /// Returns the share of slow responses in the step in force beyond the expected one, if the step has
-    /// at least so many responses.
+    /// Returns the share of slow responses in the step in force beyond the expected one, if the
+    /// step has at least so many responses.
     fn excess_slow_share(&self, min_responses: u32) -> Option<f64> {
         let judged = self.evidence.candidate().judged() - self.before_phase.judged;
         let slow = self.evidence.slow_counts().0 - self.before_phase.slow;
@@ -401,7 +404,8 @@
         f64::from(answered) >= (expected * STEP_RESPONSE_FRACTION).floor().min(STEP_RESPONSES)
     }
 
-    /// Whether no live host sends to baseline leaves any more, and none has a request in flight there.
+    /// Whether no live host sends to baseline leaves any more, and none has a request in flight
+    /// there.
     fn is_drained(&self, cx: &Circumstances<'_>, now: Instant) -> bool {
         let passes_over = cx.age >= cx.duration.percent(PASS_OVER_PERCENT)
             && now.since(self.phase_began) >= UNCONFIRMED_AFTER;
--- a/components/routing/src/releases/evidence.rs
+++ b/components/routing/src/releases/evidence.rs
@@ -2,8 +2,8 @@
 //!
 //! Load: a few dozen responses of the candidate in the time of an order, on several routes, while
 //! healthy leaves pause for a quarter of a second now and then and differ in speed. Both tests are
-//! cumulative sums of log-likelihood ratios with a floor of zero, so that a version that turns bad late
-//! is recognized as soon as one that is bad at once.
+//! cumulative sums of log-likelihood ratios with a floor of zero, so that a version that turns bad
+//! late is recognized as soon as one that is bad at once.
 
 use {
     super::counts::{Counts, bucket_beyond},
@@ -42,8 +42,8 @@
 const PAUSE_WINDOW: Span = Span::millis(500);
 /// Time in which a healthy leaf pauses at most once, as far as late totals are concerned.
 const PAUSE_INTERVAL: Span = Span::secs(1);
-/// Half-life of the recent baseline, with which the candidate is compared while both suffer from the
-/// same trouble.
+/// Half-life of the recent baseline, with which the candidate is compared while both suffer from
+/// the same trouble.
 const RECENT_HALF_LIFE: Span = Span::secs(3);
 /// Weight of the prior of a baseline share, in responses.
 const PRIOR_WEIGHT: f64 = 50.0;
@@ -187,8 +187,8 @@
         }
     }
 
-    /// Returns the bucket of latency from which responses on a route are slow; none while too little is
-    /// known of the baseline.
+    /// Returns the bucket of latency from which responses on a route are slow; none while too
+    /// little is known of the baseline.
     fn slow_bucket(&self, route: RouteHash) -> Option<usize> {
         let same = self.by_route.get(&route);
         let known = |counts: &&Counts| counts.judged() >= MIN_BASELINE;
@@ -293,8 +293,8 @@
         (self.highest_slowness() >= SLOWNESS_THRESHOLD).then_some(Finding::Slow)
     }
 
-    /// Returns the highest log-likelihood ratio of all failures on one route. It shows a version of which
-    /// a small part of a few dozen responses fails.
+    /// Returns the highest log-likelihood ratio of all failures on one route. It shows a version of
+    /// which a small part of a few dozen responses fails.
     fn overall_failures(&self) -> f64 {
         let all = &self.baseline;
         let expected = expected(all.failed.into(), all.answered.into(), MIN_FAILURE_SHARE);
--- a/components/routing/src/releases/exposure.rs
+++ b/components/routing/src/releases/exposure.rs
@@ -1,8 +1,8 @@
 //! Selection of the first attempts that go to the candidate.
 //!
-//! Load: many hosts with a few requests per second each, whose sum must stay within the bound on the
-//! exposure. A host accumulates credit with each request; the credit starts at a random fraction, so
-//! that the rounding of many hosts has no bias.
+//! Load: many hosts with a few requests per second each, whose sum must stay within the bound on
+//! the exposure. A host accumulates credit with each request; the credit starts at a random
+//! fraction, so that the rounding of many hosts has no bias.
 
 use {
     super::order::{Phase, ReleaseBounds},
@@ -12,10 +12,11 @@
 
 /// Part of the exposure share that the canary phase uses. The rest is for the steps after it.
 const CANARY_FRACTION: f64 = 0.35;
-/// Part of the slack that all hosts together spend at the start of an order, which shows a version that
-/// is bad at once and gives one leaf of it a normal load.
+/// Part of the slack that all hosts together spend at the start of an order, which shows a version
+/// that is bad at once and gives one leaf of it a normal load.
 const BURST_FRACTION: f64 = 0.2;
-/// Part of the slack that is spent evenly over the canary phase while the request rate is not known.
+/// Part of the slack that is spent evenly over the canary phase while the request rate is not
+/// known.
 const EVEN_FRACTION: f64 = 0.25;
 /// Highest value of that part, used at a service without requests.
 const MAX_EVEN_FRACTION: f64 = 0.6;
@@ -23,7 +24,8 @@
 const MIN_EVEN_FRACTION: f64 = 0.06;
 /// Time for whose requests the slack is kept for the steps after the canary phase.
 const KEPT_FOR_STEPS: Span = Span::millis(400);
-/// Part of the first attempts that the burst may use, so that the baseline is measured in the same time.
+/// Part of the first attempts that the burst may use, so that the baseline is measured in the same
+/// time.
 const BURST_SHARE: f64 = 0.5;
 /// Highest credit; a host whose requests pause does not send a burst afterwards.
 const MAX_CREDIT: f64 = 1.5;
@@ -100,8 +102,8 @@
         taken
     }
 
-    /// Sets the request rate of the service: the more requests, the more of the slack the steps after
-    /// the canary phase need.
+    /// Sets the request rate of the service: the more requests, the more of the slack the steps
+    /// after the canary phase need.
     pub fn set_rate(&mut self, per_second: u32) {
         if per_second > 0 {
             let kept = f64::from(per_second) * KEPT_FOR_STEPS.0 as f64 / 1e6 / self.whole_slack;
--- a/components/routing/src/releases/hold.rs
+++ b/components/routing/src/releases/hold.rs
@@ -1,7 +1,7 @@
 //! Leaves of a version that appears beside others are held back for a moment.
 //!
-//! Load: an operator starts leaves of a new version and writes the order for it at about the same time.
-//! The store delivers both over different watches, so the leaves may become known first.
+//! Load: an operator starts leaves of a new version and writes the order for it at about the same
+//! time. The store delivers both over different watches, so the leaves may become known first.
 
 use {
     super::order::Version,
@@ -9,20 +9,20 @@
     wigeonramp_units::{Instant, ServiceId, Span},
 };
 
-/// Time for which a new version is held back. An order reaches all hosts within a second in quiet times
-/// and within 2.4 s of a watch that was lost.
+/// Time for which a new version is held back. An order reaches all hosts within a second in quiet
+/// times and within 2.4 s of a watch that was lost.
 const HOLD_TIME: Span = Span::secs(3);
 
-/// Versions of the leaves of each service, with the end of their hold. The version is absent for leaves
-/// that name none.
+/// Versions of the leaves of each service, with the end of their hold. The version is absent for
+/// leaves that name none.
 #[derive(Clone, Debug, Default)]
 pub struct VersionHolds {
     services: IndexMap<ServiceId, IndexMap<Option<Version>, Instant>>,
 }
 
 impl VersionHolds {
-    /// Records a registered leaf. Versions that a host finds in its first list are not held back, as it
-    /// cannot tell how old they are.
+    /// Records a registered leaf. Versions that a host finds in its first list are not held back,
+    /// as it cannot tell how old they are.
     pub fn on_leaf(
         &mut self,
         service: &ServiceId,
--- a/components/routing/src/releases/mod.rs
+++ b/components/routing/src/releases/mod.rs
@@ -1,8 +1,8 @@
 //! Releases: orders of operators to move a service's requests to leaves of another version.
 //!
-//! Load: orders of about 12 s for services with a few to some hundred requests per second, sent by many
-//! hosts. Some versions are bad. All hosts together send a candidate version a bounded share of the
-//! requests, compare it with the baseline versions, and move all requests to it or none.
+//! Load: orders of about 12 s for services with a few to some hundred requests per second, sent by
+//! many hosts. Some versions are bad. All hosts together send a candidate version a bounded share
+//! of the requests, compare it with the baseline versions, and move all requests to it or none.
 //!
 //! The state machine gets the time as an argument and returns the messages to other hosts.
 
@@ -112,8 +112,8 @@
         self.releases.insert(service, release);
     }
 
-    /// Handles that the order of a service was deleted or replaced. Its candidate gets no more requests
-    /// unless the release was completed.
+    /// Handles that the order of a service was deleted or replaced. Its candidate gets no more
+    /// requests unless the release was completed.
     pub fn withdraw(&mut self, service: &ServiceId, now: Instant) {
         let Some(mut release) = self.releases.shift_remove(service) else { return };
         release.on_withdrawn(now);
@@ -253,8 +253,8 @@
         out
     }
 
-    /// Handles a message of another host; returns the reply. Messages about orders that this host does
-    /// not know are ignored, as the order reaches it by the store.
+    /// Handles a message of another host; returns the reply. Messages about orders that this host
+    /// does not know are ignored, as the order reaches it by the store.
     pub fn on_message(
         &mut self,
         from: Ipv4Addr,
--- a/components/routing/src/releases/order.rs
+++ b/components/routing/src/releases/order.rs
@@ -114,7 +114,8 @@
     pub state: Option<OrderState>,
 }
 
-/// Phase of a release on a host. Phases only advance, so that hosts that hear of them in any order agree.
+/// Phase of a release on a host. Phases only advance, so that hosts that hear of them in any order
+/// agree.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize)]
 #[serde(rename_all = "snake_case")]
 pub enum Phase {
--- a/components/routing/src/releases/release.rs
+++ b/components/routing/src/releases/release.rs
@@ -1,8 +1,8 @@
 //! One order as one host sees it.
 //!
-//! Load: hosts hear of the order, of the phase and of the final status in any order and with losses,
-//! and the deciding host may be lost at any time. Phases only advance; a final status in the store
-//! overrides them.
+//! Load: hosts hear of the order, of the phase and of the final status in any order and with
+//! losses, and the deciding host may be lost at any time. Phases only advance; a final status in
+//! the store overrides them.
 
 mod deciding;
 
@@ -22,8 +22,8 @@
     wigeonramp_units::{Instant, ServiceId, Span},
 };
 
-/// Time for which the same leaves of the candidate get its share. Leaves differ in speed, so one after the
-/// other is used.
+/// Time for which the same leaves of the candidate get its share. Leaves differ in speed, so one
+/// after the other is used.
 const CANARY_TURN: Span = Span::secs(2);
 /// Interval of the totals.
 const REPORT_INTERVAL: Span = Span::millis(500);
@@ -42,8 +42,8 @@
 /// Difference of ages from which a message is about an earlier order for the same version.
 const MAX_AGE_DIFFERENCE: Span = Span::secs(2);
 
-/// Number of hosts that write the status if the deciding host cannot, itself included; calls to the store
-/// are limited.
+/// Number of hosts that write the status if the deciding host cannot, itself included; calls to the
+/// store are limited.
 const WRITERS: usize = 3;
 
 /// Facts about the leaves of a service.
@@ -299,8 +299,8 @@
         }
     }
 
-    /// Handles a bad response of the candidate: the deciding host is told at once, and this host rolls
-    /// back by itself if the candidate plainly fails.
+    /// Handles a bad response of the candidate: the deciding host is told at once, and this host
+    /// rolls back by itself if the candidate plainly fails.
     pub fn on_bad_response(&mut self, now: Instant) {
         self.next_report = self.next_report.min((self.last_report + MIN_REPORT_INTERVAL).max(now));
         if let Some(finding) = self.counting.finding(now) {
@@ -319,8 +319,8 @@
         (self.order.state != Some(wanted)).then_some(wanted)
     }
 
-    /// Returns the write of the status that is due on this host. The deciding host writes; if it cannot,
-    /// the hosts that it asks do.
+    /// Returns the write of the status that is due on this host. The deciding host writes; if it
+    /// cannot, the hosts that it asks do.
     pub fn due_write(&mut self, hosts: &LimitHosts, now: Instant) -> Option<StatusWrite> {
         if !self.writer.is_ready(now) {
             return None;
--- a/components/routing/src/releases/release/deciding.rs
+++ b/components/routing/src/releases/release/deciding.rs
@@ -31,7 +31,8 @@
         all
     }
 
-    /// Returns the time at which `poll` is to be called next; none if the order is settled in the store.
+    /// Returns the time at which `poll` is to be called next; none if the order is settled in the
+    /// store.
     pub fn next_at(&self) -> Option<Instant> {
         let is_written = self.settled.is_some() && self.order.state == self.settled;
         let decision = Some(self.next_decision).filter(|_| self.decider.is_some());
--- a/components/routing/src/releases/status.rs
+++ b/components/routing/src/releases/status.rs
@@ -1,8 +1,8 @@
 //! Writing of an order's status, conditional on the revision of its object.
 //!
-//! Load: the store may be away for seconds, refuse writes, or lose the response of a write that it has
-//! applied. After a lost response, the repeated write meets the changed revision; the store then
-//! responds with the current object, which shows whether the first write was applied.
+//! Load: the store may be away for seconds, refuse writes, or lose the response of a write that it
+//! has applied. After a lost response, the repeated write meets the changed revision; the store
+//! then responds with the current object, which shows whether the first write was applied.
 
 use {
     super::order::{OrderKey, OrderState},
--- a/components/routing/src/reply_time.rs
+++ b/components/routing/src/reply_time.rs
@@ -12,10 +12,11 @@
 //! - in this host: its event loop notices a due timer late, and encoding and writing the reply
 //!   takes processor time. Both grow with the load and shrink with the host's share of a core.
 //!
-//! Each is measured; this module holds the estimates and adds them up. A reserve is added for delays
-//! that no measurement of this host shows, such as queues on the links and at the caller. It answers
-//! the load under which nearly every gathered request waits for a paused or slow leaf until its reply
-//! is due: without a reserve each of these replies arrives around the target latency, and many after it.
+//! Each is measured; this module holds the estimates and adds them up. A reserve is added for
+//! delays that no measurement of this host shows, such as queues on the links and at the caller. It
+//! answers the load under which nearly every gathered request waits for a paused or slow leaf until
+//! its reply is due: without a reserve each of these replies arrives around the target latency, and
+//! many after it.
 
 use {indexmap::IndexMap, std::collections::VecDeque, wigeonramp_units::Span};
 
@@ -28,8 +29,8 @@
 const MAX_MARGIN_PERCENT: u64 = 50;
 /// Number of recent announcements per route from which the common wait is derived.
 const ANNOUNCEMENTS: usize = 32;
-/// Minimum number of recent announcements of the same wait; a single one can be a caller with a wait
-/// of its own.
+/// Minimum number of recent announcements of the same wait; a single one can be a caller with a
+/// wait of its own.
 const MIN_EQUAL: usize = 2;
 /// Largest difference of announcements that count as equal; callers round to milliseconds.
 const EQUAL_WITHIN: Span = Span::millis(1);
@@ -45,8 +46,8 @@
 /// would otherwise give up most parts and still be late.
 const MAX_OWN_PERCENT: u64 = 25;
 
-/// Reserve for delays that are not measured, in percent of the target latency. A late reply is worth
-/// little to its caller, while only few parts arrive in this last part of the wait.
+/// Reserve for delays that are not measured, in percent of the target latency. A late reply is
+/// worth little to its caller, while only few parts arrive in this last part of the wait.
 const RESERVE_PERCENT: u64 = 5;
 
 /// Round-trip time of one connection, as its acknowledgements show it.
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -134,8 +134,8 @@
         selection.leaf
     }
 
-    /// Returns a leaf of the candidate version if the service has a release and this is a first attempt
-    /// that goes there. Other attempts go to the baseline.
+    /// Returns a leaf of the candidate version if the service has a release and this is a first
+    /// attempt that goes there. Other attempts go to the baseline.
     fn choose_candidate(
         &mut self,
         service: &ServiceId,
@@ -221,7 +221,8 @@
         }
     }
 
-    /// Sends totals and decides on releases, as far as that is due; returns the messages to other hosts.
+    /// Sends totals and decides on releases, as far as that is due; returns the messages to other
+    /// hosts.
     pub fn poll_releases(&mut self, hosts: &LimitHosts, now: Instant) -> Vec<Outgoing> {
         let messages = self.releases.poll(&self.leaves, hosts, now);
         self.sync_releases(now);
@@ -235,8 +236,8 @@
         rate.map(|rate| rate * self.cold_share)
     }
 
-    /// Returns the time until a request of the route can be sent to a leaf of the service; none if the
-    /// service has no eligible leaf.
+    /// Returns the time until a request of the route can be sent to a leaf of the service; none if
+    /// the service has no eligible leaf.
     pub(crate) fn wait(&self, service: &ServiceId, route: &Route, now: Instant) -> Option<Span> {
         let cold_per_second = self.cold_per_second(service);
         self.leaves.wait_with_allowance(service, &route.homes, cold_per_second, now)
@@ -329,8 +330,8 @@
         self.reply_timing.retain_routes(route);
     }
 
-    /// Whether a request of the route and account is admitted. While the leaves of its shards are overloaded, a
-    /// random part of the requests is refused.
+    /// Whether a request of the route and account is admitted. While the leaves of its shards are
+    /// overloaded, a random part of the requests is refused.
     pub(crate) fn admits(
         &mut self,
         route: &Route,
--- a/components/routing/tests/clients.rs
+++ b/components/routing/tests/clients.rs
@@ -46,8 +46,8 @@
     assert_eq!((budget.used(), budget.level()), (0, MemoryLevel::Calm));
 }
 
-/// Guards against defaults that ordinary clients reach on the smallest host: more than fifty bodies of the
-/// largest size would have to arrive in the same moment.
+/// Guards against defaults that ordinary clients reach on the smallest host: more than fifty bodies
+/// of the largest size would have to arrive in the same moment.
 #[test]
 fn defaults_are_out_of_reach_of_ordinary_clients() {
     let budget = MemoryBudget::new(DEFAULT_MEMORY_MB);
@@ -124,8 +124,8 @@
     }
 }
 
-/// Guards against datagrams that name any number of hosts, and against invented hosts that keep out real
-/// ones for good.
+/// Guards against datagrams that name any number of hosts, and against invented hosts that keep out
+/// real ones for good.
 #[test]
 fn known_hosts_are_bounded() {
     let mut members = Membership::new(member(1), at(0));
--- a/components/routing/tests/connections.rs
+++ b/components/routing/tests/connections.rs
@@ -36,8 +36,8 @@
     table
 }
 
-/// Guards against connections beyond the limit of the leaves, which lose the requests on them, when all
-/// hosts start together and afterwards.
+/// Guards against connections beyond the limit of the leaves, which lose the requests on them, when
+/// all hosts start together and afterwards.
 #[test]
 fn hosts_stay_within_the_connection_limit() {
     assert_snapshot!(table(&[("132", LARGE), (" 90", MEDIUM)]));
@@ -94,8 +94,8 @@
     assert_eq!(share(13, 6, false).max_idle(), None);
 }
 
-/// Guards against hosts that start together and open more connections than the leaves accept, before
-/// they know which of them have traffic.
+/// Guards against hosts that start together and open more connections than the leaves accept,
+/// before they know which of them have traffic.
 #[test]
 fn a_host_that_has_just_started_opens_one_connection() {
     let hosts = HostCounts { known: 132, active: 18, is_active: true, is_settled: false };
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -445,8 +445,8 @@
     assert_eq!(members.active_count(at(100)), 20, "their traffic is not known at first");
 }
 
-/// Guards against hosts that have different owners of the shares of quotas, so that shares exist twice, and
-/// against a share that a lost host keeps using while others have it.
+/// Guards against hosts that have different owners of the shares of quotas, so that shares exist
+/// twice, and against a share that a lost host keeps using while others have it.
 #[test]
 fn hosts_agree_on_the_owners_of_quotas() {
     let owners = |own: u8, now: Instant| {
--- a/components/routing/tests/overload.rs
+++ b/components/routing/tests/overload.rs
@@ -90,8 +90,8 @@
     AccountShare { account: AccountId(n as u32), weight: 1.6 * usual }
 }
 
-/// Guards against accounts that are refused because another one sends nine times its usual load, against
-/// capacity that is left unused, and against an account that is starved.
+/// Guards against accounts that are refused because another one sends nine times its usual load,
+/// against capacity that is left unused, and against an account that is starved.
 #[test]
 fn shedding_starts_with_accounts_far_above_their_quotas() {
     let usual = [10.0, 10.0, 5.0, 1.0];
--- a/components/routing/tests/quotas/fleet.rs
+++ b/components/routing/tests/quotas/fleet.rs
@@ -54,7 +54,8 @@
     frozen: Span,
     process: u64,
     next_poll: Instant,
-    /// Numbers of waiting requests, the times of their arrival, and whether one bucket would admit them.
+    /// Numbers of waiting requests, the times of their arrival, and whether one bucket would admit
+    /// them.
     waiting: VecDeque<(u64, Instant, bool)>,
     buffered: Vec<(usize, QuotaMessage)>,
     bytes: u64,
@@ -429,7 +430,8 @@
         served / (self.quota().rate.per_second() * seconds)
     }
 
-    /// Returns the greatest number of runs in a window as a share of the bound for `quota`, from `from` on.
+    /// Returns the greatest number of runs in a window as a share of the bound for `quota`, from
+    /// `from` on.
     pub fn worst_window(&mut self, quota: Quota, from: Instant) -> f64 {
         let bounds = AccountBounds::default();
         self.runs.sort_unstable();
--- a/components/routing/tests/quotas/main.rs
+++ b/components/routing/tests/quotas/main.rs
@@ -12,7 +12,8 @@
 const RATE: f64 = 17.0;
 const BURST: f64 = 17.0;
 
-/// Returns the demands of the used hosts, `total` requests per second together: equal, or mostly at two.
+/// Returns the demands of the used hosts, `total` requests per second together: equal, or mostly at
+/// two.
 fn demands(hosts: usize, total: f64, is_skewed: bool) -> Vec<f64> {
     let used = USED.min(hosts);
     let part = |n: usize| match (is_skewed, n) {
@@ -33,8 +34,8 @@
     fleet
 }
 
-/// Guards against hosts that together exceed a quota, against requests that are refused although one
-/// bucket for all hosts would admit them, and against a part of a quota that nobody can use.
+/// Guards against hosts that together exceed a quota, against requests that are refused although
+/// one bucket for all hosts would admit them, and against a part of a quota that nobody can use.
 #[test]
 fn quotas_hold_for_any_distribution_of_the_demand() {
     let mut table = String::new();
@@ -126,8 +127,8 @@
     ("12 of 18 killed", kill_most, start_most),
 ];
 
-/// Guards against a quota that is exceeded while hosts fail, come back, or go on without the others, and
-/// against hosts that refuse many requests within the quota then.
+/// Guards against a quota that is exceeded while hosts fail, come back, or go on without the
+/// others, and against hosts that refuse many requests within the quota then.
 #[test]
 fn quotas_hold_while_hosts_fail() {
     let mut table = String::new();
@@ -159,8 +160,9 @@
     assert_snapshot!(table);
 }
 
-/// Guards against an allocator that comes back after a while and grants again what it had saved, while the
-/// one in between has granted as much: an account that was idle sends its whole burst to both.
+/// Guards against an allocator that comes back after a while and grants again what it had saved,
+/// while the one in between has granted as much: an account that was idle sends its whole burst to
+/// both.
 #[test]
 fn returning_allocators_grant_nothing_twice() {
     for seed in 0..12 {
--- a/components/routing/tests/reconcile.rs
+++ b/components/routing/tests/reconcile.rs
@@ -99,9 +99,9 @@
 /// Name, and the changes before the return, from the copy and afterwards.
 type Case<'a> = (&'a str, Vec<Change>, Vec<Change>, Vec<Change>);
 
-/// Guards against an older state of the store's copy that replaces what a host knows, against changes
-/// after the return that are taken for older ones, and against a host that never believes the store
-/// again.
+/// Guards against an older state of the store's copy that replaces what a host knows, against
+/// changes after the return that are taken for older ones, and against a host that never believes
+/// the store again.
 #[test]
 fn what_the_copy_holds() {
     let missing = Span::secs(4);
--- a/components/routing/tests/releases/main.rs
+++ b/components/routing/tests/releases/main.rs
@@ -20,9 +20,9 @@
 /// Good versions that may be rolled back by mistake: less than 1 in 100.
 const MAX_MISTAKES: usize = 1;
 
-/// Bad versions that may be promoted: 1 in 100. With 4 requests per second and a third of the responses
-/// bad, all bad ones may come after the promotion. On fast leaves beside a slow baseline, half of the
-/// responses at four times the work look like those of healthy leaves.
+/// Bad versions that may be promoted: 1 in 100. With 4 requests per second and a third of the
+/// responses bad, all bad ones may come after the promotion. On fast leaves beside a slow baseline,
+/// half of the responses at four times the work look like those of healthy leaves.
 const MAX_MISSED: usize = 2;
 
 fn play(seed: u64) -> (Plan, Outcome) {
@@ -73,8 +73,8 @@
     faults
 }
 
-/// Guards against a bad version that gets more than its bound or is promoted, and against a good one that
-/// is rolled back or late, with pausing leaves, hosts that fail and a load that changes.
+/// Guards against a bad version that gets more than its bound or is promoted, and against a good
+/// one that is rolled back or late, with pausing leaves, hosts that fail and a load that changes.
 #[test]
 fn bad_versions_are_rolled_back_within_the_bounds_and_good_ones_completed() {
     let mut mistakes = Vec::new();
--- a/components/routing/tests/releases/rules.rs
+++ b/components/routing/tests/releases/rules.rs
@@ -1,4 +1,5 @@
-//! Rules of releases that hold without load: who is barred, what is held back, and how a status is written.
+//! Rules of releases that hold without load: who is barred, what is held back, and how a status is
+//! written.
 
 use {
     crate::{
@@ -71,8 +72,8 @@
     })
 }
 
-/// Guards against requests to leaves of a new version whose order is still on its way, and against a
-/// hold that lasts or that a host's first list begins.
+/// Guards against requests to leaves of a new version whose order is still on its way, and against
+/// a hold that lasts or that a host's first list begins.
 #[test]
 fn a_new_version_is_held_back_until_its_order_may_have_arrived() {
     let mut releases = releases();
@@ -100,8 +101,8 @@
     assert_eq!(barred(&mut releases, &both, 3), "v2");
 }
 
-/// Guards against a completed order that a late rollback of some host, an older copy of the store or its
-/// own deletion undoes.
+/// Guards against a completed order that a late rollback of some host, an older copy of the store
+/// or its own deletion undoes.
 #[test]
 fn a_final_status_stays() {
     let mut releases = releases();
@@ -119,7 +120,8 @@
     assert_eq!(barred(&mut releases, &["v1", "v2"], 5), "");
 }
 
-/// Guards against requests to the candidate of an order that was deleted or replaced while it was open.
+/// Guards against requests to the candidate of an order that was deleted or replaced while it was
+/// open.
 #[test]
 fn the_candidate_of_a_withdrawn_order_stays_barred() {
     let mut releases = releases();
@@ -135,8 +137,8 @@
     assert_eq!(barred(&mut releases, &["v1", "v2"], 5_005), "", "other leaves of that name");
 }
 
-/// Guards against a status that is written a second time after a lost response, over the state of another
-/// host, or not at all.
+/// Guards against a status that is written a second time after a lost response, over the state of
+/// another host, or not at all.
 #[test]
 fn a_lost_response_and_a_conflict_are_resolved_by_the_object() {
     let mut releases = releases();
@@ -184,8 +186,8 @@
     assert!((9_800..=10_200).contains(&sent), "{sent} of 10,000");
 }
 
-/// Guards against a rollback for pauses of healthy leaves, and against a slow or failing version that is
-/// found late.
+/// Guards against a rollback for pauses of healthy leaves, and against a slow or failing version
+/// that is found late.
 #[test]
 fn the_tests_tell_pauses_from_slow_and_failing_versions() {
     let normal = Counts::of_response(Span::millis(9));
--- a/components/routing/tests/reply_time.rs
+++ b/components/routing/tests/reply_time.rs
@@ -49,7 +49,8 @@
 }
 
 /// Sends a request at `start` from a caller `distance` away, whose reply is queued on the way for
-/// `queued`, which no round-trip time shows; one shard of four never responds. Returns the time from the caller's first attempt to its receipt of the reply.
+/// `queued`, which no round-trip time shows; one shard of four never responds. Returns the time
+/// from the caller's first attempt to its receipt of the reply.
 fn time_to_reply(
     cx: RoutingState,
     distance: Span,
@@ -87,8 +88,8 @@
 }
 
 /// Guards against replies that leave the host within the target latency and reach the caller after
-/// it. With a constant of 6 ms for the way, half of the urgent requests of a calm day were late by a
-/// few milliseconds.
+/// it. With a constant of 6 ms for the way, half of the urgent requests of a calm day were late by
+/// a few milliseconds.
 #[test]
 fn callers_at_any_distance_get_replies_within_the_target_latency() {
     let mut cx = routing_state(4);
--- a/components/telemetry/tests/explain.rs
+++ b/components/telemetry/tests/explain.rs
@@ -37,8 +37,8 @@
     assert!(explain("r9", &parse_log(LOG)).is_none());
 }
 
-/// Guards against a refusal by a quota whose explanation does not say of which account and which limit, or
-/// that lists what happened to other accounts.
+/// Guards against a refusal by a quota whose explanation does not say of which account and which
+/// limit, or that lists what happened to other accounts.
 #[test]
 fn refusals_by_quotas_name_account_and_limit() {
     let log = r#"
@@ -52,8 +52,8 @@
     assert_snapshot!(["q1", "q2"].map(explain).join("\n"));
 }
 
-/// Guards against an explanation that does not tell which version failed, and against releases of other
-/// services in it.
+/// Guards against an explanation that does not tell which version failed, and against releases of
+/// other services in it.
 #[test]
 fn an_explanation_names_the_version_that_failed() {
     const LOG: &str = r#"
--- a/tests/clients/leaf.rs
+++ b/tests/clients/leaf.rs
@@ -19,8 +19,9 @@
 /// Size of a chunk of a response that does not end.
 const CHUNK_BYTES: usize = 64 * 1024;
 
-/// Starts and registers a leaf of `BIG_SERVICE`. Its responses are large; those to paths that end in
-/// `endless` do not end. Bodies of requests must be those of `checked_body`, or the connection closes.
+/// Starts and registers a leaf of `BIG_SERVICE`. Its responses are large; those to paths that end
+/// in `endless` do not end. Bodies of requests must be those of `checked_body`, or the connection
+/// closes.
 pub fn start_big_leaf(fixture: &Fixture) {
     let listener = TcpListener::bind((fixture.hosts[0].ip.as_str(), 0)).expect("a listener");
     let address = listener.local_addr().expect("an address");
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -1,5 +1,5 @@
-//! Clients that are not controlled: a host stays within its memory and its descriptors, whatever they
-//! send. In a trial such clients ended a process, which ran out of memory.
+//! Clients that are not controlled: a host stays within its memory and its descriptors, whatever
+//! they send. In a trial such clients ended a process, which ran out of memory.
 //!
 //! The limits of the host are lowered, so that small crowds reach them. One test runs at a time.
 
@@ -177,8 +177,8 @@
     host.check();
 }
 
-/// Guards against a host that no longer accepts connections after the system has refused it descriptors
-/// for a while.
+/// Guards against a host that no longer accepts connections after the system has refused it
+/// descriptors for a while.
 #[test]
 fn descriptors_that_the_system_refuses() {
     let mut host = LimitedHost::start(53);
--- a/tests/clients/other_ways.rs
+++ b/tests/clients/other_ways.rs
@@ -1,4 +1,5 @@
-//! The other ways into a host: leaves, other hosts, and the ports for readiness, directory and metrics.
+//! The other ways into a host: leaves, other hosts, and the ports for readiness, directory and
+//! metrics.
 
 use {
     crate::{
@@ -35,8 +36,8 @@
     host.check();
 }
 
-/// Guards against silent connections to the host's other ports that take all descriptors, and against
-/// ports that answer nobody else meanwhile.
+/// Guards against silent connections to the host's other ports that take all descriptors, and
+/// against ports that answer nobody else meanwhile.
 #[test]
 fn silent_connections_to_other_ports() {
     let mut host = LimitedHost::start(55);
--- a/tests/platform/accounts.rs
+++ b/tests/platform/accounts.rs
@@ -45,8 +45,8 @@
     }
 }
 
-/// Sends a request whose body is chunked, with a key and an account in its trailers; returns the start of the
-/// response.
+/// Sends a request whose body is chunked, with a key and an account in its trailers; returns the
+/// start of the response.
 fn send_with_trailers(address: SocketAddr) -> String {
     let mut sock = TcpStream::connect(address).expect("a connection");
     sock.set_read_timeout(Some(TIMEOUT)).expect("a socket");
@@ -59,8 +59,8 @@
     String::from_utf8_lossy(&start).into_owned()
 }
 
-/// Guards against a key that reaches a leaf or a log, against a caller that runs requests under the name
-/// of another account, and against requests that run without a key.
+/// Guards against a key that reaches a leaf or a log, against a caller that runs requests under the
+/// name of another account, and against requests that run without a key.
 #[test]
 fn leaves_get_the_account_and_never_the_key() {
     let fixture = Fixture::start_fleet(30, 2);
@@ -112,8 +112,8 @@
     assert!(log.contains("accounts_ignored"));
 }
 
-/// Guards against a removed key that is still taken on a connection that was open before, and against a
-/// key that moved and still stands for its former account.
+/// Guards against a removed key that is still taken on a connection that was open before, and
+/// against a key that moved and still stands for its former account.
 #[test]
 fn removed_keys_are_refused_on_kept_connections() {
     let fixture = Fixture::start_fleet(31, 2);
@@ -143,8 +143,8 @@
     }
 }
 
-/// Guards against a host that denies a key, which may have been added since, although its news of the
-/// store is out of date; and against one that accepts keys then although it must not.
+/// Guards against a host that denies a key, which may have been added since, although its news of
+/// the store is out of date; and against one that accepts keys then although it must not.
 #[test]
 fn hosts_with_old_news_neither_deny_keys_nor_accept_revocable_ones() {
     let mut fixture = Fixture::start_fleet(32, 1);
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -19,8 +19,9 @@
 /// A leaf may not have noticed yet that a host has closed a connection.
 const MAX_RESETS: usize = 2;
 
-/// Guards against hosts that together open more connections than a leaf accepts, and against requests
-/// lost on those that it resets: two hosts had two connections each to a leaf that accepts two.
+/// Guards against hosts that together open more connections than a leaf accepts, and against
+/// requests lost on those that it resets: two hosts had two connections each to a leaf that accepts
+/// two.
 #[test]
 fn hosts_share_the_connections_that_leaves_accept() {
     let fixture = Fixture::start_short(13, 2, MAX_CONNECTIONS as u32);
--- a/tests/platform/quotas.rs
+++ b/tests/platform/quotas.rs
@@ -29,8 +29,8 @@
     caller.send(&req).ok()
 }
 
-/// Sends requests with `key` to each host, one every `pause`, until `stopped`; returns the statuses, and
-/// the times after which callers may come back.
+/// Sends requests with `key` to each host, one every `pause`, until `stopped`; returns the
+/// statuses, and the times after which callers may come back.
 fn send_until(
     hosts: &[SocketAddr],
     key: &str,
@@ -69,8 +69,8 @@
     (times.len(), times.iter().map(in_window).max().unwrap_or(0))
 }
 
-/// Guards against hosts that together exceed a quota, also while one of them is killed and comes back, and
-/// against an account that is refused because another one is at its quota.
+/// Guards against hosts that together exceed a quota, also while one of them is killed and comes
+/// back, and against an account that is refused because another one is at its quota.
 #[test]
 fn hosts_together_keep_the_quota_of_an_account() {
     let mut fixture = Fixture::start_fleet(44, 4);
@@ -104,8 +104,8 @@
     assert!(log.contains("\"event\":\"quota\"") && log.contains("\"state\":\"exceeded\""));
 }
 
-/// Guards against requests within a quota that are refused, or that wait for longer than hosts need to
-/// respond to each other, and against a burst that is refused.
+/// Guards against requests within a quota that are refused, or that wait for longer than hosts need
+/// to respond to each other, and against a burst that is refused.
 #[test]
 fn requests_within_the_quota_are_served() {
     let fixture = Fixture::start_fleet(45, 3);
--- a/tests/platform/releases.rs
+++ b/tests/platform/releases.rs
@@ -1,5 +1,5 @@
-//! Releases with real processes: orders of operators, good and bad versions, and a deciding host that is
-//! lost.
+//! Releases with real processes: orders of operators, good and bad versions, and a deciding host
+//! that is lost.
 
 use {
     crate::support::{Fixture, get_status},
@@ -16,7 +16,8 @@
     wigeonramp_platform_standin::leaf::{BadKind, BadWhen, Badness, Leaf},
 };
 
-/// Number of the fixture of all tests but one; these run one after another, as they need quiet hosts.
+/// Number of the fixture of all tests but one; these run one after another, as they need quiet
+/// hosts.
 const FIXTURE: u64 = 43;
 /// Number of the fixture of the remaining test.
 const LOSS_FIXTURE: u64 = 42;
@@ -113,8 +114,9 @@
     runs.filter(|at| *at >= since).count()
 }
 
-/// Guards against a good version that is not completed in time, against requests to its leaves before the
-/// order is decided beyond the bound, and against requests that are lost as the old leaves stop.
+/// Guards against a good version that is not completed in time, against requests to its leaves
+/// before the order is decided beyond the bound, and against requests that are lost as the old
+/// leaves stop.
 #[test]
 fn a_good_version_is_completed_without_loss() {
     let _in_use = wait_for_fixture();
@@ -134,7 +136,8 @@
     assert!(runs_since(&fixture, &new, stopped) > 0, "the new leaves serve");
 }
 
-/// Guards against a bad version that stays in use, and against more requests to it than the bound allows.
+/// Guards against a bad version that stays in use, and against more requests to it than the bound
+/// allows.
 #[test]
 fn a_bad_version_is_rolled_back_and_not_used_any_more() {
     let _in_use = wait_for_fixture();
@@ -172,8 +175,8 @@
     load.stop();
 }
 
-/// Guards against a release that nobody decides on once the deciding host is lost. Each of three hosts is
-/// killed in an order of its own, so that one of them is the deciding one.
+/// Guards against a release that nobody decides on once the deciding host is lost. Each of three
+/// hosts is killed in an order of its own, so that one of them is the deciding one.
 #[test]
 fn a_release_goes_on_after_the_loss_of_a_host() {
     for lost in 0..3 {
@@ -199,8 +202,8 @@
     }
 }
 
-/// Guards against calls to the store for orders, and against versions that are treated differently, where
-/// releases are not in use.
+/// Guards against calls to the store for orders, and against versions that are treated differently,
+/// where releases are not in use.
 #[test]
 fn orders_change_nothing_without_bounds_in_the_settings() {
     let _in_use = wait_for_fixture();
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -39,7 +39,8 @@
     /// The addresses of the store that the hosts use, one each.
     pub doors: Vec<Door>,
     pub hosts: Vec<HostProcess>,
-    /// The daemon process with an output that nobody reads, used instead of the first process in `hosts`.
+    /// The daemon process with an output that nobody reads, used instead of the first process in
+    /// `hosts`.
     stalled_process: Option<Child>,
     runs: Runs,
     leaves: AtomicU32,
@@ -264,8 +265,8 @@
         statuses
     }
 
-    /// Sends a request that the first host refuses; returns the time in seconds after which the caller may
-    /// come back.
+    /// Sends a request that the first host refuses; returns the time in seconds after which the
+    /// caller may come back.
     pub fn retry_after(&self, id: &str) -> f64 {
         let path = format!("/read/{id}");
         let req = CallerRequest { method: "GET", host: HOST, path: &path, id, wait: TIMEOUT };
