--- a/components/routing/tests/releases/main.rs
+++ b/components/routing/tests/releases/main.rs
@@ -49,28 +49,28 @@
 }
 
 /// Returns which rules an order has broken.
-fn faults(plan: &Plan, outcome: &Outcome) -> Vec<&'static str> {
+fn broken_rules(plan: &Plan, outcome: &Outcome) -> Vec<&'static str> {
     let is_bad = plan.badness != Badness::Good;
-    let mut faults = Vec::new();
+    let mut broken_rules = Vec::new();
     let in_time = outcome.took.is_some_and(|took| took <= plan.duration);
     if is_bad && outcome.exposed as f64 > exposure_bound(outcome) {
-        faults.push("exposure");
+        broken_rules.push("exposure");
     }
     if outcome.after_fiftieth.is_some_and(|after| after > BOUNDS.rollback) {
-        faults.push("after the 50th bad response");
+        broken_rules.push("after the 50th bad response");
     }
     if !is_bad && outcome.state == Some(OrderState::RolledBack) {
-        faults.push("mistake");
+        broken_rules.push("mistake");
     } else if !is_bad && (outcome.state != Some(OrderState::Completed) || !in_time) {
-        faults.push("not completed in time");
+        broken_rules.push("not completed in time");
     }
     if is_bad && outcome.state != Some(OrderState::RolledBack) {
-        faults.push("not rolled back");
+        broken_rules.push("not rolled back");
     }
     if outcome.lost_at_promotion > 0 {
-        faults.push("lost at promotion");
+        broken_rules.push("lost at promotion");
     }
-    faults
+    broken_rules
 }
 
 /// Guards against a bad version that gets more than its bound or is promoted, and against a good
@@ -88,14 +88,14 @@
         } else {
             took.extend(outcome.took);
         }
-        match faults(&plan, &outcome)[..] {
+        match broken_rules(&plan, &outcome)[..] {
             [] => {}
             ["mistake"] => mistakes.push(format!("{plan:?} {outcome:?}")),
             // What else follows from a promotion is not counted again.
-            ref faults if faults.contains(&"not rolled back") => {
+            ref broken_rules if broken_rules.contains(&"not rolled back") => {
                 missed.push(format!("{plan:?} {outcome:?}"));
             }
-            ref faults => broken.push(format!("{faults:?} {plan:?} {outcome:?}")),
+            ref broken_rules => broken.push(format!("{broken_rules:?} {plan:?} {outcome:?}")),
         }
     }
     shares.sort_by(f64::total_cmp);
