--- a/components/edge/src/stopping.rs
+++ b/components/edge/src/stopping.rs
@@ -40,13 +40,13 @@
         self.stopping = Some(stop);
         self.journal.record("stopping", json!({ "open_requests": self.requests.len() }), self.now);
         self.routing.limits.stop_allocating();
-        self.quota_desk.quotas.stop_allocating();
+        self.quota_state.quotas.stop_allocating();
         self.refresh_shares();
         self.announce_stop();
     }
 
-    /// Returns why a request is refused because the host is stopping, if it is: the cause and the time
-    /// after which the caller may come back.
+    /// Returns why a request is refused because the host is stopping, if it is: the cause and the
+    /// time after which the caller may come back.
     pub(crate) fn refusal_by_stop(
         &mut self,
         route: &Route,
--- a/components/routing/src/clients/memory.rs
+++ b/components/routing/src/clients/memory.rs
@@ -9,9 +9,9 @@
 const MIN_BUDGET: usize = 4 * 1024 * 1024;
 /// Largest body that is taken while the budget is half used.
 const SMALL_BODY: usize = 16 * 1024;
-/// Largest response of a leaf that is read on while the budget is exceeded: one as large as the largest
-/// body.
-const FAIR_RESPONSE: usize = 256 * 1024;
+/// Largest response of a leaf that is read on while the budget is exceeded: one as large as the
+/// largest body.
+const MAX_RESPONSE_OVER_BUDGET: usize = 256 * 1024;
 /// Largest response of a leaf.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
 
@@ -52,7 +52,7 @@
     }
 }
 
-/// Account of the memory held for callers.
+/// Budget of the memory held for callers, and what is used of it.
 #[derive(Debug)]
 pub struct MemoryBudget {
     limit: usize,
@@ -97,8 +97,8 @@
         }
     }
 
-    /// Whether the reading of a body that takes up to `bytes` may begin. Small bodies may use more of
-    /// the budget than large ones, so that large ones do not lock them out.
+    /// Whether the reading of a body that takes up to `bytes` may begin. Small bodies may use more
+    /// of the budget than large ones, so that large ones do not lock them out.
     pub fn admits_body(&self, bytes: usize) -> bool {
         let share = if bytes <= SMALL_BODY { self.limit / 4 * 3 } else { self.limit / 2 };
         self.used + bytes <= share
@@ -111,7 +111,7 @@
 
     /// Whether a response of a leaf that has taken `bytes` so far is read on.
     pub fn admits_response(&self, bytes: usize) -> bool {
-        bytes <= FAIR_RESPONSE || self.level() < MemoryLevel::Exceeded
+        bytes <= MAX_RESPONSE_OVER_BUDGET || self.level() < MemoryLevel::Exceeded
     }
 
     /// Returns the largest response of a leaf.
--- a/components/routing/tests/quotas/fleet.rs
+++ b/components/routing/tests/quotas/fleet.rs
@@ -27,7 +27,7 @@
 /// Share of messages that are lost.
 const LOSS: f64 = 0.005;
 /// Time for which a request waits for a permit.
-const PATIENCE: Span = Span::millis(20);
+const MAX_WAIT: Span = Span::millis(20);
 /// Longest time until a leaf runs an admitted request, in microseconds.
 const RUN_US: u64 = 60_000;
 /// Bytes of a datagram without its accounts, of an account in a report and of one in a response.
@@ -54,7 +54,8 @@
     frozen: Span,
     process: u64,
     next_poll: Instant,
-    /// Numbers of waiting requests, the times of their arrival, and whether one bucket would admit them.
+    /// Numbers of waiting requests, the times of their arrival, and whether one bucket would admit
+    /// them.
     waiting: VecDeque<(u64, Instant, bool)>,
     buffered: Vec<(usize, QuotaMessage)>,
     bytes: u64,
@@ -364,7 +365,7 @@
                 self.next_event += 1;
                 let (number, process) = (self.next_event, self.hosts[host].process);
                 self.hosts[host].waiting.push_back((number, self.now, is_within));
-                self.schedule(self.now + PATIENCE, Event::GiveUp { host, process, number });
+                self.schedule(self.now + MAX_WAIT, Event::GiveUp { host, process, number });
                 self.outcome.waited += 1;
                 self.poll(host);
             }
@@ -429,7 +430,8 @@
         served / (self.quota().rate.per_second() * seconds)
     }
 
-    /// Returns the greatest number of runs in a window as a share of the bound for `quota`, from `from` on.
+    /// Returns the greatest number of runs in a window as a share of the bound for `quota`, from
+    /// `from` on.
     pub fn worst_window(&mut self, quota: Quota, from: Instant) -> f64 {
         let bounds = AccountBounds::default();
         self.runs.sort_unstable();
