Skip connections without a body among those that wait for memory

Cause: found by reading. A waiting entry without a body would have stopped the resumption of all later bodies and of accepting. No path to it is known. Result: clippy passes; no change of behaviour seen.

--- a/components/edge/src/callers/admission.rs
+++ b/components/edge/src/callers/admission.rs
@@ -190,7 +190,10 @@
                 self.clients.held.pop_front();
                 continue;
             };
-            let Phase::Body(_, reader) = &conn.phase else { return };
+            let Phase::Body(_, reader) = &conn.phase else {
+                self.clients.held.pop_front();
+                continue;
+            };
             if !self.clients.memory.admits_body(reader.max_bytes()) {
                 break;
             }
