--- a/components/routing/src/reply_time.rs
+++ b/components/routing/src/reply_time.rs
@@ -47,7 +47,7 @@
 const MAX_OWN_PERCENT: u64 = 25;
 
 /// Reserve for delays that are not measured, in percent of the target latency. A late reply is
-/// worth little to its caller, while only few parts arrive in this last part of the wait.
+/// of little use to its caller, while only few parts arrive in this last part of the wait.
 const RESERVE_PERCENT: u64 = 5;
 
 /// Round-trip time of one connection, as its acknowledgements show it.
