Keep the minimum of connections within the limit of the leaf

Cause: hosts with traffic had two connections to a leaf at least, also where all of them together then exceed its limit. Change: the minimum of two holds only where it fits, otherwise a host has one.

--- a/components/routing/src/connections.rs
+++ b/components/routing/src/connections.rs
@@ -59,9 +59,12 @@
         let HostCounts { known, active, is_active, is_settled } = hosts;
         // A host that is alone shares with nobody.
         let is_short = known > 1 && declared * USED_SHARE < (known * MIN_CONNECTIONS) as f64;
+        let active = active.max(1);
+        let shared = (declared * USED_SHARE / active as f64) as usize;
+        let has_room = !is_short || (active * MIN_CONNECTIONS) as f64 <= declared;
         let limit = match is_short {
-            true if !is_active || !is_settled => 1,
-            _ => ((declared * USED_SHARE / active.max(1) as f64) as usize).max(MIN_CONNECTIONS),
+            true if !is_active || !is_settled || !has_room => 1,
+            _ => shared.max(MIN_CONNECTIONS),
         };
         let keeps_idle = !is_short || (is_active && is_settled);
         Self { limit, is_short, keeps_idle }
@@ -124,6 +127,11 @@
         if self.open > 0 { Span::ZERO } else { self.blocked_until.since(now) }
     }
 
+    /// Returns the number of open connections.
+    pub fn open(&self) -> usize {
+        self.open
+    }
+
     /// Records that a connection is being opened.
     pub fn on_opened(&mut self) {
         self.open += 1;
--- a/components/routing/tests/connections.rs
+++ b/components/routing/tests/connections.rs
@@ -103,3 +103,17 @@
     room.on_opened();
     assert_eq!(room.admit(share, at(0)), Admission::Wait);
 }
+
+/// Guards against a minimum for each host that exceeds the limit of the leaf for all together.
+#[test]
+fn hosts_with_traffic_together_stay_within_the_limit() {
+    for (declared, active) in [(2, 2), (50, 30), (10, 9)] {
+        let hosts = HostCounts { known: 132, active, is_active: true, is_settled: true };
+        let share = ConnectionShare::new(declared, hosts);
+        let mut room = ConnectionRoom::default();
+        while room.admit(share, at(0)) == Admission::Open {
+            room.on_opened();
+            assert!(room.open() * active <= declared as usize, "{declared} for {active}");
+        }
+    }
+}
