Draw accounts, quotas and changes of keys in the soak

Cause: the soak never sent requests with API keys, so nothing checked accounts under faults of hosts and store.

Change: seeds with seed % 7 == 5 have three accounts (two with quotas that callers exceed, one without a quota), and keys are added, moved and removed beside the other faults. The variants by seed % 5 stay as they are, so the fixed seeds keep their faults. Checked: no key at a leaf; the account at the leaf has held the key; no run with a key later than 3 s after its removal; any 5 s within (rate x 5 + burst) x 1.1 + 20 at all times; 401 and 429 never ran; 429 only for accounts with a quota; no 401 for a key that is held. A request counts once for its quota, when it first runs at a leaf, as in the requirements.

--- a/components/soak/src/callers.rs
+++ b/components/soak/src/callers.rs
@@ -23,6 +23,8 @@
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Longest pause between two requests of a caller, in milliseconds.
 const MAX_PAUSE_MS: u64 = 12;
+/// Header line with which callers name an account beside their key. Only hosts may name it.
+const FORGED_ACCOUNT: &str = "Tenant: steady\r\n";
 
 /// Route that a request uses.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -44,6 +46,8 @@
     /// Address of the host that it was sent to.
     pub host: SocketAddr,
     pub kind: RequestKind,
+    /// API key that it presented.
+    pub key: Option<String>,
     pub sent_at: Instant,
     pub ended_at: Instant,
     /// `None` if the connection broke or the response timed out; status 0 if the bytes received
@@ -61,6 +65,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Callers {
     requests: Arc<Mutex<Vec<RequestRecord>>>,
+    /// Keys of which each request presents one; empty if there are no accounts.
+    keys: Mutex<Vec<Option<String>>>,
     stopped: AtomicBool,
     threads: Mutex<Vec<JoinHandle<()>>>,
 }
@@ -79,6 +85,11 @@
         lock(&self.threads).push(thread);
     }
 
+    /// Sets the keys of which each request presents one.
+    pub fn set_keys(&self, keys: Vec<Option<String>>) {
+        *lock(&self.keys) = keys;
+    }
+
     /// Stops all callers and returns their requests.
     pub fn stop(&self) -> Vec<RequestRecord> {
         self.stopped.store(true, Ordering::SeqCst);
@@ -125,7 +136,8 @@
                 _ => RequestKind::Extra,
             };
             let id = format!("{seed:016x}{n:08x}");
-            let req = self.send_request(host, kind, id, &mut connections);
+            let key = lock(&self.keys).choose(&mut rng).cloned().flatten();
+            let req = self.send_request(host, kind, id, key, &mut connections);
             if req.response.is_none() {
                 addresses.retain(|known| *known != host);
             }
@@ -138,6 +150,7 @@
         host: SocketAddr,
         kind: RequestKind,
         id: String,
+        key: Option<String>,
         connections: &mut IndexMap<SocketAddr, Caller>,
     ) -> RequestRecord {
         let (method, path) = match kind {
@@ -156,6 +169,11 @@
         let result = caller.and_then(|mut caller| {
             let req =
                 CallerRequest { method, host: HOST, path: &path, id: &id, wait: RESPONSE_TIMEOUT };
+            if let Some(key) = &key {
+                caller.set_lines(&format!("X-Api-Key: {key}\r\n{FORGED_ACCOUNT}"));
+            } else {
+                caller.set_lines("");
+            }
             let response = caller.send(&req)?;
             if !response.close {
                 connections.insert(host, caller);
@@ -179,6 +197,6 @@
                 })
             }
         };
-        RequestRecord { id, host, kind, sent_at, ended_at: Instant::now(), response }
+        RequestRecord { id, host, kind, key, sent_at, ended_at: Instant::now(), response }
     }
 }
--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -1,5 +1,6 @@
 //! Checks of the invariants: compares what callers received with what leaves ran.
 
+mod accounts;
 mod notices;
 
 use {
@@ -80,6 +81,7 @@
     let judged: Vec<&Run> = runs.iter().filter(is_judged).collect();
     violations.extend(judged.iter().filter_map(|run| check_draining_leaf(run, history)));
     violations.extend(judged.iter().filter_map(|run| check_evacuated_zone(run, history)));
+    violations.extend(accounts::check(requests, &by_id, history));
     violations.extend(notices::check_leaving(requests, &by_id, history));
     violations.extend(notices::check_pauses(requests, history));
     violations.extend(history.limits.iter().filter_map(|limit| check_limit(limit, runs, history)));
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -2,8 +2,8 @@
 
 use {
     crate::{
-        SoakPlan, fleet::Fleet, limits::LeafLimits, notices::LeafNotices, proxy::LinkMode,
-        store_copies::StoreCopies,
+        SoakPlan, accounts::AccountChanges, fleet::Fleet, limits::LeafLimits, notices::LeafNotices,
+        proxy::LinkMode, store_copies::StoreCopies,
     },
     rand::RngExt,
     rustix::process::Signal,
@@ -57,6 +57,7 @@
     let mut copies = plan.restores_store().then(|| StoreCopies::new(plan.seed));
     let mut notices = plan.notifies().then(|| LeafNotices::new(plan.seed));
     let mut limits = plan.limits_leaves().then(|| LeafLimits::new(plan.seed));
+    let mut accounts = plan.has_accounts().then(|| AccountChanges::new(plan.seed));
     while Instant::now() < end {
         let (description, undo) = inject_random_fault(fleet, plan);
         injected.push(description);
@@ -80,6 +81,7 @@
             injected.extend(copies.as_mut().and_then(|copies| copies.advance(fleet)));
             injected.extend(notices.as_mut().and_then(|notices| notices.advance(fleet)));
             injected.extend(limits.as_mut().and_then(|limits| limits.advance(fleet)));
+            injected.extend(accounts.as_mut().and_then(|accounts| accounts.advance(fleet)));
             thread::sleep(Duration::from_millis(20));
         }
     }
@@ -89,6 +91,9 @@
     if let Some(mut limits) = limits {
         limits.finish(fleet);
     }
+    if let Some(accounts) = accounts {
+        accounts.finish(fleet);
+    }
     if let Some(mut copies) = copies {
         copies.finish(fleet);
     }
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -3,6 +3,7 @@
 use {
     crate::{
         SoakPlan,
+        accounts::{self, KeySpan},
         callers::{self, Callers, RequestRecord},
         hosts::{HostProcess, HostSpec, Ports},
         proxy::Proxy,
@@ -120,6 +121,8 @@
     pub interruptions: Vec<(String, Instant)>,
     /// Times in which the store turned hosts away and served the others.
     pub turned_away: Vec<TurnedAway>,
+    /// Keys of accounts, also removed ones; empty if there are no accounts.
+    pub keys: Vec<KeySpan>,
     /// Times of faults after which invariants with a time limit are not checked for a while.
     pub disturbances: Vec<Instant>,
 }
@@ -173,6 +176,9 @@
             fleet.add_leaf("one", zone)?;
             fleet.add_leaf("two", zone)?;
         }
+        if plan.has_accounts() {
+            fleet.history.keys = accounts::first_keys();
+        }
         fleet.configure("one", false);
         fleet.start_hosts(plan)?;
         fleet.start_callers();
@@ -189,7 +195,7 @@
                 zone: ZONES[n % ZONES.len()],
                 ports,
                 seeds: &ips[..ips.len().min(3)],
-                bounds: "",
+                bounds: if plan.has_accounts() { accounts::BOUNDS } else { "" },
             };
             let door = self.store.open_door(&format!("{}.254", self.prefix))?;
             let proxy = Proxy::start(&format!("{}.253", self.prefix), door.address())?;
@@ -264,13 +270,18 @@
         let mut gather = with(route("gather", "/gather/", "safe"), "gather", json!(shards));
         gather["top_k"] = json!(TOP_K);
         gather["min_success_share"] = json!(MIN_SHARE_PERCENT as f64 / 100.0);
+        let has_accounts = !self.history.keys.is_empty();
         let mut routes = vec![
             gather,
             with(route("read", "/read/", "safe"), "service", json!(service)),
             with(route("write", "/write/", "unsafe"), "service", json!(service)),
         ];
         if has_extra_route {
-            routes.push(with(route("extra", "/extra/", "safe"), "service", json!("two")));
+            let mut extra = with(route("extra", "/extra/", "safe"), "service", json!("two"));
+            if has_accounts {
+                extra["public"] = json!(true);
+            }
+            routes.push(extra);
         }
         let services: Vec<Value> = shards
             .iter()
@@ -278,13 +289,27 @@
             .chain(["one", "two"])
             .map(|name| json!({ "name": name, "connection_limit": 100 }))
             .collect();
-        let spec = json!({ "version": self.version, "routes": routes, "services": services });
+        let mut spec = json!({ "version": self.version, "routes": routes, "services": services });
+        if has_accounts {
+            spec["tenants"] = accounts::tenants(&self.history.keys);
+        }
         self.store.put("config", "main", spec.clone());
         self.config = spec;
         let (written_at, service) = (Instant::now(), service.to_owned());
         self.history.versions.push(ConfigVersion { written_at, service, has_extra_route });
     }
 
+    /// Writes a new version of the configuration in which only the accounts differ.
+    pub fn configure_again(&mut self) {
+        let Some(last) = self.history.versions.last().cloned() else { return };
+        self.configure(&last.service, last.has_extra_route);
+    }
+
+    /// Sets the keys of which callers present one with each request.
+    pub fn set_caller_keys(&self, keys: Vec<Option<String>>) {
+        self.callers.set_keys(keys);
+    }
+
     /// Writes everything again that operators and leaves have written, after the store has come back
     /// from a copy.
     pub fn write_again(&mut self) {
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -5,6 +5,7 @@
 //! connections. Afterwards the responses are compared with what the leaves ran and with the
 //! configurations that were in force.
 
+mod accounts;
 mod callers;
 mod check;
 mod faults;
@@ -53,6 +54,12 @@
         self.seed % 5 == 4
     }
 
+    /// Returns whether requests need keys of accounts. The variants above keep their seeds, so that the
+    /// fixed seeds of the tests have the same faults as before.
+    fn has_accounts(&self) -> bool {
+        self.seed % 7 == 5
+    }
+
     /// Returns whether the run has no faults of hosts and store but returns from copies, so that
     /// invariants with a time limit are checked throughout.
     fn spares_hosts_and_store(&self) -> bool {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -57,3 +57,10 @@
 fn seed_with_notices_of_leaves_violates_no_invariant() {
     soak(7);
 }
+
+/// Guards against requests that run for an account without its key or beyond its quota, and against
+/// keys that reach leaves, while keys are added, moved and removed.
+#[test]
+fn seed_with_accounts_violates_no_invariant() {
+    soak(75);
+}
