Draw releases of good and bad versions in the soak

Cause: releases were tested with real processes only in calm conditions, not beside faults of hosts, leaves and store.

Change: seeds with seed % 7 == 6, except those whose store comes back from copies, release one service after another to leaves of a new version. Half of the versions are bad: failing or slow, always, later, on one path or, for shards, under load. The exposure bounds are in the hosts' settings in these runs only. Checked: runs of a bad version within 0.1 of all runs of its service plus 50 until the end of its time; nothing sent to a version later than 5 s after its status is rolled_back; no request in flight at an old leaf fails as that leaf stops at completed. The last two are not checked near disturbances and for hosts that the store turns away; the last one also not for hosts that were interrupted.

--- a/components/soak/src/check.rs
+++ b/components/soak/src/check.rs
@@ -2,6 +2,7 @@
 
 mod accounts;
 mod notices;
+mod releases;
 
 use {
     crate::{
@@ -82,6 +83,7 @@
     violations.extend(judged.iter().filter_map(|run| check_draining_leaf(run, history)));
     violations.extend(judged.iter().filter_map(|run| check_evacuated_zone(run, history)));
     violations.extend(accounts::check(requests, &by_id, history));
+    violations.extend(releases::check(requests, runs, history));
     violations.extend(notices::check_leaving(requests, &by_id, history));
     violations.extend(notices::check_pauses(requests, history));
     violations.extend(history.limits.iter().filter_map(|limit| check_limit(limit, runs, history)));
--- a/components/soak/src/faults.rs
+++ b/components/soak/src/faults.rs
@@ -3,7 +3,7 @@
 use {
     crate::{
         SoakPlan, accounts::AccountChanges, fleet::Fleet, limits::LeafLimits, notices::LeafNotices,
-        proxy::LinkMode, store_copies::StoreCopies,
+        proxy::LinkMode, releases::Releases, store_copies::StoreCopies,
     },
     rand::RngExt,
     rustix::process::Signal,
@@ -58,6 +58,7 @@
     let mut notices = plan.notifies().then(|| LeafNotices::new(plan.seed));
     let mut limits = plan.limits_leaves().then(|| LeafLimits::new(plan.seed));
     let mut accounts = plan.has_accounts().then(|| AccountChanges::new(plan.seed));
+    let mut releases = plan.releases_services().then(|| Releases::new(plan.seed));
     while Instant::now() < end {
         let (description, undo) = inject_random_fault(fleet, plan);
         injected.push(description);
@@ -82,6 +83,7 @@
             injected.extend(notices.as_mut().and_then(|notices| notices.advance(fleet)));
             injected.extend(limits.as_mut().and_then(|limits| limits.advance(fleet)));
             injected.extend(accounts.as_mut().and_then(|accounts| accounts.advance(fleet)));
+            injected.extend(releases.as_mut().and_then(|releases| releases.advance(fleet)));
             thread::sleep(Duration::from_millis(20));
         }
     }
@@ -101,6 +103,7 @@
         thread::sleep(at.saturating_duration_since(Instant::now()).min(MAX_FINAL_WAIT));
         pending.extend(undo_fault(fleet, undo));
     }
+    injected.extend(releases.and_then(|releases| releases.finish(fleet)));
     injected
 }
 
--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -7,6 +7,7 @@
         callers::{self, Callers, RequestRecord},
         hosts::{HostProcess, HostSpec, Ports},
         proxy::Proxy,
+        releases::{FIRST_VERSION, Release},
     },
     indexmap::IndexMap,
     rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
@@ -123,6 +124,8 @@
     pub turned_away: Vec<TurnedAway>,
     /// Keys of accounts, also removed ones; empty if there are no accounts.
     pub keys: Vec<KeySpan>,
+    /// Orders of releases and what became of them.
+    pub releases: Vec<Release>,
     /// Times of faults after which invariants with a time limit are not checked for a while.
     pub disturbances: Vec<Instant>,
 }
@@ -137,6 +140,8 @@
     /// Leaves, each with the proxy through which hosts reach it.
     pub leaves: Vec<(Leaf, Proxy)>,
     pub history: History,
+    /// Versions of the leaves of services whose release was completed.
+    pub versions: IndexMap<&'static str, &'static str>,
     version: u64,
     /// Configuration that was written last.
     config: Value,
@@ -161,6 +166,7 @@
             doors: Vec::new(),
             leaves: Vec::new(),
             history: History::default(),
+            versions: IndexMap::new(),
             version: 0,
             config: Value::Null,
             runs,
@@ -195,7 +201,7 @@
                 zone: ZONES[n % ZONES.len()],
                 ports,
                 seeds: &ips[..ips.len().min(3)],
-                bounds: if plan.has_accounts() { accounts::BOUNDS } else { "" },
+                bounds: plan.bounds(),
             };
             let door = self.store.open_door(&format!("{}.254", self.prefix))?;
             let proxy = Proxy::start(&format!("{}.253", self.prefix), door.address())?;
@@ -224,20 +230,34 @@
 
     /// Starts a leaf behind a proxy and registers it as ready.
     pub fn add_leaf(&mut self, service: &str, zone: &str) -> Result<()> {
-        self.next_leaf += 1;
-        let id = format!("i-{}", self.next_leaf);
-        let ip = format!("{}.252", self.prefix);
         // Non-idempotent requests take longer, so that faults hit some while they run.
         let max_ms = if SINGLE_LEAF_SERVICES.contains(&service) { 40 } else { 6 };
         let work = Duration::from_millis(self.rng.random_range(1..max_ms));
+        let index = self.start_leaf(service, zone, work)?;
+        let leaf = &self.leaves[index].0;
+        leaf.set_version(self.versions.get(service).copied().unwrap_or(FIRST_VERSION));
+        leaf.register("ready");
+        Ok(())
+    }
+
+    /// Starts a leaf behind a proxy without registering it; returns its index.
+    pub fn start_leaf(&mut self, service: &str, zone: &str, work: Duration) -> Result<usize> {
+        self.next_leaf += 1;
+        let id = format!("i-{}", self.next_leaf);
+        let ip = format!("{}.252", self.prefix);
         let spec = LeafSpec { id: &id, service, zone, ip: &ip, work };
         let leaf = Leaf::start(&spec, &self.store, &self.runs)?;
         let proxy = Proxy::start(&ip, leaf.address())?;
         leaf.set_advertised_address(proxy.address);
-        leaf.register("ready");
         self.history.leaf_zones.insert(id, zone.to_owned());
         self.leaves.push((leaf, proxy));
-        Ok(())
+        Ok(self.leaves.len() - 1)
+    }
+
+    /// Returns the work of the leaf of a service that was started last.
+    pub fn work_of(&self, service: &str) -> Duration {
+        let last = self.leaves.iter().rev().find(|(leaf, _)| leaf.service() == service);
+        last.map_or(Duration::ZERO, |(leaf, _)| leaf.work())
     }
 
     /// Returns the index of a random leaf; half of the time one that runs non-idempotent requests.
--- a/components/soak/src/lib.rs
+++ b/components/soak/src/lib.rs
@@ -14,6 +14,7 @@
 mod limits;
 mod notices;
 pub mod proxy;
+mod releases;
 mod store_copies;
 
 pub use check::Violation;
@@ -60,6 +61,21 @@
         self.seed % 7 == 5
     }
 
+    /// Returns whether services are released to new versions. Not beside returns of the store from
+    /// copies, which lose orders and their statuses.
+    fn releases_services(&self) -> bool {
+        self.seed % 7 == 6 && !self.restores_store()
+    }
+
+    /// Returns further lines of the table `bounds` in the settings of hosts.
+    fn bounds(&self) -> &'static str {
+        match (self.has_accounts(), self.releases_services()) {
+            (true, _) => accounts::BOUNDS,
+            (false, true) => releases::BOUNDS,
+            (false, false) => "",
+        }
+    }
+
     /// Returns whether the run has no faults of hosts and store but returns from copies, so that
     /// invariants with a time limit are checked throughout.
     fn spares_hosts_and_store(&self) -> bool {
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -64,3 +64,10 @@
 fn seed_with_accounts_violates_no_invariant() {
     soak(75);
 }
+
+/// Guards against bad versions that get too many requests or stay in use after their rollback, and against
+/// requests that are lost as old leaves stop.
+#[test]
+fn seed_with_releases_violates_no_invariant() {
+    soak(111);
+}
