--- a/components/soak/src/fleet.rs
+++ b/components/soak/src/fleet.rs
@@ -3,9 +3,11 @@
 use {
     crate::{
         SoakPlan,
+        accounts::{self, KeySpan},
         callers::{self, Callers, RequestRecord},
         hosts::{HostProcess, HostSpec, Ports},
         proxy::Proxy,
+        releases::{FIRST_VERSION, Release},
     },
     indexmap::IndexMap,
     rand::{RngExt, SeedableRng, rngs::SmallRng, seq::IndexedRandom},
@@ -120,6 +122,10 @@
     pub interruptions: Vec<(String, Instant)>,
     /// Times in which the store turned hosts away and served the others.
     pub turned_away: Vec<TurnedAway>,
+    /// Keys of accounts, also removed ones; empty if there are no accounts.
+    pub keys: Vec<KeySpan>,
+    /// Orders of releases and what became of them.
+    pub releases: Vec<Release>,
     /// Times of faults after which invariants with a time limit are not checked for a while.
     pub disturbances: Vec<Instant>,
 }
@@ -134,6 +140,8 @@
     /// Leaves, each with the proxy through which hosts reach it.
     pub leaves: Vec<(Leaf, Proxy)>,
     pub history: History,
+    /// Versions of the leaves of services whose release was completed.
+    pub versions: IndexMap<&'static str, &'static str>,
     version: u64,
     /// Configuration that was written last.
     config: Value,
@@ -158,6 +166,7 @@
             doors: Vec::new(),
             leaves: Vec::new(),
             history: History::default(),
+            versions: IndexMap::new(),
             version: 0,
             config: Value::Null,
             runs,
@@ -173,6 +182,9 @@
             fleet.add_leaf("one", zone)?;
             fleet.add_leaf("two", zone)?;
         }
+        if plan.has_accounts() {
+            fleet.history.keys = accounts::first_keys();
+        }
         fleet.configure("one", false);
         fleet.start_hosts(plan)?;
         fleet.start_callers();
@@ -189,7 +201,7 @@
                 zone: ZONES[n % ZONES.len()],
                 ports,
                 seeds: &ips[..ips.len().min(3)],
-                bounds: "",
+                bounds: plan.bounds(),
             };
             let door = self.store.open_door(&format!("{}.254", self.prefix))?;
             let proxy = Proxy::start(&format!("{}.253", self.prefix), door.address())?;
@@ -218,20 +230,34 @@
 
     /// Starts a leaf behind a proxy and registers it as ready.
     pub fn add_leaf(&mut self, service: &str, zone: &str) -> Result<()> {
-        self.next_leaf += 1;
-        let id = format!("i-{}", self.next_leaf);
-        let ip = format!("{}.252", self.prefix);
         // Non-idempotent requests take longer, so that faults hit some while they run.
         let max_ms = if SINGLE_LEAF_SERVICES.contains(&service) { 40 } else { 6 };
         let work = Duration::from_millis(self.rng.random_range(1..max_ms));
+        let index = self.start_leaf(service, zone, work)?;
+        let leaf = &self.leaves[index].0;
+        leaf.set_version(self.versions.get(service).copied().unwrap_or(FIRST_VERSION));
+        leaf.register("ready");
+        Ok(())
+    }
+
+    /// Starts a leaf behind a proxy without registering it; returns its index.
+    pub fn start_leaf(&mut self, service: &str, zone: &str, work: Duration) -> Result<usize> {
+        self.next_leaf += 1;
+        let id = format!("i-{}", self.next_leaf);
+        let ip = format!("{}.252", self.prefix);
         let spec = LeafSpec { id: &id, service, zone, ip: &ip, work };
         let leaf = Leaf::start(&spec, &self.store, &self.runs)?;
         let proxy = Proxy::start(&ip, leaf.address())?;
         leaf.set_advertised_address(proxy.address);
-        leaf.register("ready");
         self.history.leaf_zones.insert(id, zone.to_owned());
         self.leaves.push((leaf, proxy));
-        Ok(())
+        Ok(self.leaves.len() - 1)
+    }
+
+    /// Returns the work of the leaf of a service that was started last.
+    pub fn work_of(&self, service: &str) -> Duration {
+        let last = self.leaves.iter().rev().find(|(leaf, _)| leaf.service() == service);
+        last.map_or(Duration::ZERO, |(leaf, _)| leaf.work())
     }
 
     /// Returns the index of a random leaf; half of the time one that runs non-idempotent requests.
@@ -264,13 +290,18 @@
         let mut gather = with(route("gather", "/gather/", "safe"), "gather", json!(shards));
         gather["top_k"] = json!(TOP_K);
         gather["min_success_share"] = json!(MIN_SHARE_PERCENT as f64 / 100.0);
+        let has_accounts = !self.history.keys.is_empty();
         let mut routes = vec![
             gather,
             with(route("read", "/read/", "safe"), "service", json!(service)),
             with(route("write", "/write/", "unsafe"), "service", json!(service)),
         ];
         if has_extra_route {
-            routes.push(with(route("extra", "/extra/", "safe"), "service", json!("two")));
+            let mut extra = with(route("extra", "/extra/", "safe"), "service", json!("two"));
+            if has_accounts {
+                extra["public"] = json!(true);
+            }
+            routes.push(extra);
         }
         let services: Vec<Value> = shards
             .iter()
@@ -278,13 +309,27 @@
             .chain(["one", "two"])
             .map(|name| json!({ "name": name, "connection_limit": 100 }))
             .collect();
-        let spec = json!({ "version": self.version, "routes": routes, "services": services });
+        let mut spec = json!({ "version": self.version, "routes": routes, "services": services });
+        if has_accounts {
+            spec["tenants"] = accounts::tenants(&self.history.keys);
+        }
         self.store.put("config", "main", spec.clone());
         self.config = spec;
         let (written_at, service) = (Instant::now(), service.to_owned());
         self.history.versions.push(ConfigVersion { written_at, service, has_extra_route });
     }
 
+    /// Writes a new version of the configuration in which only the accounts differ.
+    pub fn configure_again(&mut self) {
+        let Some(last) = self.history.versions.last().cloned() else { return };
+        self.configure(&last.service, last.has_extra_route);
+    }
+
+    /// Sets the keys of which callers present one with each request.
+    pub fn set_caller_keys(&self, keys: Vec<Option<String>>) {
+        self.callers.set_keys(keys);
+    }
+
     /// Writes everything again that operators and leaves have written, after the store has come back
     /// from a copy.
     pub fn write_again(&mut self) {
