--- a/components/routing/tests/releases/leaf.rs
+++ b/components/routing/tests/releases/leaf.rs
@@ -1,7 +1,7 @@
 //! A leaf with slots, pauses, a speed of its own, and a version that may be bad.
 
 use {
-    super::plan::{Badness, Plan, When},
+    super::plan::{Plan, VersionFault, When},
     rand::{Rng, RngExt},
     std::collections::VecDeque,
     wigeonramp_units::{Instant, Span},
@@ -71,11 +71,11 @@
         let mut work = rng.random_range(4_000.0..11_000.0) * self.speed;
         let is_bad_now = self.is_bad_now(plan, route, age, now);
         let (mut status, mut is_bad) = (200, false);
-        match plan.badness {
-            Badness::Failing(share) if is_bad_now && rng.random_bool(share) => {
+        match plan.version_fault {
+            VersionFault::Failing(share) if is_bad_now && rng.random_bool(share) => {
                 (status, is_bad) = (500, true);
             }
-            Badness::Slow(share, factor) if is_bad_now && rng.random_bool(share) => {
+            VersionFault::Slow(share, factor) if is_bad_now && rng.random_bool(share) => {
                 work *= factor;
                 is_bad = true;
             }
--- a/components/routing/tests/releases/main.rs
+++ b/components/routing/tests/releases/main.rs
@@ -8,7 +8,7 @@
 mod world;
 
 use {
-    plan::{Badness, Plan},
+    plan::{Plan, VersionFault},
     rand::{SeedableRng, rngs::SmallRng},
     wigeonramp_routing::releases::order::OrderState,
     wigeonramp_units::Span,
@@ -50,7 +50,7 @@
 
 /// Returns which rules an order has broken.
 fn broken_rules(plan: &Plan, outcome: &Outcome) -> Vec<&'static str> {
-    let is_bad = plan.badness != Badness::Good;
+    let is_bad = plan.version_fault != VersionFault::Good;
     let mut broken_rules = Vec::new();
     let in_time = outcome.took.is_some_and(|took| took <= plan.duration);
     if is_bad && outcome.exposed as f64 > exposure_bound(outcome) {
@@ -83,7 +83,7 @@
     let mut shares: Vec<f64> = Vec::new();
     let mut took: Vec<Span> = Vec::new();
     for (plan, outcome) in play_all(ORDERS) {
-        if plan.badness != Badness::Good {
+        if plan.version_fault != VersionFault::Good {
             shares.push(outcome.exposed as f64 / exposure_bound(&outcome));
         } else {
             took.extend(outcome.took);
--- a/components/routing/tests/releases/plan.rs
+++ b/components/routing/tests/releases/plan.rs
@@ -7,7 +7,7 @@
 
 /// How a version is bad.
 #[derive(Clone, Copy, Debug, PartialEq)]
-pub enum Badness {
+pub enum VersionFault {
     /// It is not.
     Good,
     /// A share of the responses fails.
@@ -59,7 +59,7 @@
     /// Requests per second by route.
     pub rates: Vec<f64>,
     pub duration: Span,
-    pub badness: Badness,
+    pub version_fault: VersionFault,
     pub when: When,
     pub fault: Fault,
     /// Time of the fault as a part of the duration.
@@ -82,10 +82,10 @@
         };
         let total: f64 = rates.iter().sum();
         let (failing, slow) = (pick(&[0.3, 0.5, 1.0], rng), pick(&[0.5, 0.75, 1.0], rng));
-        let badness = match (is_bad, rng.random_bool(0.5)) {
-            (false, _) => Badness::Good,
-            (true, true) => Badness::Failing(failing),
-            (true, false) => Badness::Slow(slow, pick(&[4.0, 6.0], rng)),
+        let version_fault = match (is_bad, rng.random_bool(0.5)) {
+            (false, _) => VersionFault::Good,
+            (true, true) => VersionFault::Failing(failing),
+            (true, false) => VersionFault::Slow(slow, pick(&[4.0, 6.0], rng)),
         };
         let when = match rng.random_range(0..4) {
             0 => When::Later(rng.random_range(0.1..0.5)),
@@ -109,7 +109,7 @@
             hosts: pick(&[13, 195], rng),
             rates,
             duration: Span::secs(pick(&[10, 12, 12, 16], rng)),
-            badness,
+            version_fault,
             when,
             fault,
             fault_at: rng.random_range(0.1..0.75),
--- a/components/soak/src/releases.rs
+++ b/components/soak/src/releases.rs
@@ -8,7 +8,7 @@
         thread,
         time::{Duration, Instant},
     },
-    wigeonramp_platform_standin::leaf::{BadKind, BadWhen, Badness},
+    wigeonramp_platform_standin::leaf::{VersionFault, VersionFaultKind, VersionFaultTime},
 };
 
 /// Lines of the table `bounds` in the settings of hosts.
@@ -82,31 +82,38 @@
         }
         let service = self.remaining.remove(self.rng.random_range(0..self.remaining.len()));
         let duration = Duration::from_secs(self.rng.random_range(DURATION_S));
-        let badness = self.rng.random::<bool>().then(|| self.draw_badness(service, now, duration));
-        let description = format!("release of {service} in {duration:?}, {badness:?}");
-        match order(fleet, service, duration, badness.as_ref()) {
+        let version_fault =
+            self.rng.random::<bool>().then(|| self.draw_version_fault(service, now, duration));
+        let description = format!("release of {service} in {duration:?}, {version_fault:?}");
+        match order(fleet, service, duration, version_fault.as_ref()) {
             Ok(release) => fleet.history.releases.push(release),
             Err(err) => eprintln!("cannot start leaves of service {service}: {err}"),
         }
         Some(description)
     }
 
-    fn draw_badness(&mut self, service: &str, now: Instant, duration: Duration) -> Badness {
-        let kind = if self.rng.random() { BadKind::Fails } else { BadKind::Slow(DELAY) };
+    fn draw_version_fault(
+        &mut self,
+        service: &str,
+        now: Instant,
+        duration: Duration,
+    ) -> VersionFault {
+        let kind =
+            if self.rng.random() { VersionFaultKind::Fails } else { VersionFaultKind::Slow(DELAY) };
         let is_shard = service.starts_with("shard");
         let path = if is_shard { "/gather/" } else { "/read/" };
         let mut whens = vec![
-            BadWhen::Always,
-            BadWhen::Later(now + duration * self.rng.random_range(1..4) / 10),
-            BadWhen::OnPath(path.to_owned()),
+            VersionFaultTime::Always,
+            VersionFaultTime::Later(now + duration * self.rng.random_range(1..4) / 10),
+            VersionFaultTime::OnPath(path.to_owned()),
         ];
         // The other services lose all their requests at times, and would not show it before the end.
         if is_shard {
-            whens.push(BadWhen::UnderLoad(HIGH_LOAD));
+            whens.push(VersionFaultTime::UnderLoad(HIGH_LOAD));
         }
-        let when = whens.choose(&mut self.rng).cloned().unwrap_or(BadWhen::Always);
+        let when = whens.choose(&mut self.rng).cloned().unwrap_or(VersionFaultTime::Always);
         let share = f64::from(self.rng.random_range(5..=10)) / 10.0;
-        Badness { kind, share, when }
+        VersionFault { kind, share, when }
     }
 
     /// Waits for the end of the release that is open, if any.
@@ -128,7 +135,7 @@
     fleet: &mut Fleet,
     service: &'static str,
     duration: Duration,
-    badness: Option<&Badness>,
+    version_fault: Option<&VersionFault>,
 ) -> std::io::Result<Release> {
     let mut candidates = Vec::new();
     let work = fleet.work_of(service);
@@ -136,7 +143,7 @@
         let index = fleet.start_leaf(service, zone, work)?;
         let leaf = &fleet.leaves[index].0;
         leaf.set_version(TARGET_VERSION);
-        leaf.set_badness(badness.cloned());
+        leaf.set_version_fault(version_fault.cloned());
         leaf.register("ready");
         candidates.push(leaf.id().to_owned());
     }
@@ -149,7 +156,7 @@
         "service": service, "target_version": TARGET_VERSION, "duration_s": duration.as_secs(),
     });
     fleet.store.put("rollouts", service, spec);
-    let is_bad = badness.is_some();
+    let is_bad = version_fault.is_some();
     let (rolled_back, completed, stopped) = (None, None, Vec::new());
     Ok(Release { service, is_bad, candidates, start, duration, rolled_back, completed, stopped })
 }
--- a/tests/platform/releases.rs
+++ b/tests/platform/releases.rs
@@ -13,7 +13,7 @@
         thread::{self, JoinHandle},
         time::{Duration, Instant},
     },
-    wigeonramp_platform_standin::leaf::{BadKind, BadWhen, Badness, Leaf},
+    wigeonramp_platform_standin::leaf::{Leaf, VersionFault, VersionFaultKind, VersionFaultTime},
 };
 
 /// Number of the fixture of all tests but one; these run one after another, as they need quiet
@@ -78,11 +78,11 @@
 }
 
 /// Starts two leaves of version `v2` and orders the release to it.
-fn order(fixture: &Fixture, badness: Option<&Badness>) -> Vec<Leaf> {
+fn order(fixture: &Fixture, version_fault: Option<&VersionFault>) -> Vec<Leaf> {
     let start = |_| {
         let leaf = fixture.add_unregistered_leaf("a", "one", Duration::from_millis(5));
         leaf.set_version("v2");
-        leaf.set_badness(badness.cloned());
+        leaf.set_version_fault(version_fault.cloned());
         leaf.register("ready");
         leaf
     };
@@ -144,8 +144,9 @@
     let (fixture, _old) = start(FIXTURE, 2);
     let load = Load::start(&fixture.caller_addresses());
     let ordered = Instant::now();
-    let badness = Badness { kind: BadKind::Fails, share: 0.5, when: BadWhen::Always };
-    let new = order(&fixture, Some(&badness));
+    let version_fault =
+        VersionFault { kind: VersionFaultKind::Fails, share: 0.5, when: VersionFaultTime::Always };
+    let new = order(&fixture, Some(&version_fault));
     assert_eq!(wait_until_final(&fixture), "rolled_back");
     thread::sleep(SETTLE_TIME);
     let settled = Instant::now();
@@ -165,12 +166,12 @@
     let _in_use = wait_for_fixture();
     let (fixture, _old) = start(FIXTURE, 2);
     let load = Load::start(&fixture.caller_addresses());
-    let badness = Badness {
-        kind: BadKind::Slow(Duration::from_millis(60)),
+    let version_fault = VersionFault {
+        kind: VersionFaultKind::Slow(Duration::from_millis(60)),
         share: 0.8,
-        when: BadWhen::OnPath("/read/".to_owned()),
+        when: VersionFaultTime::OnPath("/read/".to_owned()),
     };
-    order(&fixture, Some(&badness));
+    order(&fixture, Some(&version_fault));
     assert_eq!(wait_until_final(&fixture), "rolled_back");
     load.stop();
 }
@@ -185,12 +186,12 @@
         let others: Vec<SocketAddr> =
             (0..3).filter(|host| *host != lost).map(|host| addresses[host]).collect();
         let load = Load::start(&others);
-        let badness = Badness {
-            kind: BadKind::Fails,
+        let version_fault = VersionFault {
+            kind: VersionFaultKind::Fails,
             share: 0.8,
-            when: BadWhen::Later(Instant::now() + DURATION / 4),
+            when: VersionFaultTime::Later(Instant::now() + DURATION / 4),
         };
-        let new = order(&fixture, Some(&badness));
+        let new = order(&fixture, Some(&version_fault));
         thread::sleep(DURATION / 8);
         fixture.kill(lost);
         assert_eq!(wait_until_final(&fixture), "rolled_back");
