Send requests to released services, and check all old leaves that stop

Cause: requests of the read and write routes often went to the other service while one was released, so its promotion was not tested; the check of lost requests left out those that began just as the leaves stopped.

Change: an order for one of the two services of these routes also moves them to it. A request that began at an old leaf at any time and ended after the stop counts as in flight.

--- a/components/soak/src/check/releases.rs
+++ b/components/soak/src/check/releases.rs
@@ -80,7 +80,7 @@
     history: &History,
 ) -> Option<Violation> {
     let stopped_at = release.completed?;
-    let is_in_flight = run.at <= stopped_at && req.ended_at >= stopped_at;
+    let is_in_flight = req.ended_at >= stopped_at;
     let host = req.host.ip().to_string();
     let is_interrupted = history.interruptions.iter().any(|(ip, _)| *ip == host)
         || is_near_disturbance(history, stopped_at)
--- a/components/soak/src/releases.rs
+++ b/components/soak/src/releases.rs
@@ -140,6 +140,10 @@
         leaf.register("ready");
         candidates.push(leaf.id().to_owned());
     }
+    if !service.starts_with("shard") {
+        // A release without requests shows nothing.
+        fleet.configure(service, true);
+    }
     let start = Instant::now();
     let spec = json!({
         "service": service, "target_version": TARGET_VERSION, "duration_s": duration.as_secs(),
