--- a/review/standin-2/cases.rs
+++ b/review/standin-2/cases.rs
@@ -185,14 +185,14 @@
         hosts: 3,
         leaves: [3, 1],
         slots: 4,
-        work: secs(0.04),
+        work: secs(0.06),
         cold_per_s: f64::from(PER_SECOND),
         has_feed: true,
         crashes_at: None,
     };
     let fleet = Fleet::start(&size, daemon, folder, record)?;
     for n in 0..15 {
-        fleet.clients.start(ZONES[n % 3], n, &[DOCS, ORDERS], secs(0.08));
+        fleet.clients.start(ZONES[n % 3], n, &[ORDERS, ORDERS, ORDERS, DOCS], secs(0.08));
     }
     let store_up = std::env::var("VARIANT").as_deref() == Ok("store-up");
     fleet.wait_until(16.0);
