Notice and log when a host reaches no leaf

A host now suspects its links when requests to several leaves get nothing or connections break, opens connections to leaves of other services, and logs leaf_links when none can be opened and when one can again. No decision depends on it yet.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -13,6 +13,7 @@
 mod gossip;
 mod journal;
 mod limits;
+mod link_probes;
 mod metrics;
 mod node;
 mod peers;
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -83,6 +83,9 @@
     attempts: Counter,
     connects: Counter,
     turned_away: Counter,
+    probes: Counter,
+    link_suspicions: Counter,
+    links_lost: Gauge,
     store_calls: Family<StoreLabels, Counter>,
     store_failures: Family<StoreLabels, Counter>,
     extra_attempts: Counter,
@@ -129,6 +132,9 @@
             attempts: Counter::default(),
             connects: Counter::default(),
             turned_away: Counter::default(),
+            probes: Counter::default(),
+            link_suspicions: Counter::default(),
+            links_lost: Gauge::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             extra_attempts: Counter::default(),
@@ -168,6 +174,12 @@
         registry.register("connects", "Connections opened to leaves", this.connects.clone());
         let help = "Connections that leaves reset for want of room";
         registry.register("connections_turned_away", help, this.turned_away.clone());
+        let help = "Connections opened to leaves to find out whether they can be reached";
+        registry.register("link_probes", help, this.probes.clone());
+        let help = "Suspicions that the links to all leaves are lost";
+        registry.register("link_suspicions", help, this.link_suspicions.clone());
+        let help = "Whether the links to all leaves are lost, or have just come back";
+        registry.register("leaf_links_lost", help, this.links_lost.clone());
         registry.register("store_calls", "Calls to the store by kind", this.store_calls.clone());
         registry.register(
             "store_failures",
@@ -296,6 +308,16 @@
         self.connects.inc();
     }
 
+    /// Counts a connection that shows whether a leaf can be reached.
+    pub fn count_probe(&self) {
+        self.probes.inc();
+    }
+
+    /// Counts the start of a suspicion.
+    pub fn count_suspicion(&self, is_raised: bool) {
+        self.link_suspicions.inc_by(is_raised.into());
+    }
+
     pub fn count_turned_away(&self) {
         self.turned_away.inc();
     }
@@ -349,6 +371,7 @@
         self.metrics.leaving_leaves.set(self.routing.leaves.leaving_count() as i64);
         let pausing = self.routing.leaves.pausing_count(self.now);
         self.metrics.pausing_leaves.set(pausing as i64);
+        self.metrics.links_lost.set(self.routing.links.is_lost().into());
         self.metrics.open_releases.set(self.routing.releases.open_count() as i64);
         self.metrics.hosts.set(self.members.known_count() as i64);
         self.metrics.serving_hosts.set(self.members.serving(self.now).count() as i64);
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -6,6 +6,7 @@
         clock,
         gossip::Gossip,
         journal::Journal,
+        link_probes::Probe,
         metrics::Metrics,
         peers::Peers,
         quotas::QuotaState,
@@ -52,7 +53,8 @@
 const MAX_EVENTS: usize = 256;
 /// Interval of the sweep, which handles everything without its own timer.
 const SWEEP_INTERVAL: Span = Span::millis(200);
-/// Interval of the sweep while the host seeks an origin to receive changes from, or stops.
+/// Interval of the sweep while the host seeks an origin to receive changes from, may have lost its
+/// links to leaves, or stops.
 const URGENT_SWEEP_INTERVAL: Span = Span::millis(50);
 /// CPU time of an attempt and its response, including its share of all other work.
 const ATTEMPT_COST: Span = Span(60);
@@ -96,10 +98,12 @@
     Datagrams,
     /// The listener for streams from other hosts.
     PeerListener,
+    /// A connection that shows whether a leaf can be reached.
+    Probe(usize),
 }
 
 /// Number of low bits of a token that hold the kind of source; the others hold the index.
-const KIND_BITS: u32 = 3;
+const KIND_BITS: u32 = 4;
 
 impl EventSource {
     pub fn token(self) -> Token {
@@ -111,6 +115,7 @@
             EventSource::Peer(index) => (4, index),
             EventSource::Datagrams => (5, 0),
             EventSource::PeerListener => (6, 0),
+            EventSource::Probe(index) => (7, index),
         };
         Token(index << KIND_BITS | kind)
     }
@@ -125,6 +130,7 @@
             4 => Some(EventSource::Peer(index)),
             5 => Some(EventSource::Datagrams),
             6 => Some(EventSource::PeerListener),
+            7 => Some(EventSource::Probe(index)),
             _ => None,
         }
     }
@@ -151,6 +157,7 @@
     pub(crate) callers: Slab<CallerConn>,
     pub(crate) clients: ClientLimits,
     pub(crate) upstreams: Upstreams,
+    pub(crate) probes: Slab<Probe>,
     pub(crate) requests: Slab<Request>,
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
     /// Keys and serial numbers of requests that wait for permits.
@@ -240,6 +247,7 @@
             callers: Slab::new(),
             clients: ClientLimits::new(&settings, now),
             upstreams: Upstreams::default(),
+            probes: Slab::new(),
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
             awaiting_permits: Vec::new(),
@@ -350,6 +358,7 @@
             Some(EventSource::Peer(key)) => self.on_peer(key),
             Some(EventSource::Datagrams) => self.on_datagrams(),
             Some(EventSource::PeerListener) => self.accept_peers(),
+            Some(EventSource::Probe(key)) => self.on_link_probe(key),
             None => {}
         }
     }
@@ -382,7 +391,8 @@
         if self.now >= self.next_sweep {
             let is_urgent = self.stopping.is_some()
                 || self.origin_selector.origin() == Origin::Nobody
-                || self.origin_selector.is_outdated();
+                || self.origin_selector.is_outdated()
+                || self.routing.links.is_in_doubt();
             self.next_sweep =
                 self.now + if is_urgent { URGENT_SWEEP_INTERVAL } else { SWEEP_INTERVAL };
             self.sweep();
@@ -412,6 +422,7 @@
         self.sweep_callers();
         self.sweep_requests();
         self.sweep_upstreams();
+        self.sweep_links();
         self.sweep_leaves();
         self.sweep_releases();
         self.report_limited_sends();
--- a/components/edge/src/upstreams/failures.rs
+++ b/components/edge/src/upstreams/failures.rs
@@ -14,14 +14,17 @@
         let Some(conn) = self.upstreams.conns.get(key) else { return };
         let turned_away = broken && self.is_turned_away(conn);
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
-        let leaf = conn.leaf;
+        let (leaf, opened) = (conn.leaf, conn.opened);
         let unsent = conn.is_unwritten();
         let (not_connected, refused) = (!conn.connected, !conn.connected && broken);
         let no_response = conn.response.is_none() && conn.inbuf.is_empty();
         let in_flight = conn.in_flight.take();
         self.close_conn(key);
         if not_connected {
+            self.on_link_unopened(leaf, opened);
             self.on_connect_failed(leaf);
+        } else if broken && !turned_away {
+            self.on_link_broken(leaf);
         }
         if turned_away {
             self.on_turned_away(leaf);
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -35,7 +35,7 @@
 };
 
 /// Timeout of opening a connection.
-const CONNECT_TIMEOUT: Span = Span::millis(300);
+pub(crate) const CONNECT_TIMEOUT: Span = Span::millis(300);
 /// Time allowed for a response beyond the deadline given to the leaf, at which the leaf itself
 /// stops.
 const RESPONSE_SLACK: Span = Span::millis(100);
@@ -47,6 +47,9 @@
 /// Time without bytes on a connection with a request in flight, after which the leaf's idle
 /// connections are suspect too: those that received nothing since the request was sent are closed.
 const SILENT_AFTER: Span = Span::millis(400);
+/// Time without bytes from any leaf after which requests in flight show that the links to all leaves
+/// may be lost.
+const LINK_SILENT_AFTER: Span = Span::millis(200);
 /// Connection limit of a leaf whose service declares none.
 const DEFAULT_CONNECTIONS: u32 = 50;
 /// Largest body that is copied behind the head of each attempt; larger ones are shared between them
@@ -433,6 +436,7 @@
                 _ => {}
             }
         }
+        self.note_silent_leaves();
         for key in unopened {
             self.fail_conn(key, false);
         }
@@ -451,6 +455,28 @@
         }
     }
 
+    /// Takes note of the leaves with requests in flight if nothing has arrived from any leaf since
+    /// these were sent.
+    fn note_silent_leaves(&mut self) {
+        let now = self.now;
+        let quiet_for = self.routing.links.quiet_for(now);
+        if quiet_for < LINK_SILENT_AFTER {
+            return;
+        }
+        let is_silent = |conn: &LeafConn| {
+            let in_flight = conn.in_flight.as_ref().filter(|_| conn.connected);
+            in_flight.is_some_and(|in_flight| {
+                let age = now.since(in_flight.sent);
+                age >= LINK_SILENT_AFTER && age <= quiet_for
+            })
+        };
+        let silent = self.upstreams.conns.iter().filter(|(_, conn)| is_silent(conn));
+        let leaves: Vec<LeafKey> = silent.map(|(_, conn)| conn.leaf).collect();
+        for leaf in leaves {
+            self.on_link_broken(leaf);
+        }
+    }
+
     /// Closes a connection whose response did not arrive before the deadline.
     fn time_out_conn(&mut self, key: usize) {
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -52,7 +52,10 @@
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
         if !conn.connected {
             match sock::is_connected(&conn.sock) {
-                Ok(true) => conn.connected = true,
+                Ok(true) => {
+                    conn.connected = true;
+                    self.on_link_opened();
+                }
                 Ok(false) => return,
                 Err(err) => {
                     // A reset, unlike a refusal, ends a connection that the leaf had accepted.
@@ -60,6 +63,7 @@
                     return self.fail_conn(key, true);
                 }
             }
+            let Some(conn) = self.upstreams.conns.get_mut(key) else { return };
             // A leaf that closed the connection at once gets nothing on it.
             if !sock::is_open(&conn.sock) {
                 return self.fail_conn(key, true);
@@ -73,6 +77,7 @@
             let end = sock::read(&mut conn.sock, &mut conn.inbuf, &mut self.scratch, READ_AHEAD);
             if !conn.inbuf.is_empty() {
                 conn.last_received = self.now;
+                self.routing.links.on_heard(self.now);
             }
             if !self.read_responses(key) || !self.is_response_admitted(key) {
                 return;
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -256,6 +256,34 @@
         self.leaves.get_mut(&key)
     }
 
+    /// Returns the number of leaves to which connections may be opened as probes.
+    pub fn probe_count(&self) -> usize {
+        self.leaves.values().filter(|leaf| self.is_usable(leaf)).count()
+    }
+
+    /// Returns up to `n` random leaves for probes, of as many services as possible; those in `last`
+    /// only if there are not enough others.
+    pub fn choose_probes(
+        &self,
+        n: usize,
+        last: &IndexSet<LeafKey>,
+        rng: &mut impl Rng,
+    ) -> Vec<LeafKey> {
+        let usable = self.leaves.iter().filter(|(_, leaf)| self.is_usable(leaf));
+        let mut candidates: Vec<(bool, u32, LeafKey, &ServiceId)> = usable
+            .map(|(key, leaf)| (last.contains(key), rng.random(), *key, &leaf.registration.service))
+            .collect();
+        candidates.sort_unstable();
+        let mut services = IndexSet::new();
+        let is_first: Vec<bool> =
+            candidates.iter().map(|(.., service)| services.insert(*service)).collect();
+        let keys = |wanted: bool| {
+            let of_kind = candidates.iter().zip(&is_first).filter(move |(_, is)| **is == wanted);
+            of_kind.map(|((_, _, key, _), _)| *key)
+        };
+        keys(true).chain(keys(false)).take(n).collect()
+    }
+
     /// Returns the key of the leaf with this id.
     pub fn key_of(&self, id: &LeafId) -> Option<LeafKey> {
         self.by_id.get(id).copied()
--- a/components/routing/src/lib.rs
+++ b/components/routing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod lapse;
 pub mod latency;
 pub mod leaf;
+pub mod leaf_links;
 pub mod leaves;
 pub mod limits;
 pub mod list_watch;
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -7,6 +7,7 @@
         catalog::{Route, Target},
         fair_shares::AccountShare,
         latency::LatencyTracker,
+        leaf_links::LeafLinks,
         leaves::{LeafCriteria, LeafKey, Leaves, Selection, VersionConstraint},
         limits::{LeafLimits, LimitHosts},
         overload::{OverloadController, PartStatus},
@@ -51,6 +52,8 @@
 pub struct RoutingState {
     /// Leaves known to this host.
     pub leaves: Leaves,
+    /// Links of this host to all leaves.
+    pub links: LeafLinks,
     /// Request limits that leaves named.
     pub limits: LeafLimits,
     /// Releases of services.
@@ -86,6 +89,7 @@
     ) -> Self {
         Self {
             leaves,
+            links: LeafLinks::default(),
             limits,
             releases,
             extra_attempt_limit,
