--- a/components/soak/src/proxy.rs
+++ b/components/soak/src/proxy.rs
@@ -54,7 +54,15 @@
 impl Proxy {
     /// Starts a proxy to `target` on a free port of `ip`.
     pub fn start(ip: &str, target: SocketAddr) -> Result<Self> {
-        let listener = TcpListener::bind((ip, 0))?;
+        Self::serve_on(TcpListener::bind((ip, 0))?, target)
+    }
+
+    /// Starts a proxy to `target` on an address that an earlier one used.
+    pub fn start_at(address: SocketAddr, target: SocketAddr) -> Result<Self> {
+        Self::serve_on(TcpListener::bind(address)?, target)
+    }
+
+    fn serve_on(listener: TcpListener, target: SocketAddr) -> Result<Self> {
         let proxy = Self { shared: Arc::default(), address: listener.local_addr()? };
         let serving = proxy.clone();
         thread::spawn(move || {
@@ -85,10 +93,15 @@
 
     /// Breaks all connections and stops listening.
     pub fn stop(&self) {
+        self.stop_listening();
+        self.reset_connections();
+    }
+
+    /// Stops listening, so that new connections are refused; open ones stay.
+    pub fn stop_listening(&self) {
         self.shared.stopped.store(true, Ordering::SeqCst);
         // Wakes the accepting thread, which then ends and closes the listener.
         let _ = TcpStream::connect(self.address);
-        self.reset_connections();
     }
 
     fn serve(&self, client: TcpStream, target: SocketAddr) -> Result<()> {
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -4,6 +4,7 @@
 mod connections;
 mod cut_answers;
 mod leaving;
+mod lost_links;
 mod odd_entries;
 mod pausing;
 mod quotas;
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -53,6 +53,25 @@
     leaf_ip: String,
 }
 
+/// What differs between fixtures.
+struct Setup<'a> {
+    hosts: u8,
+    /// Zones of the hosts, in turn.
+    zones: &'a [&'a str],
+    /// Fields of the only service.
+    fields: &'a [(&'a str, u32)],
+    /// Further bounds in the settings.
+    bounds: &'a str,
+    /// Whether nobody reads the output of the first host.
+    stall_log: bool,
+}
+
+impl Default for Setup<'_> {
+    fn default() -> Self {
+        Self { hosts: 1, zones: &["a"], fields: &[], bounds: "", stall_log: false }
+    }
+}
+
 /// Sends one request on a new connection; returns its status, or 0 if there was no response.
 pub fn request_status(address: SocketAddr, method: &str, id: &str, timeout: Duration) -> u16 {
     let path = if method == "POST" { "/write/" } else { "/read/" };
@@ -81,37 +100,37 @@
     /// Starts a store with a configuration, and a host; `field` of the only service is set to
     /// `value`. `n` must differ between concurrent tests.
     pub fn start(n: u64, field: &str, value: u32) -> Self {
-        Self::start_with(n, 1, &[(field, value)], "", false)
+        Self::start_with(n, &Setup { fields: &[(field, value)], ..Setup::default() })
     }
 
     /// Like `start`, but nobody reads the output of the host.
     pub fn start_with_stalled_log(n: u64) -> Self {
-        Self::start_with(n, 1, &[], "", true)
+        Self::start_with(n, &Setup { stall_log: true, ..Setup::default() })
     }
 
     /// Starts several hosts that share `connections` connections to each leaf.
     pub fn start_short(n: u64, hosts: u8, connections: u32) -> Self {
-        Self::start_with(n, hosts, &[("connection_limit", connections)], "", false)
+        let fields = &[("connection_limit", connections)];
+        Self::start_with(n, &Setup { hosts, fields, ..Setup::default() })
     }
 
     /// Like `start`, but with several hosts.
     pub fn start_fleet(n: u64, hosts: u8) -> Self {
-        Self::start_with(n, hosts, &[], "", false)
+        Self::start_with(n, &Setup { hosts, ..Setup::default() })
+    }
+
+    /// Like `start_fleet`, with the hosts in zones `a` and `b` in turn.
+    pub fn start_in_two_zones(n: u64, hosts: u8) -> Self {
+        Self::start_with(n, &Setup { hosts, zones: &["a", "b"], ..Setup::default() })
     }
 
     /// Like `start_fleet`, with releases in use.
     pub fn start_with_releases(n: u64, hosts: u8) -> Self {
         let bounds = "exposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\n";
-        Self::start_with(n, hosts, &[], bounds, false)
+        Self::start_with(n, &Setup { hosts, bounds, ..Setup::default() })
     }
 
-    fn start_with(
-        n: u64,
-        host_count: u8,
-        fields: &[(&str, u32)],
-        bounds: &str,
-        stall_log: bool,
-    ) -> Self {
+    fn start_with(n: u64, setup: &Setup<'_>) -> Self {
         // Each test has its own addresses: tests run concurrently, and the metrics port is the same
         // on every host.
         let prefix = format!("127.{}.{}", 20 + std::process::id() % 200, 200 + n);
@@ -119,7 +138,7 @@
         let store = Store::start(&format!("{prefix}.254")).expect("a store");
         let mut service = json!({ "name": "one" });
         service["connection_limit"] = json!(CONNECTION_LIMIT);
-        for (field, value) in fields {
+        for (field, value) in setup.fields {
             service[*field] = json!(value);
         }
         let routes = json!([route("read", "safe"), route("write", "unsafe")]);
@@ -132,22 +151,22 @@
         let ports = Ports::find_free(&ip).expect("free ports");
         let daemon = PathBuf::from(env!("CARGO_BIN_EXE_wigeonrampd"));
         let open_door = |_| store.open_door(&format!("{prefix}.254")).expect("an address");
-        let doors: Vec<Door> = (0..host_count).map(open_door).collect();
+        let doors: Vec<Door> = (0..setup.hosts).map(open_door).collect();
         let start_host = |number: u8| {
             let spec = HostSpec {
                 name: format!("host-{n}-{number}"),
                 ip: format!("{prefix}.{number}"),
-                zone: "a",
+                zone: setup.zones[usize::from(number - 1) % setup.zones.len()],
                 ports,
                 seeds: std::slice::from_ref(&ip),
-                bounds,
+                bounds: setup.bounds,
             };
             let store = doors[usize::from(number) - 1].address();
             let proxy = Proxy::start(&format!("{prefix}.253"), store).expect("a proxy");
             HostProcess::start(spec, proxy, &daemon, &directory).expect("a host")
         };
-        let mut hosts: Vec<HostProcess> = (1..=host_count).map(start_host).collect();
-        let stalled_process = stall_log.then(|| {
+        let mut hosts: Vec<HostProcess> = (1..=setup.hosts).map(start_host).collect();
+        let stalled_process = setup.stall_log.then(|| {
             hosts[0].kill();
             Command::new(&daemon)
                 .arg("--platform")
