Pass requests on to other hosts while no leaf can be reached

Cause: no decision of a host depended on whether it reaches any leaf at all; failures counted only for each leaf by itself. A host now tells the others when its links are lost, as it knows from connections that it opens to leaves of several services. The directory of every host leaves it out while another has its links. Callers that still come are served: the host passes their requests on to a host that the directory names, once, with the time that is left, and never a request that may have run and must not run twice. Without such a host it refuses at once, as not run.

--- a/components/edge/src/callers/admission.rs
+++ b/components/edge/src/callers/admission.rs
@@ -120,7 +120,9 @@
 impl CallerConn {
     fn as_client(&self, key: usize) -> Client {
         let phase = match self.phase {
-            Phase::AwaitingQuota(_) | Phase::Waiting(_) => ClientPhase::InProgress,
+            Phase::AwaitingQuota(_) | Phase::Waiting(_) | Phase::Relayed(_) => {
+                ClientPhase::InProgress
+            }
             _ if self.held_since.is_some() => ClientPhase::InProgress,
             _ if !self.out.is_empty() => ClientPhase::Unread,
             Phase::Head | Phase::Body(..) => ClientPhase::Sending,
--- a/components/edge/src/callers/mod.rs
+++ b/components/edge/src/callers/mod.rs
@@ -42,6 +42,8 @@
     AwaitingQuota(usize),
     /// The request with this key is in progress.
     Waiting(usize),
+    /// The request is passed on to another host as the relay with this key.
+    Relayed(usize),
     /// The last response is being sent, and the connection closes after it.
     Lingering,
 }
@@ -186,8 +188,10 @@
         self.clients.open[conn.listener] -= 1;
         // Closing the socket removes it from the event queue anyway.
         let _ = self.poll.registry().deregister(&mut conn.sock);
-        if let Phase::Waiting(request) = conn.phase {
-            self.on_caller_closed(request);
+        match conn.phase {
+            Phase::Waiting(request) => self.on_caller_closed(request),
+            Phase::Relayed(relay) => self.on_relay_caller_closed(relay),
+            _ => {}
         }
     }
 
--- a/components/edge/src/callers/reading.rs
+++ b/components/edge/src/callers/reading.rs
@@ -29,7 +29,7 @@
     /// request is in progress.
     fn is_wanted(&self) -> bool {
         match self.phase {
-            Phase::AwaitingQuota(_) | Phase::Waiting(_) => false,
+            Phase::AwaitingQuota(_) | Phase::Waiting(_) | Phase::Relayed(_) => false,
             Phase::Lingering => true,
             _ => self.held_since.is_none() && self.out.is_empty(),
         }
@@ -133,7 +133,10 @@
                     }
                     self.dispatch_request(key);
                 }
-                Phase::AwaitingQuota(_) | Phase::Waiting(_) | Phase::Lingering => return,
+                Phase::AwaitingQuota(_)
+                | Phase::Waiting(_)
+                | Phase::Relayed(_)
+                | Phase::Lingering => return,
             }
         }
     }
--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -79,6 +79,9 @@
     /// CPU used for attempts, in thousandths of a processor core.
     #[prost(uint32, tag = "11")]
     load: u32,
+    /// Whether the host has lost its links to all leaves.
+    #[prost(bool, tag = "12")]
+    links_lost: bool,
 }
 
 /// A heartbeat.
@@ -130,6 +133,7 @@
             blind: info.store_failing,
             age: info.age.as_millis() as u32,
             load: (info.load * 1e3) as u32,
+            links_lost: info.links_lost,
         }
     }
 }
@@ -149,6 +153,7 @@
             store_failing: self.blind,
             age: Span::millis(u64::from(self.age)),
             load: f64::from(self.load) / 1e3,
+            links_lost: self.links_lost,
         })
     }
 }
@@ -329,9 +334,15 @@
         let was_failing = self.members.is_store_failing(sender.ip);
         for info in heartbeat.members.iter().filter_map(MemberMessage::info) {
             let (ip, ready, leaving) = (info.ip, info.ready, info.leaving);
+            let links_lost = info.links_lost;
             if self.members.merge(info, self.now) {
-                let fields = json!({ "ip": ip, "ready": ready, "leaving": leaving });
+                let fields = json!({
+                    "ip": ip, "ready": ready, "leaving": leaving, "links_lost": links_lost,
+                });
                 self.journal.record("member", fields, self.now);
+                if links_lost {
+                    self.on_other_links_lost();
+                }
             }
         }
         if let Some(age) = heartbeat.news_age {
--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -18,6 +18,7 @@
 mod node;
 mod peers;
 mod quotas;
+mod relays;
 mod releases;
 mod replicated;
 mod requests;
--- a/components/edge/src/link_probes.rs
+++ b/components/edge/src/link_probes.rs
@@ -10,7 +10,7 @@
     indexmap::IndexSet,
     mio::{Interest, net::TcpStream},
     serde_json::json,
-    std::io::ErrorKind,
+    std::{io::ErrorKind, net::Ipv4Addr},
     wigeonramp_routing::{leaf_links::LinkState, leaves::LeafKey},
     wigeonramp_units::Instant,
 };
@@ -132,5 +132,26 @@
             "unopened": links.unopened().count(), "quiet_us": links.quiet_for(self.now).0,
         });
         self.journal.record("leaf_links", fields, self.now);
+        self.announce_links();
+        if state == LinkState::Down {
+            self.relay_open_requests();
+        }
+    }
+
+    /// Tells the other hosts whether this one has lost its links, as they name it to callers.
+    fn announce_links(&mut self) {
+        if self.members.own().links_lost == self.routing.links.is_lost() {
+            return;
+        }
+        self.refresh_shares();
+        let alive: Vec<Ipv4Addr> = self.members.alive(self.now).map(|info| info.ip).collect();
+        self.send_heartbeat(&alive);
+    }
+
+    /// Handles that another host has lost its links.
+    pub(crate) fn on_other_links_lost(&mut self) {
+        let before = self.routing.links.state();
+        self.routing.links.on_other_lost(self.now);
+        self.on_links_changed(before);
     }
 }
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -60,6 +60,11 @@
     state: &'static str,
 }
 
+#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
+struct RelayLabels {
+    state: &'static str,
+}
+
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
 struct RouteLabels {
     route: String,
@@ -86,6 +91,7 @@
     probes: Counter,
     link_suspicions: Counter,
     links_lost: Gauge,
+    relays: Family<RelayLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     store_failures: Family<StoreLabels, Counter>,
     extra_attempts: Counter,
@@ -135,6 +141,7 @@
             probes: Counter::default(),
             link_suspicions: Counter::default(),
             links_lost: Gauge::default(),
+            relays: Family::default(),
             store_calls: Family::default(),
             store_failures: Family::default(),
             extra_attempts: Counter::default(),
@@ -180,6 +187,8 @@
         registry.register("link_suspicions", help, this.link_suspicions.clone());
         let help = "Whether the links to all leaves are lost, or have just come back";
         registry.register("leaf_links_lost", help, this.links_lost.clone());
+        let help = "Requests passed on to other hosts: sent, answered, failed";
+        registry.register("relays", help, this.relays.clone());
         registry.register("store_calls", "Calls to the store by kind", this.store_calls.clone());
         registry.register(
             "store_failures",
@@ -313,6 +322,11 @@
         self.probes.inc();
     }
 
+    /// Counts a request that is passed on to another host.
+    pub fn count_relay(&self, state: &'static str) {
+        self.relays.get_or_create(&RelayLabels { state }).inc();
+    }
+
     /// Counts the start of a suspicion.
     pub fn count_suspicion(&self, is_raised: bool) {
         self.link_suspicions.inc_by(is_raised.into());
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -10,6 +10,7 @@
         metrics::Metrics,
         peers::Peers,
         quotas::QuotaState,
+        relays::Relay,
         replicated::ReplicatedState,
         requests::{EndedAttempt, Request},
         sock::{self, READ_BYTES},
@@ -100,6 +101,8 @@
     PeerListener,
     /// A connection that shows whether a leaf can be reached.
     Probe(usize),
+    /// A connection to another host, which a request is passed on to.
+    Relay(usize),
 }
 
 /// Number of low bits of a token that hold the kind of source; the others hold the index.
@@ -116,6 +119,7 @@
             EventSource::Datagrams => (5, 0),
             EventSource::PeerListener => (6, 0),
             EventSource::Probe(index) => (7, index),
+            EventSource::Relay(index) => (8, index),
         };
         Token(index << KIND_BITS | kind)
     }
@@ -131,6 +135,7 @@
             5 => Some(EventSource::Datagrams),
             6 => Some(EventSource::PeerListener),
             7 => Some(EventSource::Probe(index)),
+            8 => Some(EventSource::Relay(index)),
             _ => None,
         }
     }
@@ -158,6 +163,7 @@
     pub(crate) clients: ClientLimits,
     pub(crate) upstreams: Upstreams,
     pub(crate) probes: Slab<Probe>,
+    pub(crate) relays: Slab<Relay>,
     pub(crate) requests: Slab<Request>,
     pub(crate) ended_attempts: VecDeque<EndedAttempt>,
     /// Keys and serial numbers of requests that wait for permits.
@@ -211,6 +217,7 @@
             load: 0.0,
             capacity: settings.capacity,
             store_failing: false,
+            links_lost: false,
             age: Span::ZERO,
         };
         let mut leaves = Leaves::new(settings.zone.clone());
@@ -248,6 +255,7 @@
             clients: ClientLimits::new(&settings, now),
             upstreams: Upstreams::default(),
             probes: Slab::new(),
+            relays: Slab::new(),
             requests: Slab::new(),
             ended_attempts: VecDeque::new(),
             awaiting_permits: Vec::new(),
@@ -359,6 +367,7 @@
             Some(EventSource::Datagrams) => self.on_datagrams(),
             Some(EventSource::PeerListener) => self.accept_peers(),
             Some(EventSource::Probe(key)) => self.on_link_probe(key),
+            Some(EventSource::Relay(key)) => self.on_relay(key),
             None => {}
         }
     }
@@ -423,6 +432,7 @@
         self.sweep_requests();
         self.sweep_upstreams();
         self.sweep_links();
+        self.sweep_relays();
         self.sweep_leaves();
         self.sweep_releases();
         self.report_limited_sends();
@@ -464,6 +474,7 @@
             rate,
             load: attempts * ATTEMPT_COST.0 as f64 / 1e6,
             store_failing: self.store.is_failing(),
+            links_lost: self.routing.links.is_lost(),
         });
         self.routing.traffic_share = self.members.traffic_share(self.now);
         self.routing.cold_share = self.members.cold_share(self.now);
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -1,7 +1,7 @@
 //! Requests in progress, from their arrival to the reply and the end of their last attempt.
 
 use {
-    crate::{callers::Phase, clock, node::Node, timers::Timer},
+    crate::{callers::Phase, clock, node::Node, relays::RelayedRequest, timers::Timer},
     serde_json::{Value, json},
     std::sync::Arc,
     wigeonramp_platform::http::{self, RequestHead},
@@ -101,7 +101,9 @@
 
 impl Node {
     pub(crate) fn begin_request(&mut self, caller: usize, mut head: RequestHead, body: Vec<u8>) {
-        self.metrics.count_request(self.now);
+        if !self.routing.links.is_lost() {
+            self.metrics.count_request(self.now);
+        }
         let Some(conn) = self.callers.get(caller) else { return };
         let (arrived, caller_serial) = (conn.since, conn.serial);
         let fingerprint = fingerprint(&head, &body);
@@ -136,6 +138,11 @@
                 return self.refuse_request(caller, &head, &reply, None, None, arrived);
             }
         };
+        if self.passes_on(&head) {
+            let (caller, body) = (Some((caller, caller_serial)), Arc::new(body));
+            let tried = Vec::new();
+            return self.pass_on(RelayedRequest { caller, head, body, route, arrived, tried });
+        }
         head.settle_account_lines(self.active_catalog.has_accounts());
         self.admit_to_quota(AcceptedRequest {
             caller,
@@ -385,6 +392,24 @@
         self.send_caller(caller, bytes, close);
     }
 
+    /// Takes a request away from this host to pass it on: one that waits for leaves, was not passed
+    /// on before, and has not run or may run twice.
+    pub(crate) fn take_for_relay(&mut self, key: usize) -> Option<RelayedRequest> {
+        let req = self.requests.get_mut(key)?;
+        let route = req.exchange.route().clone();
+        let may_repeat = route.repeat == RepeatPolicy::Idempotent;
+        let is_movable = may_repeat || !req.exchange.may_have_run();
+        if req.replied || req.head.is_relayed || !is_movable {
+            return None;
+        }
+        let caller = Some(req.caller.take()?);
+        req.replied = true;
+        let (head, body, arrived) = (req.head.clone(), req.body.clone(), req.arrived);
+        self.withdraw_unwritten(key);
+        self.remove_if_done(key);
+        Some(RelayedRequest { caller, head, body, route, arrived, tried: Vec::new() })
+    }
+
     /// Counts a reply, and logs it unless it is complete, successful and within the target latency.
     fn record_reply(&mut self, key: usize, reply: &Reply) {
         let Some(req) = self.requests.get(key) else { return };
@@ -495,5 +520,6 @@
             let reply = self.requests[key].exchange.stop();
             self.finish_and_resume(key, reply);
         }
+        self.fail_open_relays();
     }
 }
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -9,6 +9,8 @@
 mod room;
 mod withdrawal;
 
+pub(crate) use responses::READ_AHEAD;
+
 use {
     crate::{
         body::BodyReader,
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -20,7 +20,7 @@
 const MAX_RESPONSE_HEAD: usize = 64 * 1024;
 /// Number of bytes that are read before they are decoded. It exceeds the maximum length of a head,
 /// so that a full buffer always holds a complete head or one that is too long.
-const READ_AHEAD: usize = MAX_RESPONSE_HEAD + sock::READ_BYTES;
+pub(crate) const READ_AHEAD: usize = MAX_RESPONSE_HEAD + sock::READ_BYTES;
 /// Maximum number of times that a connection's bytes are decoded before other events.
 const ROUNDS_PER_TURN: usize = 16;
 
--- a/components/routing/src/entry.rs
+++ b/components/routing/src/entry.rs
@@ -7,6 +7,9 @@
 //! takes a host with a small processor share a large part of the target latency, so hosts much
 //! smaller than the largest are selected only if there is no larger one.
 //!
+//! Hosts that have lost their links to leaves are not selected while others have theirs. A host that
+//! has lost its links passes requests on to the same hosts that callers in its zone would get.
+//!
 //! Each caller also gets a host of another zone: if its zone is lost, callers cannot resolve other
 //! addresses either until they reach a host elsewhere.
 
@@ -17,6 +20,7 @@
         members::{MemberInfo, Membership, entry_order},
     },
     indexmap::{IndexMap, IndexSet},
+    rand::{Rng, seq::IteratorRandom},
     std::net::Ipv4Addr,
     wigeonramp_units::{Instant, RegionId, ServiceId, ZoneId},
     xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed},
@@ -66,9 +70,9 @@
     let mut by_zone: IndexMap<&ZoneId, Vec<&MemberInfo>> = IndexMap::new();
     let is_allowed = |member: &&MemberInfo| leaves.is_in_regions(&member.zone, query.regions);
     // Hosts of other regions are used if no host of these regions serves.
-    let is_limited = members.serving(now).any(|member| is_allowed(&member));
+    let is_limited = members.linked(now).any(|member| is_allowed(&member));
     let mut all: Vec<&MemberInfo> =
-        members.serving(now).filter(|member| !is_limited || is_allowed(member)).collect();
+        members.linked(now).filter(|member| !is_limited || is_allowed(member)).collect();
     // The order is the same on every host, so that all give callers the same few hosts.
     all.sort_by(|a, b| entry_order(a, b));
     let largest = all.first().map_or(0.0, |host| host.capacity);
@@ -93,6 +97,28 @@
     chosen.into_iter().map(|host| host.ip).take(MAX_ADDRESSES).collect()
 }
 
+/// Returns a random host to which a host without links to leaves passes a request on; none if no
+/// other host has its links. `query` has the zone of that host, and the regions to which requests of
+/// the route may be sent.
+pub fn select_relay_host(
+    members: &Membership,
+    catalog: Option<&Catalog>,
+    leaves: &Leaves,
+    query: EntryQuery<'_>,
+    tried: &[Ipv4Addr],
+    now: Instant,
+    rng: &mut impl Rng,
+) -> Option<Ipv4Addr> {
+    let hosts = select_entry_hosts(members, catalog, leaves, query, now);
+    let is_usable = |info: &&MemberInfo| {
+        !info.links_lost
+            && hosts.contains(&info.ip)
+            && !tried.contains(&info.ip)
+            && leaves.is_in_regions(&info.zone, query.regions)
+    };
+    members.alive(now).filter(is_usable).map(|info| info.ip).choose(rng)
+}
+
 /// Returns hosts of other zones for callers in `zone`, which lose all hosts of their own zone and
 /// its address resolution together.
 fn fallback_hosts<'a>(
--- a/components/routing/src/exchange/conclusion.rs
+++ b/components/routing/src/exchange/conclusion.rs
@@ -159,7 +159,7 @@
     }
 
     /// Whether a leaf may run or have run a part.
-    fn may_have_run(&self) -> bool {
+    pub fn may_have_run(&self) -> bool {
         self.parts.iter().any(|part| part.possible_runs() > 0)
     }
 
--- a/components/routing/src/members.rs
+++ b/components/routing/src/members.rs
@@ -68,6 +68,8 @@
     pub capacity: f64,
     /// Whether its calls to the store are failing.
     pub store_failing: bool,
+    /// Whether it has lost its links to all leaves.
+    pub links_lost: bool,
     /// Age of its last heartbeat, as measured by the sender of this report.
     pub age: Span,
 }
@@ -85,6 +87,8 @@
     pub load: f64,
     /// Whether its calls to the store are failing.
     pub store_failing: bool,
+    /// Whether it has lost its links to all leaves.
+    pub links_lost: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -120,6 +124,7 @@
         self.own.rate = state.rate;
         self.own.load = state.load;
         self.own.store_failing = state.store_failing;
+        self.own.links_lost = state.links_lost;
     }
 
     /// Increments the heartbeat counter of this host.
@@ -143,13 +148,15 @@
             load: 0.0,
             capacity: 0.0,
             store_failing: false,
+            links_lost: false,
             age: Span::ZERO,
         };
         self.others.insert(ip, Member { info, last_heartbeat: None });
     }
 
     /// Merges a gossiped state, whose heartbeat is dated back by the reported age. Returns whether
-    /// the host is new or has restarted, or its readiness for callers has changed.
+    /// the host is new or has restarted, or its readiness for callers or its links to leaves have
+    /// changed.
     pub fn merge(&mut self, info: MemberInfo, now: Instant) -> bool {
         if info.ip == self.own.ip {
             // Another host still has the state of an earlier start, whose clock may have been
@@ -172,8 +179,9 @@
         if (info.incarnation, info.heartbeat) <= (known.info.incarnation, known.info.heartbeat) {
             return false;
         }
-        let changed = (info.ready, info.leaving) != (known.info.ready, known.info.leaving)
-            || info.incarnation != known.info.incarnation;
+        let state = |info: &MemberInfo| (info.ready, info.leaving, info.links_lost);
+        let changed =
+            state(&info) != state(&known.info) || info.incarnation != known.info.incarnation;
         *known = Member { info, last_heartbeat };
         changed
     }
@@ -203,6 +211,18 @@
         own.into_iter().chain(self.alive(now).filter(|info| info.ready))
     }
 
+    /// Returns the hosts that callers are to use: those that serve and have their links to leaves, or
+    /// all that serve if none has, as other hosts are then no better.
+    pub fn linked(&self, now: Instant) -> impl Iterator<Item = &MemberInfo> {
+        let any = self.serving(now).any(|info| !info.links_lost);
+        self.serving(now).filter(move |info| !any || !info.links_lost)
+    }
+
+    /// Whether another host that serves has its links to leaves.
+    pub fn is_other_linked(&self, now: Instant) -> bool {
+        self.alive(now).any(|info| info.ready && !info.links_lost)
+    }
+
     /// Returns the number of hosts with traffic from callers, including this one.
     pub fn active_count(&self, now: Instant) -> usize {
         if now.since(self.started) < DISCOVERY_TIME {
--- a/components/routing/src/reply.rs
+++ b/components/routing/src/reply.rs
@@ -62,6 +62,8 @@
     Unauthorized,
     /// The account has used up its quota.
     OverQuota,
+    /// This host has lost its links to all leaves, and no other host can be asked.
+    LinksLost,
     /// The configuration has no route for the request.
     NoRoute,
     /// The request is not valid HTTP.
@@ -96,6 +98,7 @@
             Cause::Unauthorized => "unauthorized",
             Cause::OverQuota => "over_quota",
             Cause::Stopping => "stopping",
+            Cause::LinksLost => "links_lost",
             Cause::NoRoute => "no_route",
             Cause::Malformed => "malformed",
             Cause::HeadTooLong => "head_too_long",
--- a/components/routing/tests/clients.rs
+++ b/components/routing/tests/clients.rs
@@ -120,6 +120,7 @@
         load: 0.0,
         capacity: 0.5,
         store_failing: false,
+        links_lost: false,
         age: Span::ZERO,
     }
 }
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -9,7 +9,7 @@
     wigeonramp_routing::{
         budget::{ExtraAttemptBudget, ExtraAttemptLimit},
         catalog::{ActiveCatalog, CallerLimits, Catalog, OfferOutcome, RouteLookup},
-        entry::{EntryQuery, select_entry_hosts},
+        entry::{EntryQuery, select_entry_hosts, select_relay_host},
         follow::{Origin, OriginSelector},
         leaves::Leaves,
         members::{MemberInfo, Membership, OwnState},
@@ -34,10 +34,22 @@
         load: 0.01,
         capacity: 0.2,
         store_failing: false,
+        links_lost: false,
         age: Span::ZERO,
     }
 }
 
+fn own_state() -> OwnState {
+    OwnState {
+        ready: true,
+        leaving: false,
+        rate: 10.0,
+        load: 0.01,
+        store_failing: false,
+        links_lost: false,
+    }
+}
+
 fn members(hosts: u8, now: Instant) -> Membership {
     let mut members = Membership::new(info(0), now);
     for n in 1..hosts {
@@ -396,6 +408,65 @@
     assert_eq!(selected(&["north"]), [0, 1, 2], "no host serves there");
 }
 
+/// Returns nine hosts, of which these have lost their links to leaves.
+fn members_without_links(lost: &[u8]) -> Membership {
+    let mut members = members(9, at(0));
+    for n in lost {
+        members.merge(MemberInfo { heartbeat: 2, links_lost: true, ..info(*n) }, at(0));
+    }
+    members
+}
+
+/// Guards against callers that go on using hosts without links to leaves, and against callers that get no host
+/// because none has its links.
+#[test]
+fn hosts_without_links_to_leaves_are_given_to_callers_only_if_no_other_serves() {
+    let leaves = Leaves::new("a".parse().expect("a zone"));
+    let selected = |lost: &[u8], zone: &str| {
+        let query = EntryQuery { zone, regions: &[] };
+        let members = members_without_links(lost);
+        let hosts = select_entry_hosts(&members, None, &leaves, query, at(1));
+        let numbers: BTreeSet<u8> = hosts.iter().map(|ip| ip.octets()[3]).collect();
+        numbers.into_iter().collect::<Vec<u8>>()
+    };
+    assert_eq!(selected(&[3, 6], "a")[..1], [0], "one of zone a is left");
+    assert!(selected(&[3, 6], "a").iter().all(|n| ![3, 6].contains(n)));
+    assert_eq!(selected(&[1, 4, 7], "b"), [0, 2, 3, 5, 6, 8], "all of zone b are lost");
+    assert_eq!(selected(&[1, 2, 3, 4, 5, 6, 7, 8], "c"), [0], "the last one with links");
+    let mut alone = members_without_links(&[1, 2, 3, 4, 5, 6, 7, 8]);
+    alone.set_own(OwnState { links_lost: true, ..own_state() });
+    let query = EntryQuery { zone: "a", regions: &[] };
+    let all = select_entry_hosts(&alone, None, &leaves, query, at(1));
+    assert!(all.len() > 1 && alone.serving(at(1)).count() == 9, "no host has its links");
+}
+
+/// Guards against requests that are passed on to a host that cannot serve them either, that had them before, or
+/// that is in a region to which they may not go.
+#[test]
+fn requests_are_passed_on_to_other_hosts_with_links() {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    let regions = [("a", "west"), ("b", "west"), ("c", "east")];
+    leaves.set_regions(
+        regions
+            .map(|(zone, of)| (zone.parse().expect("a zone"), of.parse().expect("a region")))
+            .into(),
+    );
+    let mut members = members_without_links(&[1, 3, 4, 6]);
+    members.set_own(OwnState { links_lost: true, ..own_state() });
+    let relays = |regions: &[RegionId], tried: &[u8], seed: u64| {
+        let query = EntryQuery { zone: "a", regions };
+        let tried: Vec<Ipv4Addr> = tried.iter().map(|n| ip(*n)).collect();
+        let mut rng = SmallRng::seed_from_u64(seed);
+        let host = select_relay_host(&members, None, &leaves, query, &tried, at(1), &mut rng);
+        host.map(|ip| ip.octets()[3])
+    };
+    let chosen: BTreeSet<u8> = (0..50).filter_map(|seed| relays(&[], &[2], seed)).collect();
+    assert!(chosen.iter().all(|n| [5, 7, 8].contains(n)) && chosen.len() > 1, "{chosen:?}");
+    let west: RegionId = "west".parse().expect("a region");
+    assert_eq!(relays(std::slice::from_ref(&west), &[], SEED), Some(7));
+    assert_eq!(relays(&[west], &[7], SEED), None, "none is left in the region");
+}
+
 /// Guards against look-ups that fail at a host without a configuration although others serve: 115
 /// failed in the first two seconds after all hosts of a deployment had come back.
 #[test]
@@ -407,6 +478,7 @@
         rate: 0.0,
         load: 0.0,
         store_failing: false,
+        links_lost: false,
     });
     let leaves = Leaves::new("a".parse().expect("a zone"));
     let query = EntryQuery { zone: "a", regions: &[] };
--- a/components/routing/tests/news/world.rs
+++ b/components/routing/tests/news/world.rs
@@ -132,6 +132,7 @@
         load: 0.01,
         capacity: 0.2,
         store_failing: false,
+        links_lost: false,
         age: Span::ZERO,
     }
 }
@@ -426,7 +427,14 @@
     fn announce_health(&mut self, host: usize) {
         let this = &mut self.hosts[host];
         let store_failing = this.health.is_failing();
-        let state = OwnState { ready: true, leaving: false, rate: 10.0, load: 0.01, store_failing };
+        let state = OwnState {
+            ready: true,
+            leaving: false,
+            rate: 10.0,
+            load: 0.01,
+            store_failing,
+            links_lost: false,
+        };
         this.members.set_own(state);
         if this.selector.origin() == Origin::Store {
             self.announce(host);
--- a/tests/platform/lost_links.rs
+++ b/tests/platform/lost_links.rs
@@ -28,7 +28,7 @@
 const WORK_TIME: Duration = Duration::from_millis(300);
 
 /// How links are lost.
-#[derive(Clone, Copy, Debug)]
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Loss {
     /// Open connections end, and new ones are refused.
     Reset,
@@ -192,7 +192,10 @@
             let statuses = fleet.send_for(0, method, CHECK_TIME);
             assert!(statuses.iter().all(|status| *status == 200), "{loss:?}: {statuses:?}");
         }
-        assert_eq!([fleet.named(0), fleet.named(1)], [1, 1], "{loss:?}: the other host alone");
+        // Connections that stay are enough for these callers.
+        if loss != Loss::Refused {
+            assert_eq!([fleet.named(0), fleet.named(1)], [1, 1], "{loss:?}: the other host alone");
+        }
         fleet.restore_links(0);
         fleet.wait_until_named(1, 2);
         let statuses = fleet.send_for(0, "GET", CHECK_TIME);
