Blame no leaf and no request for the loss of a host's own links

What callers saw: after a host had lost its links to leaves while requests were at work, all hosts refused these requests for a minute as ones that crash leaves. By reading, the host also held leaves for cold, slow or failing, took lost parts for overload and counted lost attempts against the version of a release, also after its links were back.

Cause: each failure counted for the leaf or the request alone. While the links are in doubt, a host tells no other of requests that it refuses and counts no lost attempt for releases or overload; once they are lost it takes back the crashes that it counted; when they are back it forgets the failures of leaves since the suspicion.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -263,9 +263,11 @@
             .or_else(|| self.order_position_message());
         let own = std::iter::once(MemberMessage::from(self.members.own()));
         let [leaves, evacuations] = self.last_changes();
+        let links_in_doubt = self.routing.links.is_in_doubt();
+        let max_refused = if links_in_doubt { 0 } else { MAX_REFUSED };
         let heartbeat = HeartbeatMessage {
             members: own.chain(members.iter().map(MemberMessage::from)).collect(),
-            refused: self.poison.refused(MAX_REFUSED, self.now).iter().map(|f| f.0).collect(),
+            refused: self.poison.refused(max_refused, self.now).iter().map(|f| f.0).collect(),
             leaves: leaves.revision().0,
             evacuations: evacuations.revision().0,
             limits,
--- a/components/edge/src/link_probes.rs
+++ b/components/edge/src/link_probes.rs
@@ -131,10 +131,14 @@
             "state": state.name(), "before": before.name(),
             "unopened": links.unopened().count(), "quiet_us": links.quiet_for(self.now).0,
         });
+        let links_doubted_since = links.doubted_since();
         self.journal.record("leaf_links", fields, self.now);
         self.announce_links();
         if state == LinkState::Down {
+            self.poison.take_back(links_doubted_since);
             self.relay_open_requests();
+        } else {
+            self.routing.forget_link_failures();
         }
     }
 
--- a/components/edge/src/upstreams/failures.rs
+++ b/components/edge/src/upstreams/failures.rs
@@ -64,7 +64,8 @@
         let service = self.routing.leaves.get(leaf).map(|leaf| &leaf.registration.service);
         let catalog = self.active_catalog.current();
         let spec = service.and_then(|service| catalog?.services.get(service));
-        if let Some(spec) = spec.filter(|spec| spec.cold_per_second > 0.0) {
+        let spec = spec.filter(|spec| spec.cold_per_second > 0.0);
+        if let Some(spec) = spec.filter(|_| !self.routing.links.is_lost()) {
             let cold_for = spec.cold_for;
             self.routing.leaves.on_connect_failed(leaf, cold_for, self.now);
         }
@@ -78,8 +79,12 @@
         }
     }
 
-    /// Counts and logs that a request is suspected of crashing a leaf.
+    /// Counts and logs that a request is suspected of crashing a leaf, unless this host reaches no
+    /// leaf.
     fn suspect_request(&mut self, fingerprint: Fingerprint, leaf: LeafKey) {
+        if self.routing.links.is_lost() {
+            return;
+        }
         self.poison.record_crash(fingerprint, self.now);
         let id = self.routing.leaves.get(leaf).map(|leaf| leaf.registration.id.clone());
         let refused = self.poison.is_refused(fingerprint, self.now);
--- a/components/routing/src/connections.rs
+++ b/components/routing/src/connections.rs
@@ -163,8 +163,14 @@
         is_new
     }
 
+    /// Forgets the resets, which were not for want of room.
+    pub fn forget_resets(&mut self) {
+        *self = Self { open: self.open, ..Self::default() };
+    }
+
     /// Returns the connections to a leaf whose process has started anew.
-    pub fn restarted(&self) -> Self {
-        Self { open: self.open, ..Self::default() }
+    pub fn restarted(mut self) -> Self {
+        self.forget_resets();
+        self
     }
 }
--- a/components/routing/src/leaf.rs
+++ b/components/routing/src/leaf.rs
@@ -95,8 +95,11 @@
 pub struct Leaf {
     /// Registration of the leaf.
     pub registration: LeafRegistration,
-    /// End of its cold state.
+    /// End of its cold state by its registration.
     pub cold_until: Instant,
+    /// End of the cold state in which it may be since it did not accept a connection, and the time
+    /// of that.
+    presumed_cold: Option<(Instant, Instant)>,
     /// Time until which the leaf is used although its registration has lapsed.
     pub grace_until: Option<Instant>,
     /// Whether another leaf responded at its address.
@@ -129,6 +132,7 @@
         Self {
             registration,
             cold_until,
+            presumed_cold: None,
             grace_until: None,
             address_reused: false,
             notice: Notice::default(),
@@ -159,6 +163,7 @@
             return true;
         }
         self.cold_until = now + registration.cold_left;
+        self.presumed_cold = None;
         self.registration = registration;
         self.grace_until = None;
         false
@@ -238,14 +243,30 @@
 
     /// Whether the leaf is cold.
     pub fn is_cold(&self, now: Instant) -> bool {
-        now < self.cold_until
+        now < self.cold_end()
+    }
+
+    /// Returns the end of its cold state, as far as this host knows.
+    pub fn cold_end(&self) -> Instant {
+        self.presumed_cold.map_or(self.cold_until, |(until, _)| until.max(self.cold_until))
     }
 
     /// Marks the leaf as cold because it did not accept a connection and may have restarted.
     /// `cold_for` is the declared time for which a leaf is cold after a start; a new registration
     /// overrides this.
     pub fn on_connect_failed(&mut self, cold_for: Span, now: Instant) {
-        self.cold_until = self.cold_until.max(now + cold_for);
+        self.presumed_cold = Some((now + cold_for, now));
+    }
+
+    /// Forgets the failures since `since`, which were not the leaf's.
+    pub fn forget_failures(&mut self, since: Instant) {
+        self.presumed_cold.take_if(|(_, at)| *at >= since);
+        self.backoffs = 0;
+        self.backoff_until = Instant::default();
+        if self.latency_ratio_at >= since {
+            self.latency_ratio = 1.0;
+        }
+        self.room.forget_resets();
     }
 
     /// Returns the tokens for requests to the cold leaf: at most one, refilled at `per_second`.
@@ -269,7 +290,7 @@
         }
         // A rate of zero gives an infinite time, which the conversion bounds.
         let refill = Span((missing / per_second * 1e6).ceil() as u64);
-        refill.min(self.cold_until.since(now))
+        refill.min(self.cold_end().since(now))
     }
 
     /// Takes the token for one request to the cold leaf.
--- a/components/routing/src/leaf_links.rs
+++ b/components/routing/src/leaf_links.rs
@@ -24,6 +24,8 @@
 const QUIET_TIME: Span = Span::millis(600);
 /// Time for which a suspicion that proved wrong is not raised again.
 const SUSPICION_PAUSE: Span = Span::secs(1);
+/// Time before a suspicion from which on failures may have been those of the links.
+const NOTICE_TIME: Span = Span::secs(1);
 /// Number of leaves to which no connection could be opened that shows the loss of all links.
 const LOST_LEAVES: usize = 4;
 /// Time between probes; those before have succeeded or failed by then.
@@ -78,6 +80,8 @@
     next_probe: Instant,
     /// Number of times that leaves were probed since the suspicion.
     rounds: u32,
+    /// Time from which signs may have been those of lost links, as of the last suspicion.
+    doubted_since: Instant,
     hold: Span,
     returned_at: Option<Instant>,
 }
@@ -95,6 +99,7 @@
             quiet_until: never,
             next_probe: never,
             rounds: 0,
+            doubted_since: never,
             hold: FIRST_HOLD,
             returned_at: None,
         }
@@ -117,6 +122,12 @@
         self.state != LinkState::Up
     }
 
+    /// Returns the time from which failures may have been those of the links, as of the last
+    /// suspicion.
+    pub fn doubted_since(&self) -> Instant {
+        self.doubted_since
+    }
+
     /// Whether other hosts reach leaves better than this one.
     pub fn is_lost(&self) -> bool {
         matches!(self.state, LinkState::Down | LinkState::Returning)
@@ -221,6 +232,7 @@
     }
 
     fn suspect(&mut self, now: Instant) {
+        self.doubted_since = now - NOTICE_TIME;
         self.rounds = 0;
         self.next_probe = now;
         self.enter(LinkState::Suspect, now);
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -212,7 +212,7 @@
     /// removals of those that have lapsed, with the remaining time for which they are used.
     pub fn registrations(&self, now: Instant) -> impl Iterator<Item = Change> {
         self.leaves.values().flat_map(move |leaf| {
-            let cold_left = leaf.cold_until.since(now);
+            let cold_left = leaf.cold_end().since(now);
             let registration = LeafRegistration { cold_left, ..leaf.registration.clone() };
             let id = leaf.registration.id.clone();
             let lapse =
@@ -447,6 +447,13 @@
         }
     }
 
+    /// Forgets the failures of all leaves since `since`, which were those of this host's links.
+    pub fn forget_failures(&mut self, since: Instant) {
+        for leaf in self.leaves.values_mut() {
+            leaf.forget_failures(since);
+        }
+    }
+
     /// Whether the leaf has overdue requests, is in backoff, can have no connection of this host or
     /// is no longer registered.
     pub fn is_unhealthy(&self, key: LeafKey, now: Instant) -> bool {
--- a/components/routing/src/poison.rs
+++ b/components/routing/src/poison.rs
@@ -3,7 +3,8 @@
 //! A request becomes a suspect if its connection to a leaf breaks and there is another sign that
 //! the leaf has crashed. A request suspected at `CRASHED_LEAVES` leaves is refused for a while, on
 //! every host: hosts share the refused requests. A leaf's response to the request clears it on this
-//! host.
+//! host. A host that has lost its links to leaves takes back what it concluded from the loss, and
+//! tells no other host of its conclusions while its links are in doubt.
 
 use {
     crate::leaves::LeafKey,
@@ -70,26 +71,43 @@
 #[derive(Clone, Copy, Debug)]
 struct Entry {
     crashes: u32,
+    /// Time of the last crash that this host has seen.
+    last_crash: Instant,
+    /// Whether another host refuses the request.
+    is_told: bool,
     until: Instant,
 }
 
+impl Entry {
+    fn is_refused(&self, now: Instant) -> bool {
+        self.crashes >= CRASHED_LEAVES && now < self.until
+    }
+}
+
 impl PoisonList {
     /// Records that a leaf probably crashed while it ran the request.
     pub fn record_crash(&mut self, fingerprint: Fingerprint, now: Instant) {
         let entry = self.entry(fingerprint, now);
         entry.crashes += 1;
+        entry.last_crash = now;
         entry.until = now + RETENTION;
     }
 
     /// Records that another host refuses the request.
     pub fn add_refused(&mut self, fingerprint: Fingerprint, now: Instant) {
         let entry = self.entry(fingerprint, now);
+        entry.is_told = true;
         if entry.crashes < CRASHED_LEAVES {
             entry.crashes = CRASHED_LEAVES;
             entry.until = now + RETENTION;
         }
     }
 
+    /// Takes back the crashes since `since`, which were none.
+    pub fn take_back(&mut self, since: Instant) {
+        self.entries.retain(|_, entry| entry.is_told || entry.last_crash < since);
+    }
+
     /// Records that a leaf responded to the request, which clears it.
     pub fn clear(&mut self, fingerprint: Fingerprint) {
         if !self.entries.is_empty() {
@@ -99,14 +117,12 @@
 
     /// Whether the request is refused.
     pub fn is_refused(&self, fingerprint: Fingerprint, now: Instant) -> bool {
-        let entry = self.entries.get(&fingerprint);
-        entry.is_some_and(|entry| entry.crashes >= CRASHED_LEAVES && now < entry.until)
+        self.entries.get(&fingerprint).is_some_and(|entry| entry.is_refused(now))
     }
 
     /// Returns the requests that this host refuses, newest first, at most `n`.
     pub fn refused(&self, n: usize, now: Instant) -> Vec<Fingerprint> {
-        let is_refused = |entry: &Entry| entry.crashes >= CRASHED_LEAVES && now < entry.until;
-        let refused = self.entries.iter().rev().filter(|(_, entry)| is_refused(entry));
+        let refused = self.entries.iter().rev().filter(|(_, entry)| entry.is_refused(now));
         refused.map(|(fingerprint, _)| *fingerprint).take(n).collect()
     }
 
@@ -118,6 +134,11 @@
         if self.entries.len() >= MAX_ENTRIES && !self.entries.contains_key(&fingerprint) {
             self.entries.shift_remove_index(0);
         }
-        self.entries.entry(fingerprint).or_insert(Entry { crashes: 0, until: now })
+        self.entries.entry(fingerprint).or_insert(Entry {
+            crashes: 0,
+            last_crash: now,
+            is_told: false,
+            until: now,
+        })
     }
 }
--- a/components/routing/src/state.rs
+++ b/components/routing/src/state.rs
@@ -195,7 +195,7 @@
         latency: Span,
         now: Instant,
     ) {
-        if !self.releases.is_counting(service) {
+        if !self.releases.is_counting(service) || self.is_blameless(end) {
             return;
         }
         let Some(leaf) = self.leaves.get(leaf) else { return };
@@ -211,6 +211,17 @@
         }
     }
 
+    /// Whether an attempt may have failed because of this host's links.
+    fn is_blameless(&self, end: AttemptEnd) -> bool {
+        self.links.is_in_doubt() && matches!(end, AttemptEnd::Silent | AttemptEnd::Broken)
+    }
+
+    /// Forgets what the loss of this host's links seemed to say of leaves.
+    pub fn forget_link_failures(&mut self) {
+        self.leaves.forget_failures(self.links.doubted_since());
+        self.overloads.clear();
+    }
+
     /// Applies to the selection of leaves what the releases allow.
     pub fn sync_releases(&mut self, now: Instant) {
         if !self.releases.is_enabled() {
@@ -368,6 +379,9 @@
         parts: impl Iterator<Item = PartStatus>,
         now: Instant,
     ) {
+        if self.links.is_in_doubt() {
+            return;
+        }
         let overload = shards.first().and_then(|first| self.overloads.get_mut(first));
         if let Some(overload) = overload {
             overload.record(parts, now);
--- a/components/routing/tests/leaf_links.rs
+++ b/components/routing/tests/leaf_links.rs
@@ -3,12 +3,14 @@
 mod common;
 
 use {
-    common::at,
+    common::{at, routing_state},
     wigeonramp_routing::{
+        leaf::HealthSignal,
         leaf_links::{LeafLinks, LinkState},
         leaves::LeafKey,
+        state::RoutingState,
     },
-    wigeonramp_units::Instant,
+    wigeonramp_units::{Instant, Span},
 };
 
 /// Number of leaves that can be probed.
@@ -166,3 +168,40 @@
     assert_eq!(links.advance(2, at(1_001)), Some(LinkState::Down));
     assert_eq!(LeafLinks::default().advance(0, at(0)), None, "without leaves there are no links");
 }
+
+/// Guards against leaves that a host avoids, sends the load of cold ones or refuses requests for after its links
+/// are back, because of failures that were those of the links.
+#[test]
+fn failures_during_a_loss_of_links_are_forgotten() {
+    let mut cx = routing_state(1);
+    let key = cx.leaves.key_of(&"l0a".parse().expect("a leaf id")).expect("a leaf");
+    let fail = |cx: &mut RoutingState, ms: u64| {
+        cx.leaves.on_connect_failed(key, Span::secs(30), at(ms));
+        cx.leaves.on_sent(key, Span::millis(20), at(ms));
+        cx.leaves.on_ended(key, at(ms), Span::millis(20), HealthSignal::Silent, at(ms + 400));
+    };
+    fail(&mut cx, 1_000);
+    for n in 0..3 {
+        cx.links.on_broken(leaf(n), at(1_400));
+    }
+    assert!(fail_probes(&mut cx.links, 1_400).is_some());
+    assert!(cx.leaves.is_unhealthy(key, at(1_500)));
+    cx.forget_link_failures();
+    let sound = cx.leaves.get(key).expect("a leaf");
+    assert!(!cx.leaves.is_unhealthy(key, at(1_500)) && !sound.is_cold(at(1_500)));
+    assert!((sound.latency_ratio(at(1_500)) - 1.0).abs() < f64::EPSILON);
+}
+
+/// Guards against a leaf that failed before the loss of links and is trusted after it.
+#[test]
+fn failures_before_a_loss_of_links_count_after_it() {
+    let mut cx = routing_state(1);
+    let key = cx.leaves.key_of(&"l0a".parse().expect("a leaf id")).expect("a leaf");
+    cx.leaves.on_connect_failed(key, Span::secs(30), at(100));
+    for n in 0..3 {
+        cx.links.on_broken(leaf(n), at(5_000));
+    }
+    assert!(fail_probes(&mut cx.links, 5_000).is_some());
+    cx.forget_link_failures();
+    assert!(cx.leaves.get(key).expect("a leaf").is_cold(at(6_000)));
+}
--- a/components/routing/tests/parts.rs
+++ b/components/routing/tests/parts.rs
@@ -66,6 +66,24 @@
     assert!(!other.is_refused(fingerprint, at(70_000)), "forgotten after a minute");
 }
 
+/// Guards against sound requests that stay refused because a host lost its links while they ran, and against
+/// the loss of what was known before or what another host has found.
+#[test]
+fn crashes_that_were_a_loss_of_links_are_taken_back() {
+    let [before, during, told] = [1, 2, 3].map(Fingerprint);
+    let mut list = PoisonList::default();
+    for ms in [0, 10] {
+        list.record_crash(before, at(ms));
+        list.record_crash(during, at(1_000 + ms));
+        list.record_crash(told, at(1_000 + ms));
+    }
+    list.add_refused(told, at(1_100));
+    list.take_back(at(1_000));
+    assert!(list.is_refused(before, at(1_200)));
+    assert!(!list.is_refused(during, at(1_200)));
+    assert!(list.is_refused(told, at(1_200)));
+}
+
 /// Guards against refusal of a request that only ran during a crash that it did not cause.
 #[test]
 fn answered_request_is_cleared() {
