Heed the notices of a leaf in every answer, usable or not

A leaf that said that it was leaving, or that it wanted rest, went on getting requests if it said so in an interim answer, in a late answer to an earlier request or in one whose length is invalid (DRAIN, BUDGET by the letter).

Cause: the notices were read with the answer and shared its fate. They are of the process at the other end of the connection, whatever becomes of the answer: they are heeded as soon as a head is read, except after 421, which another leaf sends.

--- a/components/edge/src/body.rs
+++ b/components/edge/src/body.rs
@@ -53,6 +53,7 @@
             Framing::Length(left) => State::Length { left },
             Framing::Chunked => State::ChunkSize,
             Framing::UntilClose => State::UntilClose,
+            Framing::Invalid => return Err(BodyError::Malformed),
         };
         let expected = match framing {
             Framing::Length(length) => length.min(MAX_RESERVED) as usize,
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -1,7 +1,7 @@
 //! Reading responses of leaves.
 
 use {
-    super::{DEFAULT_IDLE_TIMEOUT, LeafConn},
+    super::DEFAULT_IDLE_TIMEOUT,
     crate::{
         body::BodyReader,
         node::{EventSource, Node},
@@ -32,18 +32,31 @@
     pause: Option<Span>,
 }
 
-impl LeafConn {
-    /// Returns what a response says of the leaf of this connection: nothing if it is the response
-    /// of another leaf or to another request.
-    fn notices(&self, head: &ResponseHead) -> Notices {
-        if head.status == 421 || self.mismatched {
-            return Notices::default();
+impl Notices {
+    /// Returns what a response says of the leaf of its connection: nothing if it is the response of
+    /// another leaf. A response to another request is one of this leaf too.
+    fn of(head: &ResponseHead) -> Self {
+        if head.status == 421 {
+            return Self::default();
         }
         let turns_away = matches!(head.status, 429 | 503);
-        Notices { leaving: head.leaving, pause: head.retry_after.filter(|_| turns_away) }
+        Self { leaving: head.leaving, pause: head.retry_after.filter(|_| turns_away) }
     }
 }
 
+/// What follows the head of a response.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum HeadEnd {
+    /// More bytes of the head.
+    Incomplete,
+    /// Another response to the same request.
+    Interim,
+    /// The body.
+    Final,
+    /// Nothing that can be used.
+    Unusable,
+}
+
 /// Time before the leaf's idle timeout at which an idle connection is no longer used.
 const IDLE_MARGIN: Span = Span::millis(500);
 
@@ -128,52 +141,27 @@
 
     /// Decodes responses from the received bytes; returns false if the connection was closed.
     fn read_responses(&mut self, key: usize) -> bool {
-        let max_response = self.clients.memory.max_response() as u64;
         loop {
             let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
-            let Some(in_flight) = &conn.in_flight else {
+            if conn.in_flight.is_none() {
                 if conn.inbuf.is_empty() {
                     return true;
                 }
                 self.close_conn(key);
                 return false;
-            };
+            }
             if conn.response.is_none() {
-                match http::parse_response_head(
-                    &conn.inbuf,
-                    in_flight.keep_headers,
-                    in_flight.no_body,
-                ) {
-                    Ok(None) if conn.inbuf.len() <= MAX_RESPONSE_HEAD => return true,
-                    Ok(Some(head)) if head.status == 101 => {
-                        self.fail_conn(key, false);
-                        return false;
-                    }
-                    Ok(Some(head)) if head.status < 200 => {
-                        conn.inbuf.drain(..head.length);
-                        continue;
-                    }
-                    Ok(Some(head)) => {
-                        conn.inbuf.drain(..head.length);
-                        conn.mismatched = head.id.is_some() && head.id != in_flight.id;
-                        conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
-                        let notices = conn.notices(&head);
-                        match BodyReader::new(head.framing, max_response) {
-                            Ok(reader) => conn.response = Some((head, reader)),
-                            Err(_) => {
-                                self.fail_conn(key, false);
-                                return false;
-                            }
-                        }
-                        self.hear_notices(key, notices);
-                        continue;
-                    }
-                    _ => {
+                match self.read_head(key) {
+                    HeadEnd::Incomplete => return true,
+                    HeadEnd::Interim => continue,
+                    HeadEnd::Final => {}
+                    HeadEnd::Unusable => {
                         self.fail_conn(key, false);
                         return false;
                     }
                 }
             }
+            let Some(conn) = self.upstreams.conns.get_mut(key) else { return false };
             let Some((_, reader)) = &mut conn.response else { return true };
             match reader.push(&conn.inbuf) {
                 Ok(used) => {
@@ -195,6 +183,34 @@
         }
     }
 
+    /// Decodes the head of a response and heeds its notices, also if the rest cannot be used.
+    fn read_head(&mut self, key: usize) -> HeadEnd {
+        let max_response = self.clients.memory.max_response() as u64;
+        let Some(conn) = self.upstreams.conns.get_mut(key) else { return HeadEnd::Unusable };
+        let Some(in_flight) = &conn.in_flight else { return HeadEnd::Unusable };
+        let (keep_headers, no_body) = (in_flight.keep_headers, in_flight.no_body);
+        let head = match http::parse_response_head(&conn.inbuf, keep_headers, no_body) {
+            Ok(None) if conn.inbuf.len() <= MAX_RESPONSE_HEAD => return HeadEnd::Incomplete,
+            Ok(Some(head)) => head,
+            _ => return HeadEnd::Unusable,
+        };
+        conn.inbuf.drain(..head.length);
+        let notices = Notices::of(&head);
+        let end = match head.status {
+            101 => HeadEnd::Unusable,
+            status if status < 200 => HeadEnd::Interim,
+            _ => {
+                conn.mismatched = head.id.is_some() && head.id != in_flight.id;
+                conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
+                let reader = BodyReader::new(head.framing, max_response);
+                conn.response = reader.ok().map(|reader| (head, reader));
+                if conn.response.is_some() { HeadEnd::Final } else { HeadEnd::Unusable }
+            }
+        };
+        self.hear_notices(key, notices);
+        end
+    }
+
     /// Handles what a leaf says of itself in a response. If it wants no requests, those that wait
     /// for a connection to it go to other leaves.
     fn hear_notices(&mut self, key: usize, notices: Notices) {
