Have tests wait until a host knows the leaves that they are about

The tests of notices failed once in two runs: the host learnt of the new process of a leaf after its first answer, and so took the notice for that of the process before. Those of lost links waited for a log line that a host does not write for leaves that it knows before it is ready. They wait for the restart and for the metric of the leaves instead; three runs of both files pass.

--- a/tests/platform/lost_links.rs
+++ b/tests/platform/lost_links.rs
@@ -129,13 +129,9 @@
 
     fn wait_until_leaves_are_known(&self) {
         let deadline = Instant::now() + Duration::from_secs(10);
-        let knows = |host: usize, leaf: &Leaf| {
-            let log = self.fixture.log_of(host);
-            let id = format!("\"{}\"", leaf.id());
-            log.lines().any(|line| line.contains("\"added\"") && line.contains(&id))
-        };
+        let count = self.leaves.len() as f64;
         for host in 0..self.links.len() {
-            while !self.leaves.iter().all(|leaf| knows(host, leaf)) {
+            while self.fixture.metric(host, "wigeonramp_leaves") != Some(count) {
                 assert!(Instant::now() < deadline, "each host must know both leaves");
                 thread::sleep(Duration::from_millis(20));
             }
--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -53,12 +53,17 @@
         Self { fixture, leaf }
     }
 
-    /// Starts the leaf's process anew and waits until the host uses it.
+    /// Starts the leaf's process anew and waits until the host knows of that and uses it.
     fn start_again(&self) {
+        let starts =
+            || self.fixture.count_log_lines(&["\"leaf\"", self.leaf.id(), "\"restarted\""]);
+        let before = starts();
         self.leaf.set_raw_answer(None);
         self.leaf.start_again();
         let deadline = Instant::now() + Duration::from_secs(10);
-        while !self.fixture.send_for(Duration::from_millis(500)).iter().all(|s| *s == 200) {
+        while starts() == before
+            || !self.fixture.send_for(Duration::from_millis(500)).iter().all(|s| *s == 200)
+        {
             assert!(Instant::now() < deadline, "the leaf must be used");
         }
     }
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -26,6 +26,8 @@
 pub const HOST: &str = "h.example";
 /// Connections that each leaf accepts, unless a test says otherwise.
 const CONNECTION_LIMIT: u32 = 400;
+/// Port on which hosts export their metrics.
+const METRICS_PORT: u16 = 9464;
 /// Time within which a started host must serve.
 const START_TIMEOUT: Duration = Duration::from_secs(20);
 /// Time that callers wait for a response.
@@ -316,6 +318,16 @@
         log.lines().filter(|line| parts.iter().all(|part| line.contains(part))).count()
     }
 
+    /// Returns the value of a metric of a host; none if it exports none of that name.
+    pub fn metric(&self, host: usize, name: &str) -> Option<f64> {
+        let address = SocketAddr::new(self.hosts[host].ip.parse().ok()?, METRICS_PORT);
+        let req = CallerRequest { method: "GET", host: "-", path: "/", id: "-", wait: TIMEOUT };
+        let response = Caller::connect(address).and_then(|mut caller| caller.send(&req)).ok()?;
+        let text = String::from_utf8(response.body).ok()?;
+        let line = text.lines().find(|line| line.split(' ').next() == Some(name))?;
+        line.split(' ').nth(1)?.parse().ok()
+    }
+
     /// Returns the last run of the request.
     pub fn run_of(&self, id: &str) -> Run {
         let runs = self.runs.lock().expect("no leaf has failed");
