Remember the notices of the leaves that left last

Cause: when 1,024 processes were remembered, the notice of a further one was dropped, so a leaf whose registration vanished and came back was used again although it had said that it was leaving. The oldest notice makes room. the_latest_notices_are_remembered_when_many_leaves_leave failed before and passes.

--- a/components/routing/src/notices.rs
+++ b/components/routing/src/notices.rs
@@ -14,7 +14,8 @@
 
 /// Time for which the notices of a process are remembered after its last registration.
 const MEMORY: Span = Span::secs(600);
-/// Maximum number of processes that are remembered.
+/// Maximum number of processes that are remembered; the latest ones are the likeliest to be registered
+/// again.
 const MAX_REMEMBERED: usize = 1_024;
 
 /// Longest pause; a leaf that asks for a longer one gets this.
@@ -109,9 +110,12 @@
     /// process cannot be told from it.
     pub fn remember(&mut self, leaf: LeafInstance, notice: Notice, now: Instant) {
         self.notices.retain(|_, (_, since)| now.since(*since) < MEMORY);
-        if notice.is_empty() || leaf.born.is_none() || self.notices.len() >= MAX_REMEMBERED {
+        if notice.is_empty() || leaf.born.is_none() {
             return;
         }
+        if self.notices.len() >= MAX_REMEMBERED {
+            self.notices.shift_remove_index(0);
+        }
         self.notices.insert(leaf, (notice, now));
     }
 
--- a/components/routing/tests/notices.rs
+++ b/components/routing/tests/notices.rs
@@ -52,6 +52,25 @@
     assert!(is_used(&leaves), "another process under the same id");
 }
 
+/// Guards against a leaving process that is used again because many others have left in the meantime and no
+/// room was left for its notice.
+#[test]
+fn the_latest_notices_are_remembered_when_many_leaves_leave() {
+    let mut leaves = Leaves::new("a".parse().expect("a zone"));
+    let registrations: Vec<LeafRegistration> =
+        (0..3_000).map(|n| registration(&format!("x{n}"), "s0", "a")).collect();
+    for (n, leaf) in registrations.iter().enumerate() {
+        leaves.register(leaf.clone(), at(n as u64));
+        let key = leaves.key_of(&leaf.id).expect("a leaf");
+        assert!(leaves.on_leaving(key, &leaf.instance()));
+        leaves.remove(&leaf.id, at(n as u64));
+    }
+    for leaf in &registrations[2_500..] {
+        leaves.register(leaf.clone(), at(4_000));
+    }
+    assert!(!is_used(&leaves));
+}
+
 /// Guards against a leaf that is not used because the process before it was leaving, whose response
 /// arrives late.
 #[test]
