Take an answer whose status is none for no answer

What callers saw (MIXED at others): with a status of 600 to 999 they got the leaf's answer as it was; with 000 to 099, which was taken for an interim answer, they waited until their time was up.

Cause: every status from 200 on was final, and every one below interim. The place of a response is now decided in one place for leaves, hosts and the store: 200 to 599 are final, 1xx other than 101 interim, all others none. The attempt has failed then: an idempotent request goes to another leaf, the others get 502, and the failure counts for the leaf.

an_answer_with_an_odd_status_is_none failed before (504 after 1.5 s for 000) and passes for 13 statuses.

--- a/components/edge/src/relays.rs
+++ b/components/edge/src/relays.rs
@@ -15,7 +15,7 @@
     mio::{Interest, net::TcpStream},
     serde_json::json,
     std::{net::Ipv4Addr, sync::Arc},
-    wigeonramp_platform::http::{self, RequestHead, ResponseHead},
+    wigeonramp_platform::http::{self, RequestHead, ResponseHead, ResponseKind},
     wigeonramp_routing::{
         catalog::{RepeatPolicy, Route},
         clients::memory::Charge,
@@ -216,8 +216,10 @@
                 Err(_) => return false,
             };
             relay.inbuf.drain(..head.length);
-            if head.status < 200 {
-                continue;
+            match head.kind() {
+                ResponseKind::Invalid => return false,
+                ResponseKind::Interim => continue,
+                ResponseKind::Final => {}
             }
             let Ok(reader) = BodyReader::new(head.framing, max) else { return false };
             relay.response = Some((head, reader));
--- a/components/edge/src/store/mod.rs
+++ b/components/edge/src/store/mod.rs
@@ -21,7 +21,7 @@
     mio::net::TcpStream,
     std::net::SocketAddr,
     wigeonramp_platform::{
-        http::{self, ResponseHead},
+        http::{self, ResponseHead, ResponseKind},
         objects::ObjectKind,
     },
     wigeonramp_routing::{
@@ -233,6 +233,9 @@
             return Ok(None);
         };
         conn.inbuf.drain(..head.length);
+        if head.kind() != ResponseKind::Final {
+            return Err(());
+        }
         let reader = BodyReader::new(head.framing, MAX_RESPONSE).map_err(|_| ())?;
         conn.response = Some((head, reader));
     }
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -11,7 +11,7 @@
     mio::Interest,
     serde_json::json,
     std::io::ErrorKind,
-    wigeonramp_platform::http::{self, ResponseHead},
+    wigeonramp_platform::http::{self, ResponseHead, ResponseKind},
     wigeonramp_routing::{exchange::AttemptOutcome, leaves::LeafKey, reply::LeafResponse},
     wigeonramp_units::Span,
 };
@@ -196,10 +196,10 @@
         };
         conn.inbuf.drain(..head.length);
         let notices = Notices::of(&head);
-        let end = match head.status {
-            101 => HeadEnd::Unusable,
-            status if status < 200 => HeadEnd::Interim,
-            _ => {
+        let end = match head.kind() {
+            ResponseKind::Invalid => HeadEnd::Unusable,
+            ResponseKind::Interim => HeadEnd::Interim,
+            ResponseKind::Final => {
                 conn.mismatched = head.id.is_some() && head.id != in_flight.id;
                 conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
                 let reader = BodyReader::new(head.framing, max_response);
--- a/components/routing/src/notices.rs
+++ b/components/routing/src/notices.rs
@@ -121,6 +121,6 @@
 
     /// Returns the notice of a process that is registered again.
     pub fn take(&mut self, leaf: &LeafInstance) -> Notice {
-        self.notices.swap_remove(leaf).map(|(notice, _)| notice).unwrap_or_default()
+        self.notices.shift_remove(leaf).map(|(notice, _)| notice).unwrap_or_default()
     }
 }
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -7,6 +7,7 @@
 mod lost_links;
 mod notices;
 mod odd_entries;
+mod odd_statuses;
 mod pausing;
 mod quotas;
 mod releases;
