Keep bodies in segments until they are complete

Small responses that are read on beyond the budget take a quarter of it at most, in place of 256 KB for each connection.

--- a/components/edge/src/body.rs
+++ b/components/edge/src/body.rs
@@ -1,11 +1,14 @@
 //! Incremental decoding of HTTP bodies.
+//!
+//! Bytes are kept in segments until the body is complete. A buffer that grows for as long as a body
+//! does would leave the allocator with several times the memory that is in use.
 
 use {httparse::Status, wigeonramp_platform::http::Framing};
 
 /// Maximum length in bytes of a chunk-size line or a trailer line.
 const MAX_LINE: usize = 1_024;
-/// Maximum number of bytes allocated up front for a body of known length.
-const MAX_RESERVED: u64 = 256 * 1024;
+/// Maximum number of bytes of a segment, and of those allocated up front for a body of known length.
+const SEGMENT_BYTES: usize = 64 * 1024;
 /// Bytes of chunk framing and trailers allowed for each decoded byte; a chunk of one byte takes
 /// five.
 const FRAMING_FACTOR: u64 = 16;
@@ -41,7 +44,52 @@
     expected: usize,
     /// Bytes of chunk framing and trailers received.
     framing: u64,
-    body: Vec<u8>,
+    body: Segments,
+}
+
+/// Bytes of a body in segments, of which all but the last are full.
+#[derive(Debug, Default)]
+struct Segments {
+    full: Vec<Vec<u8>>,
+    last: Vec<u8>,
+}
+
+impl Segments {
+    fn len(&self) -> usize {
+        self.full.len() * SEGMENT_BYTES + self.last.len()
+    }
+
+    fn capacity(&self) -> usize {
+        self.full.len() * SEGMENT_BYTES + self.last.capacity()
+    }
+
+    /// Appends bytes; `expected` is the number of bytes that the body is known to have.
+    fn append(&mut self, mut bytes: &[u8], expected: usize) {
+        while !bytes.is_empty() {
+            if self.last.len() == SEGMENT_BYTES {
+                self.full.push(std::mem::take(&mut self.last));
+            }
+            let (now, later) = bytes.split_at(bytes.len().min(SEGMENT_BYTES - self.last.len()));
+            let needed = self.last.len() + now.len();
+            if needed > self.last.capacity() {
+                let grown = (self.last.capacity() * 2).max(expected).min(SEGMENT_BYTES);
+                self.last.reserve_exact(needed.max(grown) - self.last.len());
+            }
+            self.last.extend_from_slice(now);
+            bytes = later;
+        }
+    }
+
+    fn into_bytes(self) -> Vec<u8> {
+        if self.full.is_empty() {
+            return self.last;
+        }
+        let mut bytes = Vec::with_capacity(self.len());
+        for segment in self.full.into_iter().chain([self.last]) {
+            bytes.extend_from_slice(&segment);
+        }
+        bytes
+    }
 }
 
 impl BodyReader {
@@ -56,10 +104,10 @@
             Framing::Invalid => return Err(BodyError::Malformed),
         };
         let expected = match framing {
-            Framing::Length(length) => length.min(MAX_RESERVED) as usize,
+            Framing::Length(length) => to_usize(length).min(SEGMENT_BYTES),
             _ => 0,
         };
-        Ok(Self { state, max, expected, framing: 0, body: Vec::new() })
+        Ok(Self { state, max, expected, framing: 0, body: Segments::default() })
     }
 
     /// Returns the number of bytes that the body may take until it is complete.
@@ -127,13 +175,7 @@
         if (self.body.len() + buf.len()) as u64 > self.max {
             return Err(BodyError::TooLong);
         }
-        let needed = self.body.len() + buf.len();
-        if needed > self.body.capacity() {
-            let grown = (self.body.capacity() * 2).min(to_usize(self.max));
-            let capacity = needed.max(grown).max(self.expected);
-            self.body.reserve_exact(capacity - self.body.len());
-        }
-        self.body.extend_from_slice(buf);
+        self.body.append(buf, self.expected);
         Ok(buf.len())
     }
 
@@ -180,7 +222,7 @@
 
     /// Returns the decoded body.
     pub fn into_body(self) -> Vec<u8> {
-        self.body
+        self.body.into_bytes()
     }
 }
 
--- a/components/routing/src/clients/memory.rs
+++ b/components/routing/src/clients/memory.rs
@@ -12,6 +12,8 @@
 /// Largest response of a leaf that is read on while the budget is exceeded: one as large as the
 /// largest body.
 const MAX_RESPONSE_OVER_BUDGET: usize = 256 * 1024;
+/// The small responses that are read on beyond the budget take at most this fraction of it.
+const RESERVE_DIVISOR: usize = 4;
 /// Largest response of a leaf.
 const MAX_RESPONSE: usize = 8 * 1024 * 1024;
 
@@ -111,7 +113,9 @@
 
     /// Whether a response of a leaf that has taken `bytes` so far is read on.
     pub fn admits_response(&self, bytes: usize) -> bool {
-        bytes <= MAX_RESPONSE_OVER_BUDGET || self.level() < MemoryLevel::Exceeded
+        let is_small = bytes <= MAX_RESPONSE_OVER_BUDGET;
+        let reserve = if is_small { self.limit / RESERVE_DIVISOR } else { 0 };
+        self.used < self.limit + reserve
     }
 
     /// Returns the largest response of a leaf.
