Bound the interim answers to a request, and the work of one turn

What callers saw: with leaves that sent interim answers without end, the requests of 24 callers were answered after up to 3.3 s, the route's timeout being 1.5 s; with bodies in chunks of one byte after 2.7 s. Each interim answer was dropped and the next one awaited, and a connection was decoded up to 1.5 MB at a time before others had their turn.

--- a/components/edge/src/relays.rs
+++ b/components/edge/src/relays.rs
@@ -10,7 +10,7 @@
         callers::Phase,
         node::{EventSource, Node},
         sock::{self, OutBuf, ReadEnd},
-        upstreams::{CONNECT_TIMEOUT, READ_AHEAD},
+        upstreams::{CONNECT_TIMEOUT, MAX_RESPONSE_HEAD, READ_AHEAD},
     },
     mio::{Interest, net::TcpStream},
     serde_json::json,
@@ -76,6 +76,8 @@
     out: OutBuf,
     inbuf: Vec<u8>,
     response: Option<(ResponseHead, BodyReader)>,
+    /// Bytes of interim responses.
+    interim_bytes: usize,
     request: RelayedRequest,
     charge: Charge,
 }
@@ -146,6 +148,7 @@
             out,
             inbuf: Vec::new(),
             response: None,
+            interim_bytes: 0,
             request: req,
             charge: Charge::default(),
         });
@@ -212,13 +215,17 @@
             let is_head = relay.request.head.is_head;
             let head = match http::parse_response_head(&relay.inbuf, true, is_head) {
                 Ok(Some(head)) => head,
-                Ok(None) => return relay.inbuf.len() < READ_AHEAD,
+                Ok(None) => return relay.inbuf.len() <= MAX_RESPONSE_HEAD,
                 Err(_) => return false,
             };
             relay.inbuf.drain(..head.length);
             match head.kind() {
                 ResponseKind::Invalid => return false,
-                ResponseKind::Interim => continue,
+                ResponseKind::Interim if relay.interim_bytes > MAX_RESPONSE_HEAD => return false,
+                ResponseKind::Interim => {
+                    relay.interim_bytes += head.length;
+                    continue;
+                }
                 ResponseKind::Final => {}
             }
             let Ok(reader) = BodyReader::new(head.framing, max) else { return false };
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -9,7 +9,7 @@
 mod room;
 mod withdrawal;
 
-pub(crate) use responses::READ_AHEAD;
+pub(crate) use responses::{MAX_RESPONSE_HEAD, READ_AHEAD};
 
 use {
     crate::{
@@ -98,6 +98,8 @@
     inbuf: Vec<u8>,
     in_flight: Option<InFlightRequest>,
     response: Option<(ResponseHead, BodyReader)>,
+    /// Bytes of interim responses to the request in flight.
+    interim_bytes: usize,
     /// Whether the response being read belongs to another request.
     mismatched: bool,
     /// Whether the connection closes after the response.
@@ -364,6 +366,7 @@
             inbuf: Vec::new(),
             in_flight: None,
             response: None,
+            interim_bytes: 0,
             mismatched: false,
             close: false,
             charge: Charge::default(),
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -16,13 +16,13 @@
     wigeonramp_units::Span,
 };
 
-/// Maximum length of a response head in bytes.
-const MAX_RESPONSE_HEAD: usize = 64 * 1024;
+/// Maximum length in bytes of a response head, and of all interim responses to one request together.
+pub(crate) const MAX_RESPONSE_HEAD: usize = 64 * 1024;
 /// Number of bytes that are read before they are decoded. It exceeds the maximum length of a head,
 /// so that a full buffer always holds a complete head or one that is too long.
 pub(crate) const READ_AHEAD: usize = MAX_RESPONSE_HEAD + sock::READ_BYTES;
 /// Maximum number of times that a connection's bytes are decoded before other events.
-const ROUNDS_PER_TURN: usize = 16;
+const ROUNDS_PER_TURN: usize = 2;
 
 /// What a response says of its leaf.
 #[derive(Clone, Copy, Debug, Default)]
@@ -198,7 +198,11 @@
         let notices = Notices::of(&head);
         let end = match head.kind() {
             ResponseKind::Invalid => HeadEnd::Unusable,
-            ResponseKind::Interim => HeadEnd::Interim,
+            ResponseKind::Interim => {
+                conn.interim_bytes += head.length;
+                let is_endless = conn.interim_bytes > MAX_RESPONSE_HEAD;
+                if is_endless { HeadEnd::Unusable } else { HeadEnd::Interim }
+            }
             ResponseKind::Final => {
                 conn.mismatched = head.id.is_some() && head.id != in_flight.id;
                 conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
@@ -241,6 +245,7 @@
         };
         let leaf = conn.leaf;
         conn.idle_since = now;
+        conn.interim_bytes = 0;
         let is_first = !std::mem::replace(&mut conn.answered, true);
         if let Some(leaf) = self.routing.leaves.get_mut(leaf) {
             leaf.room.on_answered(is_first);
--- a/tests/clients/host.rs
+++ b/tests/clients/host.rs
@@ -142,7 +142,7 @@
         for thread in self.threads.drain(..) {
             thread.join().expect("a thread");
         }
-        let peak_kb = peak_memory_kb(self.process);
+        let peak_kb = self.peak_memory_kb();
         let open = self.max_open.load(Ordering::SeqCst);
         println!("peak memory {peak_kb:?} kB, open descriptors {open}, answered {is_answered}");
         assert!(!self.fixture.has_ended(), "the process must live");
@@ -152,6 +152,11 @@
         assert!(is_answered, "an ordinary request must be answered");
     }
 
+    /// Returns the peak memory of the process in kilobytes.
+    pub fn peak_memory_kb(&self) -> Option<u64> {
+        peak_memory_kb(self.process)
+    }
+
     fn is_answered(&self) -> bool {
         let deadline = Instant::now() + ANSWER_TIME;
         let mut n = 0;
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -4,6 +4,7 @@
 //! The limits of the host are lowered, so that small crowds reach them. One test runs at a time.
 
 mod crowd;
+mod endless;
 mod host;
 mod leaf;
 mod other_ways;
