Probe leaves of several services, none that wants rest, and explain lost links

A probe went to a leaf that had asked for rest, which wants no connections either. The choice of probes has a test of its own, and explain knows the causes links_lost and relayed.

--- a/components/edge/src/link_probes.rs
+++ b/components/edge/src/link_probes.rs
@@ -41,8 +41,9 @@
     }
 
     fn start_probes(&mut self, count: usize) {
+        let now = self.now;
         let failed: IndexSet<LeafKey> = self.routing.links.unopened().collect();
-        for leaf in self.routing.leaves.choose_probes(count, &failed, &mut self.rng) {
+        for leaf in self.routing.leaves.choose_probes(count, &failed, now, &mut self.rng) {
             self.start_probe(leaf);
         }
     }
@@ -109,33 +110,33 @@
 
     fn advance_links(&mut self) {
         let before = self.routing.links.state();
-        let leaves = self.routing.leaves.probe_count();
+        let leaves = self.routing.leaves.probe_count(self.now);
         if self.routing.links.advance(leaves, self.now).is_some() {
             self.on_links_changed(before);
         }
     }
 
     fn on_links_changed(&mut self, before: LinkState) {
-        let links = &self.routing.links;
-        let state = links.state();
+        let state = self.routing.links.state();
         if state == before {
             return;
         }
         self.next_sweep = self.now;
-        let is_suspicion = |state| matches!(state, LinkState::Up | LinkState::Suspect);
-        if is_suspicion(state) && is_suspicion(before) {
-            self.metrics.count_suspicion(state == LinkState::Suspect);
-            return;
+        match (before, state) {
+            (LinkState::Up, LinkState::Suspect) => return self.metrics.count_suspicion(),
+            (LinkState::Suspect, LinkState::Up) => return,
+            _ => {}
         }
+        let links = &self.routing.links;
+        let doubted_since = links.doubted_since();
         let fields = json!({
             "state": state.name(), "before": before.name(),
             "unopened": links.unopened().count(), "quiet_us": links.quiet_for(self.now).0,
         });
-        let links_doubted_since = links.doubted_since();
         self.journal.record("leaf_links", fields, self.now);
         self.announce_links();
         if state == LinkState::Down {
-            self.poison.take_back(links_doubted_since);
+            self.poison.take_back(doubted_since);
             self.relay_open_requests();
         } else {
             self.routing.forget_link_failures();
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -327,9 +327,9 @@
         self.relays.get_or_create(&RelayLabels { state }).inc();
     }
 
-    /// Counts the start of a suspicion.
-    pub fn count_suspicion(&self, is_raised: bool) {
-        self.link_suspicions.inc_by(is_raised.into());
+    /// Counts a suspicion that the links to all leaves are lost.
+    pub fn count_suspicion(&self) {
+        self.link_suspicions.inc();
     }
 
     pub fn count_turned_away(&self) {
--- a/components/routing/src/leaves.rs
+++ b/components/routing/src/leaves.rs
@@ -256,9 +256,14 @@
         self.leaves.get_mut(&key)
     }
 
-    /// Returns the number of leaves to which connections may be opened as probes.
-    pub fn probe_count(&self) -> usize {
-        self.leaves.values().filter(|leaf| self.is_usable(leaf)).count()
+    /// Whether a connection may be opened to the leaf as a probe: one that wants rest is left alone.
+    fn may_probe(&self, leaf: &Leaf, now: Instant) -> bool {
+        self.is_usable(leaf) && !leaf.notice.is_pausing(now)
+    }
+
+    /// Returns the number of leaves that may be probed.
+    pub fn probe_count(&self, now: Instant) -> usize {
+        self.leaves.values().filter(|leaf| self.may_probe(leaf, now)).count()
     }
 
     /// Returns up to `n` random leaves for probes, of as many services as possible; those in `last`
@@ -267,9 +272,10 @@
         &self,
         n: usize,
         last: &IndexSet<LeafKey>,
+        now: Instant,
         rng: &mut impl Rng,
     ) -> Vec<LeafKey> {
-        let usable = self.leaves.iter().filter(|(_, leaf)| self.is_usable(leaf));
+        let usable = self.leaves.iter().filter(|(_, leaf)| self.may_probe(leaf, now));
         let mut candidates: Vec<(bool, u32, LeafKey, &ServiceId)> = usable
             .map(|(key, leaf)| (last.contains(key), rng.random(), *key, &leaf.registration.service))
             .collect();
--- a/components/routing/tests/leaf_links.rs
+++ b/components/routing/tests/leaf_links.rs
@@ -4,6 +4,7 @@
 
 use {
     common::{at, routing_state},
+    indexmap::IndexSet,
     wigeonramp_routing::{
         leaf::HealthSignal,
         leaf_links::{LeafLinks, LinkState},
@@ -157,6 +158,28 @@
     insta::assert_debug_snapshot!(changes);
 }
 
+/// Guards against probes that all go to leaves of one service, which may have failed as a whole, to leaves that
+/// have failed already or to those that want no connections.
+#[test]
+fn probes_go_to_leaves_of_several_services() {
+    let mut cx = routing_state(5);
+    let key = |cx: &RoutingState, id: &str| {
+        cx.leaves.key_of(&id.parse().expect("a leaf id")).expect("a leaf")
+    };
+    let failed: IndexSet<LeafKey> = [key(&cx, "l0a"), key(&cx, "l1b")].into();
+    let resting = key(&cx, "l2a");
+    let process = cx.leaves.get(resting).expect("a leaf").registration.instance();
+    cx.leaves.on_pause(resting, &process, Span::secs(5), at(0), &mut cx.rng);
+    for _ in 0..50 {
+        let chosen = cx.leaves.choose_probes(5, &failed, at(1), &mut cx.rng);
+        let service = |key: &LeafKey| &cx.leaves.get(*key).expect("a leaf").registration.service;
+        let services: IndexSet<_> = chosen.iter().map(service).collect();
+        assert_eq!(services.len(), 5, "one of each service");
+        assert!(chosen.iter().all(|key| !failed.contains(key) && *key != resting));
+    }
+    assert_eq!(cx.leaves.probe_count(at(1)), 9);
+}
+
 /// Guards against an installation with few leaves that can never find out.
 #[test]
 fn two_leaves_are_enough_to_know() {
--- a/components/telemetry/src/explain.rs
+++ b/components/telemetry/src/explain.rs
@@ -125,6 +125,10 @@
              force holds"
         }
         "over_quota" => "the account had used up its quota over all hosts; the request was not run",
+        "links_lost" => {
+            "the host reached no leaf, and no other host took the request in time; it was not run"
+        }
+        "relayed" => "the host reached no leaf; the answer is that of another host, see its lines",
         "stopping" => "the host was stopping and its grace period was over",
         "late" => "the response came after the route's target latency",
         "late_at_caller" => {
