Give each fixture of the platform tests addresses of its own

Each test named the number of its fixture by hand, and numbers had been given twice: 30 to 32 to tests of accounts, of cut answers and of stops, 22 and 23 to tests of hosts without a configuration and of this issue. Such tests run at the same time on the same addresses, with the same port for metrics, and remove each other's logs. A counter gives the numbers now.

--- a/tests/clients/endless.rs
+++ b/tests/clients/endless.rs
@@ -72,7 +72,7 @@
 /// callers that it serves no more.
 #[test]
 fn bytes_without_end_from_many_leaves_leave_a_host_within_its_memory() {
-    let mut host = LimitedHost::start(36);
+    let mut host = LimitedHost::start();
     let new_leaf = |_| host.fixture.add_leaf(BIG_SERVICE, Duration::from_millis(1));
     let leaves: Vec<Leaf> = (0..LEAVES).map(new_leaf).collect();
     for (name, text, endless) in forms() {
--- a/tests/clients/host.rs
+++ b/tests/clients/host.rs
@@ -51,10 +51,10 @@
 }
 
 impl LimitedHost {
-    /// Starts a host with lowered limits and waits until it serves. `n` must differ between tests.
-    pub fn start(n: u64) -> Self {
+    /// Starts a host with lowered limits and waits until it serves.
+    pub fn start() -> Self {
         let turn = ONE_AT_A_TIME.lock().unwrap_or_else(PoisonError::into_inner);
-        let mut fixture = Fixture::start(n, "connection_limit", 400);
+        let mut fixture = Fixture::start("connection_limit", 400);
         let limits = format!("memory_mb = {MEMORY_MB}\nfd_limit = {FD_LIMIT}");
         fixture.hosts[0].add_limits(&limits).expect("settings");
         fixture.restart(0);
--- a/tests/clients/main.rs
+++ b/tests/clients/main.rs
@@ -32,8 +32,8 @@
 
 /// Lets a crowd send beside ordinary load or without it, and checks the host while the crowd stays
 /// connected and after it has left.
-fn check_crowd(n: u64, has_load: bool, fill: impl Fn(&LimitedHost, &mut Crowd)) {
-    let mut host = LimitedHost::start(n);
+fn check_crowd(has_load: bool, fill: impl Fn(&LimitedHost, &mut Crowd)) {
+    let mut host = LimitedHost::start();
     if has_load {
         host.add_ordinary_load();
     }
@@ -68,67 +68,67 @@
 /// Guards against responses that pile up for callers that send requests ahead and read nothing.
 #[test]
 fn unread_responses() {
-    check_crowd(48, false, add_pipelined);
+    check_crowd(false, add_pipelined);
 }
 
 /// Like `unread_responses`, beside ordinary load.
 #[test]
 fn unread_responses_beside_load() {
-    check_crowd(48, true, add_pipelined);
+    check_crowd(true, add_pipelined);
 }
 
 /// Guards against memory that follows the number of large bodies being read.
 #[test]
 fn whole_bodies() {
-    check_crowd(49, false, add_whole_bodies);
+    check_crowd(false, add_whole_bodies);
 }
 
 /// Like `whole_bodies`, beside ordinary load.
 #[test]
 fn whole_bodies_beside_load() {
-    check_crowd(49, true, add_whole_bodies);
+    check_crowd(true, add_whole_bodies);
 }
 
 /// Guards against memory that follows the number of large bodies being read piece by piece.
 #[test]
 fn bodies_in_pieces() {
-    check_crowd(49, false, add_bodies_in_pieces);
+    check_crowd(false, add_bodies_in_pieces);
 }
 
 /// Like `bodies_in_pieces`, beside ordinary load.
 #[test]
 fn bodies_in_pieces_beside_load() {
-    check_crowd(49, true, add_bodies_in_pieces);
+    check_crowd(true, add_bodies_in_pieces);
 }
 
 /// Guards against memory that follows the number of chunked bodies being read.
 #[test]
 fn large_chunks() {
-    check_crowd(50, false, add_large_chunks);
+    check_crowd(false, add_large_chunks);
 }
 
 /// Like `large_chunks`, beside ordinary load.
 #[test]
 fn large_chunks_beside_load() {
-    check_crowd(50, true, add_large_chunks);
+    check_crowd(true, add_large_chunks);
 }
 
 /// Guards against read buffers that hold several times the decoded size of small chunks.
 #[test]
 fn small_chunks() {
-    check_crowd(50, false, add_small_chunks);
+    check_crowd(false, add_small_chunks);
 }
 
 /// Like `small_chunks`, beside ordinary load.
 #[test]
 fn small_chunks_beside_load() {
-    check_crowd(50, true, add_small_chunks);
+    check_crowd(true, add_small_chunks);
 }
 
 /// Guards against limits that hold for each kind of crowd but not for all of them together.
 #[test]
 fn all_crowds_together() {
-    check_crowd(51, true, |host, crowd| {
+    check_crowd(true, |host, crowd| {
         crowd.add_pipelined(host.callers(), 20, 100);
         crowd.add_bodies(host.callers(), 90, usize::MAX);
         crowd.add_bodies(host.callers(), 90, 8 * 1024);
@@ -140,7 +140,7 @@
 /// Guards against descriptors that stay open after callers have closed their connections.
 #[test]
 fn connections_that_close_at_once() {
-    let mut host = LimitedHost::start(52);
+    let mut host = LimitedHost::start();
     host.add_ordinary_load();
     for _ in 0..4_000 {
         drop(connect(host.callers()));
@@ -151,7 +151,7 @@
 /// Guards against silent connections that take all descriptors of the host.
 #[test]
 fn connections_that_send_nothing() {
-    let mut host = LimitedHost::start(52);
+    let mut host = LimitedHost::start();
     host.add_ordinary_load();
     let conns: Vec<TcpStream> = (0..MANY).filter_map(|_| connect(host.callers())).collect();
     thread::sleep(Duration::from_secs(1));
@@ -163,7 +163,7 @@
 /// Guards against heads that arrive slowly and take all descriptors of the host meanwhile.
 #[test]
 fn heads_of_one_byte_a_second() {
-    let mut host = LimitedHost::start(53);
+    let mut host = LimitedHost::start();
     host.add_ordinary_load();
     let mut conns: Vec<TcpStream> = (0..MANY).filter_map(|_| connect(host.callers())).collect();
     for byte in b"GET /" {
@@ -182,7 +182,7 @@
 /// descriptors for a while.
 #[test]
 fn descriptors_that_the_system_refuses() {
-    let mut host = LimitedHost::start(53);
+    let mut host = LimitedHost::start();
     host.add_ordinary_load();
     host.limit_descriptors(20);
     let conns: Vec<TcpStream> = (0..100).filter_map(|_| connect(host.callers())).collect();
@@ -205,7 +205,7 @@
 /// against bodies that are damaged on their way to a leaf.
 #[test]
 fn largest_requests_are_served_in_calm_conditions() {
-    let mut host = LimitedHost::start(55);
+    let mut host = LimitedHost::start();
     let body = checked_body();
     let start = format!("POST /big/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: large\r\n");
     let padding = "x".repeat(15_000);
--- a/tests/clients/other_ways.rs
+++ b/tests/clients/other_ways.rs
@@ -16,7 +16,7 @@
 /// Guards against responses of leaves that do not end and grow beside each other.
 #[test]
 fn endless_responses_of_a_leaf() {
-    let mut host = LimitedHost::start(54);
+    let mut host = LimitedHost::start();
     let mut crowd = Crowd::default();
     let request = format!("GET /big/endless HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: e\r\n\r\nx");
     crowd.add_bytes(host.callers(), 20, request.into_bytes());
@@ -27,7 +27,7 @@
 /// Guards against long frames from any address that connects to the port for other hosts.
 #[test]
 fn long_frames_of_other_hosts() {
-    let mut host = LimitedHost::start(54);
+    let mut host = LimitedHost::start();
     let mut crowd = Crowd::default();
     let mut frame = FRAME_BYTES.to_le_bytes().to_vec();
     frame.resize(frame.len() + FRAME_BYTES as usize, b' ');
@@ -40,7 +40,7 @@
 /// against ports that answer nobody else meanwhile.
 #[test]
 fn silent_connections_to_other_ports() {
-    let mut host = LimitedHost::start(55);
+    let mut host = LimitedHost::start();
     let ports = [&host.endpoints()[..], &[host.peers()]].concat();
     let connect_all = |port| (0..250).filter_map(move |_| connect(port));
     let conns: Vec<TcpStream> = ports.into_iter().flat_map(connect_all).collect();
--- a/tests/platform/accounts.rs
+++ b/tests/platform/accounts.rs
@@ -63,7 +63,7 @@
 /// name of another account, and against requests that run without a key.
 #[test]
 fn leaves_get_the_account_and_never_the_key() {
-    let fixture = Fixture::start_fleet(30, 2);
+    let fixture = Fixture::start_fleet(2);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.set_accounts(json!([
@@ -116,7 +116,7 @@
 /// against a key that moved and still stands for its former account.
 #[test]
 fn removed_keys_are_refused_on_kept_connections() {
-    let fixture = Fixture::start_fleet(31, 2);
+    let fixture = Fixture::start_fleet(2);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.set_accounts(json!([{ "name": "first", "api_keys": ["removed", "moved"] }]));
@@ -147,7 +147,7 @@
 /// the store is out of date; and against one that accepts keys then although it must not.
 #[test]
 fn hosts_with_old_news_neither_deny_keys_nor_accept_revocable_ones() {
-    let mut fixture = Fixture::start_fleet(32, 1);
+    let mut fixture = Fixture::start_fleet(1);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.set_accounts(json!([{ "name": "first", "api_keys": ["known"] }]));
--- a/tests/platform/connections.rs
+++ b/tests/platform/connections.rs
@@ -24,7 +24,7 @@
 /// two.
 #[test]
 fn hosts_share_the_connections_that_leaves_accept() {
-    let fixture = Fixture::start_short(13, 2, MAX_CONNECTIONS as u32);
+    let fixture = Fixture::start_short(2, MAX_CONNECTIONS as u32);
     let leaves = [(); 2].map(|()| fixture.add_leaf("one", Duration::from_millis(10)));
     fixture.wait_until_serving();
     leaves.iter().for_each(|leaf| leaf.set_max_connections(MAX_CONNECTIONS));
--- a/tests/platform/cut_answers.rs
+++ b/tests/platform/cut_answers.rs
@@ -73,8 +73,8 @@
 
 /// Cuts the answers of a leaf at each byte in each way, and checks what callers get. After each tenth cut,
 /// an answer that is not cut must be served, on whatever connection.
-fn cut_everywhere(n: u64, form: AnswerForm) {
-    let fixture = Fixture::start(n, "connection_limit", 50);
+fn cut_everywhere(form: AnswerForm) {
+    let fixture = Fixture::start("connection_limit", 50);
     let leaf = fixture.add_leaf("one", Duration::ZERO);
     fixture.wait_until_serving();
     leaf.set_form(form);
@@ -117,24 +117,24 @@
 /// Guards against an answer that is cut off and reaches the caller as a whole one.
 #[test]
 fn a_cut_answer_with_a_length_is_no_success() {
-    cut_everywhere(27, AnswerForm::Length);
+    cut_everywhere(AnswerForm::Length);
 }
 
 /// Guards against an interim response that is taken for the answer.
 #[test]
 fn a_cut_answer_after_interim_responses_is_no_success() {
-    cut_everywhere(28, AnswerForm::Interim);
+    cut_everywhere(AnswerForm::Interim);
 }
 
 /// Guards against chunks or a trailer that are cut off and taken for the end.
 #[test]
 fn a_cut_answer_in_chunks_is_no_success() {
-    cut_everywhere(29, AnswerForm::Chunked);
+    cut_everywhere(AnswerForm::Chunked);
 }
 
 /// Guards against a head that is cut off, or a reset, that is taken for the end of an answer without a
 /// length.
 #[test]
 fn a_cut_answer_without_a_length_is_no_success_before_its_body() {
-    cut_everywhere(30, AnswerForm::UntilClose);
+    cut_everywhere(AnswerForm::UntilClose);
 }
--- a/tests/platform/leaving.rs
+++ b/tests/platform/leaving.rs
@@ -20,8 +20,8 @@
 const IN_FLIGHT_TIME: Duration = Duration::from_millis(500);
 
 /// Starts a host with two leaves.
-fn start(n: u64) -> (Fixture, Leaf, Leaf) {
-    let fixture = Fixture::start(n, "connection_limit", 50);
+fn start() -> (Fixture, Leaf, Leaf) {
+    let fixture = Fixture::start("connection_limit", 50);
     let [leaving, other] = [(); 2].map(|()| fixture.add_leaf("one", Duration::from_millis(1)));
     fixture.wait_until_serving();
     (fixture, leaving, other)
@@ -50,8 +50,8 @@
 /// registration, which it renews, does not.
 #[test]
 fn a_leaf_that_says_that_it_is_leaving_gets_no_more_requests() {
-    for (n, fault) in [(35, LeafFault::None), (36, LeafFault::Fails)] {
-        let (fixture, leaving, _) = start(n);
+    for fault in [LeafFault::None, LeafFault::Fails] {
+        let (fixture, leaving, _) = start();
         let said_at = Instant::now();
         leaving.set_leaving(true);
         leaving.set_fault(fault);
@@ -76,7 +76,7 @@
 /// leaf is left.
 #[test]
 fn a_refusal_says_that_a_leaf_is_leaving() {
-    let (fixture, leaving, other) = start(37);
+    let (fixture, leaving, other) = start();
     leaving.set_leaving(true);
     leaving.set_fault(LeafFault::Shed);
     fixture.send_for(Duration::from_secs(2));
@@ -95,7 +95,7 @@
 /// and against their loss.
 #[test]
 fn requests_that_wait_for_a_leaving_leaf_go_to_another() {
-    let fixture = Fixture::start(38, "connection_limit", 1);
+    let fixture = Fixture::start("connection_limit", 1);
     let leaving = fixture.add_leaf("one", Duration::from_millis(150));
     fixture.wait_until_serving();
     leaving.set_leaving(true);
--- a/tests/platform/lost_links.rs
+++ b/tests/platform/lost_links.rs
@@ -101,8 +101,8 @@
 }
 
 impl LinkedFleet {
-    fn start(n: u64, hosts: u8) -> Self {
-        let fixture = Fixture::start_in_two_zones(n, hosts);
+    fn start(hosts: u8) -> Self {
+        let fixture = Fixture::start_in_two_zones(hosts);
         let deadline = Instant::now() + Duration::from_secs(10);
         while !fixture.doors.iter().all(|door| door.is_watched()) {
             assert!(Instant::now() < deadline, "each host must watch the store");
@@ -179,8 +179,8 @@
 /// way in which links are lost, and against a host that does not come back.
 #[test]
 fn callers_of_a_host_without_links_to_leaves_are_served_through_another() {
-    for (n, loss) in [(46, Loss::Reset), (47, Loss::Refused), (48, Loss::Hangs)] {
-        let mut fleet = LinkedFleet::start(n, 2);
+    for loss in [Loss::Reset, Loss::Refused, Loss::Hangs] {
+        let mut fleet = LinkedFleet::start(2);
         fleet.wait_until_named(1, 2);
         fleet.lose_links(0, loss);
         fleet.send_for(0, "GET", NOTICE_TIME);
@@ -202,7 +202,7 @@
 /// Guards against requests that hang, or are said to have run, at a host that no other can help.
 #[test]
 fn a_host_without_links_and_without_others_refuses_at_once() {
-    let mut fleet = LinkedFleet::start(49, 1);
+    let mut fleet = LinkedFleet::start(1);
     fleet.lose_links(0, Loss::Hangs);
     fleet.send_for(0, "GET", NOTICE_TIME);
     let address = fleet.fixture.caller_address();
@@ -229,7 +229,7 @@
 /// links while it ran.
 #[test]
 fn a_request_at_work_when_links_are_lost_is_not_refused_by_other_hosts() {
-    let mut fleet = LinkedFleet::start(22, 2);
+    let mut fleet = LinkedFleet::start(2);
     fleet.leaves.iter().for_each(|leaf| leaf.set_fault(LeafFault::Slow(WORK_TIME)));
     let [lost, other] = fleet.fixture.caller_addresses()[..] else { panic!("two hosts") };
     let callers: Vec<_> = (0..8)
--- a/tests/platform/main.rs
+++ b/tests/platform/main.rs
@@ -36,7 +36,7 @@
 /// fail in one day.
 #[test]
 fn attempts_wait_for_a_connection_at_the_connection_limit() {
-    let fixture = Fixture::start(1, "connection_limit", 1);
+    let fixture = Fixture::start("connection_limit", 1);
     fixture.add_leaf("one", Duration::from_millis(30));
     fixture.wait_until_serving();
     let callers: Vec<_> = (0..8)
@@ -55,7 +55,7 @@
 /// were abandoned after five seconds in such a queue.
 #[test]
 fn attempts_leave_the_queue_of_an_unresponsive_leaf() {
-    let fixture = Fixture::start(6, "connection_limit", 1);
+    let fixture = Fixture::start("connection_limit", 1);
     let unresponsive = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.add_leaf("one", Duration::from_millis(1));
@@ -80,7 +80,7 @@
 /// false "not run".
 #[test]
 fn lost_response_to_a_non_idempotent_request_is_a_failure() {
-    let fixture = Fixture::start(2, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let leaves = [
         fixture.add_leaf("one", Duration::from_millis(1)),
         fixture.add_leaf("one", Duration::from_millis(1)),
@@ -97,7 +97,7 @@
 /// Guards against a planned stop that cuts off a request.
 #[test]
 fn stop_cuts_no_request() {
-    let mut fixture = Fixture::start(3, "connection_limit", 50);
+    let mut fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf("one", Duration::from_millis(600));
     fixture.wait_until_serving();
     let address = fixture.caller_address();
@@ -118,7 +118,7 @@
 /// Guards against a host that cannot serve without the store.
 #[test]
 fn host_serves_on_while_the_store_is_down() {
-    let fixture = Fixture::start(4, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     for fault in [StoreFault::Busy, StoreFault::Reset, StoreFault::Silent] {
@@ -137,7 +137,7 @@
 /// exceeded the limit on the time that a change takes.
 #[test]
 fn changes_arrive_soon_after_an_outage_that_lost_watch_responses() {
-    let fixture = Fixture::start(7, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.store.set_fault(StoreFault::Swallow);
@@ -160,7 +160,7 @@
 /// the next one: the host would learn no change until the watch times out.
 #[test]
 fn changes_arrive_although_only_watch_responses_were_lost() {
-    let fixture = Fixture::start(8, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.store.set_fault(StoreFault::Swallow);
@@ -182,7 +182,7 @@
 /// Guards against requests that block on the log when nobody reads it.
 #[test]
 fn stalled_log_does_not_block_requests() {
-    let fixture = Fixture::start_with_stalled_log(5);
+    let fixture = Fixture::start_with_stalled_log();
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     for n in 0..600 {
--- a/tests/platform/notices.rs
+++ b/tests/platform/notices.rs
@@ -46,8 +46,8 @@
 }
 
 impl Pair {
-    fn start(n: u64) -> Self {
-        let fixture = Fixture::start(n, "connection_limit", 50);
+    fn start() -> Self {
+        let fixture = Fixture::start("connection_limit", 50);
         let leaf = fixture.add_leaf("one", Duration::from_millis(1));
         fixture.wait_until_serving();
         Self { fixture, leaf }
@@ -85,7 +85,7 @@
 /// belongs to another request.
 #[test]
 fn a_leaf_that_says_in_any_answer_that_it_is_leaving_gets_no_more_requests() {
-    let pair = Pair::start(42);
+    let pair = Pair::start();
     for status in ["200 OK", "500 Failed", "503 Full"] {
         for (name, answer) in answers(status, LEAVING) {
             pair.start_again();
@@ -98,7 +98,7 @@
 /// to another request.
 #[test]
 fn a_leaf_that_asks_for_rest_in_any_refusal_gets_next_to_nothing() {
-    let pair = Pair::start(43);
+    let pair = Pair::start();
     for (name, answer) in answers("503 Full", REST) {
         pair.start_again();
         assert!(pair.runs_after(&answer, REST_TIME) <= MAX_IN_REST, "{name}");
@@ -109,7 +109,7 @@
 /// sign of leaving or a limit.
 #[test]
 fn the_longest_rest_counts_beside_other_notices() {
-    let pair = Pair::start(50);
+    let pair = Pair::start();
     for lines in [
         "Retry-After: 2\r\nRetry-After: 0.1\r\n",
         "Retry-After: 0.1\r\nRetry-After: 2\r\n",
@@ -125,7 +125,7 @@
 /// Guards against a sign that comes before the final answer and is passed over.
 #[test]
 fn a_leaf_that_says_in_an_interim_answer_that_it_is_leaving_gets_no_more_requests() {
-    let pair = Pair::start(51);
+    let pair = Pair::start();
     pair.start_again();
     let text = format!(
         "HTTP/1.1 103 Early Hints\r\n{LEAVING}\r\nHTTP/1.1 200 OK\r\nRequest-Id: {{id}}\r\n\
--- a/tests/platform/odd_entries.rs
+++ b/tests/platform/odd_entries.rs
@@ -41,7 +41,7 @@
 /// learns of leaves any more, now or after its start, or ends by itself.
 #[test]
 fn entries_that_cannot_be_read_do_not_stop_the_news_of_leaves() {
-    let mut fixture = Fixture::start(25, "connection_limit", 50);
+    let mut fixture = Fixture::start("connection_limit", 50);
     let leaving = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
@@ -71,7 +71,7 @@
 /// not used again when its entry is good again.
 #[test]
 fn a_leaf_is_used_only_while_its_entry_can_be_read() {
-    let fixture = Fixture::start(26, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let leaf = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
--- a/tests/platform/odd_statuses.rs
+++ b/tests/platform/odd_statuses.rs
@@ -26,7 +26,7 @@
 /// is up.
 #[test]
 fn an_answer_with_an_odd_status_is_none() {
-    let fixture = Fixture::start(23, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let leaf = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     let address = fixture.caller_address();
--- a/tests/platform/pausing.rs
+++ b/tests/platform/pausing.rs
@@ -18,8 +18,8 @@
 /// Number of requests that a leaf may get from a host within a pause.
 const MAX_IN_PAUSE: usize = 2;
 
-fn start(n: u64) -> (Fixture, Leaf, Leaf) {
-    let fixture = Fixture::start(n, "connection_limit", 50);
+fn start() -> (Fixture, Leaf, Leaf) {
+    let fixture = Fixture::start("connection_limit", 50);
     let [pausing, other] = [(); 2].map(|()| fixture.add_leaf("one", Duration::from_millis(1)));
     fixture.wait_until_serving();
     (fixture, pausing, other)
@@ -43,7 +43,7 @@
 /// much to do.
 #[test]
 fn a_pausing_leaf_gets_next_to_nothing() {
-    let fixture = Fixture::start(39, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let pausing = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.add_leaf("one", Duration::from_millis(30));
     fixture.wait_until_serving();
@@ -72,7 +72,7 @@
 /// that wait or come back too early.
 #[test]
 fn requests_are_refused_while_all_leaves_pause() {
-    let (fixture, first, second) = start(40);
+    let (fixture, first, second) = start();
     first.set_pause(Some("2.5"));
     second.set_pause(Some("2.5"));
     fixture.send_for(Duration::from_millis(300));
@@ -94,7 +94,7 @@
 /// Guards against a pause that a leaf has not asked for: the header holds no positive number of seconds.
 #[test]
 fn a_time_that_is_no_positive_number_is_no_pause() {
-    let (fixture, pausing, other) = start(41);
+    let (fixture, pausing, other) = start();
     other.unregister();
     thread::sleep(REACTION_TIME);
     for value in ["0", "-1", "soon", "", "inf", "nan", "Wed, 21 Oct 2026 07:28:00 GMT"] {
--- a/tests/platform/quotas.rs
+++ b/tests/platform/quotas.rs
@@ -73,7 +73,7 @@
 /// back, and against an account that is refused because another one is at its quota.
 #[test]
 fn hosts_together_keep_the_quota_of_an_account() {
-    let mut fixture = Fixture::start_fleet(44, 4);
+    let mut fixture = Fixture::start_fleet(4);
     fixture.add_leaf("one", Duration::from_millis(2));
     fixture.wait_until_serving();
     fixture.set_accounts(json!([
@@ -108,7 +108,7 @@
 /// to respond to each other, and against a burst that is refused.
 #[test]
 fn requests_within_the_quota_are_served() {
-    let fixture = Fixture::start_fleet(45, 3);
+    let fixture = Fixture::start_fleet(3);
     fixture.add_leaf("one", Duration::from_millis(2));
     fixture.wait_until_serving();
     fixture.set_accounts(json!([
--- a/tests/platform/releases.rs
+++ b/tests/platform/releases.rs
@@ -16,12 +16,7 @@
     wigeonramp_platform_standin::leaf::{Leaf, VersionFault, VersionFaultKind, VersionFaultTime},
 };
 
-/// Number of the fixture of all tests but one; these run one after another, as they need quiet
-/// hosts.
-const FIXTURE: u64 = 43;
-/// Number of the fixture of the remaining test.
-const LOSS_FIXTURE: u64 = 42;
-/// Held by the test that uses the first fixture.
+/// Held by a test that needs quiet hosts; these run one after another.
 static IN_USE: Mutex<()> = Mutex::new(());
 /// Duration of the orders.
 const DURATION: Duration = Duration::from_secs(8);
@@ -68,8 +63,8 @@
 }
 
 /// Starts hosts with two leaves of version `v1`.
-fn start(n: u64, hosts: u8) -> (Fixture, Vec<Leaf>) {
-    let fixture = Fixture::start_with_releases(n, hosts);
+fn start(hosts: u8) -> (Fixture, Vec<Leaf>) {
+    let fixture = Fixture::start_with_releases(hosts);
     let old = (0..2).map(|_| fixture.add_leaf("one", Duration::from_millis(5))).collect();
     fixture.wait_until_serving();
     // Hosts know each other's share of the traffic 4 s after their start.
@@ -120,7 +115,7 @@
 #[test]
 fn a_good_version_is_completed_without_loss() {
     let _in_use = wait_for_fixture();
-    let (fixture, old) = start(FIXTURE, 2);
+    let (fixture, old) = start(2);
     let load = Load::start(&fixture.caller_addresses());
     let ordered = Instant::now();
     let new = order(&fixture, None);
@@ -141,7 +136,7 @@
 #[test]
 fn a_bad_version_is_rolled_back_and_not_used_any_more() {
     let _in_use = wait_for_fixture();
-    let (fixture, _old) = start(FIXTURE, 2);
+    let (fixture, _old) = start(2);
     let load = Load::start(&fixture.caller_addresses());
     let ordered = Instant::now();
     let version_fault =
@@ -164,7 +159,7 @@
 #[test]
 fn a_slow_version_is_rolled_back() {
     let _in_use = wait_for_fixture();
-    let (fixture, _old) = start(FIXTURE, 2);
+    let (fixture, _old) = start(2);
     let load = Load::start(&fixture.caller_addresses());
     let version_fault = VersionFault {
         kind: VersionFaultKind::Slow(Duration::from_millis(60)),
@@ -181,7 +176,7 @@
 #[test]
 fn a_release_goes_on_after_the_loss_of_a_host() {
     for lost in 0..3 {
-        let (mut fixture, _old) = start(LOSS_FIXTURE, 3);
+        let (mut fixture, _old) = start(3);
         let addresses = fixture.caller_addresses();
         let others: Vec<SocketAddr> =
             (0..3).filter(|host| *host != lost).map(|host| addresses[host]).collect();
@@ -208,7 +203,7 @@
 #[test]
 fn orders_change_nothing_without_bounds_in_the_settings() {
     let _in_use = wait_for_fixture();
-    let fixture = Fixture::start(FIXTURE, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let old = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     let new = order(&fixture, None);
--- a/tests/platform/request_limits.rs
+++ b/tests/platform/request_limits.rs
@@ -46,7 +46,7 @@
 /// Guards against hosts that together send a leaf more than the limit that it names.
 #[test]
 fn hosts_together_keep_the_limit_that_a_leaf_names() {
-    let fixture = Fixture::start_fleet(10, 4);
+    let fixture = Fixture::start_fleet(4);
     let limited = fixture.add_leaf("one", Duration::from_millis(2));
     fixture.add_leaf("one", Duration::from_millis(2));
     fixture.wait_until_serving();
--- a/tests/platform/restored_store.rs
+++ b/tests/platform/restored_store.rs
@@ -68,7 +68,7 @@
 /// Guards against a change that a host misses because the store has given out its revision before.
 #[test]
 fn a_change_at_a_revision_that_was_given_out_before_takes_effect() {
-    let fixture = Fixture::start(11, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     restore_and_change(&fixture, true);
     assert!(is_served(&fixture, "restored", Instant::now() + APPLY_TIME));
 }
@@ -77,7 +77,7 @@
 /// are lower.
 #[test]
 fn all_hosts_learn_of_a_change_after_the_return_of_the_store() {
-    let fixture = Fixture::start_fleet(12, 6);
+    let fixture = Fixture::start_fleet(6);
     restore_and_change(&fixture, true);
     assert!(is_served(&fixture, "restored", Instant::now() + APPLY_TIME));
 }
@@ -86,7 +86,7 @@
 /// open.
 #[test]
 fn all_hosts_learn_of_a_change_although_no_connection_broke() {
-    let fixture = Fixture::start_fleet(20, 6);
+    let fixture = Fixture::start_fleet(6);
     restore_and_change(&fixture, false);
     assert!(is_served(&fixture, "restored", Instant::now() + APPLY_TIME));
 }
@@ -103,8 +103,8 @@
 /// store holds its earlier registration.
 #[test]
 fn a_leaf_that_has_left_is_not_used_again() {
-    for (n, leaves) in [(13, false), (14, true)] {
-        let fixture = Fixture::start(n, "connection_limit", 50);
+    for leaves in [false, true] {
+        let fixture = Fixture::start("connection_limit", 50);
         let left = fixture.add_leaf("one", Duration::from_millis(1));
         fixture.add_leaf("one", Duration::from_millis(1));
         fixture.wait_until_serving();
@@ -127,7 +127,7 @@
 /// than the evacuation, and against a zone that is taken out again because it is newer.
 #[test]
 fn evacuations_are_kept_until_operators_have_written_them_again() {
-    let fixture = Fixture::start(15, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let evacuated = fixture.add_leaf_in("b", "one", Duration::from_millis(1));
     fixture.add_leaf_in("c", "one", Duration::from_millis(1));
     fixture.wait_until_serving();
@@ -146,7 +146,7 @@
 /// that has ended.
 #[test]
 fn an_evacuation_that_has_ended_is_not_put_in_force_again() {
-    let fixture = Fixture::start(16, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf_in("b", "one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.store.put("evacuations", "b", serde_json::json!({}));
@@ -169,7 +169,7 @@
 /// other hosts, until operators write the latest one again.
 #[test]
 fn a_host_that_starts_after_the_return_learns_the_version_in_force() {
-    let mut fixture = Fixture::start_fleet(17, 4);
+    let mut fixture = Fixture::start_fleet(4);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     let copy = fixture.store.copy();
@@ -184,7 +184,7 @@
 /// Guards against hosts that need the store to tell its era.
 #[test]
 fn a_store_without_an_era_is_served_as_before() {
-    let fixture = Fixture::start(18, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     fixture.store.hide_era();
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
@@ -196,7 +196,7 @@
 /// state before all that the host knows, while its watches wait.
 #[test]
 fn a_change_takes_effect_after_two_returns() {
-    let fixture = Fixture::start(19, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     let first = fixture.store.copy();
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
--- a/tests/platform/stopping.rs
+++ b/tests/platform/stopping.rs
@@ -41,8 +41,8 @@
 
 /// Sends a request at each interval after a stop signal, of each kind, on a new connection and on one that
 /// was kept. A second signal to stop and one to reload come meanwhile.
-fn stop_under_load(n: u64, work: Duration) -> (Fixture, Vec<Ended>) {
-    let mut fixture = Fixture::start_fleet(n, 2);
+fn stop_under_load(work: Duration) -> (Fixture, Vec<Ended>) {
+    let mut fixture = Fixture::start_fleet(2);
     fixture.add_leaf("one", work);
     fixture.wait_until_serving();
     let host = fixture.caller_address();
@@ -95,8 +95,8 @@
 /// against a refusal of one that has run.
 #[test]
 fn a_stopping_host_answers_what_it_takes_and_refuses_the_rest() {
-    for (n, work) in [(31, Duration::from_millis(5)), (32, LONG_WORK)] {
-        let (mut fixture, ended) = stop_under_load(n, work);
+    for work in [Duration::from_millis(5), LONG_WORK] {
+        let (mut fixture, ended) = stop_under_load(work);
         let faults: Vec<String> = ended.iter().filter_map(|e| fault(&fixture, e)).collect();
         assert!(faults.is_empty(), "work of {work:?}: {faults:#?}");
         let served = ended.iter().filter(|e| e.status == Some(200)).count();
@@ -108,7 +108,7 @@
 /// Guards against requests that are lost while all hosts are stopped in turn and started again.
 #[test]
 fn stops_of_all_hosts_in_turn_lose_no_request() {
-    let mut fixture = Fixture::start_fleet(33, 4);
+    let mut fixture = Fixture::start_fleet(4);
     fixture.add_leaf("one", Duration::from_millis(60));
     fixture.wait_until_serving();
     let directories: Vec<SocketAddr> = fixture.directory_addresses();
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -55,6 +55,11 @@
     leaf_ip: String,
 }
 
+/// Number of the next fixture; each one has addresses and a directory of its own.
+static NEXT_FIXTURE: AtomicU64 = AtomicU64::new(0);
+/// Number of fixtures that differ in one octet of their addresses.
+const FIXTURES_PER_OCTET: u64 = 50;
+
 /// What differs between fixtures.
 struct Setup<'a> {
     hosts: u8,
@@ -100,42 +105,45 @@
 
 impl Fixture {
     /// Starts a store with a configuration, and a host; `field` of the only service is set to
-    /// `value`. `n` must differ between concurrent tests.
-    pub fn start(n: u64, field: &str, value: u32) -> Self {
-        Self::start_with(n, &Setup { fields: &[(field, value)], ..Setup::default() })
+    /// `value`.
+    pub fn start(field: &str, value: u32) -> Self {
+        Self::start_with(&Setup { fields: &[(field, value)], ..Setup::default() })
     }
 
     /// Like `start`, but nobody reads the output of the host.
-    pub fn start_with_stalled_log(n: u64) -> Self {
-        Self::start_with(n, &Setup { stall_log: true, ..Setup::default() })
+    pub fn start_with_stalled_log() -> Self {
+        Self::start_with(&Setup { stall_log: true, ..Setup::default() })
     }
 
     /// Starts several hosts that share `connections` connections to each leaf.
-    pub fn start_short(n: u64, hosts: u8, connections: u32) -> Self {
+    pub fn start_short(hosts: u8, connections: u32) -> Self {
         let fields = &[("connection_limit", connections)];
-        Self::start_with(n, &Setup { hosts, fields, ..Setup::default() })
+        Self::start_with(&Setup { hosts, fields, ..Setup::default() })
     }
 
     /// Like `start`, but with several hosts.
-    pub fn start_fleet(n: u64, hosts: u8) -> Self {
-        Self::start_with(n, &Setup { hosts, ..Setup::default() })
+    pub fn start_fleet(hosts: u8) -> Self {
+        Self::start_with(&Setup { hosts, ..Setup::default() })
     }
 
     /// Like `start_fleet`, with the hosts in zones `a` and `b` in turn.
-    pub fn start_in_two_zones(n: u64, hosts: u8) -> Self {
-        Self::start_with(n, &Setup { hosts, zones: &["a", "b"], ..Setup::default() })
+    pub fn start_in_two_zones(hosts: u8) -> Self {
+        Self::start_with(&Setup { hosts, zones: &["a", "b"], ..Setup::default() })
     }
 
     /// Like `start_fleet`, with releases in use.
-    pub fn start_with_releases(n: u64, hosts: u8) -> Self {
+    pub fn start_with_releases(hosts: u8) -> Self {
         let bounds = "exposure_share = 0.1\nexposure_slack = 50\nrollback_ms = 5000\n";
-        Self::start_with(n, &Setup { hosts, bounds, ..Setup::default() })
+        Self::start_with(&Setup { hosts, bounds, ..Setup::default() })
     }
 
-    fn start_with(n: u64, setup: &Setup<'_>) -> Self {
+    fn start_with(setup: &Setup<'_>) -> Self {
+        let n = NEXT_FIXTURE.fetch_add(1, Ordering::SeqCst);
         // Each test has its own addresses: tests run concurrently, and the metrics port is the same
         // on every host.
-        let prefix = format!("127.{}.{}", 20 + std::process::id() % 200, 200 + n);
+        let octets =
+            (u64::from(std::process::id()) + n / FIXTURES_PER_OCTET, n % FIXTURES_PER_OCTET);
+        let prefix = format!("127.{}.{}", 20 + octets.0 % 200, 200 + octets.1);
         let ip = format!("{prefix}.1");
         let store = Store::start(&format!("{prefix}.254")).expect("a store");
         let mut service = json!({ "name": "one" });
--- a/tests/platform/turned_away.rs
+++ b/tests/platform/turned_away.rs
@@ -48,7 +48,7 @@
 /// watching ones: stale reads that it still answered hid that no change could arrive.
 #[test]
 fn hosts_learn_of_a_change_while_the_store_limits_the_watching_ones() {
-    let fixture = Fixture::start_fleet(21, 8);
+    let fixture = Fixture::start_fleet(8);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     assert_eq!(late_hosts(&fixture, StoreFault::Limited), [0; 0]);
@@ -58,7 +58,7 @@
 /// ones: until that was noticed, told and taken over, up to 4.5 s passed.
 #[test]
 fn hosts_learn_of_a_change_while_the_store_does_not_answer_the_watching_ones() {
-    let fixture = Fixture::start_fleet(24, 8);
+    let fixture = Fixture::start_fleet(8);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     assert_eq!(late_hosts(&fixture, StoreFault::Silent), [0; 0]);
--- a/tests/platform/unsent.rs
+++ b/tests/platform/unsent.rs
@@ -35,7 +35,7 @@
 /// against a run after the reply that it did not run.
 #[test]
 fn request_that_waits_for_a_connection_until_its_deadline_did_not_run() {
-    let fixture = Fixture::start(9, "connection_limit", 1);
+    let fixture = Fixture::start("connection_limit", 1);
     let leaf = fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     leaf.set_fault(LeafFault::Mute);
--- a/tests/platform/without_config.rs
+++ b/tests/platform/without_config.rs
@@ -16,8 +16,8 @@
 
 /// Starts a host and kills it while the store is away, so that it starts again without a
 /// configuration.
-fn start_without_config(n: u64) -> Fixture {
-    let mut fixture = Fixture::start(n, "connection_limit", 50);
+fn start_without_config() -> Fixture {
+    let mut fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     fixture.store.set_fault(StoreFault::Reset);
@@ -44,7 +44,7 @@
 /// because it is stopping.
 #[test]
 fn a_stopping_host_without_a_configuration_does_not_deny_routes() {
-    let mut fixture = start_without_config(22);
+    let mut fixture = start_without_config();
     assert_eq!(statuses(&fixture, Duration::from_millis(200)), BTreeMap::from([(503, 4)]));
     fixture.stop();
     let statuses = statuses(&fixture, Duration::from_millis(800));
@@ -54,7 +54,7 @@
 /// Guards against a final refusal of a long request by limits that the configuration may not have.
 #[test]
 fn long_requests_are_not_refused_for_good_without_a_configuration() {
-    let fixture = start_without_config(23);
+    let fixture = start_without_config();
     let path = format!("/read/{}/", "x".repeat(100 * 1024));
     assert_eq!(get_status(fixture.caller_address(), &path, "long", TIMEOUT), 503);
 }
@@ -63,7 +63,7 @@
 /// host could not hear of it.
 #[test]
 fn a_host_with_old_news_does_not_deny_routes() {
-    let fixture = Fixture::start(34, "connection_limit", 50);
+    let fixture = Fixture::start("connection_limit", 50);
     fixture.add_leaf("one", Duration::from_millis(1));
     fixture.wait_until_serving();
     let status = |path: &str, id: &str| get_status(fixture.caller_address(), path, id, TIMEOUT);
