Say only of requests that surely have not run that they have not

A request that may run twice and was lost with the host that it was passed on to, or was at work when links were lost, got 503 when no other host was left, or the 503 of a second host: not run, by the first one's word or nobody's. It gets 502 now. Relays count against the descriptors for connections to leaves.

a_request_that_is_lost_with_the_other_host_is_not_said_not_to_have_run failed before (503 for GET) and passes.

--- a/components/edge/src/relays.rs
+++ b/components/edge/src/relays.rs
@@ -51,6 +51,8 @@
     pub arrived: Instant,
     /// Hosts that it was passed on to.
     pub tried: Vec<Ipv4Addr>,
+    /// Whether a leaf may have run it, or another host may have sent it to one.
+    pub may_have_run: bool,
 }
 
 impl RelayedRequest {
@@ -105,7 +107,10 @@
     /// Passes a request on to a host that was not tried, or refuses it.
     fn relay(&mut self, mut req: RelayedRequest) {
         let is_late = self.now + WAY_MARGIN >= req.deadline();
-        let host = self.relay_host(&req).filter(|_| !is_late && req.tried.len() < MAX_HOSTS);
+        let open = self.relays.len() + self.upstreams.conn_count();
+        let has_room = open < self.clients.connections.leaves;
+        let may_try = has_room && !is_late && req.tried.len() < MAX_HOSTS;
+        let host = self.relay_host(&req).filter(|_| may_try);
         let Some(host) = host else { return self.refuse_relayed(&req) };
         req.tried.push(host);
         let address = (host, self.settings.caller_address.port()).into();
@@ -243,7 +248,12 @@
         let (status, stamp, headers) = (head.status, head.stamp, head.headers);
         let response = LeafResponse { status, stamp, headers, body: reader.into_body() };
         self.metrics.count_relay("answered");
-        self.reply_to_relayed(&relay.request, &Reply::Relayed(response));
+        // That this host has not run it says nothing of an earlier one.
+        let reply = match relay.request.may_have_run && response.implies_not_run() {
+            true => Reply::Failed(Cause::Broken),
+            false => Reply::Relayed(response),
+        };
+        self.reply_to_relayed(&relay.request, &reply);
     }
 
     fn remove_relay(&mut self, key: usize) -> Option<Relay> {
@@ -256,7 +266,8 @@
 
     /// Handles that the other host could not be asked or did not answer.
     fn fail_relay(&mut self, key: usize) {
-        let Some(relay) = self.remove_relay(key) else { return };
+        let Some(mut relay) = self.remove_relay(key) else { return };
+        relay.request.may_have_run |= relay.written;
         self.metrics.count_relay("failed");
         if self.journal.admits("relay_failed", self.now) {
             let fields = json!({
@@ -265,21 +276,23 @@
             });
             self.journal.record("relay_failed", fields, self.now);
         }
-        let may_have_run = relay.written;
-        let can_retry = !may_have_run || relay.request.may_repeat();
+        let can_retry = !relay.request.may_have_run || relay.request.may_repeat();
         let is_over = self.now + WAY_MARGIN >= relay.request.deadline();
         if can_retry && !is_over && relay.request.tried.len() < MAX_HOSTS {
             return self.relay(relay.request);
         }
-        if may_have_run {
-            let cause = if is_over { Cause::TimeUp } else { Cause::Broken };
-            return self.reply_to_relayed(&relay.request, &Reply::Failed(cause));
+        if is_over && relay.request.may_have_run {
+            let reply = Reply::Failed(Cause::TimeUp);
+            return self.reply_to_relayed(&relay.request, &reply);
         }
         self.refuse_relayed(&relay.request);
     }
 
-    /// Refuses a request that this host cannot serve and that has not run.
+    /// Refuses a request that this host cannot serve, as one that has not run if that is certain.
     fn refuse_relayed(&mut self, req: &RelayedRequest) {
+        if req.may_have_run {
+            return self.reply_to_relayed(req, &Reply::Failed(Cause::Broken));
+        }
         let is_other_linked = self.members.is_other_linked(self.now);
         let retry_after = RETRY_AFTER[usize::from(!is_other_linked)];
         self.reply_to_relayed(req, &Reply::Refused { cause: Cause::LinksLost, retry_after });
@@ -314,7 +327,7 @@
         let open: Vec<usize> = self.relays.iter().map(|(key, _)| key).collect();
         for relay in open.into_iter().filter_map(|key| self.remove_relay(key)).collect::<Vec<_>>() {
             let cause = Cause::Stopping;
-            let reply = match relay.written {
+            let reply = match relay.written || relay.request.may_have_run {
                 true => Reply::Failed(cause),
                 false => Reply::Refused { cause, retry_after: Span::ZERO },
             };
--- a/components/edge/src/requests.rs
+++ b/components/edge/src/requests.rs
@@ -140,8 +140,15 @@
         };
         if self.passes_on(&head) {
             let (caller, body) = (Some((caller, caller_serial)), Arc::new(body));
-            let tried = Vec::new();
-            return self.pass_on(RelayedRequest { caller, head, body, route, arrived, tried });
+            return self.pass_on(RelayedRequest {
+                caller,
+                head,
+                body,
+                route,
+                arrived,
+                tried: Vec::new(),
+                may_have_run: false,
+            });
         }
         head.settle_account_lines(self.active_catalog.has_accounts());
         self.admit_to_quota(AcceptedRequest {
@@ -398,7 +405,8 @@
         let req = self.requests.get_mut(key)?;
         let route = req.exchange.route().clone();
         let may_repeat = route.repeat == RepeatPolicy::Idempotent;
-        let is_movable = may_repeat || !req.exchange.may_have_run();
+        let may_have_run = req.exchange.may_have_run();
+        let is_movable = may_repeat || !may_have_run;
         if req.replied || req.head.is_relayed || !is_movable {
             return None;
         }
@@ -407,7 +415,8 @@
         let (head, body, arrived) = (req.head.clone(), req.body.clone(), req.arrived);
         self.withdraw_unwritten(key);
         self.remove_if_done(key);
-        Some(RelayedRequest { caller, head, body, route, arrived, tried: Vec::new() })
+        let tried = Vec::new();
+        Some(RelayedRequest { caller, head, body, route, arrived, tried, may_have_run })
     }
 
     /// Counts a reply, and logs it unless it is complete, successful and within the target latency.
--- a/tests/platform/lost_links.rs
+++ b/tests/platform/lost_links.rs
@@ -248,3 +248,21 @@
     fleet.wait_until_named(1, 2);
     assert_eq!(path_status(lost, "/read/same", "back"), 200);
 }
+
+/// Guards against "not run" for a request that another host had got before it ended.
+#[test]
+fn a_request_that_is_lost_with_the_other_host_is_not_said_not_to_have_run() {
+    let mut fleet = LinkedFleet::start(2);
+    fleet.lose_links(0, Loss::Reset);
+    fleet.send_for(0, "GET", NOTICE_TIME);
+    fleet.leaves.iter().for_each(|leaf| leaf.set_fault(LeafFault::Slow(WORK_TIME * 3)));
+    let address = fleet.fixture.caller_addresses()[0];
+    let callers = ["GET", "POST"].map(|method| {
+        thread::spawn(move || request_status(address, method, &format!("lost-{method}"), TIMEOUT))
+    });
+    thread::sleep(WORK_TIME);
+    fleet.fixture.kill(1);
+    assert_eq!(callers.map(|caller| caller.join().expect("a caller")), [502, 502]);
+    assert!(fleet.fixture.runs_of("lost-GET") > 0);
+    assert_eq!(fleet.fixture.runs_of("lost-POST"), 1);
+}
