Tell of lost links without the states of other hosts

A host that had lost its links told all live hosts with a whole heartbeat, up to 2 KB to each; its own state of some 40 bytes is enough, and gossip carries it on.

--- a/components/edge/src/gossip.rs
+++ b/components/edge/src/gossip.rs
@@ -222,9 +222,9 @@
         self.send_members(to, &members);
     }
 
-    /// Announces to all live hosts that the replicated state has changed; the streams carry the
-    /// changes.
-    pub(crate) fn announce_changes(&mut self) {
+    /// Tells all live hosts at once of this host's state and of the positions up to which it has the
+    /// replicated state; the streams carry the changes.
+    pub(crate) fn announce_state(&mut self) {
         let alive: Vec<Ipv4Addr> = self.members.alive(self.now).map(|info| info.ip).collect();
         self.members.increment_heartbeat();
         self.send_members(&alive, &[]);
--- a/components/edge/src/link_probes.rs
+++ b/components/edge/src/link_probes.rs
@@ -10,7 +10,7 @@
     indexmap::IndexSet,
     mio::{Interest, net::TcpStream},
     serde_json::json,
-    std::{io::ErrorKind, net::Ipv4Addr},
+    std::io::ErrorKind,
     wigeonramp_routing::{leaf_links::LinkState, leaves::LeafKey},
     wigeonramp_units::Instant,
 };
@@ -149,8 +149,7 @@
             return;
         }
         self.refresh_shares();
-        let alive: Vec<Ipv4Addr> = self.members.alive(self.now).map(|info| info.ip).collect();
-        self.send_heartbeat(&alive);
+        self.announce_state();
     }
 
     /// Handles that another host has lost its links.
--- a/components/edge/src/node.rs
+++ b/components/edge/src/node.rs
@@ -419,7 +419,7 @@
         let became_ready = !was_ready && self.members.own().ready;
         let is_candidate = self.members.is_candidate(self.now);
         if self.origin_selector.origin() == Origin::Store || (became_ready && is_candidate) {
-            self.announce_changes();
+            self.announce_state();
         }
         self.update_followers();
     }
--- a/components/edge/src/peers.rs
+++ b/components/edge/src/peers.rs
@@ -377,7 +377,7 @@
             let fields = json!({ "age_us": self.now.since(until).0 });
             self.journal.record("news_current", fields, self.now);
             if self.origin_selector.origin() == Origin::Store {
-                self.announce_changes();
+                self.announce_state();
             }
         }
         if before.is_none_or(|before| until.since(before) >= MIN_NEWS_STEP) {
--- a/components/edge/src/store/outcomes.rs
+++ b/components/edge/src/store/outcomes.rs
@@ -203,7 +203,7 @@
     fn announce_store_health(&mut self) {
         self.refresh_shares();
         if self.origin_selector.origin() == Origin::Store {
-            self.announce_changes();
+            self.announce_state();
         }
     }
 }
