--- a/components/edge/src/link_probes.rs
+++ b/components/edge/src/link_probes.rs
@@ -78,20 +78,18 @@
         let Some(mut probe) = self.probes.try_remove(key) else { return };
         // Closing the socket removes it from the event queue anyway.
         let _ = self.poll.registry().deregister(&mut probe.sock);
-        let links = &mut self.routing.links;
         if is_open {
-            let before = links.state();
-            links.on_opened(self.now);
-            self.on_links_changed(before);
-        } else {
-            links.on_unopened(probe.leaf, probe.started, self.now);
-            self.next_sweep = self.now;
+            return self.on_link_opened();
         }
+        self.routing.links.on_unopened(probe.leaf, probe.started, self.now);
+        self.next_sweep = self.now;
     }
 
-    /// Records that an open connection to a leaf broke or that a request on it has no response.
-    pub(crate) fn on_link_broken(&mut self, leaf: LeafKey) {
-        self.routing.links.on_broken(leaf, self.now);
+    /// Records that open connections to these leaves broke or that requests on them have no response.
+    pub(crate) fn on_links_broken(&mut self, leaves: &[LeafKey]) {
+        for leaf in leaves {
+            self.routing.links.on_broken(*leaf, self.now);
+        }
         self.advance_links();
     }
 
@@ -109,6 +107,10 @@
     }
 
     fn advance_links(&mut self) {
+        // Counting the leaves takes a look at each of them.
+        if self.routing.links.is_settled() {
+            return;
+        }
         let before = self.routing.links.state();
         let leaves = self.routing.leaves.probe_count(self.now);
         if self.routing.links.advance(leaves, self.now).is_some() {
--- a/components/edge/src/metrics.rs
+++ b/components/edge/src/metrics.rs
@@ -56,12 +56,7 @@
 }
 
 #[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct ReleaseLabels {
-    state: &'static str,
-}
-
-#[derive(Clone, Debug, EncodeLabelSet, Eq, Hash, PartialEq)]
-struct RelayLabels {
+struct StateLabels {
     state: &'static str,
 }
 
@@ -91,7 +86,7 @@
     probes: Counter,
     link_suspicions: Counter,
     links_lost: Gauge,
-    relays: Family<RelayLabels, Counter>,
+    relays: Family<StateLabels, Counter>,
     store_calls: Family<StoreLabels, Counter>,
     store_failures: Family<StoreLabels, Counter>,
     extra_attempts: Counter,
@@ -102,8 +97,8 @@
     leaving_leaves: Gauge,
     pausing_leaves: Gauge,
     datagram_bytes: Family<SendLabels, Counter>,
-    releases: Family<ReleaseLabels, Counter>,
-    status_writes: Family<ReleaseLabels, Counter>,
+    releases: Family<StateLabels, Counter>,
+    status_writes: Family<StateLabels, Counter>,
     open_releases: Gauge,
     /// Attempt counts at the last export; the counters grow by the difference.
     last_counts: AttemptCounts,
@@ -324,7 +319,7 @@
 
     /// Counts a request that is passed on to another host.
     pub fn count_relay(&self, state: &'static str) {
-        self.relays.get_or_create(&RelayLabels { state }).inc();
+        self.relays.get_or_create(&StateLabels { state }).inc();
     }
 
     /// Counts a suspicion that the links to all leaves are lost.
@@ -359,12 +354,12 @@
 
     /// Counts a change of a release.
     pub fn count_release(&self, state: &'static str) {
-        self.releases.get_or_create(&ReleaseLabels { state }).inc();
+        self.releases.get_or_create(&StateLabels { state }).inc();
     }
 
     /// Counts a write of the status of a release.
     pub fn count_status_write(&self, state: &'static str) {
-        self.status_writes.get_or_create(&ReleaseLabels { state }).inc();
+        self.status_writes.get_or_create(&StateLabels { state }).inc();
     }
 
     fn add_attempts(&mut self, counts: AttemptCounts) {
--- a/components/edge/src/relays.rs
+++ b/components/edge/src/relays.rs
@@ -110,7 +110,7 @@
         let open = self.relays.len() + self.upstreams.conn_count();
         let has_room = open < self.clients.connections.leaves;
         let may_try = has_room && !is_late && req.tried.len() < MAX_HOSTS;
-        let host = self.relay_host(&req).filter(|_| may_try);
+        let host = may_try.then(|| self.relay_host(&req)).flatten();
         let Some(host) = host else { return self.refuse_relayed(&req) };
         req.tried.push(host);
         let address = (host, self.settings.caller_address.port()).into();
@@ -278,7 +278,7 @@
         }
         let can_retry = !relay.request.may_have_run || relay.request.may_repeat();
         let is_over = self.now + WAY_MARGIN >= relay.request.deadline();
-        if can_retry && !is_over && relay.request.tried.len() < MAX_HOSTS {
+        if can_retry && !is_over {
             return self.relay(relay.request);
         }
         if is_over && relay.request.may_have_run {
--- a/components/edge/src/upstreams/failures.rs
+++ b/components/edge/src/upstreams/failures.rs
@@ -24,7 +24,7 @@
             self.on_link_unopened(leaf, opened);
             self.on_connect_failed(leaf);
         } else if broken && !turned_away {
-            self.on_link_broken(leaf);
+            self.on_links_broken(&[leaf]);
         }
         if turned_away {
             self.on_turned_away(leaf);
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -477,9 +477,7 @@
         };
         let silent = self.upstreams.conns.iter().filter(|(_, conn)| is_silent(conn));
         let leaves: Vec<LeafKey> = silent.map(|(_, conn)| conn.leaf).collect();
-        for leaf in leaves {
-            self.on_link_broken(leaf);
-        }
+        self.on_links_broken(&leaves);
     }
 
     /// Closes a connection whose response did not arrive before the deadline.
--- a/components/routing/src/leaf_links.rs
+++ b/components/routing/src/leaf_links.rs
@@ -112,9 +112,9 @@
         self.state
     }
 
-    /// Returns the time since which the links have been in this state.
-    pub fn state_since(&self) -> Instant {
-        self.state_since
+    /// Whether there is nothing to conclude: leaves can be reached, and none shows a sign of failure.
+    pub fn is_settled(&self) -> bool {
+        self.state == LinkState::Up && self.broken.is_empty() && self.unopened.is_empty()
     }
 
     /// Whether failures of attempts may be those of the links, so that they say nothing of leaves.
--- a/components/routing/tests/fleet.rs
+++ b/components/routing/tests/fleet.rs
@@ -383,10 +383,8 @@
     assert!(fallbacks.len() >= 4, "the zones fall back to different hosts: {fallbacks:?}");
 }
 
-/// Guards against callers that get hosts outside their own region and the homes of their routes,
-/// and against callers that get no address because no host in those regions serves.
-#[test]
-fn hosts_of_other_regions_are_not_selected_for_routes_with_homes() {
+/// Returns no leaves, with zones `a` and `b` in one region and `c` in another.
+fn leaves_in_two_regions() -> Leaves {
     let mut leaves = Leaves::new("a".parse().expect("a zone"));
     let regions = [("a", "west"), ("b", "west"), ("c", "east")];
     leaves.set_regions(
@@ -394,6 +392,14 @@
             .map(|(zone, of)| (zone.parse().expect("a zone"), of.parse().expect("a region")))
             .into(),
     );
+    leaves
+}
+
+/// Guards against callers that get hosts outside their own region and the homes of their routes,
+/// and against callers that get no address because no host in those regions serves.
+#[test]
+fn hosts_of_other_regions_are_not_selected_for_routes_with_homes() {
+    let leaves = leaves_in_two_regions();
     let members = members(9, at(0));
     let selected = |regions: &[&str]| {
         let regions: Vec<RegionId> =
@@ -444,13 +450,7 @@
 /// that is in a region to which they may not go.
 #[test]
 fn requests_are_passed_on_to_other_hosts_with_links() {
-    let mut leaves = Leaves::new("a".parse().expect("a zone"));
-    let regions = [("a", "west"), ("b", "west"), ("c", "east")];
-    leaves.set_regions(
-        regions
-            .map(|(zone, of)| (zone.parse().expect("a zone"), of.parse().expect("a region")))
-            .into(),
-    );
+    let leaves = leaves_in_two_regions();
     let mut members = members_without_links(&[1, 3, 4, 6]);
     members.set_own(OwnState { links_lost: true, ..own_state() });
     let relays = |regions: &[RegionId], tried: &[u8], seed: u64| {
--- a/tests/clients/endless.rs
+++ b/tests/clients/endless.rs
@@ -20,29 +20,28 @@
 /// Time within which a request has its answer: half a second after the timeout of the route.
 const ANSWER_TIME: Duration = Duration::from_secs(2);
 
-/// Returns the start of an answer and the bytes that follow without end.
-fn forms() -> Vec<(&'static str, &'static str, String)> {
+/// Returns the starts of answers and the bytes that follow each of them without end.
+fn forms() -> Vec<(&'static str, String, String)> {
     let own = "HTTP/1.1 200 OK\r\nRequest-Id: {id}\r\nResponse-Stamp: {stamp}\r\n";
+    let after = |lines: &str| format!("{own}{lines}");
+    let chunked = after("Transfer-Encoding: chunked\r\n\r\n");
+    let in_chunks = |text: &str| format!("{chunked}{text}");
     let bytes = "x".repeat(16 * 1024);
-    let chunked: &'static str =
-        Box::leak(format!("{own}Transfer-Encoding: chunked\r\n\r\n").into());
-    let ending: &'static str = Box::leak(format!("{own}\r\n").into());
-    let long: &'static str = Box::leak(format!("{own}Content-Length: 99999999999\r\n\r\n").into());
-    let headed: &'static str = Box::leak(own.to_owned().into());
+    let lines = "X: y\r\n".repeat(2_000);
     vec![
-        ("no answer", "", bytes.clone()),
-        ("a status line", "HTTP/1.1 200 ", bytes.clone()),
-        ("a header's name", headed, bytes.clone()),
-        ("a header's value", Box::leak(format!("{headed}X: ").into()), bytes.clone()),
-        ("headers", headed, "X: y\r\n".repeat(2_000)),
-        ("interim answers", "", "HTTP/1.1 103 Early\r\nX: y\r\n\r\n".repeat(500)),
-        ("a body of a length", long, bytes.clone()),
-        ("a body until the end", ending, bytes.clone()),
-        ("chunks", chunked, format!("4000\r\n{bytes}\r\n")),
-        ("small chunks", chunked, "1\r\nx\r\n".repeat(2_000)),
-        ("a chunk's size", chunked, "0".repeat(16 * 1024)),
-        ("a chunk's extension", Box::leak(format!("{chunked}1;").into()), bytes.clone()),
-        ("trailers", Box::leak(format!("{chunked}0\r\n").into()), "X: y\r\n".repeat(2_000)),
+        ("no answer", String::new(), bytes.clone()),
+        ("a status line", "HTTP/1.1 200 ".to_owned(), bytes.clone()),
+        ("a header's name", after(""), bytes.clone()),
+        ("a header's value", after("X: "), bytes.clone()),
+        ("headers", after(""), lines.clone()),
+        ("interim answers", String::new(), "HTTP/1.1 103 Early\r\nX: y\r\n\r\n".repeat(500)),
+        ("a body of a length", after("Content-Length: 99999999999\r\n\r\n"), bytes.clone()),
+        ("a body until the end", after("\r\n"), bytes.clone()),
+        ("chunks", in_chunks(""), format!("4000\r\n{bytes}\r\n")),
+        ("small chunks", in_chunks(""), "1\r\nx\r\n".repeat(2_000)),
+        ("a chunk's size", in_chunks(""), "0".repeat(16 * 1024)),
+        ("a chunk's extension", in_chunks("1;"), bytes),
+        ("trailers", in_chunks("0\r\n"), lines),
     ]
 }
 
@@ -77,8 +76,7 @@
     let leaves: Vec<Leaf> = (0..LEAVES).map(new_leaf).collect();
     for (name, text, endless) in forms() {
         for leaf in &leaves {
-            let answer =
-                RawAnswer { text: text.to_owned(), endless: endless.clone(), closes: true };
+            let answer = RawAnswer { text: text.clone(), endless: endless.clone(), closes: true };
             leaf.set_raw_answer(Some(answer));
         }
         let longest = load(&host);
--- a/tests/platform/lost_links.rs
+++ b/tests/platform/lost_links.rs
@@ -1,7 +1,7 @@
 //! Hosts that lose their links to all leaves, while callers, the store and the other hosts reach them.
 
 use {
-    crate::support::{Fixture, HOST, get_status, request_status},
+    crate::support::{Fixture, get_status, path_status, request_status},
     socket2::{Domain, Socket, Type},
     std::{
         net::{SocketAddr, TcpListener, TcpStream},
@@ -9,7 +9,7 @@
         time::{Duration, Instant},
     },
     wigeonramp_platform_standin::{
-        caller::{Caller, CallerRequest, resolve},
+        caller::resolve,
         leaf::{Leaf, LeafFault},
     },
     wigeonramp_soak::proxy::{LinkMode, Proxy},
@@ -218,11 +218,9 @@
     assert_eq!(fleet.fixture.runs_of("refused-0"), 0);
 }
 
-/// Sends `path` to a host and returns the status, or 0 without a response.
-fn path_status(address: SocketAddr, path: &str, id: &str) -> u16 {
-    let req = CallerRequest { method: "GET", host: HOST, path, id, wait: TIMEOUT };
-    let response = Caller::connect(address).and_then(|mut caller| caller.send(&req));
-    response.map_or(0, |response| response.status)
+/// Sends a request that is the same as all others but for its id; returns its status.
+fn same_status(address: SocketAddr, id: &str) -> u16 {
+    path_status(address, "GET", "/read/same", id, TIMEOUT)
 }
 
 /// Guards against a sound request that all hosts refuse as one that crashes leaves, because one host lost its
@@ -232,9 +230,8 @@
     let mut fleet = LinkedFleet::start(2);
     fleet.leaves.iter().for_each(|leaf| leaf.set_fault(LeafFault::Slow(WORK_TIME)));
     let [lost, other] = fleet.fixture.caller_addresses()[..] else { panic!("two hosts") };
-    let callers: Vec<_> = (0..8)
-        .map(|n| thread::spawn(move || path_status(lost, "/read/same", &format!("at-work-{n}"))))
-        .collect();
+    let callers: Vec<_> =
+        (0..8).map(|n| thread::spawn(move || same_status(lost, &format!("at-work-{n}")))).collect();
     thread::sleep(WORK_TIME / 2);
     fleet.lose_links(0, Loss::Reset);
     for caller in callers {
@@ -243,10 +240,10 @@
     fleet.leaves.iter().for_each(|leaf| leaf.set_fault(LeafFault::None));
     // Longer than hosts need to tell each other which requests they refuse.
     thread::sleep(TIMEOUT);
-    assert_eq!(path_status(other, "/read/same", "elsewhere"), 200);
+    assert_eq!(same_status(other, "elsewhere"), 200);
     fleet.restore_links(0);
     fleet.wait_until_named(1, 2);
-    assert_eq!(path_status(lost, "/read/same", "back"), 200);
+    assert_eq!(same_status(lost, "back"), 200);
 }
 
 /// Guards against "not run" for a request that another host had got before it ended.
--- a/tests/platform/support.rs
+++ b/tests/platform/support.rs
@@ -91,7 +91,18 @@
 }
 
 fn send(address: SocketAddr, method: &str, path: &str, id: &str, timeout: Duration) -> u16 {
-    let req = CallerRequest { method, host: HOST, path: &format!("{path}{id}"), id, wait: timeout };
+    path_status(address, method, &format!("{path}{id}"), id, timeout)
+}
+
+/// Like `request_status`, for any method and path.
+pub fn path_status(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    id: &str,
+    timeout: Duration,
+) -> u16 {
+    let req = CallerRequest { method, host: HOST, path, id, wait: timeout };
     let result = Caller::connect(address).and_then(|mut caller| caller.send(&req));
     result.map_or(0, |response| response.status)
 }
