Take the heads of responses in one place for leaves and hosts

The relays had written the decoding of a head again, with the bound on interim answers checked one answer later than for leaves. Both now call take_head; the bound for answers of hosts is the 64 KB that is stated.

--- a/components/edge/src/lib.rs
+++ b/components/edge/src/lib.rs
@@ -22,6 +22,7 @@
 mod releases;
 mod replicated;
 mod requests;
+mod response_head;
 mod sock;
 mod stopping;
 mod store;
--- a/components/edge/src/relays.rs
+++ b/components/edge/src/relays.rs
@@ -9,13 +9,14 @@
         body::BodyReader,
         callers::Phase,
         node::{EventSource, Node},
+        response_head::{HeadEnd, take_head},
         sock::{self, OutBuf, ReadEnd},
-        upstreams::{CONNECT_TIMEOUT, MAX_RESPONSE_HEAD, READ_AHEAD},
+        upstreams::{CONNECT_TIMEOUT, READ_AHEAD},
     },
     mio::{Interest, net::TcpStream},
     serde_json::json,
     std::{net::Ipv4Addr, sync::Arc},
-    wigeonramp_platform::http::{self, RequestHead, ResponseHead, ResponseKind},
+    wigeonramp_platform::http::{self, RequestHead, ResponseHead},
     wigeonramp_routing::{
         catalog::{RepeatPolicy, Route},
         clients::memory::Charge,
@@ -218,21 +219,13 @@
         let Some(relay) = self.relays.get_mut(key) else { return false };
         while relay.response.is_none() {
             let is_head = relay.request.head.is_head;
-            let head = match http::parse_response_head(&relay.inbuf, true, is_head) {
-                Ok(Some(head)) => head,
-                Ok(None) => return relay.inbuf.len() <= MAX_RESPONSE_HEAD,
-                Err(_) => return false,
+            let (inbuf, interim_bytes) = (&mut relay.inbuf, &mut relay.interim_bytes);
+            let head = match take_head(inbuf, interim_bytes, true, is_head) {
+                (HeadEnd::Final, Some(head)) => head,
+                (HeadEnd::Interim, _) => continue,
+                (HeadEnd::Incomplete, _) => return true,
+                _ => return false,
             };
-            relay.inbuf.drain(..head.length);
-            match head.kind() {
-                ResponseKind::Invalid => return false,
-                ResponseKind::Interim if relay.interim_bytes > MAX_RESPONSE_HEAD => return false,
-                ResponseKind::Interim => {
-                    relay.interim_bytes += head.length;
-                    continue;
-                }
-                ResponseKind::Final => {}
-            }
             let Ok(reader) = BodyReader::new(head.framing, max) else { return false };
             relay.response = Some((head, reader));
         }
--- a/components/edge/src/upstreams/mod.rs
+++ b/components/edge/src/upstreams/mod.rs
@@ -9,7 +9,7 @@
 mod room;
 mod withdrawal;
 
-pub(crate) use responses::{MAX_RESPONSE_HEAD, READ_AHEAD};
+pub(crate) use responses::READ_AHEAD;
 
 use {
     crate::{
--- a/components/edge/src/upstreams/responses.rs
+++ b/components/edge/src/upstreams/responses.rs
@@ -6,18 +6,17 @@
         body::BodyReader,
         node::{EventSource, Node},
         requests::EndedAttempt,
+        response_head::{HeadEnd, MAX_RESPONSE_HEAD, take_head},
         sock::{self, ReadEnd},
     },
     mio::Interest,
     serde_json::json,
     std::io::ErrorKind,
-    wigeonramp_platform::http::{self, ResponseHead, ResponseKind},
+    wigeonramp_platform::http::ResponseHead,
     wigeonramp_routing::{exchange::AttemptOutcome, leaves::LeafKey, reply::LeafResponse},
     wigeonramp_units::Span,
 };
 
-/// Maximum length in bytes of a response head, and of all interim responses to one request together.
-pub(crate) const MAX_RESPONSE_HEAD: usize = 64 * 1024;
 /// Number of bytes that are read before they are decoded. It exceeds the maximum length of a head,
 /// so that a full buffer always holds a complete head or one that is too long.
 pub(crate) const READ_AHEAD: usize = MAX_RESPONSE_HEAD + sock::READ_BYTES;
@@ -44,19 +43,6 @@
     }
 }
 
-/// What follows the head of a response.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum HeadEnd {
-    /// More bytes of the head.
-    Incomplete,
-    /// Another response to the same request.
-    Interim,
-    /// The body.
-    Final,
-    /// Nothing that can be used.
-    Unusable,
-}
-
 /// Time before the leaf's idle timeout at which an idle connection is no longer used.
 const IDLE_MARGIN: Span = Span::millis(500);
 
@@ -189,28 +175,19 @@
         let Some(conn) = self.upstreams.conns.get_mut(key) else { return HeadEnd::Unusable };
         let Some(in_flight) = &conn.in_flight else { return HeadEnd::Unusable };
         let (keep_headers, no_body) = (in_flight.keep_headers, in_flight.no_body);
-        let head = match http::parse_response_head(&conn.inbuf, keep_headers, no_body) {
-            Ok(None) if conn.inbuf.len() <= MAX_RESPONSE_HEAD => return HeadEnd::Incomplete,
-            Ok(Some(head)) => head,
-            _ => return HeadEnd::Unusable,
-        };
-        conn.inbuf.drain(..head.length);
+        let (inbuf, interim_bytes) = (&mut conn.inbuf, &mut conn.interim_bytes);
+        let (mut end, head) = take_head(inbuf, interim_bytes, keep_headers, no_body);
+        let Some(head) = head else { return end };
         let notices = Notices::of(&head);
-        let end = match head.kind() {
-            ResponseKind::Invalid => HeadEnd::Unusable,
-            ResponseKind::Interim => {
-                conn.interim_bytes += head.length;
-                let is_endless = conn.interim_bytes > MAX_RESPONSE_HEAD;
-                if is_endless { HeadEnd::Unusable } else { HeadEnd::Interim }
-            }
-            ResponseKind::Final => {
-                conn.mismatched = head.id.is_some() && head.id != in_flight.id;
-                conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
-                let reader = BodyReader::new(head.framing, max_response);
-                conn.response = reader.ok().map(|reader| (head, reader));
-                if conn.response.is_some() { HeadEnd::Final } else { HeadEnd::Unusable }
+        if end == HeadEnd::Final {
+            conn.mismatched = head.id.is_some() && head.id != in_flight.id;
+            conn.close |= conn.mismatched || head.close || !conn.out.is_empty();
+            let reader = BodyReader::new(head.framing, max_response);
+            conn.response = reader.ok().map(|reader| (head, reader));
+            if conn.response.is_none() {
+                end = HeadEnd::Unusable;
             }
-        };
+        }
         self.hear_notices(key, notices);
         end
     }
